lynxramp: serve a request through entry, scheduler and slot

The thin whole path: an entry registers a ticket with the owner of its pool, offers the request to the slot that was granted and streams the answer. The scheduler is a pure reducer; its owner is still fixed by the settings.

--- /dev/null
+++ b/box/log.go
@@ -0,0 +1,25 @@
+// SPDX-License-Identifier: MIT
+
+package box
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a logger of JSON lines to w.
+func NewLogger(w io.Writer, level string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.TimeKey = "time"
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.EncodeDuration = zapcore.SecondsDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(w)), l)
+	return zap.New(core), nil
+}
--- /dev/null
+++ b/cmd/lynxramp/main.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: MIT
+
+// Command lynxramp is the operators' tool.
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"lynxramp.org/box"
+	"lynxramp.org/catalog"
+	"lynxramp.org/dev"
+	"lynxramp.org/engine/fake"
+	"lynxramp.org/settings"
+)
+
+type commands struct {
+	Check   checkCommand   `cmd:"" help:"Check settings and catalog files; all findings are printed, each with its place."`
+	Dev     devCommand     `cmd:"" help:"Run a whole small deployment in this process, with stand-in engines."`
+	Key     keyCommand     `cmd:"" help:"Make a key for a team, or print the hash of one that is typed in."`
+	Engine  engineCommand  `cmd:"" help:"Run a stand-in of a model engine."`
+	Service serviceCommand `cmd:"" help:"Run a stand-in of a plain service."`
+}
+
+func main() {
+	var c commands
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed := kong.Parse(&c, kong.Name("lynxramp"), kong.Description("The operators' tool of lynxramp."),
+		kong.BindTo(ctx, (*context.Context)(nil)))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+type checkCommand struct {
+	Files []string `arg:"" help:"Files of any kind: box, slot or catalog."`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run() error {
+	failed := 0
+	for _, file := range c.Files {
+		kind, err := settings.Check(file)
+		if err != nil {
+			failed++
+			fmt.Println(err)
+			continue
+		}
+		fmt.Printf("%s: sound (%s)\n", file, kind)
+	}
+	if failed > 0 {
+		return errors.Errorf("%d of %d files are not sound", failed, len(c.Files))
+	}
+	return nil
+}
+
+type devCommand struct {
+	Listen string `default:"127.0.0.1:8080" help:"Address for callers (IP:port)."`
+	Log    string `default:"warn" enum:"debug,info,warn,error" help:"Level of the log on standard error."`
+}
+
+// Run implements the command.
+func (c *devCommand) Run(ctx context.Context) error {
+	log, err := box.NewLogger(os.Stderr, c.Log)
+	if err != nil {
+		return err
+	}
+	return dev.Run(ctx, c.Listen, os.Stdout, log)
+}
+
+type keyCommand struct {
+	Key string `arg:"" optional:"" help:"The key to hash; a new one is made without it."`
+}
+
+// Run implements the command.
+func (c *keyCommand) Run() error {
+	key := c.Key
+	if key == "" {
+		key = rand.Text()
+		fmt.Println("key: ", key)
+	}
+	fmt.Println("hash:", catalog.HashKey(key))
+	return nil
+}
+
+type engineCommand struct {
+	Listen string  `required:"" help:"Address (IP:port)."`
+	Speed  float64 `default:"1" help:"Relative to the reference engine."`
+	Batch  int     `default:"16" help:"Sequences at once."`
+}
+
+// Run implements the command.
+func (c *engineCommand) Run(ctx context.Context) error {
+	p := fake.DefaultProfile().Scaled(c.Speed)
+	p.MaxBatch = c.Batch
+	e := fake.NewEngine(p)
+	go e.Run(ctx)
+	return serve(ctx, c.Listen, e.Handler())
+}
+
+type serviceCommand struct {
+	Listen string        `required:"" help:"Address (IP:port)."`
+	Delay  time.Duration `help:"How long each call takes."`
+}
+
+// Run implements the command.
+func (c *serviceCommand) Run(ctx context.Context) error {
+	return serve(ctx, c.Listen, (&fake.Service{Delay: c.Delay}).Handler())
+}
+
+// serve answers HTTP calls until ctx ends.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(l); err != http.ErrServerClosed {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,201 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"lynxramp.org/event"
+	"lynxramp.org/rpc"
+	"lynxramp.org/slot"
+)
+
+// Bounds of the entry's patience with slots.
+const (
+	// maxOffers is how often a request is offered to a slot that then says it
+	// never ran.
+	maxOffers = 8
+	// offerBackoff is the wait before a request is registered again.
+	offerBackoff = 20 * time.Millisecond
+	// resumeBound is how long a cut answer is tried to be resumed.
+	resumeBound  = 8 * time.Second
+	resumePause  = 50 * time.Millisecond
+	writeTimeout = 60 * time.Second
+)
+
+// errCallerGone says that the caller hung up: there is nobody to answer.
+var errCallerGone = errors.New("the caller went away")
+
+// run takes a checked request to its end.
+func (e *Entry) run(w http.ResponseWriter, r *http.Request, q *request) {
+	w.Header().Set(HeaderRequestID, string(q.ticket.ID))
+	t := &transfer{entry: e, w: w, q: q}
+	err := e.serveRequest(r.Context(), t)
+	var failure *Failure
+	if errors.As(err, &failure) && !t.begun {
+		t.status = failure.Status
+		t.outcome = failure.Outcome
+		failure.write(w)
+	}
+	e.meters.answered(q.tier.Name, q.service.Name, t.status, t.outcome)
+	e.logAnswer(q, t, err)
+	if err != nil && t.begun {
+		// The caller's client notices a connection cut before the answer's end.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Entry) logAnswer(q *request, t *transfer, err error) {
+	fields := []zap.Field{
+		zap.String("request", string(q.ticket.ID)),
+		zap.String("team", q.team.Name),
+		zap.String("tier", q.tier.Name),
+		zap.String("service", q.service.Name),
+		zap.String("endpoint", t.endpoint),
+		zap.Uint64("epoch", uint64(t.epoch)),
+		zap.Stringer("outcome", t.outcome),
+		zap.Int("status", t.status),
+		zap.Int("bytes", t.offset),
+		zap.Duration("took", time.Since(q.arrived)),
+	}
+	if err != nil {
+		fields = append(fields, zap.Error(err))
+	}
+	e.log.Info("answered", fields...)
+}
+
+// serveRequest registers the request and offers it until an endpoint took it.
+func (e *Entry) serveRequest(ctx context.Context, t *transfer) error {
+	q := t.q
+	for range maxOffers {
+		link, d, err := e.await(ctx, q)
+		if err != nil {
+			return err
+		}
+		if d.Refusal != nil {
+			after := time.Duration(d.Refusal.RetryAfterMs) * time.Millisecond
+			return refusal(event.Reason(d.Refusal.Reason), after)
+		}
+		done, err := e.offer(ctx, t, d)
+		link.Finish(&rpc.Finish{Id: string(q.ticket.ID), Pool: q.ticket.Pool, Failed: err != nil})
+		if done || err != nil {
+			return err
+		}
+		pause(ctx, offerBackoff)
+	}
+	return &Failure{
+		Status:     http.StatusServiceUnavailable,
+		Code:       "no_endpoint",
+		Message:    "no endpoint took the request",
+		RetryAfter: localRetryAfter,
+	}
+}
+
+// routePoll is how often a missing scheduler is looked for.
+const routePoll = 20 * time.Millisecond
+
+// await registers the request and waits for its decision.
+func (e *Entry) await(ctx context.Context, q *request) (*Link, Decision, error) {
+	timer := time.NewTimer(time.Until(q.deadline))
+	defer timer.Stop()
+	link := e.router.Link(q.ticket.Pool)
+	for link == nil {
+		select {
+		case <-time.After(routePoll):
+			link = e.router.Link(q.ticket.Pool)
+		case <-ctx.Done():
+			return nil, Decision{}, errCallerGone
+		case <-timer.C:
+			return nil, Decision{}, refusal(event.ReasonDeadline, localRetryAfter)
+		}
+	}
+	decided := link.Submit(q.ticket, q.deadline)
+	select {
+	case d := <-decided:
+		return link, d, nil
+	case <-ctx.Done():
+		link.Withdraw(q.ticket.ID, q.ticket.Pool)
+		return nil, Decision{}, errCallerGone
+	case <-timer.C:
+		link.Withdraw(q.ticket.ID, q.ticket.Pool)
+		return nil, Decision{}, refusal(event.ReasonDeadline, localRetryAfter)
+	}
+}
+
+// offer takes a granted request to its slot and its answer to the caller. It
+// returns false, without an error, if the request has not run and will not run
+// there.
+func (e *Entry) offer(ctx context.Context, t *transfer, d Decision) (bool, error) {
+	q := t.q
+	t.epoch = d.Epoch
+	response, err := e.slots.offer(ctx, q, d)
+	if errors.Is(err, errNotSent) {
+		return false, nil
+	}
+	if err == nil && response.Header.Get(slot.HeaderDenial) != "" {
+		return e.denied(response)
+	}
+	t.endpoint = d.Grant.Endpoint
+	t.outcome = Unknown
+	if err != nil {
+		response, err = e.recover(ctx, t, d)
+		if response == nil {
+			return false, err
+		}
+	}
+	return true, e.transfer(ctx, t, d, response)
+}
+
+// denied takes a slot's word that it did not and will not run an offer.
+func (e *Entry) denied(response *http.Response) (bool, error) {
+	denial := response.Header.Get(slot.HeaderDenial)
+	_ = response.Body.Close() // it is empty
+	switch denial {
+	case slot.DenialStarted.String():
+		return false, unknownFate("the slot had the request before")
+	case slot.DenialDeadline.String():
+		return false, refusal(event.ReasonDeadline, localRetryAfter)
+	}
+	return false, nil
+}
+
+// recover finds out what became of an offer whose answer did not come: the
+// answer's beginning, or nil and no error when the slot proves that the request
+// never ran.
+func (e *Entry) recover(ctx context.Context, t *transfer, d Decision) (*http.Response, error) {
+	q := t.q
+	until := time.Now().Add(resumeBound)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		response, err := e.slots.resume(ctx, d.Grant.Address, q.ticket.ID, 0)
+		if err == nil && response.StatusCode == http.StatusOK {
+			return response, nil
+		}
+		if err == nil {
+			_ = response.Body.Close() // the status says it all
+			proved, err := e.slots.void(ctx, d.Grant, q.ticket.ID)
+			if err == nil && proved {
+				t.outcome = NotRun
+				t.endpoint = ""
+				return nil, nil
+			}
+			if err == nil {
+				return nil, unknownFate("the slot does not know what became of the request")
+			}
+		}
+		pause(ctx, resumePause)
+	}
+	if ctx.Err() != nil {
+		e.slots.cancel(d.Grant.Address, q.ticket.ID)
+		return nil, errCallerGone
+	}
+	return nil, unknownFate("the slot cannot be reached")
+}
+
+func unknownFate(message string) *Failure {
+	return &Failure{Status: http.StatusBadGateway, Code: "fate_unknown", Message: message, Outcome: Unknown}
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package event
+
+// RequestID names one request of one caller. An entry makes it and no two
+// requests ever share one.
+type RequestID string
+
+// BoxID names a box of the system, as its settings do.
+type BoxID string
+
+// EndpointID names an endpoint, as the catalog does.
+type EndpointID string
+
+// Incarnation tells the lives of one process apart. A restarted process has
+// another one.
+type Incarnation uint64
+
+// Epoch orders the owners of a pool. A later owner has a larger epoch.
+type Epoch uint64
+
+// Ticket is what a scheduler knows of a waiting request: its description, never
+// its body.
+type Ticket struct {
+	ID      RequestID
+	Team    string
+	Rank    int // of the tier; the larger pays more
+	Service string
+	Pool    string
+	// PromptTokens and OutputTokens are estimates; both are 0 for plain services.
+	PromptTokens int
+	OutputTokens int
+	// Prefix has the hashes of the prompt's blocks, each over all before it.
+	Prefix []uint64
+	// Deadline is the time left, from when the ticket is received.
+	Deadline Span
+	NoRepeat bool
+}
+
+// Event is something that happened: a pointer to one of the event types of this
+// package.
+type Event interface{ event() }
+
+// Submitted says that an entry registered a request, perhaps again.
+type Submitted struct {
+	Entry  BoxID
+	Ticket Ticket
+}
+
+// Withdrawn says that an entry no longer wants a request that it has seen no
+// decision on. If it was granted all the same, it is never offered.
+type Withdrawn struct {
+	Entry BoxID
+	ID    RequestID
+	Pool  string
+}
+
+// Finished says that a granted request no longer uses its endpoint.
+type Finished struct {
+	ID   RequestID
+	Pool string
+	// Tokens is the number of output tokens that were served.
+	Tokens int
+	// Failed is set when the endpoint did not serve the request to its end.
+	Failed bool
+}
+
+// EntrySeen says that an entry is alive.
+type EntrySeen struct{ Entry BoxID }
+
+// SlotReported carries what a slot says about its endpoint.
+type SlotReported struct{ Report Report }
+
+// Tick says that time passed.
+type Tick struct{}
+
+// PoolChanged carries the settings of a pool that are now in force.
+type PoolChanged struct{ Pool Pool }
+
+func (*Submitted) event()    {}
+func (*Withdrawn) event()    {}
+func (*Finished) event()     {}
+func (*EntrySeen) event()    {}
+func (*SlotReported) event() {}
+func (*Tick) event()         {}
+func (*PoolChanged) event()  {}
+
+// Report is a slot's regular message about its endpoint.
+type Report struct {
+	Endpoint    EndpointID
+	Pool        string
+	Address     string // of the slot, as IP:port
+	Incarnation Incarnation
+	Leaving     bool
+	// Down is set while the endpoint does not answer its slot.
+	Down bool
+	// Running has the requests that the slot was offered and has not ended.
+	Running []RequestID
+	// Waiting is the queue length that the endpoint itself told of, and LoadAge
+	// the age of that figure.
+	Waiting int
+	LoadAge Span
+	// PrefillPerSecond (tokens a second) and TokenGap are measured; 0 is unknown.
+	PrefillPerSecond float64
+	TokenGap         Span
+}
+
+// Pool has the settings of a pool that its scheduler needs.
+type Pool struct {
+	Name string
+	// MaxWaiting bounds the queue, in requests.
+	MaxWaiting int
+	Endpoints  []Endpoint
+}
+
+// Endpoint has the settings of an endpoint that its scheduler needs.
+type Endpoint struct {
+	ID EndpointID
+	// Concurrency is the number of requests it may have at once.
+	Concurrency int
+	// Speed is relative; 1 is the reference engine. It counts until the slot
+	// has measured.
+	Speed float64
+}
+
+// Effects is what the world is asked to do, in the order of each slice. The
+// caller owns it and may reuse it after Reset.
+type Effects struct {
+	Grants   []Granted
+	Refusals []Refused
+}
+
+// Reset empties e and keeps its memory.
+func (e *Effects) Reset() {
+	e.Grants = e.Grants[:0]
+	e.Refusals = e.Refusals[:0]
+}
+
+// Granted tells an entry to offer a request to a slot.
+type Granted struct {
+	Entry       BoxID
+	ID          RequestID
+	Endpoint    EndpointID
+	Address     string
+	Incarnation Incarnation
+}
+
+// Refused tells an entry that a request is given up, not having run.
+type Refused struct {
+	Entry  BoxID
+	ID     RequestID
+	Reason Reason
+	// RetryAfter is when the caller should come back.
+	RetryAfter Span
+}
+
+// Reason says why a request is given up.
+type Reason int
+
+// The reasons of a refusal.
+const (
+	// ReasonNone is the zero value and no reason.
+	ReasonNone Reason = iota
+	// ReasonShed: capacity ran short and others had a better right to it.
+	ReasonShed
+	// ReasonDeadline: the deadline passed, or cannot be met.
+	ReasonDeadline
+	// ReasonNoPool: the scheduler does not own the request's pool.
+	ReasonNoPool
+)
+
+// String returns the reason as logs and answers have it.
+func (r Reason) String() string {
+	switch r {
+	case ReasonShed:
+		return "shed"
+	case ReasonDeadline:
+		return "deadline"
+	case ReasonNoPool:
+		return "no_pool"
+	default:
+		return "none"
+	}
+}
--- /dev/null
+++ b/rpc/convert.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+
+package rpc
+
+import (
+	"time"
+
+	"lynxramp.org/event"
+)
+
+// TicketMessage returns t as a message.
+func TicketMessage(t event.Ticket) *Ticket {
+	return &Ticket{
+		Id:           string(t.ID),
+		Team:         t.Team,
+		Rank:         int32(t.Rank),
+		Service:      t.Service,
+		Pool:         t.Pool,
+		PromptTokens: uint32(t.PromptTokens),
+		OutputTokens: uint32(t.OutputTokens),
+		Prefix:       t.Prefix,
+		DeadlineMs:   uint32(max(0, t.Deadline.Milliseconds())),
+		NoRepeat:     t.NoRepeat,
+	}
+}
+
+// Event returns the ticket as it came from entry.
+func (t *Ticket) Event(entry event.BoxID) *event.Submitted {
+	return &event.Submitted{Entry: entry, Ticket: event.Ticket{
+		ID:           event.RequestID(t.Id),
+		Team:         t.Team,
+		Rank:         int(t.Rank),
+		Service:      t.Service,
+		Pool:         t.Pool,
+		PromptTokens: int(t.PromptTokens),
+		OutputTokens: int(t.OutputTokens),
+		Prefix:       t.Prefix,
+		Deadline:     millis(t.DeadlineMs),
+		NoRepeat:     t.NoRepeat,
+	}}
+}
+
+// Events returns all the news of an exchange, in the order in which they may
+// be applied.
+func (r *ExchangeRequest) Events() []event.Event {
+	entry := event.BoxID(r.Entry)
+	events := make([]event.Event, 0, 1+len(r.Tickets)+len(r.Withdrawn)+len(r.Finished))
+	events = append(events, &event.EntrySeen{Entry: entry})
+	for _, f := range r.Finished {
+		events = append(events, &event.Finished{ID: event.RequestID(f.Id), Pool: f.Pool, Tokens: int(f.Tokens), Failed: f.Failed})
+	}
+	for _, w := range r.Withdrawn {
+		events = append(events, &event.Withdrawn{Entry: entry, ID: event.RequestID(w.Id), Pool: w.Pool})
+	}
+	for _, t := range r.Tickets {
+		events = append(events, t.Event(entry))
+	}
+	return events
+}
+
+// ReportMessage returns r as a message.
+func ReportMessage(r event.Report) *ReportRequest {
+	m := &ReportRequest{
+		Endpoint:         string(r.Endpoint),
+		Pool:             r.Pool,
+		Address:          r.Address,
+		Incarnation:      uint64(r.Incarnation),
+		Leaving:          r.Leaving,
+		Down:             r.Down,
+		Waiting:          uint32(r.Waiting),
+		LoadAgeMs:        uint32(r.LoadAge.Milliseconds()),
+		PrefillPerSecond: r.PrefillPerSecond,
+		TokenGapUs:       uint64(r.TokenGap.Microseconds()),
+	}
+	for _, id := range r.Running {
+		m.Running = append(m.Running, string(id))
+	}
+	return m
+}
+
+// Event returns the report as an event.
+func (r *ReportRequest) Event() *event.SlotReported {
+	e := &event.SlotReported{Report: event.Report{
+		Endpoint:         event.EndpointID(r.Endpoint),
+		Pool:             r.Pool,
+		Address:          r.Address,
+		Incarnation:      event.Incarnation(r.Incarnation),
+		Leaving:          r.Leaving,
+		Down:             r.Down,
+		Waiting:          int(r.Waiting),
+		LoadAge:          millis(r.LoadAgeMs),
+		PrefillPerSecond: r.PrefillPerSecond,
+		TokenGap:         time.Duration(r.TokenGapUs) * time.Microsecond,
+	}}
+	for _, id := range r.Running {
+		e.Report.Running = append(e.Report.Running, event.RequestID(id))
+	}
+	return e
+}
+
+// GrantDecision returns g as the decision with a number.
+func GrantDecision(number uint64, g event.Granted) *Decision {
+	return &Decision{Number: number, Id: string(g.ID), Grant: &Grant{
+		Endpoint:    string(g.Endpoint),
+		Address:     g.Address,
+		Incarnation: uint64(g.Incarnation),
+	}}
+}
+
+// RefusalDecision returns r as the decision with a number.
+func RefusalDecision(number uint64, r event.Refused) *Decision {
+	return &Decision{Number: number, Id: string(r.ID), Refusal: &Refusal{
+		Reason:       int32(r.Reason),
+		RetryAfterMs: uint32(r.RetryAfter.Milliseconds()),
+	}}
+}
+
+func millis(n uint32) event.Span { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"slices"
+
+	"github.com/google/btree"
+
+	"lynxramp.org/event"
+)
+
+// treeDegree is the fan-out of the ordered sets.
+const treeDegree = 16
+
+// ticket is a request that waits.
+type ticket struct {
+	event.Ticket
+	entry    event.BoxID
+	arrived  event.Time
+	deadline event.Time
+	place    event.Time // arrival plus the charge for size
+	number   uint64     // order of arrival; breaks ties
+}
+
+func ticketLess(a, b *ticket) bool {
+	if a.place != b.place {
+		return a.place < b.place
+	}
+	return a.number < b.number
+}
+
+func expiryLess(a, b *ticket) bool {
+	if a.deadline != b.deadline {
+		return a.deadline < b.deadline
+	}
+	return a.number < b.number
+}
+
+// team is the part of a tier's queue that belongs to one team.
+type team struct {
+	name    string
+	service float64 // tokens served, divided by the team's share
+	waiting *btree.BTreeG[*ticket]
+}
+
+func teamLess(a, b *team) bool {
+	if a.service != b.service {
+		return a.service < b.service
+	}
+	return a.name < b.name
+}
+
+// tier is the part of the queue that belongs to one rank.
+type tier struct {
+	rank  int
+	teams map[string]*team
+	// active has the teams with a waiting request, least served first.
+	active *btree.BTreeG[*team]
+	// floor is the service of the team last chosen. A team that was idle
+	// starts there: it has no credit for the time it did not ask.
+	floor float64
+	size  int
+}
+
+// queue has all that waits in a pool, in one order.
+type queue struct {
+	tiers  []*tier // highest rank first
+	byID   map[event.RequestID]*ticket
+	expiry *btree.BTreeG[*ticket]
+}
+
+func newQueue() queue {
+	return queue{
+		byID:   make(map[event.RequestID]*ticket),
+		expiry: btree.NewG(treeDegree, expiryLess),
+	}
+}
+
+func (q *queue) len() int { return len(q.byID) }
+
+func (q *queue) tier(rank int) *tier {
+	i, ok := slices.BinarySearchFunc(q.tiers, rank, func(t *tier, rank int) int { return rank - t.rank })
+	if !ok {
+		t := &tier{rank: rank, teams: make(map[string]*team), active: btree.NewG(treeDegree, teamLess)}
+		q.tiers = slices.Insert(q.tiers, i, t)
+	}
+	return q.tiers[i]
+}
+
+func (t *tier) team(name string) *team {
+	m, ok := t.teams[name]
+	if !ok {
+		m = &team{name: name, waiting: btree.NewG(treeDegree, ticketLess)}
+		t.teams[name] = m
+	}
+	return m
+}
+
+func (q *queue) add(k *ticket) {
+	t := q.tier(k.Rank)
+	m := t.team(k.Team)
+	if m.waiting.Len() == 0 {
+		m.service = max(m.service, t.floor)
+		t.active.ReplaceOrInsert(m)
+	}
+	m.waiting.ReplaceOrInsert(k)
+	t.size++
+	q.byID[k.ID] = k
+	q.expiry.ReplaceOrInsert(k)
+}
+
+func (q *queue) remove(k *ticket) {
+	t := q.tier(k.Rank)
+	m := t.team(k.Team)
+	m.waiting.Delete(k)
+	if m.waiting.Len() == 0 {
+		t.active.Delete(m)
+	}
+	t.size--
+	delete(q.byID, k.ID)
+	q.expiry.Delete(k)
+}
+
+// first returns the ticket that runs next, nil if none waits.
+func (q *queue) first() *ticket {
+	for _, t := range q.tiers {
+		if t.size == 0 {
+			continue
+		}
+		m, _ := t.active.Min()
+		k, _ := m.waiting.Min()
+		return k
+	}
+	return nil
+}
+
+// last returns the ticket that is given up next, nil if none waits.
+func (q *queue) last() *ticket {
+	for _, t := range slices.Backward(q.tiers) {
+		if t.size == 0 {
+			continue
+		}
+		m, _ := t.active.Max()
+		k, _ := m.waiting.Max()
+		return k
+	}
+	return nil
+}
+
+// charge adds tokens to what the ticket's team was served. The ticket must be
+// out of the queue.
+func (q *queue) charge(k *ticket, tokens float64) {
+	t := q.tier(k.Rank)
+	m := t.team(k.Team)
+	t.floor = max(t.floor, m.service)
+	waits := m.waiting.Len() > 0
+	if waits {
+		t.active.Delete(m)
+	}
+	m.service += tokens
+	if waits {
+		t.active.ReplaceOrInsert(m)
+	}
+}
+
+// nextExpired returns a ticket whose deadline has passed, nil if there is none.
+func (q *queue) nextExpired(now event.Time) *ticket {
+	k, ok := q.expiry.Min()
+	if !ok || k.deadline > now {
+		return nil
+	}
+	return k
+}
--- /dev/null
+++ b/sched/state.go
@@ -0,0 +1,331 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"lynxramp.org/event"
+)
+
+// Bounds of the scheduler's patience.
+const (
+	// ReportBound is how long an endpoint is granted work after its slot was
+	// last heard.
+	ReportBound = 1500 * event.Millisecond
+	// EntryBound is how long an entry may be silent before its waiting requests
+	// are dropped.
+	EntryBound = 3 * event.Second
+	// SettleTime is how long a new owner sheds nothing.
+	SettleTime = 2 * event.Second
+	// LostGrace is how long a grant may be missing from its slot's reports
+	// before it is taken as ended.
+	LostGrace = 2 * event.Second
+	// MinRetryAfter and MaxRetryAfter bound what a refused caller is told.
+	MinRetryAfter = event.Second
+	MaxRetryAfter = 60 * event.Second
+)
+
+// sizeCharge is the place a request loses in its team's queue for each second
+// of its estimated work.
+const sizeCharge = 1.0
+
+// rateWindow is the time over which the drain rate is averaged.
+const rateWindow = 5 * event.Second
+
+// grant is a request that was given to an endpoint and has not ended.
+type grant struct {
+	endpoint *endpoint
+	entry    event.BoxID
+	at       event.Time
+	prefill  int // tokens
+	life     event.Incarnation
+}
+
+// State is the scheduler of one pool. It is not safe for concurrent use.
+type State struct {
+	pool      event.Pool
+	started   event.Time
+	random    *rand.Rand
+	queue     queue
+	endpoints []*endpoint
+	byID      map[event.EndpointID]*endpoint
+	grants    map[event.RequestID]*grant
+	entries   map[event.BoxID]event.Time
+	arrivals  uint64
+	drain     drainRate
+}
+
+// New returns the scheduler of pool, which owns it from now on.
+func New(now event.Time, pool event.Pool, seed uint64) *State {
+	s := &State{
+		started: now,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		queue:   newQueue(),
+		byID:    make(map[event.EndpointID]*endpoint),
+		grants:  make(map[event.RequestID]*grant),
+		entries: make(map[event.BoxID]event.Time),
+	}
+	s.setPool(pool)
+	return s
+}
+
+// Step takes one event and adds to out what follows from it.
+func (s *State) Step(now event.Time, e event.Event, out *event.Effects) {
+	switch e := e.(type) {
+	case *event.Submitted:
+		s.entries[e.Entry] = now
+		s.submit(now, e, out)
+	case *event.Withdrawn:
+		s.withdraw(e)
+	case *event.Finished:
+		s.release(e.ID)
+	case *event.EntrySeen:
+		s.entries[e.Entry] = now
+		return
+	case *event.SlotReported:
+		s.report(now, e.Report)
+	case *event.PoolChanged:
+		s.setPool(e.Pool)
+	case *event.Tick:
+		s.dropSilentEntries(now)
+	}
+	s.expire(now, out)
+	s.place(now, out)
+	s.shed(now, out)
+}
+
+// Waiting returns how many requests wait.
+func (s *State) Waiting() int { return s.queue.len() }
+
+// Running returns how many requests are granted and have not ended.
+func (s *State) Running() int { return len(s.grants) }
+
+func (s *State) setPool(p event.Pool) {
+	s.pool = p
+	for id, e := range s.byID {
+		if !slices.ContainsFunc(p.Endpoints, func(c event.Endpoint) bool { return c.ID == id }) {
+			e.Concurrency = 0
+		}
+	}
+	for _, c := range p.Endpoints {
+		e, ok := s.byID[c.ID]
+		if !ok {
+			e = &endpoint{grants: make(map[event.RequestID]*grant)}
+			s.byID[c.ID] = e
+			s.endpoints = append(s.endpoints, e)
+		}
+		e.Endpoint = c
+	}
+	slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+}
+
+func (s *State) submit(now event.Time, e *event.Submitted, out *event.Effects) {
+	id := e.Ticket.ID
+	if g, ok := s.grants[id]; ok {
+		// The entry registers again: it has not seen the grant.
+		out.Grants = append(out.Grants, g.effect(id))
+		return
+	}
+	if _, ok := s.queue.byID[id]; ok {
+		return
+	}
+	s.arrivals++
+	k := &ticket{
+		Ticket:   e.Ticket,
+		entry:    e.Entry,
+		arrived:  now,
+		deadline: now.Add(e.Ticket.Deadline),
+		number:   s.arrivals,
+	}
+	k.place = now.Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
+	s.queue.add(k)
+}
+
+// work is the estimated length of k in seconds on the reference engine.
+func work(k *ticket) float64 {
+	if k.OutputTokens == 0 {
+		return callWork
+	}
+	return float64(k.PromptTokens)/referencePrefill + float64(k.OutputTokens)*referenceTokenGap.Seconds()
+}
+
+// withdraw forgets a request. If it was granted, the entry withdrew it before
+// it saw the grant and never offered it.
+func (s *State) withdraw(e *event.Withdrawn) {
+	if k, ok := s.queue.byID[e.ID]; ok {
+		s.queue.remove(k)
+	}
+	s.release(e.ID)
+}
+
+// hold enters a grant in the books.
+func (s *State) hold(id event.RequestID, g *grant) {
+	s.grants[id] = g
+	g.endpoint.grants[id] = g
+	g.endpoint.inflight++
+	g.endpoint.prefill += g.prefill
+}
+
+// release ends a grant.
+func (s *State) release(id event.RequestID) {
+	g, ok := s.grants[id]
+	if !ok {
+		return
+	}
+	g.endpoint.inflight--
+	g.endpoint.prefill -= g.prefill
+	delete(g.endpoint.grants, id)
+	delete(s.grants, id)
+}
+
+// report takes a slot's word on its endpoint and corrects the grants by it.
+func (s *State) report(now event.Time, r event.Report) {
+	e, ok := s.byID[r.Endpoint]
+	if !ok {
+		return
+	}
+	restarted := e.reported && e.report.Incarnation != r.Incarnation
+	e.report = r
+	e.heard = now
+	e.reported = true
+	running := make(map[event.RequestID]struct{}, len(r.Running))
+	for _, id := range r.Running {
+		running[id] = struct{}{}
+		if _, ok := s.grants[id]; !ok {
+			s.hold(id, &grant{endpoint: e, at: now, life: r.Incarnation})
+		}
+	}
+	for id, g := range e.grants {
+		_, runs := running[id]
+		old := restarted && g.life != r.Incarnation
+		if old || (!runs && now.Sub(g.at) > LostGrace) {
+			s.release(id)
+		}
+	}
+}
+
+func (s *State) dropSilentEntries(now event.Time) {
+	for id, heard := range s.entries {
+		if now.Sub(heard) <= EntryBound {
+			continue
+		}
+		delete(s.entries, id)
+		for _, k := range s.queue.byID {
+			if k.entry == id {
+				s.queue.remove(k)
+			}
+		}
+	}
+}
+
+// expire gives up what has run out of time.
+func (s *State) expire(now event.Time, out *event.Effects) {
+	for k := s.queue.nextExpired(now); k != nil; k = s.queue.nextExpired(now) {
+		s.refuse(k, event.ReasonDeadline, out)
+	}
+}
+
+// place grants from the queue's head while an endpoint has room.
+func (s *State) place(now event.Time, out *event.Effects) {
+	for k := s.queue.first(); k != nil; k = s.queue.first() {
+		e, cached := s.choose(now, k)
+		if e == nil {
+			return
+		}
+		s.grant(now, k, e, cached, out)
+	}
+}
+
+// choose returns the endpoint with room that is to finish k first.
+func (s *State) choose(now event.Time, k *ticket) (best *endpoint, bestCached int) {
+	var bestCost event.Span
+	for _, e := range s.endpoints {
+		if !e.hasRoom() || !e.serves(now) {
+			continue
+		}
+		cached := min(e.prefix.cached(k.Prefix), k.PromptTokens)
+		cost := e.cost(k, cached)
+		if best == nil || cost < bestCost {
+			best, bestCached, bestCost = e, cached, cost
+		}
+	}
+	return best, bestCached
+}
+
+func (s *State) grant(now event.Time, k *ticket, e *endpoint, cached int, out *event.Effects) {
+	s.queue.remove(k)
+	s.queue.charge(k, float64(k.PromptTokens-cached+k.OutputTokens))
+	g := &grant{
+		endpoint: e,
+		entry:    k.entry,
+		at:       now,
+		prefill:  k.PromptTokens - cached,
+		life:     e.report.Incarnation,
+	}
+	e.prefix.add(k.Prefix)
+	s.hold(k.ID, g)
+	s.drain.add(now)
+	out.Grants = append(out.Grants, g.effect(k.ID))
+}
+
+func (g *grant) effect(id event.RequestID) event.Granted {
+	return event.Granted{
+		Entry:       g.entry,
+		ID:          id,
+		Endpoint:    g.endpoint.ID,
+		Address:     g.endpoint.report.Address,
+		Incarnation: g.life,
+	}
+}
+
+// shed gives up the queue's end while it is too long.
+func (s *State) shed(now event.Time, out *event.Effects) {
+	if now.Sub(s.started) < SettleTime {
+		return
+	}
+	for s.queue.len() > s.pool.MaxWaiting {
+		k := s.queue.last()
+		s.refuse(k, event.ReasonShed, out)
+	}
+}
+
+func (s *State) refuse(k *ticket, why event.Reason, out *event.Effects) {
+	s.queue.remove(k)
+	out.Refusals = append(out.Refusals, event.Refused{
+		Entry:      k.entry,
+		ID:         k.ID,
+		Reason:     why,
+		RetryAfter: s.retryAfter(),
+	})
+}
+
+// retryAfter is the time the queue needs to drain, spread by up to a quarter
+// so that those refused together do not come back together.
+func (s *State) retryAfter() event.Span {
+	wait := MinRetryAfter
+	if rate := s.drain.perSecond(); rate > 0 {
+		wait = event.Span(float64(s.queue.len()) / rate * float64(event.Second))
+	}
+	wait += event.Span(s.random.Float64() / 4 * float64(wait))
+	return min(max(wait, MinRetryAfter), MaxRetryAfter)
+}
+
+// drainRate averages how often something happens. The zero value is ready.
+type drainRate struct {
+	last event.Time
+	rate float64 // a second
+}
+
+func (d *drainRate) add(now event.Time) {
+	gap := now.Sub(d.last).Seconds()
+	d.last = now
+	keep := max(0, 1-gap/rateWindow.Seconds())
+	d.rate = d.rate*keep + 1/rateWindow.Seconds()
+}
+
+func (d *drainRate) perSecond() float64 { return d.rate }
--- /dev/null
+++ b/slot/run.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: MIT
+
+package slot
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"lynxramp.org/engine"
+	"lynxramp.org/event"
+)
+
+// readBytes is how much is read from the endpoint at once.
+const readBytes = 16 << 10
+
+// resumeTries bounds how often a cut stream of the endpoint is resumed.
+const resumeTries = 3
+
+// errCut says that the endpoint's connection ended before its answer did.
+var errCut = errors.New("the endpoint's connection was cut")
+
+// errNotSent says that the endpoint could not be reached: it has seen nothing.
+var errNotSent = errors.New("the endpoint cannot be reached")
+
+// isDialError reports whether err came before a connection stood.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// call is a request as the slot sends it to its endpoint.
+type call struct {
+	id           event.RequestID
+	method       string
+	path         string
+	header       http.Header
+	body         []byte
+	priority     string
+	promptTokens int
+	noRepeat     bool
+}
+
+// run is one dispatched request.
+type run struct {
+	call   call
+	answer *Answer
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	// readers counts the entries' connections that read the answer.
+	readers int
+	// idle is when the last reader left.
+	idle event.Time
+	// taken is set when the entry has the whole answer.
+	taken bool
+}
+
+// onceBody hides the body's type from net/http. The transport then cannot send
+// the call a second time by itself, as it does with a body-less GET whose
+// kept-alive connection turns out to be closed.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// request makes the HTTP request of a call to the endpoint at base.
+func (c call) request(ctx context.Context, base string) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, c.method, base+c.path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "request to the endpoint")
+	}
+	for name, values := range c.header {
+		r.Header[name] = values
+	}
+	r.Header.Del("Content-Length")
+	r.Header.Set(engine.HeaderRequestID, string(c.id))
+	r.Header.Set(engine.HeaderPriority, c.priority)
+	r.Body = onceBody{bytes.NewReader(c.body)}
+	r.ContentLength = int64(len(c.body))
+	r.GetBody = nil
+	return r, nil
+}
+
+// dispatch calls the endpoint and fills the run's answer. It is called once for
+// each request id. It returns nil when the answer is whole.
+func (s *Slot) dispatch(ctx context.Context, u *run) error {
+	began := s.clock.Now()
+	r, err := u.call.request(ctx, s.config.EndpointURL)
+	if err != nil {
+		return errors.Wrap(errNotSent, err.Error())
+	}
+	response, err := s.client.Do(r)
+	switch {
+	case isDialError(err):
+		err = errors.Wrap(errNotSent, err.Error())
+	case err != nil:
+		err = errors.Wrap(errCut, err.Error())
+	default:
+		u.answer.Begin(response.StatusCode, response.Header)
+		err = s.copyAnswer(ctx, u, response.Body, began)
+	}
+	for try := 0; try < resumeTries && errors.Is(err, errCut); try++ {
+		err = s.resumeAtEngine(ctx, u, began)
+	}
+	return err
+}
+
+// copyAnswer moves the endpoint's bytes into the answer and times them.
+func (s *Slot) copyAnswer(ctx context.Context, u *run, body io.ReadCloser, began event.Time) error {
+	defer body.Close()
+	buf := make([]byte, readBytes)
+	var first event.Time
+	tokens := 0
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			now := s.clock.Now()
+			if first == 0 {
+				first = now
+				s.meter.sawFirstToken(u.call.promptTokens, now.Sub(began))
+			} else {
+				tokens += bytes.Count(buf[:n], []byte("data: "))
+			}
+			if err := u.answer.Append(ctx, buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			s.meter.sawTokens(tokens, s.clock.Now().Sub(first))
+			return nil
+		}
+		if err != nil && ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Wrap(errCut, err.Error())
+		}
+	}
+}
+
+// resumeAtEngine asks a model engine for the rest of a cut answer.
+func (s *Slot) resumeAtEngine(ctx context.Context, u *run, began event.Time) error {
+	if !s.config.Model {
+		return errors.New("cut, and a plain service cannot resume")
+	}
+	url := s.config.EndpointURL + "/requests/" + string(u.call.id) + "/stream?offset=" + strconv.Itoa(u.answer.Size())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "resume request")
+	}
+	response, err := s.client.Do(r)
+	if err != nil {
+		return errors.Wrap(errCut, err.Error())
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close() // its content says no more than the status
+		return errors.Errorf("the engine does not resume: status %d", response.StatusCode)
+	}
+	if u.answer.Size() == 0 {
+		u.answer.Begin(http.StatusOK, response.Header)
+	}
+	return s.copyAnswer(ctx, u, response.Body, began)
+}
+
+// cancelAtEngine tells a model engine to stop working on a request.
+func (s *Slot) cancelAtEngine(ctx context.Context, id event.RequestID) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, s.config.EndpointURL+"/requests/"+string(id), nil)
+	if err != nil {
+		return errors.Wrap(err, "cancel request")
+	}
+	response, err := s.client.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "cancel at the engine")
+	}
+	return response.Body.Close()
+}
