--- a/box/box.go
+++ b/box/box.go
@@ -17,6 +17,7 @@
 	"lynxramp.org/control"
 	"lynxramp.org/entry"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 	"lynxramp.org/settings"
 )
@@ -173,7 +174,7 @@
 	if waitErr := group.Wait(); err == nil {
 		err = waitErr
 	}
-	b.log.Info("stopped", zap.Error(err))
+	b.log.Info("stopped", logx.Err(err))
 	return err
 }
 
--- a/box/slot.go
+++ b/box/slot.go
@@ -11,6 +11,7 @@
 
 	"lynxramp.org/catalog"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 	"lynxramp.org/settings"
 	"lynxramp.org/slot"
@@ -75,6 +76,6 @@
 	if other := group.Wait(); err == nil {
 		err = other
 	}
-	s.log.Info("stopped", zap.Error(err))
+	s.log.Info("stopped", logx.Err(err))
 	return err
 }
--- a/entry/link.go
+++ b/entry/link.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 )
 
@@ -163,7 +164,7 @@
 	defer cancel()
 	answer, err := l.scheduler.Exchange(ctx, r)
 	if err != nil {
-		l.log.Debug("exchange failed", zap.Error(err))
+		l.log.Debug("exchange failed", logx.Err(err))
 		return false
 	}
 	l.take(answer)
--- a/entry/run.go
+++ b/entry/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 	"lynxramp.org/slot"
 )
@@ -64,7 +65,7 @@
 		zap.Duration("took", time.Since(q.arrived)),
 	}
 	if err != nil {
-		fields = append(fields, zap.Error(err))
+		fields = append(fields, logx.Err(err))
 	}
 	e.log.Info("answered", fields...)
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 	"lynxramp.org/slot"
 )
@@ -123,7 +124,7 @@
 // cancel tells a slot that the caller of a request went away.
 func (c *slotClient) cancel(address string, id event.RequestID) {
 	if _, err := c.post(context.Background(), address, "/v1/cancel/"+string(id), nil, nil); err != nil {
-		c.log.Debug("cancel failed", zap.String("request", string(id)), zap.Error(err))
+		c.log.Debug("cancel failed", zap.String("request", string(id)), logx.Err(err))
 	}
 }
 
@@ -191,7 +192,7 @@
 				_, err = c.post(ctx, address, "/v1/acks", nil, body)
 			}
 			if err != nil {
-				c.log.Debug("acks not sent", zap.String("slot", address), zap.Error(err))
+				c.log.Debug("acks not sent", zap.String("slot", address), logx.Err(err))
 			}
 		})
 	}
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -32,8 +32,9 @@
 	outcome  Outcome
 	begun    bool // the caller has the status
 	status   int
-	offset   int // bytes that the caller has
-	acked    int // bytes that the slot was told of
+	address  string // of the slot
+	offset   int    // bytes that the caller has
+	acked    int    // bytes that the slot was told of
 }
 
 // errCallerWrite says that the caller does not take the answer.
@@ -43,6 +44,7 @@
 // connection to the slot is cut.
 func (e *Entry) transfer(ctx context.Context, t *transfer, d Decision, response *http.Response) error {
 	id := t.q.ticket.ID
+	t.address = d.Grant.Address
 	until := time.Now().Add(resumeBound)
 	for {
 		before := t.offset
@@ -150,5 +152,9 @@
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
 	t.offset += len(p)
+	if t.offset-t.acked >= ackBytes {
+		t.acked = t.offset
+		t.entry.slots.ack(t.address, slot.Ack{ID: t.q.ticket.ID, Offset: t.offset})
+	}
 	return nil
 }
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -55,6 +55,9 @@
 // rootPath names the whole document.
 const rootPath = "."
 
+// nullTag marks a key without a value; it leaves the zero value.
+const nullTag = "!!null"
+
 // decode fills v, a pointer to a struct, from a document.
 func (d *decoder) decode(data []byte, v any) {
 	d.lines = make(map[string]int)
@@ -94,6 +97,9 @@
 	if n.Kind == yaml.AliasNode {
 		n = n.Alias
 	}
+	if n.Tag == nullTag {
+		return
+	}
 	if _, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
 		d.scalar(n, path, v)
 		return
--- a/slot/http.go
+++ b/slot/http.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 )
 
@@ -134,7 +135,7 @@
 		}
 		if !begun && v.status == 0 {
 			// The endpoint never answered.
-			s.log.Warn("endpoint did not answer", zap.String("request", string(u.call.id)), zap.Error(v.err))
+			s.log.Warn("endpoint did not answer", zap.String("request", string(u.call.id)), logx.Err(v.err))
 			http.Error(w, "the endpoint did not answer", http.StatusBadGateway)
 			return
 		}
@@ -172,7 +173,7 @@
 		w.Header().Set(TrailerEnd, EndWhole)
 		return
 	}
-	s.log.Warn("answer ended early", zap.String("request", string(u.call.id)), zap.Error(v.err))
+	s.log.Warn("answer ended early", zap.String("request", string(u.call.id)), logx.Err(v.err))
 	w.Header().Set(TrailerEnd, "failed")
 }
 
--- a/slot/report.go
+++ b/slot/report.go
@@ -14,6 +14,7 @@
 
 	"lynxramp.org/engine"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/rpc"
 )
 
@@ -68,7 +69,7 @@
 		err := s.reportOnce(ctx, c)
 		if failed := err != nil && ctx.Err() == nil; failed != silent {
 			silent = failed
-			s.log.Info("scheduler reached", zap.Bool("reached", !failed), zap.Error(err))
+			s.log.Info("scheduler reached", zap.Bool("reached", !failed), logx.Err(err))
 		}
 		select {
 		case <-ticker.C:
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 )
 
 // Times of the slot's housekeeping.
@@ -133,7 +134,7 @@
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	if err := s.cancelAtEngine(ctx, u.call.id); err != nil {
-		s.log.Warn("cancel at the engine failed", zap.String("request", string(u.call.id)), zap.Error(err))
+		s.log.Warn("cancel at the engine failed", zap.String("request", string(u.call.id)), logx.Err(err))
 	}
 }
 
