--- a/cmd/lynxramp/main.go
+++ b/cmd/lynxramp/main.go
@@ -29,6 +29,7 @@
 	Check   checkCommand   `cmd:"" help:"Check settings and catalog files; all findings are printed, each with its place."`
 	Dev     devCommand     `cmd:"" help:"Run a whole small deployment in this process, with stand-in engines."`
 	Key     keyCommand     `cmd:"" help:"Make a key for a team, or print the hash of one that is typed in."`
+	Bench   benchCommand   `cmd:"" help:"Measure a running deployment as its callers see it."`
 	Engine  engineCommand  `cmd:"" help:"Run a stand-in of a model engine."`
 	Service serviceCommand `cmd:"" help:"Run a stand-in of a plain service."`
 }
