--- /dev/null
+++ b/store/load.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: MIT
+
+package store
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"lynxramp.org/consensus"
+)
+
+// load reads what the folder holds and opens the log for writing.
+func (s *Store) load() (consensus.Restored, error) {
+	var r consensus.Restored
+	snapshots, err := s.numbers(snapshotPrefix)
+	if err != nil {
+		return r, err
+	}
+	logs, err := s.numbers(logPrefix)
+	if err != nil {
+		return r, err
+	}
+	if len(snapshots) > 0 {
+		if r.Snapshot, err = s.loadSnapshot(snapshots[len(snapshots)-1]); err != nil {
+			return r, err
+		}
+	}
+	name := numbered(logPrefix, r.Snapshot.Index)
+	if !containsIndex(logs, r.Snapshot.Index) {
+		if len(logs) > 0 || len(snapshots) > 0 {
+			return r, errors.Wrapf(ErrDamaged, "%s is missing", name)
+		}
+		return r, s.startLog(0, nil)
+	}
+	data, err := os.ReadFile(filepath.Join(s.dir, name))
+	if err != nil {
+		return r, errors.Wrap(err, "log")
+	}
+	length, err := parseLog(data, &r)
+	if err != nil {
+		return r, errors.Wrap(err, name)
+	}
+	s.hard = r.HardState
+	if err := s.openLog(name, int64(length)); err != nil {
+		return r, err
+	}
+	if length == len(data) {
+		return r, nil
+	}
+	if err := s.log.Truncate(int64(length)); err != nil {
+		return r, errors.Wrap(err, "torn end")
+	}
+	return r, errors.Wrap(s.log.Sync(), "torn end")
+}
+
+func containsIndex(list []consensus.Index, i consensus.Index) bool {
+	for _, n := range list {
+		if n == i {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Store) loadSnapshot(n consensus.Index) (consensus.Snapshot, error) {
+	var snap consensus.Snapshot
+	name := numbered(snapshotPrefix, n)
+	data, err := os.ReadFile(filepath.Join(s.dir, name))
+	if err != nil {
+		return snap, errors.Wrap(err, "snapshot")
+	}
+	content, length, err := readRecord(data)
+	if err != nil || length != len(data) || len(content) == 0 || content[0] != recordSnapshot {
+		return snap, errors.Wrap(ErrDamaged, name)
+	}
+	if err := json.Unmarshal(content[1:], &snap); err != nil || snap.Index != n {
+		return snap, errors.Wrap(ErrDamaged, name)
+	}
+	return snap, nil
+}
+
+// parseLog reads a log's records into r, whose snapshot is set, and returns the
+// length of its sound part. What follows that is a torn end: damage with a
+// sound record behind it is an error.
+func parseLog(data []byte, r *consensus.Restored) (int, error) {
+	offset := 0
+	for offset < len(data) {
+		content, length, err := readRecord(data[offset:])
+		if err != nil {
+			if holdsRecord(data[offset+1:]) {
+				return 0, errors.Wrapf(ErrDamaged, "at byte %d, with records behind it", offset)
+			}
+			return offset, nil
+		}
+		if err := takeRecord(content, r); err != nil {
+			return 0, errors.Wrapf(err, "at byte %d", offset)
+		}
+		offset += length
+	}
+	return offset, nil
+}
+
+func takeRecord(content []byte, r *consensus.Restored) error {
+	if len(content) == 0 {
+		return errors.Wrap(ErrDamaged, "empty record")
+	}
+	switch content[0] {
+	case recordHardState:
+		h, err := parseHardState(content[1:])
+		if err != nil {
+			return err
+		}
+		if h.Term < r.HardState.Term {
+			return errors.Wrap(ErrDamaged, "a term goes back")
+		}
+		r.HardState = h
+		return nil
+	case recordEntry:
+		e, err := parseEntry(content[1:])
+		if err != nil {
+			return err
+		}
+		return placeEntry(e, r)
+	default:
+		return errors.Wrapf(ErrDamaged, "record of kind %d", content[0])
+	}
+}
+
+// placeEntry puts an entry at its index; what was from there on is replaced.
+func placeEntry(e consensus.Entry, r *consensus.Restored) error {
+	next := r.Snapshot.Index + consensus.Index(len(r.Entries)) + 1
+	if e.Index <= r.Snapshot.Index || e.Index > next {
+		return errors.Wrapf(ErrDamaged, "entry %d where %d follows", e.Index, next)
+	}
+	r.Entries = append(r.Entries[:e.Index-r.Snapshot.Index-1], e)
+	return nil
+}
