--- a/box/box.go
+++ b/box/box.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"lynxramp.org/catalog"
-	"lynxramp.org/control"
 	"lynxramp.org/entry"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
@@ -22,8 +21,27 @@
 	"lynxramp.org/settings"
 )
 
-// Key is the key that the system's processes share.
-type Key string
+// Keys are the secrets of a box. An empty one lets every call through and is
+// for package dev alone.
+type Keys struct {
+	// Boxes is shared by the system's processes.
+	Boxes string
+	// Operators is needed for operators' commands.
+	Operators string
+}
+
+// ReadKeys reads the keys that a box's settings name.
+func ReadKeys(s settings.Box) (Keys, error) {
+	var k Keys
+	var err error
+	if k.Boxes, err = settings.ReadKey(s.KeyFile); err != nil {
+		return k, err
+	}
+	if s.Has(settings.RoleControl) {
+		k.Operators, err = settings.ReadKey(s.OperatorKeyFile)
+	}
+	return k, err
+}
 
 // life tells this process from earlier ones of its box: the time of its start,
 // in nanoseconds.
@@ -34,33 +52,23 @@
 	settings settings.Box
 	log      *zap.Logger
 	entry    *entry.Entry
-	links    *links
-	loop     *control.Loop
-	service  *control.Service
-	catalog  catalog.Catalog
 	callers  *server
-	boxes    *server
+	control  *controlPart
 }
 
-// New puts a box together and opens its addresses. Nothing is served before
-// Run.
-func New(s settings.Box, c catalog.Catalog, key Key, log *zap.Logger) (*Box, error) {
+// New puts a box together and opens its data folder and addresses. Nothing is
+// served before Run. c is the catalog that a new control group begins with.
+func New(s settings.Box, c catalog.Catalog, keys Keys, log *zap.Logger) (*Box, error) {
 	container := dig.New()
 	providers := []any{
 		func() settings.Box { return s },
 		func() catalog.Catalog { return c },
-		func() Key { return key },
+		func() Keys { return keys },
 		func() *zap.Logger { return log.With(zap.String("box", string(s.ID))) },
 		func() life { return life(time.Now().UnixNano()) },
 		event.NewClock,
-		catalog.NewIndex,
-		newState,
-		control.NewOutboxes,
-		func(o *control.Outboxes) control.Carrier { return o },
-		control.NewLoop,
-		newService,
 		newBoxClient,
-		newLinks,
+		newControl,
 		newEntry,
 		newBox,
 	}
@@ -74,15 +82,9 @@
 	return b, dig.RootCause(err)
 }
 
-func newState(l life) *control.State { return control.NewState(uint64(l)) }
-
-func newService(loop *control.Loop, o *control.Outboxes, l life) *control.Service {
-	return control.NewService(loop, o, event.Epoch(l))
-}
-
 // newBoxClient returns the HTTP client for calls between boxes.
-func newBoxClient(key Key) *http.Client {
-	return &http.Client{Transport: rpc.WithKey(string(key), &http.Transport{
+func newBoxClient(keys Keys) *http.Client {
+	return &http.Client{Transport: rpc.WithKey(keys.Boxes, &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
@@ -90,77 +92,45 @@
 	})}
 }
 
-func newEntry(s settings.Box, key Key, l life, r *links, x *catalog.Index, log *zap.Logger) *entry.Entry {
+func newEntry(s settings.Box, keys Keys, l life, client *http.Client, log *zap.Logger) *entry.Entry {
+	var schedulers []entry.Scheduler
+	for _, p := range s.Control {
+		schedulers = append(schedulers, entry.Scheduler{
+			Address: p.Address,
+			Client:  rpc.NewSchedulerProtobufClient("http://"+p.Address, client),
+		})
+	}
 	return entry.New(entry.Config{
 		Box:         s.ID,
 		Life:        uint64(l),
-		Key:         string(key),
+		Key:         keys.Boxes,
 		MaxBody:     s.Limits.BodyBytes,
 		MaxRequests: s.Limits.Requests,
 		MaxHeld:     s.Limits.HeldBytes,
-	}, r, x, log)
+	}, schedulers, log)
 }
 
-// parts are what newBox puts together.
-type parts struct {
-	dig.In
-
-	Settings settings.Box
-	Catalog  catalog.Catalog
-	Key      Key
-	Log      *zap.Logger
-	Entry    *entry.Entry
-	Links    *links
-	Loop     *control.Loop
-	Service  *control.Service
-}
-
-func newBox(p parts) (*Box, error) {
-	b := &Box{
-		settings: p.Settings,
-		catalog:  p.Catalog,
-		log:      p.Log,
-		entry:    p.Entry,
-		links:    p.Links,
-		loop:     p.Loop,
-		service:  p.Service,
+func newBox(s settings.Box, e *entry.Entry, c *controlPart, log *zap.Logger) (*Box, error) {
+	b := &Box{settings: s, log: log, entry: e, control: c}
+	if !s.Has(settings.RoleEntry) {
+		return b, nil
 	}
 	var err error
-	if p.Settings.Has(settings.RoleControl) {
-		h := rpc.RequireKey(string(p.Key), rpc.NewSchedulerServer(p.Service))
-		if b.boxes, err = listen(p.Settings.Listen.Boxes, h, p.Log); err != nil {
-			return nil, err
-		}
-	}
-	if p.Settings.Has(settings.RoleEntry) {
-		if b.callers, err = listen(p.Settings.Listen.Callers, p.Entry.Handler(), p.Log); err != nil {
-			return nil, err
-		}
-	}
-	return b, nil
+	b.callers, err = listen(s.Listen.Callers, e.Handler(), log)
+	return b, err
 }
 
 // Run serves until ctx ends, then drains: new requests go elsewhere, those in
-// flight are finished.
+// flight are finished, another box takes the lead.
 func (b *Box) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	background := func(f func(context.Context)) {
-		group.Go(func() error { f(work); return nil })
-	}
-	if b.boxes != nil {
-		background(b.loop.Run)
-		for _, p := range b.catalog.Pools {
-			if err := b.loop.Post(work, &event.PoolChanged{Pool: p.SchedulerPool()}); err != nil {
-				return err
-			}
-		}
-		group.Go(b.boxes.serve)
+	if b.control != nil {
+		group.Go(func() error { return b.control.run(work) })
 	}
 	if b.callers != nil {
-		background(b.links.run)
-		background(b.entry.Run)
+		group.Go(func() error { b.entry.Run(work); return nil })
 		group.Go(b.callers.serve)
 	}
 	b.log.Info("serving", zap.Any("roles", b.settings.Roles), zap.String("data_centre", b.settings.DataCentre))
@@ -180,8 +150,7 @@
 
 // drain stops the callers' side first: its requests need the other side.
 func (b *Box) drain() error {
-	bound := time.Duration(b.settings.Drain.Bound)
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(b.settings.Drain.Bound))
 	defer cancel()
 	b.log.Info("draining", zap.Int("requests", b.entry.Requests()))
 	var err error
@@ -190,10 +159,8 @@
 		pause(ctx, time.Duration(b.settings.Drain.Notice))
 		err = b.callers.drain(ctx)
 	}
-	if b.boxes != nil {
-		if other := b.boxes.http.Close(); err == nil {
-			err = other
-		}
+	if b.control != nil {
+		b.control.handOver(ctx)
 	}
 	return err
 }
--- a/box/slot.go
+++ b/box/slot.go
@@ -22,13 +22,13 @@
 	settings   settings.Slot
 	log        *zap.Logger
 	slot       *slot.Slot
-	schedulers []rpc.Scheduler
+	schedulers []slot.Scheduler
 	server     *server
 }
 
 // NewSlot puts a slot together and opens its address. Nothing is served before
 // Run.
-func NewSlot(s settings.Slot, key Key, log *zap.Logger) (*Slot, error) {
+func NewSlot(s settings.Slot, key string, log *zap.Logger) (*Slot, error) {
 	log = log.With(zap.String("slot", string(s.Endpoint)))
 	guard := slot.New(slot.Config{
 		Endpoint:    s.Endpoint,
@@ -38,14 +38,17 @@
 		Model:       s.Kind == catalog.KindModel,
 		MaxBody:     s.BodyBytes,
 	}, event.Incarnation(time.Now().UnixNano()), log)
-	l, err := listen(s.Listen, guard.Handler(string(key)), log)
+	l, err := listen(s.Listen, guard.Handler(key), log)
 	if err != nil {
 		return nil, err
 	}
 	made := &Slot{settings: s, log: log, slot: guard, server: l}
-	client := newBoxClient(key)
+	client := newBoxClient(Keys{Boxes: key})
 	for _, p := range s.Control {
-		made.schedulers = append(made.schedulers, rpc.NewSchedulerProtobufClient("http://"+p.Address, client))
+		made.schedulers = append(made.schedulers, slot.Scheduler{
+			Address: p.Address,
+			Client:  rpc.NewSchedulerProtobufClient("http://"+p.Address, client),
+		})
 	}
 	return made, nil
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -78,6 +78,8 @@
 	Speed float64 `yaml:"speed" json:"speed"`
 	// DataCentre is where it stands.
 	DataCentre string `yaml:"data_centre" json:"data_centre"`
+	// Leaving endpoints get no new work.
+	Leaving bool `yaml:"leaving" json:"leaving,omitempty"`
 }
 
 // Rule binds a team to a service. The rule that names more of both wins.
@@ -109,7 +111,7 @@
 		if speed == 0 {
 			speed = 1
 		}
-		q.Endpoints = append(q.Endpoints, event.Endpoint{ID: e.Name, Concurrency: e.Concurrency, Speed: speed})
+		q.Endpoints = append(q.Endpoints, event.Endpoint{ID: e.Name, Concurrency: e.Concurrency, Speed: speed, Leaving: e.Leaving})
 	}
 	return q
 }
--- a/cmd/lynxrampd/main.go
+++ b/cmd/lynxrampd/main.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	key, err := settings.ReadKey(s.KeyFile)
+	keys, err := box.ReadKeys(s)
 	if err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	b, err := box.New(s, c, box.Key(key), log)
+	b, err := box.New(s, c, keys, log)
 	if err != nil {
 		return err
 	}
--- a/cmd/lynxslotd/main.go
+++ b/cmd/lynxslotd/main.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	slot, err := box.NewSlot(s, box.Key(key), log)
+	slot, err := box.NewSlot(s, key, log)
 	if err != nil {
 		return err
 	}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -179,3 +179,17 @@
 func (r *Ready) MustSave() bool {
 	return r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0
 }
+
+// Valid reports whether a message can be what it says: entries that follow each
+// other and a snapshot where one belongs.
+func (m Message) Valid() bool {
+	if m.Kind < KindPreVote || m.Kind > KindTimeoutNowReply || m.From == "" || m.To == "" {
+		return false
+	}
+	for i, e := range m.Entries {
+		if e.Index != m.Index+Index(i)+1 || e.Term > m.Term || e.Kind > EntryMembers {
+			return false
+		}
+	}
+	return m.Kind != KindSnapshot || m.Snapshot != nil
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 )
 
@@ -15,9 +16,15 @@
 // inputDepth is how many batches of events may wait for the loop.
 const inputDepth = 256
 
-// Carrier carries out effects. It must not wait for the loop.
+// Carrier carries out effects. It must not wait for the loop and must copy what
+// it keeps.
 type Carrier interface {
-	Carry(effects *event.Effects)
+	// Decide takes grants, refusals and answers.
+	Decide(e *Effects)
+	// Keep takes what is to be saved and sent. It owns r.
+	Keep(r consensus.Ready)
+	// Saved is where it tells what was saved.
+	Saved() <-chan *LogSaved
 }
 
 // Loop is the goroutine that owns a State.
@@ -30,8 +37,8 @@
 
 type batch struct {
 	events []event.Event
-	inside func(*State)
-	done   chan<- struct{}
+	inside func(event.Time, *State)
+	done   chan<- Status
 }
 
 // NewLoop returns a loop over state; Run starts it.
@@ -48,55 +55,71 @@
 func (l *Loop) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
-	var effects event.Effects
-	tick := []event.Event{&event.Tick{}}
+	var effects Effects
 	for {
 		var b batch
 		select {
 		case <-ctx.Done():
 			return
 		case b = <-l.input:
-		case <-ticker.C:
-			b = batch{events: tick}
-		}
-		effects.Reset()
-		now := l.clock.Now()
-		for _, e := range b.events {
-			l.state.Step(now, e, &effects)
-		}
-		if b.inside != nil {
-			b.inside(l.state)
-		}
-		l.carrier.Carry(&effects)
-		if b.done != nil {
-			close(b.done)
+		case e := <-l.carrier.Saved():
+			b.events = []event.Event{e}
+		case t := <-ticker.C:
+			b.events = []event.Event{&WallClock{Millis: t.UnixMilli()}, &event.Tick{}}
 		}
+		l.step(b, &effects)
+	}
+}
+
+func (l *Loop) step(b batch, effects *Effects) {
+	effects.Reset()
+	now := l.clock.Now()
+	for _, e := range b.events {
+		l.state.Step(now, e, effects)
+	}
+	if b.inside != nil {
+		b.inside(now, l.state)
+	}
+	status := l.state.Status(now)
+	if !status.Owner {
+		// A lease that ended takes its undelivered decisions with it.
+		effects.Grants = effects.Grants[:0]
+		effects.Refusals = effects.Refusals[:0]
+	}
+	l.carrier.Decide(effects)
+	if effects.Ready.MustSave() || len(effects.Ready.Early)+len(effects.Ready.Messages) > 0 {
+		l.carrier.Keep(effects.Ready)
+		effects.Ready = consensus.Ready{}
+	}
+	if b.done != nil {
+		b.done <- status
 	}
 }
 
-// Post hands events to the state and waits until their effects were carried
-// out or ctx ended.
-func (l *Loop) Post(ctx context.Context, events ...event.Event) error {
+// Post hands events to the state, waits until their effects were handed on and
+// returns the status after them.
+func (l *Loop) Post(ctx context.Context, events ...event.Event) (Status, error) {
 	return l.post(ctx, batch{events: events})
 }
 
 // Inspect calls f with the state, on the loop's goroutine. f must not keep it.
-func (l *Loop) Inspect(ctx context.Context, f func(*State)) error {
-	return l.post(ctx, batch{inside: f})
+func (l *Loop) Inspect(ctx context.Context, f func(event.Time, *State)) error {
+	_, err := l.post(ctx, batch{inside: f})
+	return err
 }
 
-func (l *Loop) post(ctx context.Context, b batch) error {
-	done := make(chan struct{})
+func (l *Loop) post(ctx context.Context, b batch) (Status, error) {
+	done := make(chan Status, 1)
 	b.done = done
 	select {
 	case l.input <- b:
 	case <-ctx.Done():
-		return ctx.Err()
+		return Status{}, ctx.Err()
 	}
 	select {
-	case <-done:
-		return nil
+	case s := <-done:
+		return s, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return Status{}, ctx.Err()
 	}
 }
--- a/control/outbox.go
+++ b/control/outbox.go
@@ -5,6 +5,7 @@
 import (
 	"sync"
 
+	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/rpc"
 )
@@ -13,36 +14,90 @@
 // A dropped grant is made good: the entry registers its request again.
 const outboxLimit = 100_000
 
-// Outboxes keeps the decisions for each entry until the entry has them.
+// Outboxes keeps the decisions for each entry until the entry has them, and the
+// answers for the calls that wait for them. It implements Carrier.
 type Outboxes struct {
-	mu    sync.Mutex
-	boxes map[event.BoxID]*outbox
+	keeper *Keeper
+
+	mu      sync.Mutex
+	epoch   event.Epoch
+	boxes   map[event.BoxID]*outbox
+	tokens  uint64
+	answers map[uint64]chan Answer
 }
 
 type outbox struct {
 	next      uint64 // number of the next decision
 	decisions []*rpc.Decision
-	changed   chan struct{} // closed at the next decision
+	changed   chan struct{} // closed at the next decision or catalog
 	life      uint64        // the entry's incarnation
 }
 
-// NewOutboxes returns Outboxes without any decision.
-func NewOutboxes() *Outboxes {
-	return &Outboxes{boxes: make(map[event.BoxID]*outbox)}
+// NewOutboxes returns Outboxes without any decision, which hand what is to be
+// kept on to keeper.
+func NewOutboxes(keeper *Keeper) *Outboxes {
+	return &Outboxes{
+		keeper:  keeper,
+		boxes:   make(map[event.BoxID]*outbox),
+		answers: make(map[uint64]chan Answer),
+	}
 }
 
-// Carry implements Carrier: it lays each decision into its entry's outbox.
-func (o *Outboxes) Carry(effects *event.Effects) {
+// Keep implements Carrier.
+func (o *Outboxes) Keep(r consensus.Ready) { o.keeper.Keep(r) }
+
+// Saved implements Carrier.
+func (o *Outboxes) Saved() <-chan *LogSaved { return o.keeper.Saved() }
+
+// Decide implements Carrier: it lays each decision into its entry's outbox.
+func (o *Outboxes) Decide(e *Effects) {
+	if len(e.Grants)+len(e.Refusals)+len(e.Answers) == 0 && !e.NewEpoch && !e.NewCatalog {
+		return
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, g := range effects.Grants {
+	if e.Epoch != o.epoch {
+		o.epoch = e.Epoch
+		for _, b := range o.boxes {
+			b.decisions = nil
+		}
+	}
+	for _, g := range e.Grants {
 		b := o.box(g.Entry)
 		b.put(rpc.GrantDecision(b.next, g))
 	}
-	for _, r := range effects.Refusals {
+	for _, r := range e.Refusals {
 		b := o.box(r.Entry)
 		b.put(rpc.RefusalDecision(b.next, r))
 	}
+	if e.NewCatalog {
+		for _, b := range o.boxes {
+			b.wake()
+		}
+	}
+	for _, a := range e.Answers {
+		if c, ok := o.answers[a.Token]; ok {
+			c <- a
+			delete(o.answers, a.Token)
+		}
+	}
+}
+
+// Expect returns a token and the channel on which its answer comes.
+func (o *Outboxes) Expect() (uint64, <-chan Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.tokens++
+	c := make(chan Answer, 1)
+	o.answers[o.tokens] = c
+	return o.tokens, c
+}
+
+// Forget drops a token whose caller is gone.
+func (o *Outboxes) Forget(token uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.answers, token)
 }
 
 // Begin takes note of which life of an entry calls. Decisions for an earlier
@@ -86,6 +141,11 @@
 		b.decisions = b.decisions[1:]
 	}
 	b.decisions = append(b.decisions, d)
+	b.wake()
+}
+
+// wake ends the waiting of the entry's call.
+func (b *outbox) wake() {
 	close(b.changed)
 	b.changed = make(chan struct{})
 }
--- a/control/service.go
+++ b/control/service.go
@@ -4,28 +4,33 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"lynxramp.org/event"
+	"lynxramp.org/machine"
 	"lynxramp.org/rpc"
 )
 
 // maxWait bounds how long an exchange may wait for a decision.
 const maxWait = 2 * time.Second
 
-// Service is the face of a scheduler towards entries and slots. It implements
-// rpc.Scheduler.
+// Service is the face of a control box towards entries, slots and operators. It
+// implements rpc.Scheduler and rpc.Operator.
 type Service struct {
 	loop  *Loop
 	boxes *Outboxes
-	epoch event.Epoch
+
+	mu   sync.Mutex
+	news *rpc.CatalogNews // the last that was made
 }
 
-// NewService returns the face of the scheduler that loop owns.
-func NewService(loop *Loop, boxes *Outboxes, epoch event.Epoch) *Service {
-	return &Service{loop: loop, boxes: boxes, epoch: epoch}
+// NewService returns the face of the box whose state loop owns.
+func NewService(loop *Loop, boxes *Outboxes) *Service {
+	return &Service{loop: loop, boxes: boxes}
 }
 
 // Exchange implements rpc.Scheduler.
@@ -35,17 +40,27 @@
 		return nil, twirp.RequiredArgumentError("entry")
 	}
 	s.boxes.Begin(entry, r.Incarnation)
-	if err := s.loop.Post(ctx, r.Events()...); err != nil {
+	status, err := s.loop.Post(ctx, r.Events()...)
+	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
+	answer := &rpc.ExchangeResponse{Epoch: uint64(status.Epoch), Owner: status.Owner, Leader: status.Leader}
+	if !status.Owner {
+		return answer, nil
+	}
 	ack := r.Ack
-	if r.Epoch != uint64(s.epoch) {
+	if r.Epoch != answer.Epoch {
 		ack = 0
 	}
-	return &rpc.ExchangeResponse{
-		Epoch:     uint64(s.epoch),
-		Decisions: s.await(ctx, entry, ack, time.Duration(r.WaitMs)*time.Millisecond),
-	}, nil
+	wait := time.Duration(r.WaitMs) * time.Millisecond
+	if r.Version != status.Version {
+		wait = 0
+	}
+	answer.Decisions = s.await(ctx, entry, ack, wait)
+	if r.WaitMs > 0 {
+		answer.Catalog, err = s.catalogNews(ctx, r.Version)
+	}
+	return answer, err
 }
 
 // await returns the decisions after ack, if need be after waiting for one.
@@ -65,13 +80,60 @@
 	return decisions
 }
 
+// catalogNews returns what brings a box from a version to the present one; nil
+// if it has that.
+func (s *Service) catalogNews(ctx context.Context, since uint64) (*rpc.CatalogNews, error) {
+	var news *rpc.CatalogNews
+	err := s.loop.Inspect(ctx, func(now event.Time, state *State) {
+		if state.Status(now).Owner {
+			news = s.makeNews(state.Machine(), since)
+		}
+	})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return news, nil
+}
+
+// makeNews makes a catalog's news, or takes the last ones if they fit.
+func (s *Service) makeNews(m *machine.State, since uint64) *rpc.CatalogNews {
+	c, version := m.Catalog()
+	if version == since {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.news; n != nil && n.Version == version && n.Since == since {
+		return n
+	}
+	n := &rpc.CatalogNews{Version: version, Since: since, Hash: machine.Hash(c)}
+	if changes, ok := m.Since(since); ok && since > 0 {
+		n.Changes = mustJSON(changes)
+	} else {
+		n.Since = 0
+		n.Whole = mustJSON(c)
+	}
+	s.news = n
+	return n
+}
+
+// mustJSON encodes a value of the catalog's types, which cannot fail.
+func mustJSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
 // Report implements rpc.Scheduler.
 func (s *Service) Report(ctx context.Context, r *rpc.ReportRequest) (*rpc.ReportResponse, error) {
 	if r.Endpoint == "" || r.Address == "" {
 		return nil, twirp.RequiredArgumentError("endpoint and address")
 	}
-	if err := s.loop.Post(ctx, r.Event()); err != nil {
+	status, err := s.loop.Post(ctx, r.Event())
+	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	return &rpc.ReportResponse{Epoch: uint64(s.epoch)}, nil
+	return &rpc.ReportResponse{Epoch: uint64(status.Epoch), Owner: status.Owner, Leader: status.Leader}, nil
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,14 +72,19 @@
 		return err
 	}
 	control := []settings.Peer{{ID: boxID, Address: boxes}}
-	key := box.Key(rand.Text())
+	data, err := os.MkdirTemp("", "lynxramp-dev")
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	defer os.RemoveAll(data)
+	keys := box.Keys{Boxes: rand.Text()}
 	group, ctx := errgroup.WithContext(ctx)
-	b, err := box.New(boxSettings(callers, boxes, control), newCatalog(endpoints), key, log)
+	b, err := box.New(boxSettings(callers, boxes, data, control), newCatalog(endpoints), keys, log)
 	if err != nil {
 		return err
 	}
 	for _, e := range endpoints {
-		if err := startEndpoint(ctx, group, e, control, key, log); err != nil {
+		if err := startEndpoint(ctx, group, e, control, keys.Boxes, log); err != nil {
 			return err
 		}
 	}
@@ -92,13 +98,14 @@
 	return endpoint{name: name, pool: modelPool, kind: catalog.KindModel, speed: speed, handler: e.Handler(), run: e.Run}
 }
 
-func boxSettings(callers, boxes string, control []settings.Peer) settings.Box {
+func boxSettings(callers, boxes, data string, control []settings.Peer) settings.Box {
 	return settings.Box{
 		ID:         boxID,
 		DataCentre: dataCentre,
 		Roles:      []settings.Role{settings.RoleEntry, settings.RoleControl},
 		Listen:     settings.Listen{Callers: callers, Boxes: boxes},
 		Control:    control,
+		Data:       data,
 		Limits: settings.Limits{
 			BodyBytes: settings.DefaultBodyBytes,
 			HeldBytes: settings.DefaultHeldBytes,
@@ -131,7 +138,7 @@
 }
 
 // startEndpoint runs a stand-in and the slot beside it.
-func startEndpoint(ctx context.Context, group *errgroup.Group, e endpoint, control []settings.Peer, key box.Key, log *zap.Logger) error {
+func startEndpoint(ctx context.Context, group *errgroup.Group, e endpoint, control []settings.Peer, key string, log *zap.Logger) error {
 	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
 	if err != nil {
 		return errors.Wrap(err, "stand-in")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,15 +4,19 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"lynxramp.org/catalog"
 	"lynxramp.org/event"
+	"lynxramp.org/machine"
+	"lynxramp.org/rpc"
 )
 
 // Config is what an entry needs to know of its box.
@@ -30,21 +34,16 @@
 	MaxHeld int64
 }
 
-// Router finds the scheduler of a pool.
-type Router interface {
-	// Link returns the link to a pool's scheduler; nil while none is known.
-	Link(pool string) *Link
-}
-
 // Entry takes callers' requests.
 type Entry struct {
 	config  Config
-	router  Router
+	link    *Link
 	slots   *slotClient
 	log     *zap.Logger
-	index   atomic.Pointer[catalog.Index]
+	index   atomic.Pointer[versioned]
 	meters  *meters
 	drained atomic.Bool
+	taking  sync.Mutex // one catalog at a time
 
 	mu       sync.Mutex
 	requests int
@@ -52,25 +51,75 @@
 	byTeam   map[string]int
 }
 
-// New returns an entry that serves by index.
-func New(c Config, router Router, index *catalog.Index, log *zap.Logger) *Entry {
+// versioned is a catalog in force.
+type versioned struct {
+	*catalog.Index
+	version uint64
+}
+
+// New returns an entry that finds the owner of the pools among schedulers. It
+// serves when it has a catalog.
+func New(c Config, schedulers []Scheduler, log *zap.Logger) *Entry {
 	e := &Entry{
 		config: c,
-		router: router,
 		slots:  newSlotClient(c.Key, log),
 		log:    log,
 		byTeam: make(map[string]int),
 	}
-	e.index.Store(index)
+	e.index.Store(&versioned{Index: catalog.NewIndex(catalog.Catalog{})})
+	e.link = NewLink(c.Box, c.Life, schedulers, e, log)
 	e.meters = newMeters(e)
 	return e
 }
 
-// SetIndex serves new requests by another catalog from now on.
-func (e *Entry) SetIndex(x *catalog.Index) { e.index.Store(x) }
+// Version implements Catalogs; it is 0 before the first catalog.
+func (e *Entry) Version() uint64 { return e.index.Load().version }
+
+// Take implements Catalogs. A version is never replaced by an older one.
+func (e *Entry) Take(news *rpc.CatalogNews) error {
+	e.taking.Lock()
+	defer e.taking.Unlock()
+	held := e.index.Load()
+	if news.Version <= held.version {
+		return nil
+	}
+	next, err := applyNews(held, news)
+	if err != nil {
+		return err
+	}
+	e.index.Store(&versioned{Index: catalog.NewIndex(next), version: news.Version})
+	e.log.Info("catalog in force", zap.Uint64("version", news.Version), zap.Bool("whole", news.Since == 0))
+	return nil
+}
+
+// applyNews returns the catalog that news make of the one that is held.
+func applyNews(held *versioned, news *rpc.CatalogNews) (catalog.Catalog, error) {
+	var next catalog.Catalog
+	if news.Since == 0 {
+		err := json.Unmarshal(news.Whole, &next)
+		return next, errors.Wrap(err, "catalog")
+	}
+	if news.Since != held.version {
+		return next, errors.Errorf("changes are from version %d, version %d is held", news.Since, held.version)
+	}
+	var changes []catalog.Change
+	if err := json.Unmarshal(news.Changes, &changes); err != nil {
+		return next, errors.Wrap(err, "changes")
+	}
+	next, _ = catalog.Apply(held.Catalog(), changes) // it was sound when it was committed
+	if machine.Hash(next) != news.Hash {
+		return next, errors.New("the changes do not give the catalog that was committed")
+	}
+	return next, nil
+}
 
 // Run does the entry's work beside requests until ctx ends.
-func (e *Entry) Run(ctx context.Context) { e.slots.sendAcks(ctx) }
+func (e *Entry) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { e.slots.sendAcks(ctx) })
+	wait.Go(func() { e.link.Run(ctx) })
+	wait.Wait()
+}
 
 // StartDrain makes /readyz say no, so that the balancer sends nobody else.
 func (e *Entry) StartDrain() { e.drained.Store(true) }
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -109,6 +109,15 @@
 	case event.ReasonShed:
 		f.Status = http.StatusTooManyRequests
 		f.Message = "capacity is short; come back after the time in Retry-After"
+	case event.ReasonClaimed:
+		f.Status = http.StatusConflict
+		f.Outcome = Unknown
+		f.RetryAfter = 0
+		f.Message = "another request has this key; it may have run and its answer is not here"
+	case event.ReasonKeyReused:
+		f.Status = http.StatusUnprocessableEntity
+		f.RetryAfter = 0
+		f.Message = "another request, with other content, has this key"
 	default:
 		f.Message = "no scheduler serves this pool"
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -29,7 +29,7 @@
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.drained.Load() {
+	if e.drained.Load() || e.Version() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -51,7 +51,15 @@
 
 // serve does all that comes before a request is registered, and counts it.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, parse parser) {
-	x := e.index.Load()
+	index := e.index.Load()
+	if index.version == 0 {
+		(&Failure{
+			Status: http.StatusServiceUnavailable, Code: "starting",
+			Message: "the box has no catalog yet", RetryAfter: localRetryAfter,
+		}).write(w)
+		return
+	}
+	x := index.Index
 	team, failure := authenticate(x, r.Header)
 	if failure != nil {
 		failure.write(w)
--- a/entry/link.go
+++ b/entry/link.go
@@ -17,8 +17,8 @@
 // Times of a Link.
 const (
 	pollWait    = time.Second
-	pollTimeout = 4 * time.Second
-	pushTimeout = 2 * time.Second
+	pollTimeout = 1800 * time.Millisecond
+	pushTimeout = 800 * time.Millisecond
 	linkBackoff = 50 * time.Millisecond
 )
 
@@ -32,22 +32,41 @@
 // waiter is a request that waits for its decision.
 type waiter struct {
 	ticket   event.Ticket
+	arrived  time.Time
 	deadline time.Time
 	decided  chan Decision
 }
 
-// Link carries an entry's tickets to one scheduler and its decisions back.
+// Scheduler is a control box that may be the owner of the pools.
+type Scheduler struct {
+	Address string // IP:port
+	Client  rpc.Scheduler
+}
+
+// Catalogs takes news of the catalog.
+type Catalogs interface {
+	// Version returns the version in force here.
+	Version() uint64
+	// Take puts a newer version in force.
+	Take(news *rpc.CatalogNews) error
+}
+
+// Link carries an entry's tickets to the owner of the pools and its decisions
+// back, and brings newer catalogs. It finds the owner among the control boxes.
 //
 // News is pushed in batches, one call at a time: what arrives during a call
 // travels with the next. A second call polls for decisions. All news may be
 // sent twice and all decisions may come twice.
 type Link struct {
-	entry     event.BoxID
-	life      uint64
-	scheduler rpc.Scheduler
-	log       *zap.Logger
+	entry      event.BoxID
+	life       uint64
+	schedulers []Scheduler
+	catalogs   Catalogs
+	log        *zap.Logger
 
 	mu        sync.Mutex
+	current   int  // of the schedulers
+	whole     bool // the next call asks for a whole catalog
 	epoch     uint64
 	ack       uint64
 	waiting   map[event.RequestID]*waiter
@@ -57,16 +76,17 @@
 	wake      chan struct{}
 }
 
-// NewLink returns a link of one life of an entry to a scheduler; Run makes it
-// work.
-func NewLink(entry event.BoxID, life uint64, s rpc.Scheduler, log *zap.Logger) *Link {
+// NewLink returns a link of one life of an entry to the owner among some
+// schedulers; Run makes it work.
+func NewLink(entry event.BoxID, life uint64, schedulers []Scheduler, catalogs Catalogs, log *zap.Logger) *Link {
 	return &Link{
-		entry:     entry,
-		life:      life,
-		scheduler: s,
-		log:       log,
-		waiting:   make(map[event.RequestID]*waiter),
-		wake:      make(chan struct{}, 1),
+		entry:      entry,
+		life:       life,
+		schedulers: schedulers,
+		catalogs:   catalogs,
+		log:        log,
+		waiting:    make(map[event.RequestID]*waiter),
+		wake:       make(chan struct{}, 1),
 	}
 }
 
@@ -80,8 +100,8 @@
 
 // Submit registers a ticket. Its decision comes on the channel, which holds it
 // until it is read.
-func (l *Link) Submit(t event.Ticket, deadline time.Time) <-chan Decision {
-	w := &waiter{ticket: t, deadline: deadline, decided: make(chan Decision, 1)}
+func (l *Link) Submit(t event.Ticket, arrived, deadline time.Time) <-chan Decision {
+	w := &waiter{ticket: t, arrived: arrived, deadline: deadline, decided: make(chan Decision, 1)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waiting[t.ID] = w
@@ -135,8 +155,8 @@
 	}
 }
 
-// push sends one batch until the scheduler has it. A batch sent twice does no
-// harm.
+// push sends one batch until the owner has it. A batch sent twice does no harm.
+// A new owner needs no old news but the tickets, which it is told of anyway.
 func (l *Link) push(ctx context.Context, r *rpc.ExchangeRequest) {
 	for ctx.Err() == nil {
 		if l.exchange(ctx, r, pushTimeout) {
@@ -162,22 +182,71 @@
 func (l *Link) exchange(ctx context.Context, r *rpc.ExchangeRequest, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	answer, err := l.scheduler.Exchange(ctx, r)
+	at, scheduler := l.scheduler()
+	answer, err := scheduler.Client.Exchange(ctx, r)
 	if err != nil {
-		l.log.Debug("exchange failed", logx.Err(err))
+		l.log.Debug("exchange failed", zap.String("scheduler", scheduler.Address), logx.Err(err))
+		l.leave(at, "")
+		return false
+	}
+	if !answer.Owner {
+		l.leave(at, answer.Leader)
 		return false
 	}
 	l.take(answer)
+	if answer.Catalog != nil {
+		if err := l.catalogs.Take(answer.Catalog); err != nil {
+			l.log.Error("catalog not taken, asking for all of it", logx.Err(err))
+			l.askWhole()
+		}
+	}
 	return true
 }
 
+// askWhole makes the next call ask for a whole catalog.
+func (l *Link) askWhole() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.whole = true
+}
+
+// scheduler returns the one that is thought to be the owner.
+func (l *Link) scheduler() (int, Scheduler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current, l.schedulers[l.current]
+}
+
+// leave goes to the scheduler at an address, or to the next one, unless that
+// was done since.
+func (l *Link) leave(from int, to string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != from {
+		return
+	}
+	for i, s := range l.schedulers {
+		if s.Address == to && i != from {
+			l.current = i
+			return
+		}
+	}
+	l.current = (from + 1) % len(l.schedulers)
+}
+
 // request returns a request without news. The caller holds the lock.
 func (l *Link) request() *rpc.ExchangeRequest {
+	version := l.catalogs.Version()
+	if l.whole {
+		version = 0
+		l.whole = false
+	}
 	return &rpc.ExchangeRequest{
 		Entry:       string(l.entry),
 		Incarnation: l.life,
 		Epoch:       l.epoch,
 		Ack:         l.ack,
+		Version:     version,
 	}
 }
 
@@ -193,6 +262,7 @@
 		if w, ok := l.waiting[id]; ok {
 			t := w.ticket
 			t.Deadline = time.Until(w.deadline)
+			t.Waited = time.Since(w.arrived)
 			r.Tickets = append(r.Tickets, rpc.TicketMessage(t))
 		}
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"lynxramp.org/catalog"
@@ -30,7 +31,6 @@
 	team     *catalog.Team
 	tier     catalog.Tier
 	service  *catalog.Service
-	key      string // for idempotency
 	method   string
 	path     string      // at the endpoint, with its query
 	header   http.Header // what is passed on
@@ -154,7 +154,7 @@
 	}
 	now := time.Now()
 	return &request{
-		team: t, tier: tier, service: s, key: key,
+		team: t, tier: tier, service: s,
 		method: r.Method, header: passedOn(r.Header), body: body,
 		arrived: now, deadline: now.Add(left),
 		ticket: event.Ticket{
@@ -164,11 +164,24 @@
 			Service:  s.Name,
 			Pool:     s.Pool,
 			Deadline: left,
+			Key:      key,
+			Digest:   digest(key, r, body),
 			NoRepeat: s.NoRepeat || r.Header.Get(HeaderNoRepeat) != "",
 		},
 	}, nil
 }
 
+// digest tells requests with one key apart; without a key there is no need.
+func digest(key string, r *http.Request, body []byte) uint64 {
+	if key == "" {
+		return 0
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(r.Method + " " + r.URL.RequestURI() + "\n") // never fails, by its documentation
+	_, _ = d.Write(body)                                             // nor does this
+	return d.Sum64()
+}
+
 // chooseTier returns the tier of a request: the rules', or what the caller asks
 // for up to the team's right.
 func chooseTier(x *catalog.Index, t *catalog.Team, s *catalog.Service, h http.Header) (catalog.Tier, *Failure) {
--- a/entry/run.go
+++ b/entry/run.go
@@ -35,7 +35,7 @@
 // run takes a checked request to its end.
 func (e *Entry) run(w http.ResponseWriter, r *http.Request, q *request) {
 	w.Header().Set(HeaderRequestID, string(q.ticket.ID))
-	t := &transfer{entry: e, w: w, q: q}
+	t := &transfer{entry: e, w: w, q: q, runs: q.ticket.ID}
 	err := e.serveRequest(r.Context(), t)
 	var failure *Failure
 	if errors.As(err, &failure) && !t.begun {
@@ -74,7 +74,7 @@
 func (e *Entry) serveRequest(ctx context.Context, t *transfer) error {
 	q := t.q
 	for range maxOffers {
-		link, d, err := e.await(ctx, q)
+		d, err := e.await(ctx, q)
 		if err != nil {
 			return err
 		}
@@ -83,12 +83,17 @@
 			return refusal(event.Reason(d.Refusal.Reason), after)
 		}
 		done, err := e.offer(ctx, t, d)
-		link.Finish(&rpc.Finish{Id: string(q.ticket.ID), Pool: q.ticket.Pool, Failed: err != nil})
+		if d.Grant.Attach == "" {
+			e.link.Finish(&rpc.Finish{
+				Id: string(q.ticket.ID), Pool: q.ticket.Pool, Failed: err != nil, Void: !done && err == nil,
+			})
+		}
 		if done || err != nil {
 			return err
 		}
 		pause(ctx, offerBackoff)
 	}
+	e.link.Withdraw(q.ticket.ID, q.ticket.Pool)
 	return &Failure{
 		Status:     http.StatusServiceUnavailable,
 		Code:       "no_endpoint",
@@ -97,34 +102,20 @@
 	}
 }
 
-// routePoll is how often a missing scheduler is looked for.
-const routePoll = 20 * time.Millisecond
-
 // await registers the request and waits for its decision.
-func (e *Entry) await(ctx context.Context, q *request) (*Link, Decision, error) {
+func (e *Entry) await(ctx context.Context, q *request) (Decision, error) {
 	timer := time.NewTimer(time.Until(q.deadline))
 	defer timer.Stop()
-	link := e.router.Link(q.ticket.Pool)
-	for link == nil {
-		select {
-		case <-time.After(routePoll):
-			link = e.router.Link(q.ticket.Pool)
-		case <-ctx.Done():
-			return nil, Decision{}, errCallerGone
-		case <-timer.C:
-			return nil, Decision{}, refusal(event.ReasonDeadline, localRetryAfter)
-		}
-	}
-	decided := link.Submit(q.ticket, q.deadline)
+	decided := e.link.Submit(q.ticket, q.arrived, q.deadline)
 	select {
 	case d := <-decided:
-		return link, d, nil
+		return d, nil
 	case <-ctx.Done():
-		link.Withdraw(q.ticket.ID, q.ticket.Pool)
-		return nil, Decision{}, errCallerGone
+		e.link.Withdraw(q.ticket.ID, q.ticket.Pool)
+		return Decision{}, errCallerGone
 	case <-timer.C:
-		link.Withdraw(q.ticket.ID, q.ticket.Pool)
-		return nil, Decision{}, refusal(event.ReasonDeadline, localRetryAfter)
+		e.link.Withdraw(q.ticket.ID, q.ticket.Pool)
+		return Decision{}, refusal(event.ReasonDeadline, localRetryAfter)
 	}
 }
 
@@ -134,6 +125,9 @@
 func (e *Entry) offer(ctx context.Context, t *transfer, d Decision) (bool, error) {
 	q := t.q
 	t.epoch = d.Epoch
+	if d.Grant.Attach != "" {
+		return true, e.attach(ctx, t, d)
+	}
 	response, err := e.slots.offer(ctx, q, d)
 	if errors.Is(err, errNotSent) {
 		return false, nil
@@ -152,6 +146,31 @@
 	return true, e.transfer(ctx, t, d, response)
 }
 
+// attach fetches the answer of the request that has the caller's key.
+func (e *Entry) attach(ctx context.Context, t *transfer, d Decision) error {
+	t.endpoint = d.Grant.Endpoint
+	t.outcome = Unknown
+	t.runs = event.RequestID(d.Grant.Attach)
+	until := time.Now().Add(resumeBound)
+	for {
+		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0)
+		if err == nil && response.StatusCode == http.StatusOK {
+			return e.transfer(ctx, t, d, response)
+		}
+		if err == nil {
+			_ = response.Body.Close() // the status says it all
+		}
+		switch {
+		case ctx.Err() != nil:
+			return errCallerGone
+		case err == nil && response.StatusCode == http.StatusGone, time.Now().After(until):
+			return refusal(event.ReasonClaimed, 0)
+		}
+		// The request with the key may only now be on its way to the slot.
+		pause(ctx, resumePause)
+	}
+}
+
 // denied takes a slot's word that it did not and will not run an offer.
 func (e *Entry) denied(response *http.Response) (bool, error) {
 	denial := response.Header.Get(slot.HeaderDenial)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -92,6 +92,9 @@
 	if q.ticket.NoRepeat {
 		h.Set(slot.HeaderNoRepeat, "1")
 	}
+	if q.ticket.Key != "" {
+		h.Set(slot.HeaderKeep, "1")
+	}
 	r.Body = onceBody{bytes.NewReader(q.body)}
 	r.ContentLength = int64(len(q.body))
 	response, err := c.http.Do(r)
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -27,6 +27,7 @@
 	entry    *Entry
 	w        http.ResponseWriter
 	q        *request
+	runs     event.RequestID // whose answer it is
 	endpoint string
 	epoch    event.Epoch
 	outcome  Outcome
@@ -43,7 +44,7 @@
 // transfer moves the answer from the slot to the caller and resumes it when the
 // connection to the slot is cut.
 func (e *Entry) transfer(ctx context.Context, t *transfer, d Decision, response *http.Response) error {
-	id := t.q.ticket.ID
+	id := t.runs
 	t.address = d.Grant.Address
 	until := time.Now().Add(resumeBound)
 	for {
@@ -54,7 +55,9 @@
 			e.slots.ack(d.Grant.Address, slot.Ack{ID: id, Offset: t.offset, Done: true})
 			return nil
 		case ctx.Err() != nil || errors.Is(err, errCallerWrite):
-			e.slots.cancel(d.Grant.Address, id)
+			if d.Grant.Attach == "" {
+				e.slots.cancel(d.Grant.Address, id)
+			}
 			return errCallerGone
 		case isFailure(err):
 			return err
@@ -154,7 +157,7 @@
 	t.offset += len(p)
 	if t.offset-t.acked >= ackBytes {
 		t.acked = t.offset
-		t.entry.slots.ack(t.address, slot.Ack{ID: t.q.ticket.ID, Offset: t.offset})
+		t.entry.slots.ack(t.address, slot.Ack{ID: t.runs, Offset: t.offset})
 	}
 	return nil
 }
--- a/event/event.go
+++ b/event/event.go
@@ -35,11 +35,17 @@
 	// Deadline is the time left, from when the ticket is received.
 	Deadline Span
 	NoRepeat bool
+	// Waited is how long the request has waited, from its arrival at the entry.
+	Waited Span
+	// Key binds the request to at most one run, together with its team; empty
+	// for none. Digest tells requests of one key apart.
+	Key    string
+	Digest uint64
 }
 
 // Event is something that happened: a pointer to one of the event types of this
 // package.
-type Event interface{ event() }
+type Event interface{ IsEvent() }
 
 // Submitted says that an entry registered a request, perhaps again.
 type Submitted struct {
@@ -63,10 +69,16 @@
 	Tokens int
 	// Failed is set when the endpoint did not serve the request to its end.
 	Failed bool
+	// Void is set when the request has not run there and will not.
+	Void bool
 }
 
-// EntrySeen says that an entry is alive.
-type EntrySeen struct{ Entry BoxID }
+// EntrySeen says that an entry is alive and which version of the catalog is in
+// force there.
+type EntrySeen struct {
+	Entry   BoxID
+	Version uint64
+}
 
 // SlotReported carries what a slot says about its endpoint.
 type SlotReported struct{ Report Report }
@@ -77,13 +89,13 @@
 // PoolChanged carries the settings of a pool that are now in force.
 type PoolChanged struct{ Pool Pool }
 
-func (*Submitted) event()    {}
-func (*Withdrawn) event()    {}
-func (*Finished) event()     {}
-func (*EntrySeen) event()    {}
-func (*SlotReported) event() {}
-func (*Tick) event()         {}
-func (*PoolChanged) event()  {}
+func (*Submitted) IsEvent()    {}
+func (*Withdrawn) IsEvent()    {}
+func (*Finished) IsEvent()     {}
+func (*EntrySeen) IsEvent()    {}
+func (*SlotReported) IsEvent() {}
+func (*Tick) IsEvent()         {}
+func (*PoolChanged) IsEvent()  {}
 
 // Report is a slot's regular message about its endpoint.
 type Report struct {
@@ -121,6 +133,8 @@
 	// Speed is relative; 1 is the reference engine. It counts until the slot
 	// has measured.
 	Speed float64
+	// Leaving endpoints get no new work.
+	Leaving bool
 }
 
 // Effects is what the world is asked to do, in the order of each slice. The
@@ -128,12 +142,15 @@
 type Effects struct {
 	Grants   []Granted
 	Refusals []Refused
+	// Dropped has requests whose entry fell silent.
+	Dropped []RequestID
 }
 
 // Reset empties e and keeps its memory.
 func (e *Effects) Reset() {
 	e.Grants = e.Grants[:0]
 	e.Refusals = e.Refusals[:0]
+	e.Dropped = e.Dropped[:0]
 }
 
 // Granted tells an entry to offer a request to a slot.
@@ -143,6 +160,9 @@
 	Endpoint    EndpointID
 	Address     string
 	Incarnation Incarnation
+	// Attach, if set, is the request whose answer there is to be fetched:
+	// nothing is offered.
+	Attach RequestID
 }
 
 // Refused tells an entry that a request is given up, not having run.
@@ -165,8 +185,12 @@
 	ReasonShed
 	// ReasonDeadline: the deadline passed, or cannot be met.
 	ReasonDeadline
-	// ReasonNoPool: the scheduler does not own the request's pool.
+	// ReasonNoPool: there is no such pool.
 	ReasonNoPool
+	// ReasonClaimed: another request has the key, and its answer is not here.
+	ReasonClaimed
+	// ReasonKeyReused: another request, with other content, has the key.
+	ReasonKeyReused
 )
 
 // String returns the reason as logs and answers have it.
@@ -178,6 +202,10 @@
 		return "deadline"
 	case ReasonNoPool:
 		return "no_pool"
+	case ReasonClaimed:
+		return "claimed"
+	case ReasonKeyReused:
+		return "key_reused"
 	default:
 		return "none"
 	}
--- a/proc/harness_test.go
+++ b/proc/harness_test.go
@@ -156,6 +156,9 @@
 // Each team's key and tier.
 var teams = map[string]string{"gold-team": "gold", "silver-team": "silver", "bronze-team": "bronze"}
 
+// operatorKey is what operators' commands need.
+const operatorKey = "a key of the operators"
+
 const (
 	model   = "lynx-chef"
 	service = "card-api"
@@ -171,6 +174,7 @@
 		shape: s,
 	}
 	c.write("key", "a key that tests share")
+	c.write("operator-key", operatorKey)
 	c.writeCatalog()
 	for i := range s.engines {
 		c.engines = append(c.engines, c.process(fmt.Sprintf("engine-%d", i), "lynxramp", "engine",
@@ -285,10 +289,12 @@
 roles: %s
 listen: {callers: '%s', boxes: '%s'}
 key_file: key
+operator_key_file: operator-key
+data: data-%d
 catalog: catalog.yaml
 drain: {notice: 100ms, bound: 30s}
 control:
-%s`, i, i%2, roles, c.caller(i), c.box(i), c.control()))
+%s`, i, i%2, roles, c.caller(i), c.box(i), i, c.control()))
 }
 
 func (c *cluster) writeSlot(n int) string {
--- a/rpc/convert.go
+++ b/rpc/convert.go
@@ -21,6 +21,9 @@
 		Prefix:       t.Prefix,
 		DeadlineMs:   uint32(max(0, t.Deadline.Milliseconds())),
 		NoRepeat:     t.NoRepeat,
+		WaitedMs:     uint32(max(0, t.Waited.Milliseconds())),
+		Key:          t.Key,
+		Digest:       t.Digest,
 	}
 }
 
@@ -37,6 +40,9 @@
 		Prefix:       t.Prefix,
 		Deadline:     millis(t.DeadlineMs),
 		NoRepeat:     t.NoRepeat,
+		Waited:       millis(t.WaitedMs),
+		Key:          t.Key,
+		Digest:       t.Digest,
 	}}
 }
 
@@ -45,9 +51,9 @@
 func (r *ExchangeRequest) Events() []event.Event {
 	entry := event.BoxID(r.Entry)
 	events := make([]event.Event, 0, 1+len(r.Tickets)+len(r.Withdrawn)+len(r.Finished))
-	events = append(events, &event.EntrySeen{Entry: entry})
+	events = append(events, &event.EntrySeen{Entry: entry, Version: r.Version})
 	for _, f := range r.Finished {
-		events = append(events, &event.Finished{ID: event.RequestID(f.Id), Pool: f.Pool, Tokens: int(f.Tokens), Failed: f.Failed})
+		events = append(events, &event.Finished{ID: event.RequestID(f.Id), Pool: f.Pool, Tokens: int(f.Tokens), Failed: f.Failed, Void: f.Void})
 	}
 	for _, w := range r.Withdrawn {
 		events = append(events, &event.Withdrawn{Entry: entry, ID: event.RequestID(w.Id), Pool: w.Pool})
@@ -104,6 +110,7 @@
 		Endpoint:    string(g.Endpoint),
 		Address:     g.Address,
 		Incarnation: uint64(g.Incarnation),
+		Attach:      string(g.Attach),
 	}}
 }
 
--- a/rpc/lynxramp.twirp.go
+++ b/rpc/lynxramp.twirp.go
@@ -803,6 +803,1836 @@
 	return baseServicePath(s.pathPrefix, "lynxramp", "Scheduler")
 }
 
+// =================
+// Control Interface
+// =================
+
+// Control is a box of the control group.
+type Control interface {
+	// Hello tells who the box is.
+	Hello(context.Context, *HelloRequest) (*HelloResponse, error)
+
+	// Deliver carries a message of the replicated log and its reply.
+	Deliver(context.Context, *Envelope) (*Envelope, error)
+
+	// Join asks the leader to take a box into the group.
+	Join(context.Context, *JoinRequest) (*JoinResponse, error)
+}
+
+// =======================
+// Control Protobuf Client
+// =======================
+
+type controlProtobufClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewControlProtobufClient creates a Protobuf client that implements the Control interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewControlProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Control {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "lynxramp", "Control")
+	urls := [3]string{
+		serviceURL + "Hello",
+		serviceURL + "Deliver",
+		serviceURL + "Join",
+	}
+
+	return &controlProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *controlProtobufClient) Hello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	caller := c.callHello
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HelloRequest) (*HelloResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return c.callHello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callHello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
+	out := new(HelloResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Deliver(ctx context.Context, in *Envelope) (*Envelope, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Deliver")
+	caller := c.callDeliver
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Envelope) (*Envelope, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Envelope)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Envelope) when calling interceptor")
+					}
+					return c.callDeliver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Envelope)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Envelope) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callDeliver(ctx context.Context, in *Envelope) (*Envelope, error) {
+	out := new(Envelope)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Join(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	caller := c.callJoin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return c.callJoin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callJoin(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	out := new(JoinResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ===================
+// Control JSON Client
+// ===================
+
+type controlJSONClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewControlJSONClient creates a JSON client that implements the Control interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewControlJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Control {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "lynxramp", "Control")
+	urls := [3]string{
+		serviceURL + "Hello",
+		serviceURL + "Deliver",
+		serviceURL + "Join",
+	}
+
+	return &controlJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *controlJSONClient) Hello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	caller := c.callHello
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HelloRequest) (*HelloResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return c.callHello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callHello(ctx context.Context, in *HelloRequest) (*HelloResponse, error) {
+	out := new(HelloResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Deliver(ctx context.Context, in *Envelope) (*Envelope, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Deliver")
+	caller := c.callDeliver
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *Envelope) (*Envelope, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Envelope)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Envelope) when calling interceptor")
+					}
+					return c.callDeliver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Envelope)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Envelope) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callDeliver(ctx context.Context, in *Envelope) (*Envelope, error) {
+	out := new(Envelope)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Join(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	caller := c.callJoin
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return c.callJoin(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callJoin(ctx context.Context, in *JoinRequest) (*JoinResponse, error) {
+	out := new(JoinResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ======================
+// Control Server Handler
+// ======================
+
+type controlServer struct {
+	Control
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &controlServer{
+		Control:          svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// ControlPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const ControlPathPrefix = "/twirp/lynxramp.Control/"
+
+func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "lynxramp.Control" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Hello":
+		s.serveHello(ctx, resp, req)
+		return
+	case "Deliver":
+		s.serveDeliver(ctx, resp, req)
+		return
+	case "Join":
+		s.serveJoin(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *controlServer) serveHello(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveHelloJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveHelloProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveHelloJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(HelloRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Hello
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HelloRequest) (*HelloResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return s.Control.Hello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HelloResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HelloResponse and nil error while calling Hello. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveHelloProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Hello")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(HelloRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Hello
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HelloRequest) (*HelloResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HelloRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HelloRequest) when calling interceptor")
+					}
+					return s.Control.Hello(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HelloResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HelloResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HelloResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HelloResponse and nil error while calling Hello. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDeliver(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDeliverJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDeliverProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveDeliverJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Deliver")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(Envelope)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Deliver
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Envelope) (*Envelope, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Envelope)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Envelope) when calling interceptor")
+					}
+					return s.Control.Deliver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Envelope)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Envelope) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Envelope
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Envelope and nil error while calling Deliver. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDeliverProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Deliver")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(Envelope)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Deliver
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *Envelope) (*Envelope, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*Envelope)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*Envelope) when calling interceptor")
+					}
+					return s.Control.Deliver(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Envelope)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Envelope) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *Envelope
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Envelope and nil error while calling Deliver. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveJoin(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveJoinJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveJoinProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveJoinJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(JoinRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Join
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return s.Control.Join(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JoinResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JoinResponse and nil error while calling Join. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveJoinProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Join")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(JoinRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Join
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *JoinRequest) (*JoinResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*JoinRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*JoinRequest) when calling interceptor")
+					}
+					return s.Control.Join(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JoinResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JoinResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *JoinResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JoinResponse and nil error while calling Join. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *controlServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *controlServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "lynxramp", "Control")
+}
+
+// ==================
+// Operator Interface
+// ==================
+
+// Operator takes operators' commands and questions.
+type Operator interface {
+	Apply(context.Context, *ApplyRequest) (*ApplyResponse, error)
+
+	Show(context.Context, *ShowRequest) (*ShowResponse, error)
+}
+
+// ========================
+// Operator Protobuf Client
+// ========================
+
+type operatorProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperatorProtobufClient creates a Protobuf client that implements the Operator interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewOperatorProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operator {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "lynxramp", "Operator")
+	urls := [2]string{
+		serviceURL + "Apply",
+		serviceURL + "Show",
+	}
+
+	return &operatorProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operatorProtobufClient) Apply(ctx context.Context, in *ApplyRequest) (*ApplyResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	caller := c.callApply
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+					}
+					return c.callApply(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callApply(ctx context.Context, in *ApplyRequest) (*ApplyResponse, error) {
+	out := new(ApplyResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorProtobufClient) Show(ctx context.Context, in *ShowRequest) (*ShowResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Show")
+	caller := c.callShow
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ShowRequest) (*ShowResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShowRequest) when calling interceptor")
+					}
+					return c.callShow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorProtobufClient) callShow(ctx context.Context, in *ShowRequest) (*ShowResponse, error) {
+	out := new(ShowResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Operator JSON Client
+// ====================
+
+type operatorJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperatorJSONClient creates a JSON client that implements the Operator interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewOperatorJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operator {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "lynxramp", "Operator")
+	urls := [2]string{
+		serviceURL + "Apply",
+		serviceURL + "Show",
+	}
+
+	return &operatorJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operatorJSONClient) Apply(ctx context.Context, in *ApplyRequest) (*ApplyResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	caller := c.callApply
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+					}
+					return c.callApply(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callApply(ctx context.Context, in *ApplyRequest) (*ApplyResponse, error) {
+	out := new(ApplyResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorJSONClient) Show(ctx context.Context, in *ShowRequest) (*ShowResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithMethodName(ctx, "Show")
+	caller := c.callShow
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ShowRequest) (*ShowResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShowRequest) when calling interceptor")
+					}
+					return c.callShow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorJSONClient) callShow(ctx context.Context, in *ShowRequest) (*ShowResponse, error) {
+	out := new(ShowResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =======================
+// Operator Server Handler
+// =======================
+
+type operatorServer struct {
+	Operator
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewOperatorServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewOperatorServer(svc Operator, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &operatorServer{
+		Operator:         svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *operatorServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *operatorServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// OperatorPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const OperatorPathPrefix = "/twirp/lynxramp.Operator/"
+
+func (s *operatorServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "lynxramp")
+	ctx = ctxsetters.WithServiceName(ctx, "Operator")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "lynxramp.Operator" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Apply":
+		s.serveApply(ctx, resp, req)
+		return
+	case "Show":
+		s.serveShow(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *operatorServer) serveApply(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveApplyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveApplyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveApplyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ApplyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.Apply
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+					}
+					return s.Operator.Apply(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplyResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyResponse and nil error while calling Apply. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveApplyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Apply")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ApplyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.Apply
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ApplyRequest) (*ApplyResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ApplyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ApplyRequest) when calling interceptor")
+					}
+					return s.Operator.Apply(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ApplyResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ApplyResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ApplyResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ApplyResponse and nil error while calling Apply. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveShow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveShowJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveShowProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorServer) serveShowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Show")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ShowRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operator.Show
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ShowRequest) (*ShowResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShowRequest) when calling interceptor")
+					}
+					return s.Operator.Show(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ShowResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ShowResponse and nil error while calling Show. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) serveShowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Show")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ShowRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operator.Show
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ShowRequest) (*ShowResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ShowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ShowRequest) when calling interceptor")
+					}
+					return s.Operator.Show(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ShowResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ShowResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ShowResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ShowResponse and nil error while calling Show. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
+}
+
+func (s *operatorServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *operatorServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "lynxramp", "Operator")
+}
+
 // =====
 // Utils
 // =====
@@ -1369,55 +3199,112 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 788 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x55, 0xdf, 0x6f, 0xe3, 0x44,
-	0x10, 0x96, 0x9d, 0xc4, 0xb1, 0x27, 0x6d, 0x2f, 0xac, 0x4e, 0x77, 0xa6, 0x48, 0x10, 0x99, 0x1f,
-	0x8a, 0xe0, 0x74, 0x9c, 0xc2, 0x23, 0x4f, 0x45, 0x40, 0x9f, 0x2a, 0xa1, 0xbd, 0x43, 0x48, 0x27,
-	0x24, 0x6b, 0xcf, 0x9e, 0x24, 0xab, 0x3a, 0xbb, 0x66, 0x77, 0xdd, 0xb4, 0xff, 0x00, 0x2f, 0x48,
-	0x3c, 0xf3, 0x4f, 0xf1, 0x3f, 0xa1, 0x1d, 0xdb, 0x71, 0xd4, 0x96, 0xbe, 0xed, 0x37, 0xdf, 0xb7,
-	0x9e, 0x9d, 0x6f, 0x26, 0x13, 0x38, 0xab, 0xee, 0xd4, 0xad, 0x11, 0xbb, 0xfa, 0x75, 0x6d, 0xb4,
-	0xd3, 0x2c, 0xee, 0x71, 0xf6, 0x4f, 0x08, 0xcf, 0x7e, 0xba, 0x2d, 0xb6, 0x42, 0x6d, 0x90, 0xe3,
-	0x1f, 0x0d, 0x5a, 0xc7, 0x9e, 0xc3, 0x04, 0x95, 0x33, 0x77, 0x69, 0xb0, 0x08, 0x96, 0x09, 0x6f,
-	0x01, 0x5b, 0xc0, 0x4c, 0xaa, 0x42, 0x18, 0x25, 0x9c, 0xd4, 0x2a, 0x0d, 0x17, 0xc1, 0x72, 0xcc,
-	0x8f, 0x43, 0x74, 0xaf, 0xd6, 0xc5, 0x36, 0x1d, 0x11, 0xd7, 0x02, 0x36, 0x87, 0x91, 0x28, 0xae,
-	0xd3, 0x31, 0xc5, 0xfc, 0x91, 0xbd, 0x84, 0xe9, 0x5e, 0x48, 0x97, 0xef, 0x6c, 0x3a, 0x59, 0x04,
-	0xcb, 0x53, 0x1e, 0x79, 0x78, 0x65, 0xd9, 0xd7, 0x30, 0x75, 0xb2, 0xb8, 0x46, 0x67, 0xd3, 0x68,
-	0x31, 0x5a, 0xce, 0x56, 0xf3, 0xd7, 0x87, 0x87, 0xbf, 0x23, 0x82, 0xf7, 0x02, 0xb6, 0x82, 0x64,
-	0x2f, 0xdd, 0xb6, 0x34, 0x62, 0xaf, 0xd2, 0x29, 0xa9, 0x9f, 0x0f, 0xea, 0xdf, 0x3a, 0x4a, 0x54,
-	0x7c, 0x90, 0xb1, 0x57, 0x10, 0xaf, 0xa5, 0x92, 0x76, 0x8b, 0x65, 0x1a, 0xdf, 0x4f, 0xf0, 0x33,
-	0x31, 0xfc, 0xa0, 0xc8, 0xde, 0xc3, 0x7c, 0x70, 0xc6, 0xd6, 0x5a, 0x59, 0x1c, 0x4a, 0x0c, 0x8e,
-	0x4b, 0x7c, 0x03, 0x49, 0x89, 0x85, 0xb4, 0x52, 0x2b, 0x9b, 0x86, 0xf4, 0x61, 0x36, 0x7c, 0xf8,
-	0xc7, 0x8e, 0xe2, 0x83, 0x28, 0xfb, 0x3b, 0x84, 0xa8, 0xad, 0x88, 0x9d, 0x41, 0x28, 0xcb, 0xce,
-	0xea, 0x50, 0x96, 0x8c, 0xc1, 0xd8, 0xa1, 0xd8, 0x91, 0xc1, 0x09, 0xa7, 0xb3, 0x8f, 0x19, 0xa1,
-	0xae, 0xc9, 0xd8, 0x09, 0xa7, 0x33, 0x4b, 0x61, 0x6a, 0xd1, 0xdc, 0xc8, 0x02, 0xc9, 0xdb, 0x84,
-	0xf7, 0xd0, 0xab, 0x6b, 0xad, 0x2b, 0x32, 0x37, 0xe1, 0x74, 0x66, 0x9f, 0xc3, 0x69, 0x6d, 0xf4,
-	0xae, 0x76, 0xb9, 0xd3, 0xd7, 0xa8, 0xbc, 0xc1, 0xde, 0xf9, 0x93, 0x36, 0xf8, 0x8e, 0x62, 0x5e,
-	0xa4, 0x1b, 0x57, 0x37, 0x07, 0xd1, 0xb4, 0x15, 0xb5, 0xc1, 0x4e, 0xf4, 0x02, 0xa2, 0xda, 0xe0,
-	0x5a, 0xde, 0x92, 0x85, 0x11, 0xef, 0x10, 0xfb, 0x0c, 0x66, 0x25, 0x8a, 0xb2, 0x92, 0x0a, 0x7d,
-	0x67, 0x13, 0xba, 0x0a, 0x7d, 0xe8, 0xca, 0xb2, 0x4f, 0x20, 0x51, 0x3a, 0x37, 0x58, 0xa3, 0x70,
-	0x29, 0x2c, 0x82, 0x65, 0xcc, 0x63, 0xa5, 0x39, 0xe1, 0xec, 0x0d, 0xc0, 0xd0, 0xb3, 0xc7, 0x3c,
-	0xa1, 0x8a, 0xc2, 0xa1, 0xa2, 0xec, 0x77, 0x88, 0xda, 0x96, 0xfd, 0xaf, 0x7a, 0x7c, 0x54, 0xff,
-	0x0b, 0x88, 0xba, 0x9a, 0xc2, 0x76, 0xe4, 0xdc, 0xa1, 0x9a, 0xb5, 0x90, 0x15, 0x96, 0xe4, 0x6d,
-	0xcc, 0x3b, 0x94, 0xfd, 0x19, 0x40, 0xdc, 0x37, 0xce, 0x8b, 0x54, 0xb3, 0xfb, 0x80, 0xa6, 0x6b,
-	0x7b, 0x87, 0xba, 0xc4, 0xe1, 0x21, 0xf1, 0x97, 0x30, 0xd9, 0x18, 0xa1, 0x1c, 0x7d, 0x6b, 0xb6,
-	0x7a, 0x36, 0xcc, 0xc0, 0xa5, 0x0f, 0xf3, 0x96, 0x65, 0xdf, 0xc0, 0xd4, 0xe0, 0xba, 0xb1, 0xa2,
-	0x7d, 0xe2, 0x6c, 0xf5, 0xd1, 0x20, 0xe4, 0x2d, 0xc1, 0x7b, 0x45, 0x96, 0xc3, 0x84, 0x2e, 0xb3,
-	0x73, 0x88, 0x51, 0x95, 0xb5, 0x96, 0xca, 0x75, 0xb5, 0x1e, 0xb0, 0x9f, 0x05, 0x51, 0x96, 0x06,
-	0xad, 0xed, 0x5e, 0xd3, 0xc3, 0xfb, 0xbf, 0xda, 0xd1, 0x83, 0x5f, 0x6d, 0x76, 0x09, 0xd3, 0x2e,
-	0xa9, 0xaf, 0xd3, 0xa0, 0xb0, 0x5a, 0x51, 0x82, 0x09, 0xef, 0x10, 0xfb, 0x02, 0xce, 0x0c, 0x3a,
-	0x73, 0x97, 0x8b, 0xb5, 0x43, 0xe3, 0xbb, 0xdb, 0x9a, 0x78, 0x42, 0xd1, 0x0b, 0x1f, 0xbc, 0xb2,
-	0xd9, 0xbf, 0x21, 0x9c, 0x72, 0xac, 0xb5, 0x71, 0xfd, 0x22, 0x79, 0xea, 0xc9, 0x8f, 0xb4, 0xf4,
-	0xb8, 0x8c, 0xd1, 0x93, 0x65, 0x8c, 0x1f, 0x2e, 0x9f, 0x14, 0xa6, 0x15, 0x8a, 0x1b, 0xa9, 0x36,
-	0x34, 0xf7, 0x31, 0xef, 0xa1, 0x67, 0x4c, 0xa3, 0x94, 0x67, 0xfc, 0x56, 0x49, 0x78, 0x0f, 0x3d,
-	0xe3, 0x37, 0x8f, 0x67, 0xda, 0x49, 0xef, 0x21, 0xfb, 0x14, 0x66, 0x95, 0x16, 0x65, 0x2e, 0x36,
-	0x34, 0xcc, 0x31, 0xb1, 0x89, 0x0f, 0x5d, 0x6c, 0xfc, 0x2c, 0xbf, 0x02, 0x46, 0x63, 0x5f, 0x55,
-	0x79, 0x8d, 0x26, 0xb7, 0x58, 0x68, 0x55, 0xd2, 0xcc, 0x07, 0x7c, 0xde, 0x31, 0xbf, 0xa0, 0x79,
-	0x4b, 0x71, 0xb6, 0x80, 0x13, 0x1a, 0xb7, 0x7c, 0x23, 0xea, 0xbc, 0xb1, 0x34, 0xfc, 0x63, 0x0e,
-	0x14, 0xbb, 0x14, 0xf5, 0xaf, 0xd6, 0xbb, 0x51, 0xea, 0xbd, 0x4a, 0x67, 0xf4, 0x74, 0x3a, 0x67,
-	0x5f, 0xc1, 0x59, 0x6f, 0xe7, 0x53, 0xdb, 0x67, 0xf5, 0x57, 0x00, 0xc9, 0xdb, 0x62, 0x8b, 0x65,
-	0x53, 0xa1, 0x61, 0x17, 0x10, 0xf7, 0x5b, 0x8b, 0x7d, 0x3c, 0xcc, 0xd5, 0xbd, 0x1d, 0x7f, 0x7e,
-	0xfe, 0x18, 0xd5, 0xa5, 0xf9, 0x1e, 0xa2, 0x36, 0x31, 0x7b, 0x79, 0x3c, 0x98, 0x47, 0x9d, 0x3d,
-	0x4f, 0x1f, 0x12, 0xed, 0xe5, 0x1f, 0xd8, 0xfb, 0xf9, 0x81, 0xd2, 0x66, 0xf3, 0xad, 0xa9, 0x8b,
-	0x0f, 0x11, 0xfd, 0xeb, 0x7c, 0xf7, 0x5f, 0x00, 0x00, 0x00, 0xff, 0xff, 0xa2, 0xa4, 0xe0, 0x8c,
-	0x87, 0x06, 0x00, 0x00,
+	// 1702 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x58, 0x5f, 0x6f, 0x2b, 0x47,
+	0x15, 0xd7, 0xae, 0x1d, 0x7b, 0x7d, 0xec, 0xa4, 0x61, 0x74, 0xc9, 0x75, 0x53, 0x09, 0xa2, 0x05,
+	0xa4, 0xa8, 0x5c, 0xdd, 0xb6, 0x41, 0x45, 0x95, 0x78, 0x4a, 0xdb, 0xcb, 0x45, 0xa8, 0x81, 0x6a,
+	0x72, 0x5b, 0x24, 0x84, 0x64, 0x4d, 0x76, 0x27, 0xf6, 0x2a, 0xeb, 0x99, 0x65, 0x66, 0x1c, 0x27,
+	0xea, 0x13, 0x2f, 0xbc, 0x80, 0x78, 0xe1, 0x33, 0xf0, 0xc8, 0x0b, 0x6f, 0x7c, 0x08, 0x1e, 0xf9,
+	0x00, 0x7c, 0x13, 0x74, 0xce, 0xcc, 0x7a, 0xc7, 0x89, 0x73, 0x05, 0x52, 0xdf, 0xe6, 0x77, 0xce,
+	0x99, 0x3d, 0x7f, 0xe6, 0xfc, 0xb3, 0xe1, 0xa0, 0xbe, 0x57, 0x77, 0x46, 0x2c, 0x9b, 0x97, 0x8d,
+	0xd1, 0x4e, 0xb3, 0xac, 0xc5, 0xf9, 0x3f, 0x52, 0x78, 0xe7, 0xd5, 0x5d, 0xb1, 0x10, 0x6a, 0x2e,
+	0xb9, 0xfc, 0xfd, 0x4a, 0x5a, 0xc7, 0x9e, 0xc1, 0x9e, 0x54, 0xce, 0xdc, 0x4f, 0x93, 0x93, 0xe4,
+	0x74, 0xc4, 0x3d, 0x60, 0x27, 0x30, 0xae, 0x54, 0x21, 0x8c, 0x12, 0xae, 0xd2, 0x6a, 0x9a, 0x9e,
+	0x24, 0xa7, 0x7d, 0x1e, 0x93, 0xe8, 0x5e, 0xa3, 0x8b, 0xc5, 0xb4, 0x47, 0x3c, 0x0f, 0xd8, 0x21,
+	0xf4, 0x44, 0x71, 0x33, 0xed, 0x13, 0x0d, 0x8f, 0xec, 0x39, 0x0c, 0xd7, 0xa2, 0x72, 0xb3, 0xa5,
+	0x9d, 0xee, 0x9d, 0x24, 0xa7, 0xfb, 0x7c, 0x80, 0xf0, 0xc2, 0xb2, 0xf7, 0x61, 0xe8, 0xaa, 0xe2,
+	0x46, 0x3a, 0x3b, 0x1d, 0x9c, 0xf4, 0x4e, 0xc7, 0x67, 0x87, 0x2f, 0x37, 0x86, 0xbf, 0x21, 0x06,
+	0x6f, 0x05, 0xd8, 0x19, 0x8c, 0xd6, 0x95, 0x5b, 0x94, 0x46, 0xac, 0xd5, 0x74, 0x48, 0xd2, 0xcf,
+	0x3a, 0xe9, 0xdf, 0x04, 0x96, 0xa8, 0x79, 0x27, 0xc6, 0x5e, 0x40, 0x76, 0x5d, 0xa9, 0xca, 0x2e,
+	0x64, 0x39, 0xcd, 0x1e, 0x2a, 0xf8, 0x39, 0x71, 0xf8, 0x46, 0x82, 0x4d, 0x61, 0x78, 0x2b, 0x8d,
+	0x45, 0x67, 0x47, 0x64, 0x7c, 0x0b, 0xf3, 0x7f, 0x26, 0x70, 0xd8, 0x05, 0xcd, 0x36, 0x5a, 0x59,
+	0xd9, 0x79, 0x9f, 0xc4, 0xde, 0x7f, 0x08, 0xa3, 0x52, 0x16, 0x15, 0x5e, 0xb3, 0xd3, 0x94, 0x74,
+	0xb2, 0x4e, 0xe7, 0xe7, 0x81, 0xc5, 0x3b, 0x21, 0xfc, 0x8e, 0x5e, 0x2b, 0x69, 0x28, 0x8a, 0x19,
+	0xf7, 0x80, 0x1d, 0xc1, 0xa0, 0x96, 0xa2, 0x94, 0x86, 0x02, 0x39, 0xe2, 0x01, 0xb1, 0x0f, 0x60,
+	0x58, 0x08, 0x27, 0x6a, 0x3d, 0xa7, 0x58, 0x8e, 0xcf, 0xbe, 0xdb, 0x7d, 0xfd, 0x33, 0xcf, 0xf8,
+	0x95, 0x5c, 0x5b, 0xde, 0x4a, 0xe5, 0x7f, 0x48, 0x60, 0x1c, 0x31, 0x62, 0x2f, 0x93, 0x2d, 0x2f,
+	0xd1, 0x10, 0x5b, 0xa9, 0x42, 0x86, 0xa7, 0xf6, 0x00, 0xe5, 0xbd, 0xe3, 0x96, 0x0c, 0x9c, 0xf0,
+	0x16, 0xa2, 0xfc, 0x7a, 0xa1, 0x6b, 0x49, 0x16, 0x4e, 0xb8, 0x07, 0x8c, 0x41, 0x7f, 0x21, 0xec,
+	0x82, 0xac, 0x1b, 0x70, 0x3a, 0xe7, 0xff, 0x4e, 0x61, 0xe0, 0xdf, 0x93, 0x1d, 0x40, 0x5a, 0x95,
+	0x21, 0xd1, 0xd2, 0xaa, 0x44, 0x71, 0x27, 0xc5, 0x92, 0x74, 0x8e, 0x38, 0x9d, 0x91, 0x66, 0x84,
+	0xba, 0x21, 0x7d, 0x7b, 0x9c, 0xce, 0x68, 0x86, 0x95, 0xe6, 0xb6, 0x2a, 0x64, 0x08, 0x48, 0x0b,
+	0x51, 0xba, 0xd1, 0xba, 0x26, 0x85, 0x23, 0x4e, 0x67, 0xf6, 0x03, 0xd8, 0x6f, 0x8c, 0x5e, 0x36,
+	0x6e, 0xe6, 0xf4, 0x8d, 0x54, 0x98, 0x5e, 0x98, 0x77, 0x13, 0x4f, 0x7c, 0x43, 0x34, 0x14, 0xd2,
+	0x2b, 0xd7, 0xac, 0x36, 0x42, 0x43, 0x2f, 0xe4, 0x89, 0x41, 0xe8, 0x08, 0x06, 0x8d, 0x91, 0xd7,
+	0xd5, 0x1d, 0x25, 0xd0, 0x80, 0x07, 0xc4, 0xbe, 0x0f, 0xe3, 0x52, 0x8a, 0xb2, 0xae, 0x94, 0xc4,
+	0xbc, 0x1e, 0xd1, 0x55, 0x68, 0x49, 0x17, 0x96, 0xbd, 0x07, 0x23, 0xa5, 0x67, 0x46, 0x36, 0x52,
+	0xb8, 0x29, 0xd0, 0xd3, 0x66, 0x4a, 0x73, 0xc2, 0xc8, 0xc4, 0x12, 0x90, 0x25, 0xde, 0x1d, 0xd3,
+	0xdd, 0xcc, 0x13, 0x2e, 0x2c, 0x16, 0xd0, 0x8d, 0xbc, 0x9f, 0x4e, 0xc8, 0x1f, 0x3c, 0xa2, 0x11,
+	0x65, 0x35, 0x97, 0xd6, 0x4d, 0xf7, 0x29, 0xaa, 0x01, 0xe5, 0x1f, 0x02, 0x74, 0x89, 0xbf, 0x2b,
+	0xb4, 0x14, 0x98, 0xb4, 0x0b, 0x4c, 0xde, 0xc0, 0xc0, 0xe7, 0xfd, 0x93, 0xd2, 0xfd, 0x28, 0x8c,
+	0x47, 0x30, 0x08, 0xa1, 0x49, 0x7d, 0xdd, 0xba, 0x4d, 0x50, 0xae, 0x45, 0x55, 0xcb, 0x32, 0xe4,
+	0x6c, 0x40, 0xf8, 0x8d, 0x5b, 0x5d, 0x95, 0xf4, 0x14, 0x19, 0xa7, 0x73, 0xfe, 0xc7, 0x04, 0xb2,
+	0x36, 0xed, 0xf1, 0xa2, 0x5a, 0x2d, 0xaf, 0xa4, 0x09, 0xb9, 0x17, 0x50, 0x30, 0x26, 0xdd, 0x18,
+	0xf3, 0x23, 0xd8, 0x9b, 0x1b, 0xa1, 0x1c, 0x7d, 0x7f, 0x7c, 0xf6, 0x4e, 0x97, 0xe3, 0xaf, 0x91,
+	0xcc, 0x3d, 0x97, 0xfd, 0x18, 0x86, 0x46, 0x5e, 0xaf, 0xac, 0xf0, 0x66, 0x8f, 0xcf, 0xbe, 0xd3,
+	0x09, 0x72, 0xcf, 0xe0, 0xad, 0x44, 0xbe, 0x86, 0x3d, 0xba, 0xcc, 0x8e, 0x21, 0x93, 0xaa, 0x6c,
+	0x74, 0xa5, 0x5c, 0xf0, 0x7f, 0x83, 0x31, 0xcd, 0x44, 0x59, 0x1a, 0x69, 0x6d, 0xb0, 0xa6, 0x85,
+	0x0f, 0xdb, 0x61, 0xef, 0x71, 0x3b, 0x3c, 0x82, 0x81, 0x70, 0x4e, 0x14, 0x8b, 0xb6, 0x64, 0x3d,
+	0xca, 0x5f, 0xc3, 0x30, 0x18, 0x83, 0x22, 0x46, 0x0a, 0x1b, 0x6a, 0x6f, 0x8f, 0x07, 0xc4, 0x7e,
+	0x08, 0x07, 0x46, 0x3a, 0x73, 0x3f, 0x13, 0xd7, 0x4e, 0x1a, 0x4c, 0x0a, 0x1f, 0xf0, 0x09, 0x51,
+	0xcf, 0x91, 0x78, 0x61, 0xf3, 0x7f, 0xa5, 0xb0, 0xcf, 0x65, 0xa3, 0x8d, 0x6b, 0x3b, 0xf7, 0xdb,
+	0x5c, 0xd9, 0xf1, 0xfc, 0xb1, 0x7b, 0xbd, 0xb7, 0xba, 0xd7, 0x7f, 0xec, 0xde, 0x14, 0x86, 0xb5,
+	0x14, 0xb7, 0x95, 0x9a, 0x87, 0xf7, 0x6d, 0x21, 0x72, 0xcc, 0x4a, 0x29, 0xe4, 0x60, 0x1b, 0x1f,
+	0xf1, 0x16, 0x22, 0x07, 0xd3, 0x1a, 0x39, 0xbe, 0xb8, 0x5a, 0xc8, 0xbe, 0x07, 0xe3, 0x5a, 0x8b,
+	0x72, 0x26, 0xe6, 0x54, 0x3f, 0x19, 0x71, 0x47, 0x48, 0x3a, 0x9f, 0x63, 0xf9, 0xbc, 0x00, 0x46,
+	0x95, 0x56, 0xd7, 0xb3, 0x46, 0x9a, 0x99, 0x95, 0x85, 0x56, 0x25, 0x95, 0x59, 0xc2, 0x0f, 0x03,
+	0xe7, 0x4b, 0x69, 0x2e, 0x89, 0xce, 0x4e, 0x60, 0x42, 0xa9, 0x39, 0x9b, 0x8b, 0x66, 0xb6, 0xb2,
+	0x54, 0x6f, 0x7d, 0x0e, 0x44, 0x7b, 0x2d, 0x9a, 0xaf, 0x2c, 0x46, 0xa3, 0xd4, 0x6b, 0x45, 0xc5,
+	0x96, 0x71, 0x3a, 0xe7, 0x6f, 0xe0, 0xa0, 0x0d, 0xe7, 0x5b, 0x7b, 0xfa, 0xa6, 0x43, 0xa7, 0xbb,
+	0x3b, 0x74, 0x2f, 0xee, 0xd0, 0xf9, 0x01, 0x4c, 0x7e, 0x21, 0xeb, 0x5a, 0x87, 0x37, 0xca, 0xff,
+	0x9a, 0xc0, 0x7e, 0x20, 0x04, 0x2d, 0x87, 0xd0, 0xbb, 0xd2, 0x77, 0xe1, 0xc1, 0xf0, 0x48, 0xd6,
+	0x55, 0xf6, 0x26, 0x74, 0x5e, 0x3a, 0xbf, 0xe5, 0xad, 0x9e, 0x61, 0x75, 0xe8, 0x55, 0x13, 0xf2,
+	0xcc, 0x03, 0x1a, 0x76, 0x7a, 0xa5, 0x4a, 0x69, 0x70, 0xcc, 0x3e, 0x18, 0x76, 0x17, 0x12, 0xeb,
+	0x8c, 0x6f, 0x24, 0xf2, 0x33, 0x18, 0x78, 0xda, 0xa3, 0x46, 0xf0, 0x64, 0x09, 0xe4, 0x25, 0x80,
+	0xbf, 0x63, 0x17, 0x55, 0xc3, 0x4e, 0x61, 0x70, 0xab, 0x1d, 0x6a, 0x4b, 0x9e, 0xd0, 0x16, 0xf8,
+	0x68, 0x59, 0x2d, 0x85, 0x51, 0x28, 0x9b, 0x3e, 0x65, 0x59, 0x2b, 0x91, 0xff, 0x27, 0x85, 0xec,
+	0x95, 0xba, 0x95, 0xb5, 0x6e, 0x64, 0xe7, 0x6a, 0x12, 0xbb, 0xca, 0xa0, 0x7f, 0x53, 0xa9, 0x32,
+	0x14, 0x09, 0x9d, 0x91, 0x76, 0x6d, 0xf4, 0x32, 0xc4, 0x8a, 0xce, 0xe8, 0x9a, 0xd3, 0x21, 0x4a,
+	0xa9, 0xd3, 0x7e, 0xd8, 0x98, 0x25, 0xe5, 0x6f, 0x9f, 0xd3, 0x19, 0x35, 0x54, 0xaa, 0x94, 0x77,
+	0x34, 0x22, 0xfa, 0xdc, 0x03, 0xf6, 0x2e, 0x64, 0xb5, 0x9e, 0xcf, 0x48, 0x7a, 0xe8, 0xc7, 0x64,
+	0xad, 0xe7, 0x6f, 0xf0, 0xc2, 0x0b, 0x18, 0xe2, 0x82, 0x54, 0x49, 0x1b, 0x76, 0x8a, 0x68, 0xbe,
+	0x7f, 0xa1, 0xe7, 0xaf, 0x70, 0x79, 0xe2, 0xad, 0x08, 0x66, 0x49, 0xa1, 0x97, 0xcb, 0xca, 0x85,
+	0x9d, 0x22, 0x20, 0xdc, 0x89, 0xac, 0x54, 0x6e, 0x16, 0x86, 0x43, 0x8f, 0x0f, 0x10, 0x9e, 0x53,
+	0x07, 0xa2, 0xe6, 0x26, 0xcb, 0x90, 0xab, 0x2d, 0xa4, 0xae, 0xab, 0x4d, 0x21, 0x4b, 0x1a, 0x0d,
+	0xd8, 0x75, 0x09, 0xb1, 0x8f, 0x20, 0xb3, 0x4a, 0x34, 0x76, 0xa1, 0xfd, 0x7c, 0xd8, 0xda, 0x09,
+	0xbe, 0xd0, 0xf3, 0xcb, 0xc0, 0xe4, 0x1b, 0xb1, 0xfc, 0x77, 0x90, 0xb5, 0xa6, 0x76, 0x01, 0x48,
+	0xe2, 0x00, 0xb4, 0xa1, 0x4a, 0xa3, 0x50, 0xb5, 0x61, 0xef, 0x6d, 0x87, 0xbd, 0x14, 0x4e, 0x84,
+	0x1d, 0x80, 0xce, 0xf9, 0x37, 0x30, 0x8e, 0xd4, 0xfe, 0x1f, 0x0a, 0x5e, 0xc2, 0x70, 0xe9, 0x13,
+	0x2c, 0x34, 0xfe, 0x67, 0x0f, 0xf3, 0x04, 0x33, 0x8f, 0xb7, 0x42, 0x3b, 0x95, 0x5f, 0xc0, 0xf8,
+	0x97, 0xba, 0x52, 0xd1, 0x6e, 0xbb, 0x23, 0x81, 0x4e, 0x61, 0xe0, 0xbf, 0x41, 0xea, 0x77, 0xe6,
+	0xae, 0xe7, 0xe7, 0xd7, 0x30, 0xf1, 0x9f, 0x0b, 0xb5, 0x4b, 0x7d, 0x44, 0x49, 0xfa, 0x1c, 0xf5,
+	0x11, 0x15, 0x25, 0x69, 0x1a, 0xeb, 0x78, 0xa2, 0x3f, 0xa0, 0x34, 0x9e, 0x2c, 0x59, 0x9d, 0x71,
+	0x0f, 0xf2, 0x1a, 0x26, 0xe7, 0x4d, 0x53, 0xdf, 0xb7, 0x76, 0x3f, 0xac, 0xca, 0x63, 0xc8, 0x74,
+	0x23, 0x8d, 0x70, 0xda, 0x04, 0x35, 0x1b, 0x8c, 0x9a, 0xe4, 0x5d, 0x23, 0x0b, 0x17, 0xa6, 0x52,
+	0x40, 0xf1, 0xea, 0xd6, 0xdf, 0x5a, 0xdd, 0xf2, 0xbf, 0x25, 0xb0, 0x1f, 0xd4, 0x75, 0x9d, 0xcf,
+	0x5b, 0x95, 0x44, 0x56, 0x45, 0x3e, 0xa4, 0x5b, 0x3e, 0x44, 0x4b, 0x64, 0x6f, 0x7b, 0x89, 0x3c,
+	0x86, 0xac, 0xd0, 0xea, 0xba, 0xae, 0x0a, 0x17, 0x0a, 0x6f, 0x83, 0x91, 0xd7, 0x18, 0x7d, 0x55,
+	0xcb, 0xa5, 0xef, 0x50, 0x23, 0xbe, 0xc1, 0xa8, 0x5f, 0xcc, 0x45, 0xa5, 0xa8, 0x0c, 0x33, 0xee,
+	0x41, 0xbe, 0x0f, 0xe3, 0xcb, 0x85, 0x5e, 0xb7, 0xad, 0xf4, 0x2f, 0x29, 0x4c, 0x3c, 0xfe, 0x96,
+	0xad, 0x9e, 0x76, 0x5b, 0x75, 0x1b, 0x29, 0x0f, 0xd9, 0xfb, 0xb0, 0x77, 0xa5, 0xef, 0x64, 0xdb,
+	0x52, 0xa3, 0x84, 0xfc, 0x54, 0xdf, 0x7d, 0xed, 0xaf, 0x73, 0x2f, 0x82, 0xb2, 0x38, 0x65, 0xdb,
+	0x1f, 0x33, 0x91, 0xec, 0x97, 0x5a, 0xd7, 0x97, 0x4e, 0xb8, 0x95, 0xe5, 0x5e, 0xa4, 0x9b, 0x34,
+	0xc3, 0x78, 0xd2, 0x44, 0x05, 0x90, 0xfd, 0x0f, 0x05, 0x90, 0x7f, 0x05, 0xd0, 0x99, 0xb1, 0x63,
+	0xae, 0x44, 0x1e, 0xa7, 0xdb, 0x1e, 0xbf, 0x07, 0x23, 0x5b, 0xd5, 0xd8, 0x81, 0x96, 0x36, 0x14,
+	0x74, 0xe6, 0x09, 0x17, 0x36, 0xff, 0x73, 0x02, 0xd0, 0x99, 0x8c, 0x39, 0xaf, 0xc4, 0x52, 0x86,
+	0x0f, 0xd3, 0x39, 0x9e, 0xec, 0xe9, 0xf6, 0x64, 0x8f, 0xb6, 0x01, 0xff, 0xdd, 0xcd, 0x36, 0xf0,
+	0x53, 0x18, 0xb5, 0xdb, 0x09, 0x66, 0x24, 0xc6, 0x68, 0xda, 0xf9, 0xf7, 0x2a, 0xb0, 0x42, 0x9c,
+	0x3a, 0xd1, 0xfc, 0x6b, 0x38, 0xd8, 0x66, 0x3e, 0x65, 0x51, 0xab, 0x37, 0xdd, 0xd6, 0x7b, 0x04,
+	0x03, 0xfc, 0xb1, 0x10, 0x7e, 0xc1, 0x64, 0x3c, 0xa0, 0xb3, 0x3f, 0x25, 0x30, 0xba, 0x2c, 0x16,
+	0xb2, 0x5c, 0xd5, 0xd2, 0xb0, 0x73, 0xc8, 0xda, 0xdf, 0x78, 0xec, 0xdd, 0xc8, 0xac, 0xed, 0x1f,
+	0xcb, 0xc7, 0xc7, 0xbb, 0x58, 0x21, 0x1d, 0x7f, 0x06, 0x03, 0xbf, 0x50, 0xb0, 0xe7, 0xf1, 0x22,
+	0x1a, 0x6d, 0x6c, 0xc7, 0xd3, 0xc7, 0x0c, 0x7f, 0xf9, 0xec, 0xef, 0x09, 0x0c, 0x3f, 0xd3, 0xca,
+	0x19, 0x5d, 0xb3, 0x4f, 0x60, 0x8f, 0x56, 0x06, 0x76, 0xd4, 0x89, 0xc7, 0x4b, 0xc5, 0xf1, 0xf3,
+	0x47, 0xf4, 0x60, 0xc2, 0x47, 0x30, 0xfc, 0x5c, 0xd6, 0xd5, 0xad, 0x34, 0x8c, 0xc5, 0xb1, 0xf5,
+	0xf3, 0xf4, 0x78, 0x07, 0x8d, 0x7d, 0x0c, 0x7d, 0x6c, 0x71, 0x2c, 0x9a, 0x1a, 0x51, 0x07, 0x3d,
+	0x3e, 0x7a, 0x48, 0x0e, 0xf6, 0x7e, 0x03, 0xd9, 0xaf, 0xdb, 0x0e, 0xf4, 0x09, 0xec, 0x51, 0x3b,
+	0x89, 0xed, 0x8d, 0xdb, 0x59, 0x6c, 0xef, 0x76, 0xdf, 0xf9, 0x18, 0xfa, 0x58, 0xd1, 0xb1, 0xf2,
+	0xa8, 0xe2, 0x63, 0xe5, 0x71, 0xe1, 0x7f, 0xca, 0x7e, 0x7b, 0xb8, 0x61, 0x68, 0x33, 0xff, 0xc0,
+	0x34, 0xc5, 0xd5, 0x80, 0xfe, 0xeb, 0xf8, 0xc9, 0x7f, 0x03, 0x00, 0x00, 0xff, 0xff, 0xcb, 0x60,
+	0x78, 0xa9, 0xfd, 0x10, 0x00, 0x00,
 }
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -27,7 +27,7 @@
 
 // serves reports whether the endpoint may be granted new work.
 func (e *endpoint) serves(now event.Time) bool {
-	return e.reported && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
+	return e.reported && !e.Leaving && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
 }
 
 func (e *endpoint) hasRoom() bool { return e.inflight < e.Concurrency }
--- a/sched/state.go
+++ b/sched/state.go
@@ -90,7 +90,7 @@
 	case *event.PoolChanged:
 		s.setPool(e.Pool)
 	case *event.Tick:
-		s.dropSilentEntries(now)
+		s.dropSilentEntries(now, out)
 	}
 	s.expire(now, out)
 	s.place(now, out)
@@ -142,7 +142,7 @@
 		deadline: now.Add(e.Ticket.Deadline),
 		number:   s.arrivals,
 	}
-	k.place = now.Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
+	k.place = now.Add(-e.Ticket.Waited).Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
 	s.queue.add(k)
 }
 
@@ -209,17 +209,20 @@
 	}
 }
 
-func (s *State) dropSilentEntries(now event.Time) {
+func (s *State) dropSilentEntries(now event.Time, out *event.Effects) {
 	for id, heard := range s.entries {
 		if now.Sub(heard) <= EntryBound {
 			continue
 		}
 		delete(s.entries, id)
+		first := len(out.Dropped)
 		for _, k := range s.queue.byID {
 			if k.entry == id {
 				s.queue.remove(k)
+				out.Dropped = append(out.Dropped, k.ID)
 			}
 		}
+		slices.Sort(out.Dropped[first:])
 	}
 }
 
@@ -329,3 +332,20 @@
 }
 
 func (d *drainRate) perSecond() float64 { return d.rate }
+
+// EndpointStatus is what operators are told of an endpoint.
+type EndpointStatus struct {
+	ID      event.EndpointID
+	Running int
+	// Serves is set while it may be granted work.
+	Serves bool
+}
+
+// Endpoints returns the status of all endpoints, by name.
+func (s *State) Endpoints(now event.Time) []EndpointStatus {
+	list := make([]EndpointStatus, 0, len(s.endpoints))
+	for _, e := range s.endpoints {
+		list = append(list, EndpointStatus{ID: e.ID, Running: e.inflight, Serves: e.serves(now) && e.Concurrency > 0})
+	}
+	return list
+}
--- a/settings/box.go
+++ b/settings/box.go
@@ -38,7 +38,11 @@
 	// KeyFile holds the key that the system's processes share. Its path, as each
 	// path here, is relative to the settings file.
 	KeyFile string `yaml:"key_file"`
-	// Catalog is the file of the first catalog.
+	// OperatorKeyFile holds the key that operators' commands need.
+	OperatorKeyFile string `yaml:"operator_key_file"`
+	// Data is the folder of a control box's state.
+	Data string `yaml:"data"`
+	// Catalog is the file of the catalog that a new control group begins with.
 	Catalog string `yaml:"catalog"`
 	Limits  Limits `yaml:"limits"`
 	Drain   Drain  `yaml:"drain"`
@@ -126,12 +130,16 @@
 		return b, catalog.Catalog{}, err
 	}
 	d.checkBox(&b)
-	c, inner := loadCatalog(beside(file, b.Catalog))
+	var c catalog.Catalog
 	if b.Catalog != "" {
+		var inner Findings
+		c, inner = loadCatalog(beside(file, b.Catalog))
 		d.findings = append(d.findings, inner...)
 		d.checkRoom(b, c)
 	}
 	b.KeyFile = beside(file, b.KeyFile)
+	b.OperatorKeyFile = beside(file, b.OperatorKeyFile)
+	b.Data = beside(file, b.Data)
 	b.setDefaults()
 	return b, c, d.findings.orNil()
 }
@@ -235,7 +243,6 @@
 	d.require("id", string(b.ID))
 	d.require("data_centre", b.DataCentre)
 	d.require("key_file", b.KeyFile)
-	d.require("catalog", b.Catalog)
 	if len(b.Roles) == 0 {
 		d.addAt("roles", "a box needs a role")
 	}
@@ -248,6 +255,9 @@
 		d.address("listen.callers", b.Listen.Callers)
 	}
 	if b.Has(RoleControl) {
+		d.require("catalog", b.Catalog)
+		d.require("data", b.Data)
+		d.require("operator_key_file", b.OperatorKeyFile)
 		d.address("listen.boxes", b.Listen.Boxes)
 		if !slices.ContainsFunc(b.Control, func(p Peer) bool { return p.ID == b.ID }) {
 			d.addAt("control", "this box has the control role and is not in the list")
--- a/slot/answer.go
+++ b/slot/answer.go
@@ -14,6 +14,9 @@
 // endpoint's stream is no longer read.
 const windowBytes = 1 << 20
 
+// keepBytes is how much of an answer that others may come for is held in all.
+const keepBytes = 4 << 20
+
 // errForgotten is returned for bytes that were acknowledged and dropped.
 var errForgotten = errors.New("these bytes were acknowledged and dropped")
 
@@ -26,12 +29,15 @@
 	header  http.Header
 	data    []byte
 	base    int // offset of data[0]
+	acked   int // offset up to which an entry has it
+	keep    bool
 	ended   bool
 	err     error
 }
 
-// NewAnswer returns an answer that nothing has come of.
-func NewAnswer() *Answer { return &Answer{changed: make(chan struct{})} }
+// NewAnswer returns an answer that nothing has come of. If keep is set, bytes
+// stay after they were acknowledged, up to keepBytes.
+func NewAnswer(keep bool) *Answer { return &Answer{changed: make(chan struct{}), keep: keep} }
 
 func (a *Answer) wake() {
 	close(a.changed)
@@ -52,7 +58,7 @@
 func (a *Answer) Append(ctx context.Context, p []byte) error {
 	for {
 		a.mu.Lock()
-		if len(a.data) == 0 || len(a.data)+len(p) <= windowBytes {
+		if open := a.base + len(a.data) - a.acked; open <= 0 || open+len(p) <= windowBytes {
 			a.data = append(a.data, p...)
 			a.wake()
 			a.mu.Unlock()
@@ -77,12 +83,18 @@
 	a.wake()
 }
 
-// Ack drops all bytes before offset.
+// Ack notes that an entry has all bytes before offset, and drops what need not
+// be kept.
 func (a *Answer) Ack(offset int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := min(offset-a.base, len(a.data))
+	a.acked = max(a.acked, min(offset, a.base+len(a.data)))
+	n := a.acked - a.base
+	if a.keep {
+		n = min(n, len(a.data)-keepBytes)
+	}
 	if n <= 0 {
+		a.wake()
 		return
 	}
 	a.base += n
--- a/slot/headers.go
+++ b/slot/headers.go
@@ -16,6 +16,7 @@
 	HeaderMethod       = "Lynxramp-Method"      // of the call to the endpoint
 	HeaderPath         = "Lynxramp-Path"        // with its query
 	HeaderNoRepeat     = "Lynxramp-No-Repeat"
+	HeaderKeep         = "Lynxramp-Keep" // others may come for the same answer
 	HeaderPromptTokens = "Lynxramp-Prompt-Tokens"
 	HeaderPriority     = "Lynxramp-Priority"
 	// HeaderStatus has the endpoint's status; a response without it is the
--- a/slot/http.go
+++ b/slot/http.go
@@ -88,6 +88,7 @@
 		header:   make(http.Header),
 		priority: h.Get(HeaderPriority),
 		noRepeat: h.Get(HeaderNoRepeat) != "",
+		keep:     h.Get(HeaderKeep) != "",
 	}
 	// An absent count is 0: the prompt is not timed.
 	c.promptTokens, _ = strconv.Atoi(h.Get(HeaderPromptTokens))
--- a/slot/report.go
+++ b/slot/report.go
@@ -21,7 +21,7 @@
 // Times of the slot's reports.
 const (
 	reportEvery   = 250 * time.Millisecond
-	reportTimeout = time.Second
+	reportTimeout = 600 * time.Millisecond
 	// downAfter is how long the endpoint may be silent before it counts as down.
 	downAfter = time.Second
 )
@@ -50,46 +50,69 @@
 	return l.load.Waiting, age, l.at == 0 || silent > downAfter
 }
 
-// Report tells the schedulers about the endpoint until ctx ends. A scheduler
-// that does not answer does not hold up the others.
-func (s *Slot) Report(ctx context.Context, schedulers []rpc.Scheduler) {
+// Scheduler is a control box that may be the owner of the pool.
+type Scheduler struct {
+	Address string // IP:port
+	Client  rpc.Scheduler
+}
+
+// Report tells the owner of the pool about the endpoint until ctx ends. The
+// owner is found among the schedulers.
+func (s *Slot) Report(ctx context.Context, schedulers []Scheduler) {
 	var wait sync.WaitGroup
-	for _, c := range schedulers {
-		wait.Go(func() { s.reportTo(ctx, c) })
-	}
+	wait.Go(func() { s.reportAll(ctx, schedulers) })
 	wait.Go(func() { s.watchLoad(ctx) })
 	wait.Wait()
 }
 
-func (s *Slot) reportTo(ctx context.Context, c rpc.Scheduler) {
+func (s *Slot) reportAll(ctx context.Context, schedulers []Scheduler) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
-	silent := false
-	for {
-		err := s.reportOnce(ctx, c)
-		if failed := err != nil && ctx.Err() == nil; failed != silent {
-			silent = failed
-			s.log.Info("scheduler reached", zap.Bool("reached", !failed), logx.Err(err))
+	current := 0
+	for ctx.Err() == nil {
+		at := schedulers[current]
+		owner, leader := s.reportOnce(ctx, at)
+		if !owner {
+			current = nextScheduler(schedulers, current, leader)
+			s.log.Debug("not the owner", zap.String("scheduler", at.Address))
+			if leader != "" && leader != at.Address {
+				continue // it is asked at once
+			}
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
 		}
 	}
 }
 
-func (s *Slot) reportOnce(ctx context.Context, c rpc.Scheduler) error {
+// nextScheduler returns the scheduler at an address, or the one after current.
+func nextScheduler(schedulers []Scheduler, current int, leader string) int {
+	for i, c := range schedulers {
+		if c.Address == leader && i != current {
+			return i
+		}
+	}
+	return (current + 1) % len(schedulers)
+}
+
+// reportOnce reports to one scheduler. It returns whether that is the owner, or
+// else who may be.
+func (s *Slot) reportOnce(ctx context.Context, c Scheduler) (owner bool, leader string) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := c.Report(ctx, rpc.ReportMessage(s.report()))
+	answer, err := c.Client.Report(ctx, rpc.ReportMessage(s.report()))
 	if err != nil {
-		return errors.Wrap(err, "report")
+		s.log.Debug("report failed", zap.String("scheduler", c.Address), logx.Err(err))
+		return false, ""
+	}
+	if !answer.Owner {
+		return false, answer.Leader
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.guard.SeeEpoch(event.Epoch(answer.Epoch))
-	return nil
+	return true, ""
 }
 
 // watchLoad asks the endpoint for its load until ctx ends.
--- a/slot/run.go
+++ b/slot/run.go
@@ -45,6 +45,7 @@
 	priority     string
 	promptTokens int
 	noRepeat     bool
+	keep         bool
 }
 
 // run is one dispatched request.
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -24,7 +24,7 @@
 	// taken as gone and the run is cancelled, unless it may not be repeated.
 	ResumeBound = 10 * event.Second
 	// keepBound is how long a finished answer waits to be fetched.
-	keepBound = 30 * event.Second
+	keepBound = 60 * event.Second
 	// cancelTimeout bounds a cancel call to the engine.
 	cancelTimeout = 2 * time.Second
 )
@@ -86,7 +86,7 @@
 		return nil, d
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	u := &run{call: c, answer: NewAnswer(), cancel: cancel, idle: now}
+	u := &run{call: c, answer: NewAnswer(c.keep), cancel: cancel, idle: now}
 	s.runs[c.id] = u
 	go func() {
 		err := s.dispatch(ctx, u)
@@ -149,7 +149,13 @@
 func (s *Slot) Held() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.runs)
+	held := 0
+	for _, u := range s.runs {
+		if !u.answer.Ended() || !u.isTaken() {
+			held++
+		}
+	}
+	return held
 }
 
 // Drain denies new offers and returns when every answer was fetched or ctx
@@ -191,7 +197,7 @@
 		ended := u.answer.Ended()
 		idle, taken := u.idleFor(now)
 		switch {
-		case ended && (taken || idle > keepBound):
+		case ended && (taken && !u.call.keep || idle > keepBound):
 			delete(s.runs, id)
 		case !ended && idle > ResumeBound:
 			lost = append(lost, u)
@@ -244,6 +250,12 @@
 	u.taken = true
 }
 
+func (u *run) isTaken() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.taken
+}
+
 // idleFor returns how long nobody has read the answer, and whether the entry
 // has all of it.
 func (u *run) idleFor(now event.Time) (event.Span, bool) {
--- a/store/store.go
+++ b/store/store.go
@@ -34,6 +34,8 @@
 	Disk event.Incarnation `json:"disk"`
 	// Group is the control group's name; empty until the box belongs to one.
 	Group string `json:"group"`
+	// Founders are the first members of the group, where the box is one.
+	Founders []consensus.Member `json:"founders,omitempty"`
 }
 
 // Member returns the member that the box is while this disk lives.
