proc, entry: prove the promises under failure, and try a void request elsewhere

TestCutConnections failed first: a slot keeps a void id void, so a request that came back to it was denied until its tries were used up. An offer now has a name of its own, the request's id and the number of its attempt. The slot now says at once that its endpoint is down, an endpoint that does not take a request is left alone for 300 ms, and the entry waits longer each time.

--- a/box/slot.go
+++ b/box/slot.go
@@ -34,7 +34,7 @@
 		Endpoint:    s.Endpoint,
 		Pool:        s.Pool,
 		EndpointURL: "http://" + s.EndpointAddress,
-		Address:     s.Listen,
+		Address:     s.Address,
 		Model:       s.Kind == catalog.KindModel,
 		MaxBody:     s.BodyBytes,
 	}, event.Incarnation(time.Now().UnixNano()), log)
--- a/control/founding.go
+++ b/control/founding.go
@@ -20,7 +20,7 @@
 const (
 	askEvery     = 100 * time.Millisecond
 	askTimeout   = 500 * time.Millisecond
-	sayEvery     = 5 * time.Second
+	sayEvery     = 2 * time.Second
 	joinEvery    = 200 * time.Millisecond
 	joinTimeout  = 2 * time.Second
 	foundingSlot = consensus.Index(1)
@@ -168,6 +168,7 @@
 	self := p.Self()
 	ticker := time.NewTicker(joinEvery)
 	defer ticker.Stop()
+	led := time.Now()
 	for {
 		select {
 		case <-ticker.C:
@@ -177,7 +178,14 @@
 		voter := false
 		err := loop.Inspect(ctx, func(_ event.Time, s *State) {
 			voter = slices.Contains(s.Node().Members().Voters, self)
+			if s.Node().Leader() != "" {
+				led = time.Now()
+			}
 		})
+		if time.Since(led) > sayEvery {
+			led = time.Now()
+			p.log.Warn("no quorum: nobody has led the control group for a while; if most disks are lost for good, see the operators' page on recovery")
+		}
 		if err != nil || voter {
 			continue
 		}
--- a/control/keys.go
+++ b/control/keys.go
@@ -74,7 +74,7 @@
 
 // attachment tells an entry where the answer of another request is.
 func attachment(place event.Granted, e *event.Submitted) event.Granted {
-	place.Attach = place.ID
+	place.Attach = place.ID.Dispatch(place.Attempt)
 	place.ID = e.Ticket.ID
 	place.Entry = e.Entry
 	return place
@@ -152,9 +152,12 @@
 
 // report takes note of requests that run since before this epoch.
 func (t *keyTable) report(r event.Report) {
-	for _, id := range r.Running {
-		if k := t.byID[id]; k != nil && k.place.Address == "" {
-			k.place = event.Granted{ID: id, Endpoint: r.Endpoint, Address: r.Address, Incarnation: r.Incarnation}
+	for _, d := range r.Running {
+		if k := t.byID[d.Request()]; k != nil && k.place.Address == "" {
+			k.place = event.Granted{
+				ID: d.Request(), Attempt: d.Attempt(),
+				Endpoint: r.Endpoint, Address: r.Address, Incarnation: r.Incarnation,
+			}
 		}
 	}
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -153,6 +153,7 @@
 		Kind:            e.kind,
 		DataCentre:      dataCentre,
 		Listen:          slotAddress,
+		Address:         slotAddress,
 		EndpointAddress: listener.Addr().String(),
 		Control:         control,
 		BodyBytes:       settings.DefaultBodyBytes,
--- a/engine/fake/engine.go
+++ b/engine/fake/engine.go
@@ -176,7 +176,7 @@
 func (e *Engine) start(id string, priority int, r engine.CompletionRequest, chat bool) *answer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.starts[id]++
+	e.starts[baseID(id)]++
 	if a, ok := e.answers[id]; ok {
 		return a
 	}
@@ -194,6 +194,9 @@
 	return a
 }
 
+// baseID returns a request's id less the number of its offer.
+func baseID(id string) string { return string(event.DispatchID(id).Request()) }
+
 // poke makes Run look at the model at once.
 func (e *Engine) poke() {
 	select {
--- a/engine/fake/service.go
+++ b/engine/fake/service.go
@@ -55,7 +55,7 @@
 	if s.starts == nil {
 		s.starts = make(map[string]int)
 	}
-	s.starts[id]++
+	s.starts[baseID(id)]++
 	s.running++
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -39,6 +39,9 @@
 	deadline time.Time
 }
 
+// dispatch returns the name of the request's present offer.
+func (q *request) dispatch() event.DispatchID { return q.ticket.ID.Dispatch(q.ticket.Attempt) }
+
 // newID returns an id that no other request has.
 func newID() event.RequestID { return event.RequestID(rand.Text()) }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -20,9 +20,11 @@
 const (
 	// maxOffers is how often a request is offered to a slot that then says it
 	// never ran.
-	maxOffers = 8
-	// offerBackoff is the wait before a request is registered again.
+	maxOffers = 12
+	// offerBackoff is the first wait before a request is registered again; each
+	// is twice the one before, up to maxBackoff.
 	offerBackoff = 20 * time.Millisecond
+	maxBackoff   = time.Second
 	// resumeBound is how long a cut answer is tried to be resumed.
 	resumeBound  = 8 * time.Second
 	resumePause  = 50 * time.Millisecond
@@ -35,7 +37,7 @@
 // run takes a checked request to its end.
 func (e *Entry) run(w http.ResponseWriter, r *http.Request, q *request) {
 	w.Header().Set(HeaderRequestID, string(q.ticket.ID))
-	t := &transfer{entry: e, w: w, q: q, runs: q.ticket.ID}
+	t := &transfer{entry: e, w: w, q: q, runs: q.dispatch()}
 	err := e.serveRequest(r.Context(), t)
 	var failure *Failure
 	if errors.As(err, &failure) && !t.begun {
@@ -73,7 +75,7 @@
 // serveRequest registers the request and offers it until an endpoint took it.
 func (e *Entry) serveRequest(ctx context.Context, t *transfer) error {
 	q := t.q
-	for range maxOffers {
+	for backoff := offerBackoff; q.ticket.Attempt < maxOffers; backoff = min(2*backoff, maxBackoff) {
 		d, err := e.await(ctx, q)
 		if err != nil {
 			return err
@@ -91,7 +93,9 @@
 		if done || err != nil {
 			return err
 		}
-		pause(ctx, offerBackoff)
+		q.ticket.Attempt++
+		t.runs = q.dispatch()
+		pause(ctx, backoff)
 	}
 	e.link.Withdraw(q.ticket.ID, q.ticket.Pool)
 	return &Failure{
@@ -150,7 +154,7 @@
 func (e *Entry) attach(ctx context.Context, t *transfer, d Decision) error {
 	t.endpoint = d.Grant.Endpoint
 	t.outcome = Unknown
-	t.runs = event.RequestID(d.Grant.Attach)
+	t.runs = event.DispatchID(d.Grant.Attach)
 	until := time.Now().Add(resumeBound)
 	for {
 		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0)
@@ -188,16 +192,15 @@
 // answer's beginning, or nil and no error when the slot proves that the request
 // never ran.
 func (e *Entry) recover(ctx context.Context, t *transfer, d Decision) (*http.Response, error) {
-	q := t.q
 	until := time.Now().Add(resumeBound)
 	for time.Now().Before(until) && ctx.Err() == nil {
-		response, err := e.slots.resume(ctx, d.Grant.Address, q.ticket.ID, 0)
+		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0)
 		if err == nil && response.StatusCode == http.StatusOK {
 			return response, nil
 		}
 		if err == nil {
 			_ = response.Body.Close() // the status says it all
-			proved, err := e.slots.void(ctx, d.Grant, q.ticket.ID)
+			proved, err := e.slots.void(ctx, d.Grant, t.runs)
 			if err == nil && proved {
 				t.outcome = NotRun
 				t.endpoint = ""
@@ -210,7 +213,7 @@
 		pause(ctx, resumePause)
 	}
 	if ctx.Err() != nil {
-		e.slots.cancel(d.Grant.Address, q.ticket.ID)
+		e.slots.cancel(d.Grant.Address, t.runs)
 		return nil, errCallerGone
 	}
 	return nil, unknownFate("the slot cannot be reached")
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -81,7 +81,7 @@
 	}
 	h := r.Header
 	slot.Wrap(h, q.header)
-	h.Set(slot.HeaderRequest, string(q.ticket.ID))
+	h.Set(slot.HeaderDispatch, string(q.dispatch()))
 	h.Set(slot.HeaderIncarnation, strconv.FormatUint(d.Grant.Incarnation, 10))
 	h.Set(slot.HeaderEpoch, strconv.FormatUint(uint64(d.Epoch), 10))
 	h.Set(slot.HeaderDeadline, strconv.FormatInt(time.Until(q.deadline).Milliseconds(), 10))
@@ -105,7 +105,7 @@
 }
 
 // resume asks a slot for an answer again, from byte offset on.
-func (c *slotClient) resume(ctx context.Context, address string, id event.RequestID, offset int) (*http.Response, error) {
+func (c *slotClient) resume(ctx context.Context, address string, id event.DispatchID, offset int) (*http.Response, error) {
 	url := "http://" + address + "/v1/run/" + string(id) + "?offset=" + strconv.Itoa(offset)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -117,7 +117,7 @@
 
 // void asks a slot never to run an id. True is its promise that the id has not
 // run in this incarnation and will not.
-func (c *slotClient) void(ctx context.Context, g *rpc.Grant, id event.RequestID) (bool, error) {
+func (c *slotClient) void(ctx context.Context, g *rpc.Grant, id event.DispatchID) (bool, error) {
 	h := http.Header{}
 	h.Set(slot.HeaderIncarnation, strconv.FormatUint(g.Incarnation, 10))
 	status, err := c.post(ctx, g.Address, "/v1/void/"+string(id), h, nil)
@@ -125,7 +125,7 @@
 }
 
 // cancel tells a slot that the caller of a request went away.
-func (c *slotClient) cancel(address string, id event.RequestID) {
+func (c *slotClient) cancel(address string, id event.DispatchID) {
 	if _, err := c.post(context.Background(), address, "/v1/cancel/"+string(id), nil, nil); err != nil {
 		c.log.Debug("cancel failed", zap.String("request", string(id)), logx.Err(err))
 	}
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -27,7 +27,7 @@
 	entry    *Entry
 	w        http.ResponseWriter
 	q        *request
-	runs     event.RequestID // whose answer it is
+	runs     event.DispatchID // whose answer it is
 	endpoint string
 	epoch    event.Epoch
 	outcome  Outcome
@@ -78,7 +78,7 @@
 }
 
 // resume asks the slot for the rest of an answer until it comes or cannot.
-func (e *Entry) resume(ctx context.Context, d Decision, id event.RequestID, offset int, until time.Time) (*http.Response, error) {
+func (e *Entry) resume(ctx context.Context, d Decision, id event.DispatchID, offset int, until time.Time) (*http.Response, error) {
 	for time.Now().Before(until) && ctx.Err() == nil {
 		response, err := e.slots.resume(ctx, d.Grant.Address, id, offset)
 		if err == nil && response.StatusCode == http.StatusOK {
--- a/event/event.go
+++ b/event/event.go
@@ -2,10 +2,43 @@
 
 package event
 
+import (
+	"strconv"
+	"strings"
+)
+
 // RequestID names one request of one caller. An entry makes it and no two
 // requests ever share one.
 type RequestID string
 
+// DispatchID names one offer of a request. A slot that declared an offer void
+// never runs it, but may be offered the same request again under another one.
+type DispatchID string
+
+// attemptSign stands between the request and the attempt in a DispatchID.
+const attemptSign = "."
+
+// Dispatch returns the name of a request's offer after some void attempts.
+func (id RequestID) Dispatch(attempt int) DispatchID {
+	if attempt == 0 {
+		return DispatchID(id)
+	}
+	return DispatchID(string(id) + attemptSign + strconv.Itoa(attempt))
+}
+
+// Request returns the request that is offered.
+func (id DispatchID) Request() RequestID {
+	base, _, _ := strings.Cut(string(id), attemptSign)
+	return RequestID(base)
+}
+
+// Attempt returns how many offers of the request came before.
+func (id DispatchID) Attempt() int {
+	_, rest, _ := strings.Cut(string(id), attemptSign)
+	n, _ := strconv.Atoi(rest) // without a sign it is the first, 0
+	return n
+}
+
 // BoxID names a box of the system, as its settings do.
 type BoxID string
 
@@ -35,6 +68,8 @@
 	// Deadline is the time left, from when the ticket is received.
 	Deadline Span
 	NoRepeat bool
+	// Attempt counts the earlier offers of the request, all of them void.
+	Attempt int
 	// Waited is how long the request has waited, from its arrival at the entry.
 	Waited Span
 	// Key binds the request to at most one run, together with its team; empty
@@ -106,8 +141,8 @@
 	Leaving     bool
 	// Down is set while the endpoint does not answer its slot.
 	Down bool
-	// Running has the requests that the slot was offered and has not ended.
-	Running []RequestID
+	// Running has the offers that the slot took and that have not ended.
+	Running []DispatchID
 	// Waiting is the queue length that the endpoint itself told of, and LoadAge
 	// the age of that figure.
 	Waiting int
@@ -160,9 +195,11 @@
 	Endpoint    EndpointID
 	Address     string
 	Incarnation Incarnation
-	// Attach, if set, is the request whose answer there is to be fetched:
+	// Attempt is the ticket's.
+	Attempt int
+	// Attach, if set, is the dispatch whose answer there is to be fetched:
 	// nothing is offered.
-	Attach RequestID
+	Attach DispatchID
 }
 
 // Refused tells an entry that a request is given up, not having run.
--- a/proc/harness_test.go
+++ b/proc/harness_test.go
@@ -137,6 +137,8 @@
 	boxes   []*process
 	slots   []*process
 	engines []*process
+	relays  []*relay
+	started time.Time
 	shape   shape
 }
 
@@ -147,6 +149,8 @@
 	controls int
 	engines  []float64 // speeds
 	services int
+	// relays puts a relay in front of each slot.
+	relays bool
 	// catalog changes the catalog before anything starts.
 	catalog func(*catalog.Catalog)
 }
@@ -168,10 +172,11 @@
 func newCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
 	c := &cluster{
-		t:     t,
-		dir:   t.TempDir(),
-		net:   fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, clusters.Add(1)),
-		shape: s,
+		t:       t,
+		started: time.Now(),
+		dir:     t.TempDir(),
+		net:     fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, clusters.Add(1)),
+		shape:   s,
 	}
 	c.write("key", "a key that tests share")
 	c.write("operator-key", operatorKey)
@@ -188,6 +193,11 @@
 		file := c.writeSlot(i)
 		c.slots = append(c.slots, c.process(fmt.Sprintf("slot-%d", i), "lynxslotd", file))
 	}
+	if s.relays {
+		for i := range c.slots {
+			c.relays = append(c.relays, newRelay(t, c.reach(i), c.slot(i)))
+		}
+	}
 	for i := range s.boxes {
 		file := c.writeBox(i)
 		c.boxes = append(c.boxes, c.process(fmt.Sprintf("box-%d", i), "lynxrampd", file))
@@ -231,6 +241,14 @@
 func (c *cluster) slot(n int) string     { return fmt.Sprintf("%s.%d:%d", c.net, 100+n, slotPort) }
 func (c *cluster) engine(n int) string   { return fmt.Sprintf("%s.%d:%d", c.net, 100+n, enginePort) }
 
+// reach returns where entries reach a slot.
+func (c *cluster) reach(n int) string {
+	if c.shape.relays {
+		return fmt.Sprintf("%s.%d:%d", c.net, 100+n, slotPort+1)
+	}
+	return c.slot(n)
+}
+
 func (c *cluster) endpointName(n int) string {
 	if n < len(c.shape.engines) {
 		return fmt.Sprintf("chef-%d", n)
@@ -308,10 +326,11 @@
 data_centre: dc-0
 listen: '%s'
 endpoint_address: '%s'
+address: '%s'
 key_file: key
 drain: {bound: 30s}
 control:
-%s`, c.endpointName(n), pool, kind, c.slot(n), c.engine(n), c.control()))
+%s`, c.endpointName(n), pool, kind, c.slot(n), c.engine(n), c.reach(n), c.control()))
 }
 
 // waitServing waits until an entry answers a call to each service.
--- a/rpc/convert.go
+++ b/rpc/convert.go
@@ -24,6 +24,7 @@
 		WaitedMs:     uint32(max(0, t.Waited.Milliseconds())),
 		Key:          t.Key,
 		Digest:       t.Digest,
+		Attempt:      uint32(t.Attempt),
 	}
 }
 
@@ -43,6 +44,7 @@
 		Waited:       millis(t.WaitedMs),
 		Key:          t.Key,
 		Digest:       t.Digest,
+		Attempt:      int(t.Attempt),
 	}}
 }
 
@@ -99,7 +101,7 @@
 		TokenGap:         time.Duration(r.TokenGapUs) * time.Microsecond,
 	}}
 	for _, id := range r.Running {
-		e.Report.Running = append(e.Report.Running, event.RequestID(id))
+		e.Report.Running = append(e.Report.Running, event.DispatchID(id))
 	}
 	return e
 }
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -19,6 +19,8 @@
 	heard    event.Time
 	reported bool
 	inflight int
+	// leftUntil is when it may be granted work again.
+	leftUntil event.Time
 	// prefill is the granted prompt work not yet known to be done, in tokens.
 	prefill int
 	grants  map[event.RequestID]*grant
@@ -27,7 +29,7 @@
 
 // serves reports whether the endpoint may be granted new work.
 func (e *endpoint) serves(now event.Time) bool {
-	return e.reported && !e.Leaving && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
+	return e.reported && !e.Leaving && now >= e.leftUntil && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
 }
 
 func (e *endpoint) hasRoom() bool { return e.inflight < e.Concurrency }
--- a/sched/state.go
+++ b/sched/state.go
@@ -23,6 +23,8 @@
 	// LostGrace is how long a grant may be missing from its slot's reports
 	// before it is taken as ended.
 	LostGrace = 2 * event.Second
+	// HoldOff is how long an endpoint that did not take a request gets no other.
+	HoldOff = 300 * event.Millisecond
 	// MinRetryAfter and MaxRetryAfter bound what a refused caller is told.
 	MinRetryAfter = event.Second
 	MaxRetryAfter = 60 * event.Second
@@ -41,6 +43,7 @@
 	entry    event.BoxID
 	at       event.Time
 	prefill  int // tokens
+	attempt  int
 	life     event.Incarnation
 }
 
@@ -81,7 +84,7 @@
 	case *event.Withdrawn:
 		s.withdraw(e)
 	case *event.Finished:
-		s.release(e.ID)
+		s.finish(now, e)
 	case *event.EntrySeen:
 		s.entries[e.Entry] = now
 		return
@@ -171,6 +174,15 @@
 	g.endpoint.prefill += g.prefill
 }
 
+// finish ends a grant. An endpoint that did not take the request is left alone
+// for a while.
+func (s *State) finish(now event.Time, e *event.Finished) {
+	if g, ok := s.grants[e.ID]; ok && e.Void {
+		g.endpoint.leftUntil = now.Add(HoldOff)
+	}
+	s.release(e.ID)
+}
+
 // release ends a grant.
 func (s *State) release(id event.RequestID) {
 	g, ok := s.grants[id]
@@ -194,10 +206,11 @@
 	e.heard = now
 	e.reported = true
 	running := make(map[event.RequestID]struct{}, len(r.Running))
-	for _, id := range r.Running {
+	for _, d := range r.Running {
+		id := d.Request()
 		running[id] = struct{}{}
 		if _, ok := s.grants[id]; !ok {
-			s.hold(id, &grant{endpoint: e, at: now, life: r.Incarnation})
+			s.hold(id, &grant{endpoint: e, at: now, life: r.Incarnation, attempt: d.Attempt()})
 		}
 	}
 	for id, g := range e.grants {
@@ -269,6 +282,7 @@
 		at:       now,
 		prefill:  k.PromptTokens - cached,
 		life:     e.report.Incarnation,
+		attempt:  k.Attempt,
 	}
 	e.prefix.add(k.Prefix)
 	s.hold(k.ID, g)
@@ -283,6 +297,7 @@
 		Endpoint:    g.endpoint.ID,
 		Address:     g.endpoint.report.Address,
 		Incarnation: g.life,
+		Attempt:     g.attempt,
 	}
 }
 
--- a/settings/box.go
+++ b/settings/box.go
@@ -90,6 +90,8 @@
 	Kind       catalog.Kind     `yaml:"kind"`
 	DataCentre string           `yaml:"data_centre"`
 	Listen     string           `yaml:"listen"`
+	// Address is where entries reach the slot, if that is not Listen.
+	Address string `yaml:"address"`
 	// EndpointAddress is where the endpoint serves HTTP, as IP:port.
 	EndpointAddress string `yaml:"endpoint_address"`
 	Control         []Peer `yaml:"control"`
@@ -279,6 +281,9 @@
 	}
 	d.address("listen", s.Listen)
 	d.address("endpoint_address", s.EndpointAddress)
+	if s.Address != "" {
+		d.address("address", s.Address)
+	}
 	d.peers(s.Control)
 	if s.BodyBytes < 0 {
 		d.addAt("body_bytes", "%d is negative", s.BodyBytes)
@@ -357,6 +362,7 @@
 }
 
 func (s *Slot) setDefaults() {
+	s.Address = orDefault(s.Address, s.Listen)
 	s.BodyBytes = orDefault(s.BodyBytes, DefaultBodyBytes)
 	s.Drain.setDefaults()
 	s.Log.Level = orDefault(s.Log.Level, defaultLevel)
--- a/slot/guard.go
+++ b/slot/guard.go
@@ -12,7 +12,7 @@
 
 // Offer is a request that an entry wants dispatched.
 type Offer struct {
-	ID          event.RequestID
+	ID          event.DispatchID
 	Incarnation event.Incarnation // of the slot it is meant for
 	Epoch       event.Epoch       // of the scheduler that granted it
 	Deadline    event.Span        // time left
@@ -36,7 +36,7 @@
 	DenialDeadline
 	// DenialVoid: the id was declared void before.
 	DenialVoid
-	// DenialUnreachable: the endpoint could not be reached.
+	// DenialUnreachable: the endpoint could not be reached, now or lately.
 	DenialUnreachable
 	// DenialStarted: the id was dispatched before. It is no proof of anything
 	// but that.
@@ -86,14 +86,14 @@
 	incarnation event.Incarnation
 	epoch       event.Epoch
 	leaving     bool
-	requests    map[event.RequestID]memory
+	requests    map[event.DispatchID]memory
 	running     int
 	swept       event.Time
 }
 
 // NewGuard returns the guard of one life of a slot.
 func NewGuard(life event.Incarnation) *Guard {
-	return &Guard{incarnation: life, requests: make(map[event.RequestID]memory)}
+	return &Guard{incarnation: life, requests: make(map[event.DispatchID]memory)}
 }
 
 // SeeEpoch takes note of a pool owner's epoch. Offers of older ones are denied
@@ -148,7 +148,7 @@
 // Void makes sure that id does not start in this incarnation from now on. It
 // reports false when the id has started, or when life is another incarnation,
 // about which nothing is known here.
-func (g *Guard) Void(now event.Time, id event.RequestID, life event.Incarnation) bool {
+func (g *Guard) Void(now event.Time, id event.DispatchID, life event.Incarnation) bool {
 	if life != g.incarnation {
 		return false
 	}
@@ -161,7 +161,7 @@
 }
 
 // End notes that a started request no longer uses the endpoint.
-func (g *Guard) End(now event.Time, id event.RequestID) {
+func (g *Guard) End(now event.Time, id event.DispatchID) {
 	if g.requests[id].phase != phaseStarted {
 		return
 	}
@@ -171,7 +171,7 @@
 
 // Unstart takes back a started request that never reached the endpoint. Its id
 // is void.
-func (g *Guard) Unstart(now event.Time, id event.RequestID) {
+func (g *Guard) Unstart(now event.Time, id event.DispatchID) {
 	g.End(now, id)
 	g.requests[id] = memory{phase: phaseVoid, since: now}
 }
--- a/slot/headers.go
+++ b/slot/headers.go
@@ -9,7 +9,7 @@
 
 // Headers between entry and slot.
 const (
-	HeaderRequest      = "Lynxramp-Request-Id"
+	HeaderDispatch     = "Lynxramp-Dispatch-Id"
 	HeaderIncarnation  = "Lynxramp-Incarnation"
 	HeaderEpoch        = "Lynxramp-Epoch"
 	HeaderDeadline     = "Lynxramp-Deadline-Ms" // time left, in milliseconds
--- a/slot/http.go
+++ b/slot/http.go
@@ -24,8 +24,8 @@
 
 // Ack says that an entry has an answer up to an offset.
 type Ack struct {
-	ID     event.RequestID `json:"id"`
-	Offset int             `json:"offset"`
+	ID     event.DispatchID `json:"id"`
+	Offset int              `json:"offset"`
 	// Done says that the entry has all of it and will not come back.
 	Done bool `json:"done"`
 }
@@ -76,7 +76,7 @@
 		return Offer{}, call{}, err
 	}
 	o := Offer{
-		ID:          event.RequestID(h.Get(HeaderRequest)),
+		ID:          event.DispatchID(h.Get(HeaderDispatch)),
 		Incarnation: event.Incarnation(life),
 		Epoch:       event.Epoch(epoch),
 		Deadline:    time.Duration(left) * time.Millisecond,
@@ -108,7 +108,7 @@
 		http.Error(w, "offset is not a number", http.StatusBadRequest)
 		return
 	}
-	u := s.find(event.RequestID(chi.URLParam(r, "id")))
+	u := s.find(event.DispatchID(chi.URLParam(r, "id")))
 	if u == nil {
 		w.Header().Set(HeaderIncarnation, strconv.FormatUint(uint64(s.life), 10))
 		w.WriteHeader(http.StatusNotFound)
@@ -193,7 +193,7 @@
 		http.Error(w, "incarnation is not a number", http.StatusBadRequest)
 		return
 	}
-	if !s.void(event.RequestID(chi.URLParam(r, "id")), event.Incarnation(life)) {
+	if !s.void(event.DispatchID(chi.URLParam(r, "id")), event.Incarnation(life)) {
 		s.deny(w, DenialStarted)
 		return
 	}
@@ -201,7 +201,7 @@
 }
 
 func (s *Slot) serveCancel(w http.ResponseWriter, r *http.Request) {
-	if u := s.find(event.RequestID(chi.URLParam(r, "id"))); u != nil {
+	if u := s.find(event.DispatchID(chi.URLParam(r, "id"))); u != nil {
 		s.abandon(u)
 		u.take()
 	}
--- a/slot/report.go
+++ b/slot/report.go
@@ -40,6 +40,13 @@
 	l.at = now
 }
 
+// fail notes that the endpoint could not be reached.
+func (l *loadWatch) fail() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = 0
+}
+
 // read returns the queue length, the age of that figure and whether the
 // endpoint is silent.
 func (l *loadWatch) read(now event.Time) (waiting int, age event.Span, down bool) {
--- a/slot/run.go
+++ b/slot/run.go
@@ -37,7 +37,7 @@
 
 // call is a request as the slot sends it to its endpoint.
 type call struct {
-	id           event.RequestID
+	id           event.DispatchID
 	method       string
 	path         string
 	header       http.Header
@@ -169,7 +169,7 @@
 }
 
 // cancelAtEngine tells a model engine to stop working on a request.
-func (s *Slot) cancelAtEngine(ctx context.Context, id event.RequestID) error {
+func (s *Slot) cancelAtEngine(ctx context.Context, id event.DispatchID) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, s.config.EndpointURL+"/requests/"+string(id), nil)
 	if err != nil {
 		return errors.Wrap(err, "cancel request")
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -51,7 +51,7 @@
 
 	mu    sync.Mutex
 	guard *Guard
-	runs  map[event.RequestID]*run
+	runs  map[event.DispatchID]*run
 }
 
 // New returns a slot in its first moment; life must differ from that of any
@@ -70,7 +70,7 @@
 		log:    log,
 		client: &http.Client{Transport: transport, CheckRedirect: keepRedirect},
 		guard:  NewGuard(life),
-		runs:   make(map[event.RequestID]*run),
+		runs:   make(map[event.DispatchID]*run),
 	}
 }
 
@@ -101,6 +101,7 @@
 func (s *Slot) end(u *run, err error) {
 	s.mu.Lock()
 	if errors.Is(err, errNotSent) {
+		s.load.fail()
 		s.guard.Unstart(s.clock.Now(), u.call.id)
 	} else {
 		s.guard.End(s.clock.Now(), u.call.id)
@@ -110,13 +111,13 @@
 }
 
 // void makes sure that id does not start in this life.
-func (s *Slot) void(id event.RequestID, life event.Incarnation) bool {
+func (s *Slot) void(id event.DispatchID, life event.Incarnation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.guard.Void(s.clock.Now(), id, life)
 }
 
-func (s *Slot) find(id event.RequestID) *run {
+func (s *Slot) find(id event.DispatchID) *run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.runs[id]
