--- a/machine/machine.go
+++ b/machine/machine.go
@@ -37,15 +37,23 @@
 	results []Result
 	byID    map[string]int // into results, less forgotten
 	forgot  int            // results that were forgotten
-	claims  map[string]Claim
+	claims  map[string]heldClaim
 	oldest  []claimAge // in the order of their times
+	claimed int        // how many claims there ever were
 	clock   int64      // the latest time of a command
 }
 
-// claimAge is when a key was claimed.
+// heldClaim is a claim that stands, and its number.
+type heldClaim struct {
+	Claim
+	number int
+}
+
+// claimAge says when a key was claimed.
 type claimAge struct {
-	key  string
-	time int64
+	key    string
+	number int
+	time   int64
 }
 
 // saved is a State in a snapshot.
@@ -65,7 +73,7 @@
 // Claim returns who holds a team's key.
 func (s *State) Claim(team, key string) (Claim, bool) {
 	c, ok := s.claims[Claim{Team: team, Key: key}.key()]
-	return c, ok
+	return c.Claim, ok
 }
 
 // Since returns the changes from a version to the present one; false if they
@@ -159,10 +167,11 @@
 		return
 	}
 	if s.claims == nil {
-		s.claims = make(map[string]Claim)
+		s.claims = make(map[string]heldClaim)
 	}
-	s.claims[c.key()] = c
-	s.oldest = append(s.oldest, claimAge{key: c.key(), time: c.Time})
+	s.claimed++
+	s.claims[c.key()] = heldClaim{Claim: c, number: s.claimed}
+	s.oldest = append(s.oldest, claimAge{key: c.key(), number: s.claimed, time: c.Time})
 }
 
 // release takes a key from a request that has not run and will not.
@@ -177,7 +186,7 @@
 func (s *State) forgetClaims() {
 	for len(s.oldest) > 0 && s.clock-s.oldest[0].time > ClaimTime {
 		first := s.oldest[0]
-		if c, held := s.claims[first.key]; held && c.Time == first.time {
+		if c, held := s.claims[first.key]; held && c.number == first.number {
 			delete(s.claims, first.key)
 		}
 		s.oldest = s.oldest[1:]
@@ -191,8 +200,8 @@
 		Recent: s.recent, Results: s.results, Clock: s.clock,
 	}
 	for _, age := range s.oldest {
-		if c, ok := s.claims[age.key]; ok && c.Time == age.time {
-			v.Claims = append(v.Claims, c)
+		if c, ok := s.claims[age.key]; ok && c.number == age.number {
+			v.Claims = append(v.Claims, c.Claim)
 		}
 	}
 	data, err := json.Marshal(v)
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: MIT
+
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func write(t *testing.T, name, content string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// check compares what is found in a file with FINDING lines, each without the
+// folder of the file.
+func check(t *testing.T, content string, want []string) {
+	t.Helper()
+	file := write(t, "f.yaml", content)
+	_, err := Check(file)
+	var got []string
+	if err != nil {
+		got = strings.Split(strings.ReplaceAll(err.Error(), filepath.Dir(file)+"/", ""), "\n")
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("findings (-want +got):\n%s", diff)
+	}
+}
+
+func TestCatalogFindings(t *testing.T) {
+	check(t, `tiers:
+  - {name: gold, rank: high}
+  - {name: silver, rank: 2, colour: grey}
+teams:
+  - name: blogs
+    key_hashes: [abc]
+    tier: platinum
+  - {name: Blogs, tier: silver}
+services:
+  - {name: chef, kind: model, pool: nowhere, deadline: soon}
+pools:
+  - {name: p, max_waiting: 10, endpoints: [{name: e, concurrency: 0}, {name: e, concurrency: 1}]}
+rules:
+  - {team: blogs, service: "*", tier: silver}
+  - {team: "*", service: chef, tier: gold}
+  - {team: nobody, service: chef, tier: gold}
+`, []string{
+		`f.yaml:2: tiers[0].rank: "high" is not a whole number`,
+		`f.yaml:3: tiers[1].colour: unknown key`,
+		`f.yaml:10: services[0].deadline: time: invalid duration "soon"`,
+		`f.yaml:2: tiers[0].rank: 0 is not between 1 and 100`,
+		`f.yaml:12: pools[0].endpoints[0].concurrency: 0 is not between 1 and 10000`,
+		`f.yaml:12: pools[0].endpoints[1].name: "e" is there twice`,
+		`f.yaml:7: teams[0].tier: there is no tier "platinum"`,
+		`f.yaml:6: teams[0].key_hashes[0]: this is not a SHA-256 in hex`,
+		`f.yaml:8: teams[1].name: "Blogs" is not a name (small letters, digits, . _ -)`,
+		`f.yaml:10: services[0].pool: there is no pool "nowhere"`,
+		`f.yaml:10: services[0].deadline: 0s is not between 0 and 1h`,
+		`f.yaml:10: services[0].models: a model service needs a model name`,
+		`f.yaml:15: rules[1]: it overlaps rules[0] and neither is more exact`,
+		`f.yaml:16: rules[2].team: there is no team "nobody"`,
+	})
+}
+
+func TestBoxFindings(t *testing.T) {
+	check(t, `id: a
+id: b
+roles: [entry, control, cook]
+listen: {callers: localhost:80}
+key_file: [k]
+limits: {requests: -1}
+log: {level: loud}
+control:
+  - {id: a, address: "10.0.0.1"}
+`, []string{
+		`f.yaml:2: id: the key is there twice`,
+		`f.yaml:5: key_file: a single value is expected here`,
+		`f.yaml:1: data_centre: this is missing`,
+		`f.yaml:5: key_file: this is missing`,
+		`f.yaml:3: roles[2]: "cook" is neither "entry" nor "control"`,
+		`f.yaml:4: listen.callers: "localhost:80" is not an address (IP:port)`,
+		`f.yaml:1: catalog: this is missing`,
+		`f.yaml:1: data: this is missing`,
+		`f.yaml:1: operator_key_file: this is missing`,
+		`f.yaml:4: listen.boxes: "" is not an address (IP:port)`,
+		`f.yaml:9: control[0].address: "10.0.0.1" is not an address (IP:port)`,
+		`f.yaml:6: limits: a limit is negative`,
+		`f.yaml:7: log.level: "loud" is not debug, info, warn or error`,
+	})
+}
+
+func TestSlotFindings(t *testing.T) {
+	check(t, "endpoint: e\npool: p\nkind: cake\nlisten: x\n", []string{
+		`f.yaml:1: data_centre: this is missing`,
+		`f.yaml:1: key_file: this is missing`,
+		`f.yaml:3: kind: "cake" is neither "model" nor "plain"`,
+		`f.yaml:4: listen: "x" is not an address (IP:port)`,
+		`f.yaml:1: endpoint_address: "" is not an address (IP:port)`,
+		`f.yaml:1: control: there is no control box`,
+	})
+}
+
+// TestExamples checks that the examples are sound.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/*.yaml")
+	if err != nil || len(files) < 6 {
+		t.Fatalf("examples: %v, %v", files, err)
+	}
+	for _, f := range files {
+		if _, err := Check(f); err != nil {
+			t.Errorf("%v", err)
+		}
+	}
+}
+
+func FuzzCatalog(f *testing.F) {
+	f.Add([]byte("tiers: [{name: gold, rank: 3}]\nrules: [{team: '*', service: '*', tier: gold}]\n"))
+	f.Add([]byte("a: &a [*a]\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, findings := parseCatalog("f", data)
+		for _, one := range findings {
+			if one.Line < 1 || one.Message == "" {
+				t.Errorf("finding without a place: %v", one)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/slot/slot_test.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: MIT
+
+package slot
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"lynxramp.org/event"
+)
+
+// TestTransportSendsOnce lets an endpoint take a call on a kept-alive connection
+// and hang up without an answer. The HTTP client must not send it again by
+// itself, as it does with calls that it takes for repeatable.
+func TestTransportSendsOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var calls atomic.Int32
+	go hangUpOnSecond(l, &calls)
+	s := New(Config{EndpointURL: "http://" + l.Addr().String(), MaxBody: 1 << 20}, 1, zap.NewNop())
+	for i, id := range []event.DispatchID{"first", "second"} {
+		u := &run{call: call{id: id, method: http.MethodGet, path: "/"}, answer: NewAnswer(false)}
+		err := s.dispatch(context.Background(), u)
+		if (err != nil) != (i == 1) {
+			t.Errorf("call %s: %v", id, err)
+		}
+	}
+	if n := calls.Load(); n != 2 {
+		t.Errorf("the endpoint got %d calls, want 2", n)
+	}
+}
+
+// hangUpOnSecond answers the first call of each connection and none after it.
+func hangUpOnSecond(l net.Listener, calls *atomic.Int32) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for n := 0; ; n++ {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				calls.Add(1)
+				if n > 0 {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}()
+	}
+}
+
+// TestGuard checks over all interleavings of offers, voids, ends and restarts
+// that an id starts at most once in a life, that void is kept, and that an offer
+// for another life or of an older epoch is denied.
+func TestGuard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		life := event.Incarnation(1)
+		g := NewGuard(life)
+		started := make(map[event.DispatchID]bool)
+		void := make(map[event.DispatchID]bool)
+		newest := event.Epoch(0)
+		now := event.Time(0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			id := event.DispatchID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"))
+			for_ := event.Incarnation(rapid.Uint64Range(1, uint64(life)+1).Draw(t, "life"))
+			now = now.Add(event.Span(rapid.Int64Range(0, int64(memoryBound)/50).Draw(t, "time")))
+			switch rapid.IntRange(0, 4).Draw(t, "act") {
+			case 0, 1:
+				epoch := event.Epoch(rapid.Uint64Range(1, 5).Draw(t, "epoch"))
+				left := event.Span(rapid.Int64Range(-1, 1).Draw(t, "left"))
+				d := g.Offer(now, Offer{ID: id, Incarnation: for_, Epoch: epoch, Deadline: left})
+				if d != DenialNone {
+					void[id] = void[id] || (d != DenialStarted && d != DenialIncarnation)
+					break
+				}
+				if started[id] || void[id] || for_ != life || epoch < newest || left <= 0 || g.Leaving() {
+					t.Fatalf("offer of %s was taken: started %v, void %v", id, started[id], void[id])
+				}
+				newest = max(newest, epoch)
+				started[id] = true
+			case 2:
+				if g.Void(now, id, for_) {
+					if started[id] || for_ != life {
+						t.Fatalf("%s was declared void, started %v", id, started[id])
+					}
+					void[id] = true
+				}
+			case 3:
+				g.End(now, id)
+			case 4:
+				life++
+				g = NewGuard(life)
+				clear(started)
+				clear(void)
+				newest = 0
+			}
+		}
+	})
+}
+
+// TestMalformedOffer sends an offer without its headers: nothing is dispatched.
+func TestMalformedOffer(t *testing.T) {
+	s := New(Config{EndpointURL: "http://127.0.0.1:1", MaxBody: 10}, 1, zap.NewNop())
+	h := s.Handler("")
+	for _, body := range []string{"", strings.Repeat("x", 100)} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/run", strings.NewReader(body)))
+		if w.Code != http.StatusBadRequest || s.Held() != 0 {
+			t.Errorf("status %d, %d held", w.Code, s.Held())
+		}
+	}
+}
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: MIT
+
+package store
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"lynxramp.org/consensus"
+)
+
+func open(t *testing.T, dir string) (*Store, consensus.Restored) {
+	t.Helper()
+	s, _, r, err := Open(dir, "box", 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s, r
+}
+
+func entries(from, to int, term consensus.Term) []consensus.Entry {
+	var list []consensus.Entry
+	for i := from; i <= to; i++ {
+		list = append(list, consensus.Entry{Index: consensus.Index(i), Term: term, Kind: consensus.EntryCommand, Data: fmt.Appendf(nil, "data %d", i)})
+	}
+	return list
+}
+
+func save(t *testing.T, s *Store, r consensus.Ready) {
+	t.Helper()
+	if err := s.Save(&r); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// filled returns a folder with a snapshot, a hard state and ten entries, of
+// which the last five were replaced.
+func filled(t *testing.T) (string, consensus.Restored) {
+	t.Helper()
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	save(t, s, consensus.Ready{Entries: entries(1, 4, 1)})
+	snap := consensus.Snapshot{Index: 4, Term: 1, Members: consensus.Membership{Voters: []consensus.Member{{ID: "box@1", Address: "127.0.0.1:1"}}}, Data: []byte("state")}
+	hard := consensus.HardState{Term: 3, Vote: "box@1"}
+	save(t, s, consensus.Ready{HardState: &hard, Snapshot: &snap})
+	save(t, s, consensus.Ready{Entries: entries(5, 14, 2)})
+	save(t, s, consensus.Ready{Entries: entries(10, 12, 3)})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	want := consensus.Restored{HardState: hard, Snapshot: snap, Entries: append(entries(5, 9, 2), entries(10, 12, 3)...)}
+	return dir, want
+}
+
+func logFile(t *testing.T, dir string) string {
+	t.Helper()
+	return filepath.Join(dir, numbered(logPrefix, 4))
+}
+
+func TestReopen(t *testing.T) {
+	dir, want := filled(t)
+	_, got := open(t, dir)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("restored (-want +got):\n%s", diff)
+	}
+}
+
+// TestTornEnd cuts the log anywhere in its last record: what was synced before
+// is all there, and the store can be written again.
+func TestTornEnd(t *testing.T) {
+	dir, want := filled(t)
+	whole, err := os.ReadFile(logFile(t, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := len(appendEntry(nil, want.Entries[len(want.Entries)-1]))
+	want.Entries = want.Entries[:len(want.Entries)-1]
+	for cut := 1; cut < last; cut++ {
+		if err := os.WriteFile(logFile(t, dir), whole[:len(whole)-cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, got := open(t, dir)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatalf("%d bytes torn off (-want +got):\n%s", cut, diff)
+		}
+		save(t, s, consensus.Ready{Entries: entries(12, 12, 4)})
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestDamage flips each byte but those of the last record: the store must not
+// open.
+func TestDamage(t *testing.T) {
+	dir, want := filled(t)
+	whole, err := os.ReadFile(logFile(t, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := len(appendEntry(nil, want.Entries[len(want.Entries)-1]))
+	for i := range len(whole) - last {
+		broken := append([]byte(nil), whole...)
+		broken[i] ^= 0x40
+		if err := os.WriteFile(logFile(t, dir), broken, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := Open(dir, "box", 7); !errors.Is(err, ErrDamaged) {
+			t.Fatalf("byte %d flipped: %v", i, err)
+		}
+	}
+}
+
+func TestDamagedSnapshot(t *testing.T) {
+	dir, _ := filled(t)
+	file := filepath.Join(dir, numbered(snapshotPrefix, 4))
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/2] ^= 1
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, err := Open(dir, "box", 7); !errors.Is(err, ErrDamaged) {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestSecondProcess(t *testing.T) {
+	dir := t.TempDir()
+	open(t, dir)
+	if _, _, _, err := Open(dir, "box", 7); err == nil {
+		t.Error("the folder was opened twice")
+	}
+}
+
+func FuzzParseLog(f *testing.F) {
+	buf := appendHardState(nil, consensus.HardState{Term: 3, Vote: "b"})
+	for _, e := range entries(1, 3, 3) {
+		buf = appendEntry(buf, e)
+	}
+	f.Add(buf)
+	f.Add(buf[:len(buf)-3])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var r consensus.Restored
+		length, err := parseLog(data, &r)
+		if err != nil {
+			return
+		}
+		var again consensus.Restored
+		if n, err := parseLog(data[:length], &again); err != nil || n != length {
+			t.Errorf("the sound part of %d bytes is read as %d, %v", length, n, err)
+		}
+		if diff := cmp.Diff(r, again); diff != "" {
+			t.Errorf("read twice:\n%s", diff)
+		}
+	})
+}
