--- a/proc/harness_test.go
+++ b/proc/harness_test.go
@@ -58,7 +58,7 @@
 
 // process is a started command.
 type process struct {
-	t      *testing.T
+	t      testing.TB
 	name   string
 	args   []string
 	log    string
@@ -131,7 +131,7 @@
 
 // cluster is a deployment in processes of its own.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	net     string // the first three numbers of its addresses
 	boxes   []*process
@@ -169,7 +169,7 @@
 )
 
 // newCluster starts a cluster and waits until each entry serves.
-func newCluster(t *testing.T, s shape) *cluster {
+func newCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
 	c := &cluster{
 		t:       t,
@@ -446,7 +446,7 @@
 
 // check fails the test unless an answer is, byte for byte, what the engine says
 // when it is asked directly.
-func (o oracle) check(t *testing.T, path string, a answer) {
+func (o oracle) check(t testing.TB, path string, a answer) {
 	t.Helper()
 	want := send(context.Background(), http.MethodPost, o.url+path, a.request, nil)
 	if want.err != nil || want.status != http.StatusOK {
--- /dev/null
+++ b/proc/measure_test.go
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+
+package proc
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The benchmarks of this file measure real processes. Run them one at a time:
+//
+//	go test ./proc -run '^$' -bench Commit -benchtime 500x
+//	go test ./proc -run '^$' -bench 'Failover|Idle' -benchtime 1x
+
+// idleSpan is how long processes are watched.
+const idleSpan = 10 * time.Second
+
+// processUse is the processor time of processes and their memory.
+type processUse struct {
+	cpu      time.Duration
+	resident int64 // bytes, the largest
+}
+
+func useOf(b *testing.B, list []*process) processUse {
+	var u processUse
+	for _, p := range list {
+		data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, rest, _ := strings.Cut(string(data), ") ")
+		f := strings.Fields(rest)
+		user, _ := strconv.ParseInt(f[11], 10, 64)
+		system, _ := strconv.ParseInt(f[12], 10, 64)
+		pages, _ := strconv.ParseInt(f[21], 10, 64)
+		u.cpu += time.Duration(user+system) * 10 * time.Millisecond
+		u.resident = max(u.resident, pages*int64(os.Getpagesize()))
+	}
+	return u
+}
+
+// loopbackBytes returns the bytes that went over the loopback interface.
+func loopbackBytes(b *testing.B) int64 {
+	data, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "lo:" {
+			n, _ := strconv.ParseInt(f[1], 10, 64)
+			return n
+		}
+	}
+	b.Fatal("no loopback interface")
+	return 0
+}
+
+// watch reports what a cluster's processes use, during idleSpan.
+func (c *cluster) watch(b *testing.B, name string) {
+	groups := map[string][]*process{
+		"control": c.boxes[:c.shape.controls],
+		"entry":   c.boxes[c.shape.controls:],
+		"slot":    c.slots,
+	}
+	before := make(map[string]processUse)
+	for group, list := range groups {
+		before[group] = useOf(b, list)
+	}
+	from := loopbackBytes(b)
+	time.Sleep(idleSpan)
+	to := loopbackBytes(b)
+	all := len(c.boxes) + len(c.slots)
+	b.ReportMetric(float64(to-from)/idleSpan.Seconds()/float64(all), name+"-B/s/process")
+	for group, list := range groups {
+		if len(list) == 0 {
+			continue
+		}
+		after := useOf(b, list)
+		percent := 100 * (after.cpu - before[group].cpu).Seconds() / idleSpan.Seconds() / float64(len(list))
+		b.ReportMetric(percent, name+"-"+group+"-%core")
+		b.ReportMetric(float64(after.resident)/(1<<20), name+"-"+group+"-MiB")
+	}
+}
+
+// BenchmarkIdle measures control's use of network, processor and memory, when
+// idle and at one change a second.
+func BenchmarkIdle(b *testing.B) {
+	for _, s := range []shape{
+		{boxes: 3, controls: 3, engines: []float64{4}},
+		{boxes: 30, controls: 3, engines: []float64{4}},
+		{boxes: 3, controls: 3, engines: slices.Repeat([]float64{4}, 30)},
+	} {
+		b.Run(fmt.Sprintf("boxes=%d,slots=%d", s.boxes, len(s.engines)), func(b *testing.B) {
+			c := newCluster(b, s)
+			at := c.waitLeader()
+			time.Sleep(2 * time.Second)
+			c.watch(b, "idle")
+			stop := make(chan struct{})
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				version := c.show(at).Version
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					case <-time.After(time.Second):
+					}
+					version = c.apply(fmt.Sprint("change-", n), version, teamChange(n%50)).Version
+				}
+			}()
+			c.watch(b, "changing")
+			close(stop)
+			<-done
+		})
+	}
+}
+
+// BenchmarkCommit measures operators' commands, one after the other.
+func BenchmarkCommit(b *testing.B) {
+	c := newCluster(b, shape{boxes: 3, controls: 3, engines: []float64{4}})
+	at := c.waitLeader()
+	version := c.show(at).Version
+	times := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for n := range b.N {
+		began := time.Now()
+		version = c.apply(fmt.Sprint("change-", n), version, teamChange(n%50)).Version
+		times = append(times, time.Since(began))
+	}
+	b.StopTimer()
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+}
+
+// BenchmarkFailover measures how long there is no owner.
+func BenchmarkFailover(b *testing.B) {
+	ways := []struct {
+		name   string
+		signal syscall.Signal
+	}{{"kill", syscall.SIGKILL}, {"freeze", syscall.SIGSTOP}, {"stop", syscall.SIGTERM}}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			var times []time.Duration
+			for range 7 {
+				c := newCluster(b, shape{boxes: 3, controls: 3, engines: []float64{4}})
+				at := c.waitLeader()
+				time.Sleep(time.Duration(len(times)) * 100 * time.Millisecond)
+				began := time.Now()
+				c.boxes[at].ended = true
+				c.boxes[at].signal(way.signal)
+				c.waitLeader(at)
+				times = append(times, time.Since(began))
+				for _, list := range [][]*process{c.boxes, c.slots, c.engines} {
+					for _, p := range list {
+						p.kill()
+					}
+				}
+			}
+			slices.Sort(times)
+			b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "p50-ms")
+			b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
+		})
+	}
+}
--- a/proc/operator_test.go
+++ b/proc/operator_test.go
@@ -144,7 +144,7 @@
 	down     bool
 }
 
-func newRelay(t *testing.T, from, to string) *relay {
+func newRelay(t testing.TB, from, to string) *relay {
 	l, err := net.Listen("tcp", from)
 	if err != nil {
 		t.Fatal(err)
