--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -65,8 +65,12 @@
 type Pool struct {
 	Name string `yaml:"name" json:"name"`
 	// MaxWaiting bounds the pool's queue, in requests.
-	MaxWaiting int        `yaml:"max_waiting" json:"max_waiting"`
-	Endpoints  []Endpoint `yaml:"endpoints" json:"endpoints"`
+	MaxWaiting int `yaml:"max_waiting" json:"max_waiting"`
+	// PrefillWeight is what a second of repeated prefill counts beside a second
+	// of a caller's waiting, 0 to 100; 0 stands for 1. A larger one saves prompt
+	// work at the cost of goodput.
+	PrefillWeight float64    `yaml:"prefill_weight" json:"prefill_weight,omitempty"`
+	Endpoints     []Endpoint `yaml:"endpoints" json:"endpoints"`
 }
 
 // Endpoint is one engine or one replica of a plain service.
@@ -105,7 +109,7 @@
 
 // SchedulerPool returns the pool as its scheduler needs it.
 func (p Pool) SchedulerPool() event.Pool {
-	q := event.Pool{Name: p.Name, MaxWaiting: p.MaxWaiting}
+	q := event.Pool{Name: p.Name, MaxWaiting: p.MaxWaiting, PrefillWeight: p.PrefillWeight}
 	for _, e := range p.Endpoints {
 		speed := e.Speed
 		if speed == 0 {
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -14,6 +14,7 @@
 const (
 	maxRank        = 100
 	maxSpeed       = 1000
+	maxWeight      = 100
 	maxConcurrency = 10_000
 	keyHashBytes   = 32
 )
@@ -106,6 +107,9 @@
 		path := at("pools", i)
 		k.name(path, p.Name, k.pools)
 		k.between(path+".max_waiting", p.MaxWaiting, 1, 1_000_000)
+		if p.PrefillWeight < 0 || p.PrefillWeight > maxWeight {
+			k.add(path+".prefill_weight", "%g is not between 0 and %d", p.PrefillWeight, maxWeight)
+		}
 		for j, e := range p.Endpoints {
 			inner := path + "." + at("endpoints", j)
 			k.name(inner, string(e.Name), endpoints)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -88,7 +88,6 @@
 	h.Set(slot.HeaderMethod, q.method)
 	h.Set(slot.HeaderPath, q.path)
 	h.Set(slot.HeaderPriority, strconv.Itoa(q.ticket.Rank))
-	h.Set(slot.HeaderPromptTokens, strconv.Itoa(q.ticket.PromptTokens))
 	if q.ticket.NoRepeat {
 		h.Set(slot.HeaderNoRepeat, "1")
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -147,9 +147,8 @@
 	// the age of that figure.
 	Waiting int
 	LoadAge Span
-	// PrefillPerSecond (tokens a second) and TokenGap are measured; 0 is unknown.
-	PrefillPerSecond float64
-	TokenGap         Span
+	// TokenGap is the measured time between tokens; 0 is unknown.
+	TokenGap Span
 }
 
 // Pool has the settings of a pool that its scheduler needs.
@@ -157,7 +156,10 @@
 	Name string
 	// MaxWaiting bounds the queue, in requests.
 	MaxWaiting int
-	Endpoints  []Endpoint
+	// PrefillWeight is what a second of repeated prefill counts, beside a second
+	// of a caller's waiting; 0 stands for 1.
+	PrefillWeight float64
+	Endpoints     []Endpoint
 }
 
 // Endpoint has the settings of an endpoint that its scheduler needs.
--- a/rpc/convert.go
+++ b/rpc/convert.go
@@ -77,7 +77,6 @@
 		Down:             r.Down,
 		Waiting:          uint32(r.Waiting),
 		LoadAgeMs:        uint32(r.LoadAge.Milliseconds()),
-		PrefillPerSecond: r.PrefillPerSecond,
 		TokenGapUs:       uint64(r.TokenGap.Microseconds()),
 	}
 	for _, id := range r.Running {
@@ -97,7 +96,6 @@
 		Down:             r.Down,
 		Waiting:          int(r.Waiting),
 		LoadAge:          millis(r.LoadAgeMs),
-		PrefillPerSecond: r.PrefillPerSecond,
 		TokenGap:         time.Duration(r.TokenGapUs) * time.Microsecond,
 	}}
 	for _, id := range r.Running {
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -4,7 +4,7 @@
 
 import "lynxramp.org/event"
 
-// Reference speeds, for an endpoint of speed 1 that nothing was measured of.
+// The reference engine, of speed 1.
 const (
 	referencePrefill  = 8000.0 // prompt tokens a second
 	referenceTokenGap = 20 * event.Millisecond
@@ -34,26 +34,30 @@
 
 func (e *endpoint) hasRoom() bool { return e.inflight < e.Concurrency }
 
-func (e *endpoint) prefillRate() float64 {
-	if e.report.PrefillPerSecond > 0 {
-		return e.report.PrefillPerSecond
+// speed is relative to the reference engine: measured, or else the nameplate's.
+func (e *endpoint) speed() float64 {
+	if e.report.TokenGap > 0 {
+		return float64(referenceTokenGap) / float64(e.report.TokenGap)
 	}
-	return referencePrefill * e.Speed
+	return e.Speed
 }
 
-func (e *endpoint) tokenGap() event.Span {
-	if e.report.TokenGap > 0 {
-		return e.report.TokenGap
-	}
-	return event.Span(float64(referenceTokenGap) / e.Speed)
+// estimate is how long a request would take at an endpoint, in seconds.
+type estimate struct {
+	fill   float64 // its own prompt, less what is cached
+	total  float64 // until its last token
+	cached int     // prompt tokens
 }
 
-// cost estimates how long k would take here from now, with cached prompt tokens
-// already held.
-func (e *endpoint) cost(k *ticket, cached int) event.Span {
+// estimate returns what k would take here from now.
+func (e *endpoint) estimate(k *ticket) estimate {
+	speed := e.speed()
 	if k.OutputTokens == 0 {
-		return event.Span(callWork / e.Speed * float64(1+e.inflight) * float64(event.Second))
+		return estimate{total: callWork / speed * float64(1+e.inflight)}
 	}
-	fill := float64(e.prefill+k.PromptTokens-cached) / e.prefillRate()
-	return event.Span(fill*float64(event.Second)) + e.tokenGap()*event.Span(k.OutputTokens)
+	cached := min(e.prefix.cached(k.Prefix), k.PromptTokens)
+	rate := referencePrefill * speed
+	fill := float64(k.PromptTokens-cached) / rate
+	decode := referenceTokenGap.Seconds() / speed * float64(k.OutputTokens)
+	return estimate{fill: fill, total: float64(e.prefill)/rate + fill + decode, cached: cached}
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -249,28 +249,33 @@
 // place grants from the queue's head while an endpoint has room.
 func (s *State) place(now event.Time, out *event.Effects) {
 	for k := s.queue.first(); k != nil; k = s.queue.first() {
-		e, cached := s.choose(now, k)
+		e, est := s.choose(now, k)
 		if e == nil {
 			return
 		}
-		s.grant(now, k, e, cached, out)
+		s.grant(now, k, e, est.cached, out)
 	}
 }
 
-// choose returns the endpoint with room that is to finish k first.
-func (s *State) choose(now event.Time, k *ticket) (best *endpoint, bestCached int) {
-	var bestCost event.Span
+// choose returns the endpoint with room where k costs least: the time until its
+// end, and its prefill once more by its weight.
+func (s *State) choose(now event.Time, k *ticket) (best *endpoint, bestEst estimate) {
+	weight := s.pool.PrefillWeight
+	if weight == 0 {
+		weight = 1
+	}
+	var bestCost float64
 	for _, e := range s.endpoints {
 		if !e.hasRoom() || !e.serves(now) {
 			continue
 		}
-		cached := min(e.prefix.cached(k.Prefix), k.PromptTokens)
-		cost := e.cost(k, cached)
+		est := e.estimate(k)
+		cost := est.total + weight*est.fill
 		if best == nil || cost < bestCost {
-			best, bestCached, bestCost = e, cached, cost
+			best, bestEst, bestCost = e, est, cost
 		}
 	}
-	return best, bestCached
+	return best, bestEst
 }
 
 func (s *State) grant(now event.Time, k *ticket, e *endpoint, cached int, out *event.Effects) {
@@ -364,3 +369,9 @@
 	}
 	return list
 }
+
+// Waits reports whether a request waits here.
+func (s *State) Waits(id event.RequestID) bool {
+	_, ok := s.queue.byID[id]
+	return ok
+}
--- a/slot/headers.go
+++ b/slot/headers.go
@@ -9,16 +9,15 @@
 
 // Headers between entry and slot.
 const (
-	HeaderDispatch     = "Lynxramp-Dispatch-Id"
-	HeaderIncarnation  = "Lynxramp-Incarnation"
-	HeaderEpoch        = "Lynxramp-Epoch"
-	HeaderDeadline     = "Lynxramp-Deadline-Ms" // time left, in milliseconds
-	HeaderMethod       = "Lynxramp-Method"      // of the call to the endpoint
-	HeaderPath         = "Lynxramp-Path"        // with its query
-	HeaderNoRepeat     = "Lynxramp-No-Repeat"
-	HeaderKeep         = "Lynxramp-Keep" // others may come for the same answer
-	HeaderPromptTokens = "Lynxramp-Prompt-Tokens"
-	HeaderPriority     = "Lynxramp-Priority"
+	HeaderDispatch    = "Lynxramp-Dispatch-Id"
+	HeaderIncarnation = "Lynxramp-Incarnation"
+	HeaderEpoch       = "Lynxramp-Epoch"
+	HeaderDeadline    = "Lynxramp-Deadline-Ms" // time left, in milliseconds
+	HeaderMethod      = "Lynxramp-Method"      // of the call to the endpoint
+	HeaderPath        = "Lynxramp-Path"        // with its query
+	HeaderNoRepeat    = "Lynxramp-No-Repeat"
+	HeaderKeep        = "Lynxramp-Keep" // others may come for the same answer
+	HeaderPriority    = "Lynxramp-Priority"
 	// HeaderStatus has the endpoint's status; a response without it is the
 	// slot's own.
 	HeaderStatus = "Lynxramp-Status"
--- a/slot/http.go
+++ b/slot/http.go
@@ -90,8 +90,6 @@
 		noRepeat: h.Get(HeaderNoRepeat) != "",
 		keep:     h.Get(HeaderKeep) != "",
 	}
-	// An absent count is 0: the prompt is not timed.
-	c.promptTokens, _ = strconv.Atoi(h.Get(HeaderPromptTokens))
 	Unwrap(c.header, h)
 	return o, c, nil
 }
--- a/slot/run.go
+++ b/slot/run.go
@@ -23,6 +23,9 @@
 // resumeTries bounds how often a cut stream of the endpoint is resumed.
 const resumeTries = 3
 
+// streamEvent begins each event of a streamed answer; an event has one token.
+var streamEvent = []byte("data: ")
+
 // errCut says that the endpoint's connection ended before its answer did.
 var errCut = errors.New("the endpoint's connection was cut")
 
@@ -37,15 +40,14 @@
 
 // call is a request as the slot sends it to its endpoint.
 type call struct {
-	id           event.DispatchID
-	method       string
-	path         string
-	header       http.Header
-	body         []byte
-	priority     string
-	promptTokens int
-	noRepeat     bool
-	keep         bool
+	id       event.DispatchID
+	method   string
+	path     string
+	header   http.Header
+	body     []byte
+	priority string
+	noRepeat bool
+	keep     bool
 }
 
 // run is one dispatched request.
@@ -90,7 +92,6 @@
 // dispatch calls the endpoint and fills the run's answer. It is called once for
 // each request id. It returns nil when the answer is whole.
 func (s *Slot) dispatch(ctx context.Context, u *run) error {
-	began := s.clock.Now()
 	r, err := u.call.request(ctx, s.config.EndpointURL)
 	if err != nil {
 		return errors.Wrap(errNotSent, err.Error())
@@ -103,36 +104,32 @@
 		err = errors.Wrap(errCut, err.Error())
 	default:
 		u.answer.Begin(response.StatusCode, response.Header)
-		err = s.copyAnswer(ctx, u, response.Body, began)
+		err = s.copyAnswer(ctx, u, response.Body)
 	}
 	for try := 0; try < resumeTries && errors.Is(err, errCut); try++ {
-		err = s.resumeAtEngine(ctx, u, began)
+		err = s.resumeAtEngine(ctx, u)
 	}
 	return err
 }
 
 // copyAnswer moves the endpoint's bytes into the answer and times them.
-func (s *Slot) copyAnswer(ctx context.Context, u *run, body io.ReadCloser, began event.Time) error {
+func (s *Slot) copyAnswer(ctx context.Context, u *run, body io.ReadCloser) error {
 	defer body.Close()
 	buf := make([]byte, readBytes)
-	var first event.Time
-	tokens := 0
+	var last event.Time
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
 			now := s.clock.Now()
-			if first == 0 {
-				first = now
-				s.meter.sawFirstToken(u.call.promptTokens, now.Sub(began))
-			} else {
-				tokens += bytes.Count(buf[:n], []byte("data: "))
+			if last != 0 {
+				s.measure(now, bytes.Count(buf[:n], streamEvent), now.Sub(last))
 			}
+			last = now
 			if err := u.answer.Append(ctx, buf[:n]); err != nil {
 				return err
 			}
 		}
 		if err == io.EOF {
-			s.meter.sawTokens(tokens, s.clock.Now().Sub(first))
 			return nil
 		}
 		if err != nil && ctx.Err() != nil {
@@ -145,7 +142,7 @@
 }
 
 // resumeAtEngine asks a model engine for the rest of a cut answer.
-func (s *Slot) resumeAtEngine(ctx context.Context, u *run, began event.Time) error {
+func (s *Slot) resumeAtEngine(ctx context.Context, u *run) error {
 	if !s.config.Model {
 		return errors.New("cut, and a plain service cannot resume")
 	}
@@ -165,7 +162,7 @@
 	if u.answer.Size() == 0 {
 		u.answer.Begin(http.StatusOK, response.Header)
 	}
-	return s.copyAnswer(ctx, u, response.Body, began)
+	return s.copyAnswer(ctx, u, response.Body)
 }
 
 // cancelAtEngine tells a model engine to stop working on a request.
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -15,6 +15,7 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/meter"
 )
 
 // Times of the slot's housekeeping.
@@ -46,10 +47,10 @@
 	clock  event.Clock
 	log    *zap.Logger
 	client *http.Client
-	meter  meter
 	load   loadWatch
 
 	mu    sync.Mutex
+	meter meter.Meter
 	guard *Guard
 	runs  map[event.DispatchID]*run
 }
@@ -96,6 +97,13 @@
 	return u, DenialNone
 }
 
+// measure takes note of tokens that came.
+func (s *Slot) measure(now event.Time, tokens int, span event.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.meter.Add(now, tokens, span)
+}
+
 // end closes a run. What never reached the endpoint is void before anybody can
 // read so.
 func (s *Slot) end(u *run, err error) {
@@ -218,10 +226,10 @@
 		Address:     s.config.Address,
 		Incarnation: s.life,
 	}
-	r.PrefillPerSecond, r.TokenGap = s.meter.read()
 	r.Waiting, r.LoadAge, r.Down = s.load.read(s.clock.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.TokenGap = s.meter.Gap(s.clock.Now())
 	r.Leaving = s.guard.Leaving()
 	for id, u := range s.runs {
 		if !u.answer.Ended() {
