sched: place by what meets the deadline, pass over what would be late

Cause: cost was time alone, so prompts went to fast engines whoever held them, and requests that could not end in time were run to their deadline and thrown away. Now prompt work outweighs time while the deadline is met; a request for which only slow endpoints have room is passed over, up to 8 at once, or held up to 2 s for a full endpoint that holds its prompt; one that no endpoint can answer in time is refused at once.

Bursts are now three times capacity (165 and 90 a second).

--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -21,10 +21,10 @@
 	inflight int
 	// leftUntil is when it may be granted work again.
 	leftUntil event.Time
-	// prefill is the granted prompt work not yet known to be done, in tokens.
-	prefill int
-	grants  map[event.RequestID]*grant
-	prefix  prefixIndex
+	// filledAt is when the prompts granted so far should be computed.
+	filledAt event.Time
+	grants   map[event.RequestID]*grant
+	prefix   prefixIndex
 }
 
 // serves reports whether the endpoint may be granted new work.
@@ -50,7 +50,7 @@
 }
 
 // estimate returns what k would take here from now.
-func (e *endpoint) estimate(k *ticket) estimate {
+func (e *endpoint) estimate(now event.Time, k *ticket) estimate {
 	speed := e.speed()
 	if k.OutputTokens == 0 {
 		return estimate{total: callWork / speed * float64(1+e.inflight)}
@@ -59,5 +59,6 @@
 	rate := referencePrefill * speed
 	fill := float64(k.PromptTokens-cached) / rate
 	decode := referenceTokenGap.Seconds() / speed * float64(k.OutputTokens)
-	return estimate{fill: fill, total: float64(e.prefill)/rate + fill + decode, cached: cached}
+	ahead := max(0, e.filledAt.Sub(now).Seconds())
+	return estimate{fill: fill, total: ahead + fill + decode, cached: cached}
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -3,6 +3,7 @@
 package sched
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -32,7 +33,26 @@
 
 // sizeCharge is the place a request loses in its team's queue for each second
 // of its estimated work.
-const sizeCharge = 1.0
+const sizeCharge = 4.0
+
+// What a placement costs: its time counts little while it ends well before the
+// deadline, and much beyond that.
+const (
+	timeWeight  = 0.05
+	latePenalty = 10.0
+	startMargin = 1.15 // to be started, a request must have so much more time than estimated
+	margin      = 1.3  // an estimate may be so much too short
+)
+
+// maxPassed bounds how many requests are passed over in one step.
+const maxPassed = 8
+
+// holdTime is how long a request is passed over for the sake of a full endpoint
+// that holds its prompt, and holdCost what that must save, in seconds.
+const (
+	holdTime = 2 * event.Second
+	holdCost = 0.1
+)
 
 // rateWindow is the time over which the drain rate is averaged.
 const rateWindow = 5 * event.Second
@@ -42,7 +62,6 @@
 	endpoint *endpoint
 	entry    event.BoxID
 	at       event.Time
-	prefill  int // tokens
 	attempt  int
 	life     event.Incarnation
 }
@@ -59,6 +78,7 @@
 	entries   map[event.BoxID]event.Time
 	arrivals  uint64
 	drain     drainRate
+	passed    []*ticket
 }
 
 // New returns the scheduler of pool, which owns it from now on.
@@ -171,7 +191,6 @@
 	s.grants[id] = g
 	g.endpoint.grants[id] = g
 	g.endpoint.inflight++
-	g.endpoint.prefill += g.prefill
 }
 
 // finish ends a grant. An endpoint that did not take the request is left alone
@@ -190,7 +209,6 @@
 		return
 	}
 	g.endpoint.inflight--
-	g.endpoint.prefill -= g.prefill
 	delete(g.endpoint.grants, id)
 	delete(s.grants, id)
 }
@@ -246,50 +264,91 @@
 	}
 }
 
-// place grants from the queue's head while an endpoint has room.
+// place grants from the queue's head while an endpoint has room. A request for
+// which only endpoints have room that would be late with it is passed over, up
+// to maxPassed at once: another endpoint may come free.
 func (s *State) place(now event.Time, out *event.Effects) {
-	for k := s.queue.first(); k != nil; k = s.queue.first() {
-		e, est := s.choose(now, k)
-		if e == nil {
+	s.passed = s.passed[:0]
+	for k := s.queue.first(); k != nil && len(s.passed) < maxPassed; k = s.queue.first() {
+		c := s.choose(now, k)
+		switch {
+		case c.room == nil:
+			s.unpass()
 			return
+		case c.fastest > c.left && c.known:
+			// No endpoint can answer in time, whatever else waits.
+			s.refuse(k, event.ReasonDeadline, out)
+		case c.hold, c.est.total*startMargin > c.left:
+			s.queue.remove(k)
+			s.passed = append(s.passed, k)
+		default:
+			s.grant(now, k, c.room, c.est, out)
 		}
-		s.grant(now, k, e, est.cached, out)
 	}
+	s.unpass()
 }
 
-// choose returns the endpoint with room where k costs least: the time until its
-// end, and its prefill once more by its weight.
-func (s *State) choose(now event.Time, k *ticket) (best *endpoint, bestEst estimate) {
+// unpass puts back what was passed over.
+func (s *State) unpass() {
+	for _, k := range s.passed {
+		s.queue.add(k)
+	}
+}
+
+// choice is what choose finds for a request. Times are in seconds.
+type choice struct {
+	room    *endpoint // with room, where it costs least; nil if none has room
+	est     estimate  // there
+	left    float64   // until the deadline
+	fastest float64   // total of the fastest endpoint, with room or without
+	known   bool      // an endpoint serves
+	hold    bool      // it is better to wait for a full endpoint
+}
+
+// choose finds the endpoint with room where k costs least: a little for its
+// time, more for prompt work by the pool's weight, much for being late.
+func (s *State) choose(now event.Time, k *ticket) choice {
 	weight := s.pool.PrefillWeight
 	if weight == 0 {
 		weight = 1
 	}
-	var bestCost float64
+	c := choice{left: k.deadline.Sub(now).Seconds()}
+	least, leastFull := math.Inf(1), math.Inf(1)
 	for _, e := range s.endpoints {
-		if !e.hasRoom() || !e.serves(now) {
+		if e.Concurrency == 0 || !e.serves(now) {
 			continue
 		}
-		est := e.estimate(k)
-		cost := est.total + weight*est.fill
-		if best == nil || cost < bestCost {
-			best, bestEst, bestCost = e, est, cost
+		est := e.estimate(now, k)
+		if !c.known || est.total < c.fastest {
+			c.known = true
+			c.fastest = est.total
+		}
+		cost := est.total*timeWeight + weight*est.fill + latePenalty*max(0, est.total*margin-c.left)
+		switch {
+		case !e.hasRoom():
+			leastFull = min(leastFull, cost)
+		case c.room == nil || cost < least:
+			c.room, c.est, least = e, est, cost
 		}
 	}
-	return best, bestEst
+	// A full endpoint that holds the prompt may be worth a short wait.
+	hold := now.Sub(k.arrived) < holdTime && c.est.total*margin+holdTime.Seconds() < c.left
+	c.hold = hold && leastFull+holdCost < least
+	return c
 }
 
-func (s *State) grant(now event.Time, k *ticket, e *endpoint, cached int, out *event.Effects) {
+func (s *State) grant(now event.Time, k *ticket, e *endpoint, est estimate, out *event.Effects) {
 	s.queue.remove(k)
-	s.queue.charge(k, float64(k.PromptTokens-cached+k.OutputTokens))
+	s.queue.charge(k, float64(k.PromptTokens-est.cached+k.OutputTokens))
 	g := &grant{
 		endpoint: e,
 		entry:    k.entry,
 		at:       now,
-		prefill:  k.PromptTokens - cached,
 		life:     e.report.Incarnation,
 		attempt:  k.Attempt,
 	}
 	e.prefix.add(k.Prefix)
+	e.filledAt = max(e.filledAt, now).Add(event.Span(est.fill * float64(event.Second)))
 	s.hold(k.ID, g)
 	s.drain.add(now)
 	out.Grants = append(out.Grants, g.effect(k.ID))
--- a/trace/make.go
+++ b/trace/make.go
@@ -45,6 +45,7 @@
 	teams         []customer
 	speeds        []float64
 	rate          float64 // requests a second at steady load
+	burst         float64 // requests a second, three times what the pool can serve
 	prefillWeight float64
 }
 
@@ -65,7 +66,7 @@
 
 var workloads = map[string]workload{
 	"casablanca": {
-		pool: "chef", prefillWeight: 0.3, rate: 30,
+		pool: "chef", prefillWeight: 0.3, rate: 30, burst: 165,
 		kinds: []kind{
 			{name: "tag", share: 0.4, system: 200, question: 60, output: 12, deadline: 4_000},
 			{name: "question", share: 0.35, system: 400, question: 80, output: 150, deadline: 12_000},
@@ -77,7 +78,7 @@
 		speeds: []float64{1.6, 1, 0.5},
 	},
 	"tbilisi": {
-		pool: "scribe", prefillWeight: 1, rate: 16,
+		pool: "scribe", prefillWeight: 1, rate: 16, burst: 90,
 		kinds: []kind{
 			{name: "tag", share: 0.35, system: 300, documents: 60, documentTokens: 1500, question: 40, output: 15, deadline: 6_000},
 			{name: "caption", share: 0.35, system: 300, documents: 60, documentTokens: 1500, question: 60, output: 90, deadline: 12_000},
@@ -113,7 +114,7 @@
 	for at := 0.0; ; {
 		rate := w.rate
 		if bursts := scenario == "burst" || scenario == "mix"; bursts && at >= burstFrom && at < burstTo {
-			rate *= burstFactor
+			rate = w.burst
 		}
 		at += random.ExpFloat64() / rate * 1000
 		if at >= length {
