--- a/rpc/convert.go
+++ b/rpc/convert.go
@@ -69,15 +69,15 @@
 // ReportMessage returns r as a message.
 func ReportMessage(r event.Report) *ReportRequest {
 	m := &ReportRequest{
-		Endpoint:         string(r.Endpoint),
-		Pool:             r.Pool,
-		Address:          r.Address,
-		Incarnation:      uint64(r.Incarnation),
-		Leaving:          r.Leaving,
-		Down:             r.Down,
-		Waiting:          uint32(r.Waiting),
-		LoadAgeMs:        uint32(r.LoadAge.Milliseconds()),
-		TokenGapUs:       uint64(r.TokenGap.Microseconds()),
+		Endpoint:    string(r.Endpoint),
+		Pool:        r.Pool,
+		Address:     r.Address,
+		Incarnation: uint64(r.Incarnation),
+		Leaving:     r.Leaving,
+		Down:        r.Down,
+		Waiting:     uint32(r.Waiting),
+		LoadAgeMs:   uint32(r.LoadAge.Milliseconds()),
+		TokenGapUs:  uint64(r.TokenGap.Microseconds()),
 	}
 	for _, id := range r.Running {
 		m.Running = append(m.Running, string(id))
@@ -88,15 +88,15 @@
 // Event returns the report as an event.
 func (r *ReportRequest) Event() *event.SlotReported {
 	e := &event.SlotReported{Report: event.Report{
-		Endpoint:         event.EndpointID(r.Endpoint),
-		Pool:             r.Pool,
-		Address:          r.Address,
-		Incarnation:      event.Incarnation(r.Incarnation),
-		Leaving:          r.Leaving,
-		Down:             r.Down,
-		Waiting:          int(r.Waiting),
-		LoadAge:          millis(r.LoadAgeMs),
-		TokenGap:         time.Duration(r.TokenGapUs) * time.Microsecond,
+		Endpoint:    event.EndpointID(r.Endpoint),
+		Pool:        r.Pool,
+		Address:     r.Address,
+		Incarnation: event.Incarnation(r.Incarnation),
+		Leaving:     r.Leaving,
+		Down:        r.Down,
+		Waiting:     int(r.Waiting),
+		LoadAge:     millis(r.LoadAgeMs),
+		TokenGap:    time.Duration(r.TokenGapUs) * time.Microsecond,
 	}}
 	for _, id := range r.Running {
 		e.Report.Running = append(e.Report.Running, event.DispatchID(id))
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -10,6 +10,9 @@
 	referenceTokenGap = 20 * event.Millisecond
 	// callWork is the work, in seconds at speed 1, of a call without tokens.
 	callWork = 0.01
+	// reservePart is the part of an endpoint's concurrency, as a divisor, that is
+	// kept for the highest tier of the moment.
+	reservePart = 4
 )
 
 // endpoint is what the scheduler knows of one endpoint.
@@ -32,7 +35,17 @@
 	return e.reported && !e.Leaving && now >= e.leftUntil && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
 }
 
-func (e *endpoint) hasRoom() bool { return e.inflight < e.Concurrency }
+// hasRoom reports whether the endpoint has room beside what is kept free of it.
+func (e *endpoint) hasRoom(reserve int) bool { return e.inflight < e.Concurrency-reserve }
+
+// reserveFor returns the part of the concurrency that a request must leave free
+// if higher tiers have come lately.
+func (e *endpoint) reserveFor(higher bool) int {
+	if !higher {
+		return 0
+	}
+	return e.Concurrency / reservePart
+}
 
 // speed is relative to the reference engine: measured, or else the nameplate's.
 func (e *endpoint) speed() float64 {
--- a/sched/state.go
+++ b/sched/state.go
@@ -33,19 +33,19 @@
 
 // sizeCharge is the place a request loses in its team's queue for each second
 // of its estimated work.
-const sizeCharge = 4.0
+const sizeCharge = 8.0
 
 // What a placement costs: its time counts little while it ends well before the
 // deadline, and much beyond that.
 const (
 	timeWeight  = 0.05
 	latePenalty = 10.0
-	startMargin = 1.15 // to be started, a request must have so much more time than estimated
+	startMargin = 1.3 // to be started, a request must have so much more time than estimated
 	margin      = 1.3  // an estimate may be so much too short
 )
 
 // maxPassed bounds how many requests are passed over in one step.
-const maxPassed = 8
+const maxPassed = 16
 
 // holdTime is how long a request is passed over for the sake of a full endpoint
 // that holds its prompt, and holdCost what that must save, in seconds.
@@ -54,6 +54,9 @@
 	holdCost = 0.1
 )
 
+// topMemory is how long room is kept for a tier after its last request.
+const topMemory = 5 * event.Second
+
 // rateWindow is the time over which the drain rate is averaged.
 const rateWindow = 5 * event.Second
 
@@ -79,6 +82,8 @@
 	arrivals  uint64
 	drain     drainRate
 	passed    []*ticket
+	top       int        // the highest rank that came lately
+	topSeen   event.Time // when it came
 }
 
 // New returns the scheduler of pool, which owns it from now on.
@@ -158,6 +163,7 @@
 		return
 	}
 	s.arrivals++
+	s.seeRank(now, e.Ticket.Rank)
 	k := &ticket{
 		Ticket:   e.Ticket,
 		entry:    e.Entry,
@@ -169,6 +175,14 @@
 	s.queue.add(k)
 }
 
+// seeRank takes note of the highest tier that came lately.
+func (s *State) seeRank(now event.Time, rank int) {
+	if rank >= s.top || now.Sub(s.topSeen) >= topMemory {
+		s.top = rank
+		s.topSeen = now
+	}
+}
+
 // work is the estimated length of k in seconds on the reference engine.
 func work(k *ticket) float64 {
 	if k.OutputTokens == 0 {
@@ -312,6 +326,7 @@
 	if weight == 0 {
 		weight = 1
 	}
+	higher := k.Rank < s.top && now.Sub(s.topSeen) < topMemory
 	c := choice{left: k.deadline.Sub(now).Seconds()}
 	least, leastFull := math.Inf(1), math.Inf(1)
 	for _, e := range s.endpoints {
@@ -325,7 +340,7 @@
 		}
 		cost := est.total*timeWeight + weight*est.fill + latePenalty*max(0, est.total*margin-c.left)
 		switch {
-		case !e.hasRoom():
+		case !e.hasRoom(e.reserveFor(higher)):
 			leastFull = min(leastFull, cost)
 		case c.room == nil || cost < least:
 			c.room, c.est, least = e, est, cost
--- a/trace/make.go
+++ b/trace/make.go
@@ -66,7 +66,7 @@
 
 var workloads = map[string]workload{
 	"casablanca": {
-		pool: "chef", prefillWeight: 0.3, rate: 30, burst: 165,
+		pool: "chef", prefillWeight: 1, rate: 30, burst: 165,
 		kinds: []kind{
 			{name: "tag", share: 0.4, system: 200, question: 60, output: 12, deadline: 4_000},
 			{name: "question", share: 0.35, system: 400, question: 80, output: 150, deadline: 12_000},
@@ -78,7 +78,7 @@
 		speeds: []float64{1.6, 1, 0.5},
 	},
 	"tbilisi": {
-		pool: "scribe", prefillWeight: 1, rate: 16, burst: 90,
+		pool: "scribe", prefillWeight: 3, rate: 16, burst: 90,
 		kinds: []kind{
 			{name: "tag", share: 0.35, system: 300, documents: 60, documentTokens: 1500, question: 40, output: 15, deadline: 6_000},
 			{name: "caption", share: 0.35, system: 300, documents: 60, documentTokens: 1500, question: 60, output: 90, deadline: 12_000},
@@ -101,6 +101,7 @@
 		Name: fmt.Sprintf("%s-%s-%d", deployment, scenario, seed), Pool: w.pool,
 		MaxWaiting: maxWaiting, LoadLagMillis: loadLagMillis, PrefillWeight: w.prefillWeight,
 	}}
+	t.Header.Outcomes = statedOutcomes[deployment+"-"+scenario]
 	for i := range replicas {
 		t.Header.Endpoints = append(t.Header.Endpoints, Endpoint{
 			Name: fmt.Sprintf("%s-%02d", w.pool, i), Speed: w.speeds[i%len(w.speeds)],
