sched: keep a decision cheap with many endpoints, learn answers' lengths

TestHangUp failed: 5,000 tokens within 60 s cannot be, so the scheduler refused them at once. Right by the estimate, wrong for callers whose max_tokens is only a bound. The share of it that a service's streamed answers have is now learned, and nothing is given up or passed over before 20 were seen.

A decision at 1,100 endpoints had grown from 13.5 us to 1.5 ms with passing over: each of 16 requests looked up its prompt at each endpoint. Tickets now carry one mark each 128 tokens, the index leads from a mark to its holders, what a placement looks at lies side by side, and the requests passed over are fewer with more endpoints.

slot, control: report on change or each second, poll and tick half as often (docs/DESIGN.md has the bytes).

--- a/control/loop.go
+++ b/control/loop.go
@@ -11,7 +11,7 @@
 )
 
 // tickEvery is how often the State is told that time passed.
-const tickEvery = 50 * time.Millisecond
+const tickEvery = 100 * time.Millisecond
 
 // inputDepth is how many batches of events may wait for the loop.
 const inputDepth = 256
--- a/control/service.go
+++ b/control/service.go
@@ -16,7 +16,7 @@
 )
 
 // maxWait bounds how long an exchange may wait for a decision.
-const maxWait = 2 * time.Second
+const maxWait = 3 * time.Second
 
 // Service is the face of a control box towards entries, slots and operators. It
 // implements rpc.Scheduler and rpc.Operator.
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -19,6 +19,22 @@
 // BlockTokens is the number of prompt tokens in one prefix block.
 const BlockTokens = 16
 
+// MarkBlocks is how many prefix blocks lie between the marks that tickets carry.
+const MarkBlocks = 8
+
+// MarkTokens is the number of prompt tokens between two marks.
+const MarkTokens = MarkBlocks * BlockTokens
+
+// Marks returns the hash of each MarkBlocks-th block: enough to tell how much of
+// a prompt an engine holds, at an eighth of the bytes.
+func Marks(blocks []uint64) []uint64 {
+	marks := make([]uint64, 0, len(blocks)/MarkBlocks)
+	for i := MarkBlocks - 1; i < len(blocks); i += MarkBlocks {
+		marks = append(marks, blocks[i])
+	}
+	return marks
+}
+
 // tokenBytes is how many bytes of text are taken for one token.
 const tokenBytes = 4
 
--- a/entry/link.go
+++ b/entry/link.go
@@ -16,8 +16,8 @@
 
 // Times of a Link.
 const (
-	pollWait    = time.Second
-	pollTimeout = 1800 * time.Millisecond
+	pollWait    = 2 * time.Second
+	pollTimeout = 2800 * time.Millisecond
 	pushTimeout = 800 * time.Millisecond
 	linkBackoff = 50 * time.Millisecond
 )
--- a/entry/request.go
+++ b/entry/request.go
@@ -119,7 +119,7 @@
 	q.path = r.URL.Path
 	q.ticket.PromptTokens = engine.CountTokens(text)
 	q.ticket.OutputTokens = parsed.MaxTokens
-	q.ticket.Prefix = engine.Blocks(parsed.Model, text)
+	q.ticket.Prefix = engine.Marks(engine.Blocks(parsed.Model, text))
 	return q, nil
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -87,7 +87,7 @@
 		done, err := e.offer(ctx, t, d)
 		if d.Grant.Attach == "" {
 			e.link.Finish(&rpc.Finish{
-				Id: string(q.ticket.ID), Pool: q.ticket.Pool, Failed: err != nil, Void: !done && err == nil,
+				Id: string(q.ticket.ID), Pool: q.ticket.Pool, Failed: err != nil, Void: !done && err == nil, Tokens: uint32(t.tokens),
 			})
 		}
 		if done || err != nil {
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -35,9 +36,13 @@
 	status   int
 	address  string // of the slot
 	offset   int    // bytes that the caller has
+	tokens   int    // that a streamed answer had so far, about
 	acked    int    // bytes that the slot was told of
 }
 
+// streamEvent begins each event of a streamed answer; an event has one token.
+var streamEvent = []byte("data: ")
+
 // errCallerWrite says that the caller does not take the answer.
 var errCallerWrite = errors.New("the caller does not read")
 
@@ -155,6 +160,7 @@
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
 	t.offset += len(p)
+	t.tokens += bytes.Count(p, streamEvent)
 	if t.offset-t.acked >= ackBytes {
 		t.acked = t.offset
 		t.entry.slots.ack(t.address, slot.Ack{ID: t.runs, Offset: t.offset})
--- a/event/event.go
+++ b/event/event.go
@@ -63,7 +63,8 @@
 	// PromptTokens and OutputTokens are estimates; both are 0 for plain services.
 	PromptTokens int
 	OutputTokens int
-	// Prefix has the hashes of the prompt's blocks, each over all before it.
+	// Prefix has the marks of the prompt, one each engine.MarkTokens, each over
+	// all before it.
 	Prefix []uint64
 	// Deadline is the time left, from when the ticket is received.
 	Deadline Span
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -3,7 +3,6 @@
 package replay
 
 import (
-	"lynxramp.org/engine"
 	"lynxramp.org/event"
 	"lynxramp.org/sched"
 )
@@ -116,6 +115,6 @@
 			}
 			n++
 		}
-		return b.open[id] - above*n*engine.BlockTokens
+		return b.open[id] - above*n
 	})
 }
--- a/replay/run.go
+++ b/replay/run.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"slices"
 
+	"lynxramp.org/engine"
 	"lynxramp.org/engine/fake"
 	"lynxramp.org/event"
 	"lynxramp.org/meter"
@@ -34,6 +35,7 @@
 type request struct {
 	trace.Request
 	ticket   event.Ticket
+	blocks   []uint64 // of the prompt
 	arrived  event.Time
 	endpoint *server // where it runs
 	last     event.Time
@@ -153,10 +155,10 @@
 }
 
 func (r *run) arrive(q trace.Request) {
-	one := &request{Request: q, arrived: r.now}
+	one := &request{Request: q, arrived: r.now, blocks: q.Blocks()}
 	one.ticket = event.Ticket{
 		ID: event.RequestID(q.ID), Team: q.Team, Rank: q.Rank, Pool: r.pool.Name,
-		PromptTokens: q.PromptTokens(), OutputTokens: q.Output, Prefix: q.Blocks(),
+		PromptTokens: q.PromptTokens(), OutputTokens: q.Output, Prefix: engine.Marks(one.blocks),
 		Deadline: event.Span(q.Deadline) * event.Millisecond,
 	}
 	r.requests[one.ticket.ID] = one
@@ -182,9 +184,9 @@
 	q.ran = true
 	s.running[g.ID] = q
 	s.model.Submit(r.now, fake.Job{
-		ID: q.ID, PromptTokens: q.ticket.PromptTokens, OutputTokens: q.Output, Priority: q.Rank, Prefix: q.ticket.Prefix,
+		ID: q.ID, PromptTokens: q.ticket.PromptTokens, OutputTokens: q.Output, Priority: q.Rank, Prefix: q.blocks,
 	})
-	for _, b := range q.ticket.Prefix {
+	for _, b := range q.blocks {
 		r.blocks[b] = struct{}{}
 	}
 	r.wake(s)
@@ -323,10 +325,10 @@
 
 // finish adds up what the engines did.
 func (r *run) finish() {
-	useful := len(r.blocks) * blockTokens
+	useful := len(r.blocks) * engine.BlockTokens
 	for _, q := range r.requests {
 		if q.ran && q.ended {
-			useful += q.ticket.PromptTokens - len(q.ticket.Prefix)*blockTokens
+			useful += q.ticket.PromptTokens - len(q.blocks)*engine.BlockTokens
 		}
 	}
 	for _, s := range r.servers {
--- a/replay/timeline.go
+++ b/replay/timeline.go
@@ -2,12 +2,7 @@
 
 package replay
 
-import (
-	"lynxramp.org/engine"
-	"lynxramp.org/event"
-)
-
-const blockTokens = engine.BlockTokens
+import "lynxramp.org/event"
 
 // moment is something planned.
 type moment struct {
--- a/rpc/auth.go
+++ b/rpc/auth.go
@@ -49,5 +49,6 @@
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set(HeaderKey, t.key)
+	r.Header["User-Agent"] = nil // between boxes it only costs bytes
 	return t.base.RoundTrip(r)
 }
--- a/sched/prefix.go
+++ b/sched/prefix.go
@@ -2,44 +2,121 @@
 
 package sched
 
-import "lynxramp.org/engine"
+import (
+	"slices"
 
-// prefixBlocks bounds an endpoint's prefix index, in blocks.
-const prefixBlocks = 4096
+	"lynxramp.org/engine"
+)
 
-// prefixIndex guesses which prompt blocks an endpoint holds: those of the
-// requests it was granted lately. Two generations of a set stand in for an
-// exact order of use: when the young one is full it becomes the old one.
+// Bounds of the prefix index.
+const (
+	// prefixMarks is how many marks are remembered of an endpoint.
+	prefixMarks = 384
+	// maxHolders is how many holders of a prompt are weighed.
+	maxHolders = 16
+	// commonHolders is from how many holders on a mark counts as held by all:
+	// to look at them would cost more than it saves.
+	commonHolders = 64
+)
+
+// prefixIndex guesses which endpoints hold which prompt marks: those of the
+// requests that they were granted lately. It is kept from the mark to its
+// holders, so that the search for a prompt's holders does not grow with the
+// number of endpoints.
 type prefixIndex struct {
+	holders map[uint64][]*endpoint
+	found   []holder // of the last search
+}
+
+// holder is an endpoint that is thought to hold a part of a prompt.
+type holder struct {
+	endpoint *endpoint
+	cached   int // tokens
+}
+
+// memory is what one endpoint is thought to hold. Two generations of a set
+// stand in for an exact order of use: when the young one is full it becomes the
+// old one, and the old one is forgotten.
+type memory struct {
 	young, old map[uint64]struct{}
 }
 
-// cached returns how many leading prompt tokens are thought to be held.
-func (p *prefixIndex) cached(blocks []uint64) int {
-	n := 0
-	for _, b := range blocks {
-		if !p.has(b) {
-			break
+// add notes that e was granted a request with these marks.
+func (p *prefixIndex) add(e *endpoint, marks []uint64) {
+	m := &e.memory
+	for _, mark := range marks {
+		if _, ok := m.young[mark]; ok {
+			continue
+		}
+		if m.young == nil || len(m.young) >= prefixMarks/2 {
+			p.turn(e)
+		}
+		if _, ok := m.old[mark]; !ok {
+			p.holders[mark] = append(p.holders[mark], e)
+		}
+		m.young[mark] = struct{}{}
+	}
+}
+
+// turn forgets the endpoint's old generation and begins a young one.
+func (p *prefixIndex) turn(e *endpoint) {
+	m := &e.memory
+	for mark := range m.old {
+		if _, ok := m.young[mark]; !ok {
+			p.forget(mark, e)
 		}
-		n++
 	}
-	return n * engine.BlockTokens
+	forgotten := m.old
+	if forgotten == nil {
+		forgotten = make(map[uint64]struct{}, prefixMarks/2)
+	}
+	clear(forgotten)
+	m.young, m.old = forgotten, m.young
+}
+
+func (p *prefixIndex) forget(mark uint64, e *endpoint) {
+	list := p.holders[mark]
+	i := slices.Index(list, e)
+	if i < 0 {
+		return
+	}
+	list[i] = list[len(list)-1]
+	list = list[:len(list)-1]
+	if len(list) == 0 {
+		delete(p.holders, mark)
+		return
+	}
+	p.holders[mark] = list
 }
 
-func (p *prefixIndex) has(b uint64) bool {
-	if _, ok := p.young[b]; ok {
-		return true
+// search returns the endpoints that hold most of a prompt, the longest part
+// first. The list is good until the next search.
+func (p *prefixIndex) search(marks []uint64, promptTokens int) []holder {
+	p.found = p.found[:0]
+	for i := len(marks) - 1; i >= 0; i-- {
+		list := p.holders[marks[i]]
+		if len(list) >= commonHolders {
+			break
+		}
+		// The prefix ends somewhere before the next mark.
+		cached := min(promptTokens, (i+1)*engine.MarkTokens+engine.MarkTokens/2)
+		for _, e := range list {
+			if len(p.found) == maxHolders {
+				return p.found
+			}
+			if !p.isFound(e) {
+				p.found = append(p.found, holder{endpoint: e, cached: cached})
+			}
+		}
 	}
-	_, ok := p.old[b]
-	return ok
+	return p.found
 }
 
-func (p *prefixIndex) add(blocks []uint64) {
-	for _, b := range blocks {
-		if len(p.young) >= prefixBlocks/2 || p.young == nil {
-			p.old = p.young
-			p.young = make(map[uint64]struct{}, prefixBlocks/2)
+func (p *prefixIndex) isFound(e *endpoint) bool {
+	for _, h := range p.found {
+		if h.endpoint == e {
+			return true
 		}
-		p.young[b] = struct{}{}
 	}
+	return false
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -21,6 +21,7 @@
 	deadline event.Time
 	place    event.Time // arrival plus the charge for size
 	number   uint64     // order of arrival; breaks ties
+	expected int        // output tokens, by what the service's answers had
 }
 
 func ticketLess(a, b *ticket) bool {
--- a/sched/state.go
+++ b/sched/state.go
@@ -3,7 +3,6 @@
 package sched
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -15,10 +14,10 @@
 const (
 	// ReportBound is how long an endpoint is granted work after its slot was
 	// last heard.
-	ReportBound = 1500 * event.Millisecond
+	ReportBound = 2500 * event.Millisecond
 	// EntryBound is how long an entry may be silent before its waiting requests
 	// are dropped.
-	EntryBound = 3 * event.Second
+	EntryBound = 5 * event.Second
 	// SettleTime is how long a new owner sheds nothing.
 	SettleTime = 2 * event.Second
 	// LostGrace is how long a grant may be missing from its slot's reports
@@ -41,11 +40,16 @@
 	timeWeight  = 0.05
 	latePenalty = 10.0
 	startMargin = 1.3 // to be started, a request must have so much more time than estimated
-	margin      = 1.3  // an estimate may be so much too short
+	margin      = 1.3 // an estimate may be so much too short
 )
 
-// maxPassed bounds how many requests are passed over in one step.
-const maxPassed = 16
+// maxPassed bounds how many requests are passed over in one step, and passedLooks
+// how many endpoints are looked at for them: in a large pool some endpoint comes
+// free all the time, and there is less to gain.
+const (
+	maxPassed   = 16
+	passedLooks = 512
+)
 
 // holdTime is how long a request is passed over for the sake of a full endpoint
 // that holds its prompt, and holdCost what that must save, in seconds.
@@ -66,6 +70,8 @@
 	entry    event.BoxID
 	at       event.Time
 	attempt  int
+	service  string
+	output   int // tokens asked for
 	life     event.Incarnation
 }
 
@@ -81,9 +87,13 @@
 	entries   map[event.BoxID]event.Time
 	arrivals  uint64
 	drain     drainRate
-	passed    []*ticket
-	top       int        // the highest rank that came lately
-	topSeen   event.Time // when it came
+	passed    []*ticket // of the step under way
+	views     []view    // of the endpoints, in their order
+	fastest   float64   // speed of the fastest that serves, 0 if none does
+	prefix    prefixIndex
+	lengths   map[string]*answerLength // by service
+	top       int                      // the highest rank that came lately
+	topSeen   event.Time               // when it came
 }
 
 // New returns the scheduler of pool, which owns it from now on.
@@ -95,8 +105,10 @@
 		byID:    make(map[event.EndpointID]*endpoint),
 		grants:  make(map[event.RequestID]*grant),
 		entries: make(map[event.BoxID]event.Time),
+		prefix:  prefixIndex{holders: make(map[uint64][]*endpoint)},
+		lengths: make(map[string]*answerLength),
 	}
-	s.setPool(pool)
+	s.setPool(now, pool)
 	return s
 }
 
@@ -107,7 +119,7 @@
 		s.entries[e.Entry] = now
 		s.submit(now, e, out)
 	case *event.Withdrawn:
-		s.withdraw(e)
+		s.withdraw(now, e)
 	case *event.Finished:
 		s.finish(now, e)
 	case *event.EntrySeen:
@@ -116,8 +128,9 @@
 	case *event.SlotReported:
 		s.report(now, e.Report)
 	case *event.PoolChanged:
-		s.setPool(e.Pool)
+		s.setPool(now, e.Pool)
 	case *event.Tick:
+		s.refreshAll(now)
 		s.dropSilentEntries(now, out)
 	}
 	s.expire(now, out)
@@ -131,7 +144,7 @@
 // Running returns how many requests are granted and have not ended.
 func (s *State) Running() int { return len(s.grants) }
 
-func (s *State) setPool(p event.Pool) {
+func (s *State) setPool(now event.Time, p event.Pool) {
 	s.pool = p
 	for id, e := range s.byID {
 		if !slices.ContainsFunc(p.Endpoints, func(c event.Endpoint) bool { return c.ID == id }) {
@@ -150,6 +163,11 @@
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
+	s.views = make([]view, len(s.endpoints))
+	for i, e := range s.endpoints {
+		e.index = i
+	}
+	s.refreshAll(now)
 }
 
 func (s *State) submit(now event.Time, e *event.Submitted, out *event.Effects) {
@@ -171,6 +189,7 @@
 		deadline: now.Add(e.Ticket.Deadline),
 		number:   s.arrivals,
 	}
+	k.expected = s.length(k.Service).expect(k.OutputTokens)
 	k.place = now.Add(-e.Ticket.Waited).Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
 	s.queue.add(k)
 }
@@ -188,20 +207,20 @@
 	if k.OutputTokens == 0 {
 		return callWork
 	}
-	return float64(k.PromptTokens)/referencePrefill + float64(k.OutputTokens)*referenceTokenGap.Seconds()
+	return float64(k.PromptTokens)/referencePrefill + float64(k.expected)*referenceTokenGap.Seconds()
 }
 
 // withdraw forgets a request. If it was granted, the entry withdrew it before
 // it saw the grant and never offered it.
-func (s *State) withdraw(e *event.Withdrawn) {
+func (s *State) withdraw(now event.Time, e *event.Withdrawn) {
 	if k, ok := s.queue.byID[e.ID]; ok {
 		s.queue.remove(k)
 	}
-	s.release(e.ID)
+	s.release(now, e.ID)
 }
 
-// hold enters a grant in the books.
-func (s *State) hold(id event.RequestID, g *grant) {
+// book enters a grant in the books.
+func (s *State) book(id event.RequestID, g *grant) {
 	s.grants[id] = g
 	g.endpoint.grants[id] = g
 	g.endpoint.inflight++
@@ -210,14 +229,19 @@
 // finish ends a grant. An endpoint that did not take the request is left alone
 // for a while.
 func (s *State) finish(now event.Time, e *event.Finished) {
-	if g, ok := s.grants[e.ID]; ok && e.Void {
-		g.endpoint.leftUntil = now.Add(HoldOff)
+	if g, ok := s.grants[e.ID]; ok {
+		if e.Void {
+			g.endpoint.leftUntil = now.Add(HoldOff)
+		}
+		if !e.Failed && !e.Void {
+			s.length(g.service).learn(e.Tokens, g.output)
+		}
 	}
-	s.release(e.ID)
+	s.release(now, e.ID)
 }
 
 // release ends a grant.
-func (s *State) release(id event.RequestID) {
+func (s *State) release(now event.Time, id event.RequestID) {
 	g, ok := s.grants[id]
 	if !ok {
 		return
@@ -225,6 +249,7 @@
 	g.endpoint.inflight--
 	delete(g.endpoint.grants, id)
 	delete(s.grants, id)
+	s.refresh(now, g.endpoint)
 }
 
 // report takes a slot's word on its endpoint and corrects the grants by it.
@@ -242,16 +267,20 @@
 		id := d.Request()
 		running[id] = struct{}{}
 		if _, ok := s.grants[id]; !ok {
-			s.hold(id, &grant{endpoint: e, at: now, life: r.Incarnation, attempt: d.Attempt()})
+			s.book(id, &grant{endpoint: e, at: now, life: r.Incarnation, attempt: d.Attempt()})
 		}
 	}
 	for id, g := range e.grants {
 		_, runs := running[id]
 		old := restarted && g.life != r.Incarnation
 		if old || (!runs && now.Sub(g.at) > LostGrace) {
-			s.release(id)
+			s.release(now, id)
 		}
 	}
+	s.refresh(now, e)
+	if e.serves(now) {
+		s.fastest = max(s.fastest, e.speed())
+	}
 }
 
 func (s *State) dropSilentEntries(now event.Time, out *event.Effects) {
@@ -280,19 +309,23 @@
 
 // place grants from the queue's head while an endpoint has room. A request for
 // which only endpoints have room that would be late with it is passed over, up
-// to maxPassed at once: another endpoint may come free.
+// to a few at once: another endpoint may come free.
 func (s *State) place(now event.Time, out *event.Effects) {
 	s.passed = s.passed[:0]
-	for k := s.queue.first(); k != nil && len(s.passed) < maxPassed; k = s.queue.first() {
+	if s.fastest == 0 {
+		return // no endpoint serves
+	}
+	passes := min(maxPassed, max(1, passedLooks/len(s.views)))
+	for k := s.queue.first(); k != nil && len(s.passed) < passes; k = s.queue.first() {
 		c := s.choose(now, k)
 		switch {
 		case c.room == nil:
 			s.unpass()
 			return
-		case c.fastest > c.left && c.known:
+		case c.fastest > c.left && s.length(k.Service).known():
 			// No endpoint can answer in time, whatever else waits.
 			s.refuse(k, event.ReasonDeadline, out)
-		case c.hold, c.est.total*startMargin > c.left:
+		case c.hold, c.est.total*startMargin > c.left && s.length(k.Service).known():
 			s.queue.remove(k)
 			s.passed = append(s.passed, k)
 		default:
@@ -309,49 +342,6 @@
 	}
 }
 
-// choice is what choose finds for a request. Times are in seconds.
-type choice struct {
-	room    *endpoint // with room, where it costs least; nil if none has room
-	est     estimate  // there
-	left    float64   // until the deadline
-	fastest float64   // total of the fastest endpoint, with room or without
-	known   bool      // an endpoint serves
-	hold    bool      // it is better to wait for a full endpoint
-}
-
-// choose finds the endpoint with room where k costs least: a little for its
-// time, more for prompt work by the pool's weight, much for being late.
-func (s *State) choose(now event.Time, k *ticket) choice {
-	weight := s.pool.PrefillWeight
-	if weight == 0 {
-		weight = 1
-	}
-	higher := k.Rank < s.top && now.Sub(s.topSeen) < topMemory
-	c := choice{left: k.deadline.Sub(now).Seconds()}
-	least, leastFull := math.Inf(1), math.Inf(1)
-	for _, e := range s.endpoints {
-		if e.Concurrency == 0 || !e.serves(now) {
-			continue
-		}
-		est := e.estimate(now, k)
-		if !c.known || est.total < c.fastest {
-			c.known = true
-			c.fastest = est.total
-		}
-		cost := est.total*timeWeight + weight*est.fill + latePenalty*max(0, est.total*margin-c.left)
-		switch {
-		case !e.hasRoom(e.reserveFor(higher)):
-			leastFull = min(leastFull, cost)
-		case c.room == nil || cost < least:
-			c.room, c.est, least = e, est, cost
-		}
-	}
-	// A full endpoint that holds the prompt may be worth a short wait.
-	hold := now.Sub(k.arrived) < holdTime && c.est.total*margin+holdTime.Seconds() < c.left
-	c.hold = hold && leastFull+holdCost < least
-	return c
-}
-
 func (s *State) grant(now event.Time, k *ticket, e *endpoint, est estimate, out *event.Effects) {
 	s.queue.remove(k)
 	s.queue.charge(k, float64(k.PromptTokens-est.cached+k.OutputTokens))
@@ -361,10 +351,13 @@
 		at:       now,
 		life:     e.report.Incarnation,
 		attempt:  k.Attempt,
+		service:  k.Service,
+		output:   k.OutputTokens,
 	}
-	e.prefix.add(k.Prefix)
+	s.prefix.add(e, k.Prefix)
 	e.filledAt = max(e.filledAt, now).Add(event.Span(est.fill * float64(event.Second)))
-	s.hold(k.ID, g)
+	s.book(k.ID, g)
+	s.refresh(now, e)
 	s.drain.add(now)
 	out.Grants = append(out.Grants, g.effect(k.ID))
 }
--- /dev/null
+++ b/sched/view.go
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"math"
+
+	"lynxramp.org/event"
+)
+
+// view is what a placement looks at of an endpoint. The views of all endpoints
+// lie side by side, so that looking at a thousand of them costs microseconds.
+type view struct {
+	endpoint *endpoint
+	slowness float64 // 1 / speed
+	filledAt event.Time
+	free     int // places for the highest tier; 0 if it does not serve
+	reserve  int // of these, not for lower tiers
+}
+
+// refresh makes an endpoint's view fit what is known of it at now.
+func (s *State) refresh(now event.Time, e *endpoint) {
+	v := &s.views[e.index]
+	*v = view{endpoint: e, slowness: 1 / e.speed(), filledAt: e.filledAt}
+	if e.Concurrency > 0 && e.serves(now) {
+		v.free = max(0, e.Concurrency-e.inflight)
+		v.reserve = e.Concurrency / reservePart
+	}
+}
+
+// refreshAll makes all views fit. Time alone can change whether an endpoint
+// serves, so it is done at each tick.
+func (s *State) refreshAll(now event.Time) {
+	s.fastest = 0
+	for _, e := range s.endpoints {
+		s.refresh(now, e)
+		if e.Concurrency > 0 && e.serves(now) {
+			s.fastest = max(s.fastest, e.speed())
+		}
+	}
+}
+
+// price is what a request costs at endpoints that differ in speed and in what
+// they have to fill first. Times are in seconds at speed 1.
+type price struct {
+	now    event.Time
+	left   float64 // until the deadline
+	weight float64 // of prefill
+	fill   float64
+	decode float64
+}
+
+func (s *State) price(now event.Time, k *ticket) price {
+	p := price{now: now, left: k.deadline.Sub(now).Seconds(), weight: s.pool.PrefillWeight}
+	if p.weight == 0 {
+		p.weight = 1
+	}
+	if k.OutputTokens == 0 {
+		p.decode = callWork
+		return p
+	}
+	p.fill = float64(k.PromptTokens) / referencePrefill
+	p.decode = referenceTokenGap.Seconds() * float64(k.expected)
+	return p
+}
+
+// at returns what the request costs at an endpoint that holds so many tokens of
+// its prompt, and how long it takes there.
+func (p *price) at(v *view, cached int) (cost float64, est estimate) {
+	fill := (p.fill - float64(cached)/referencePrefill) * v.slowness
+	total := fill + p.decode*v.slowness
+	if ahead := v.filledAt - p.now; ahead > 0 {
+		total += float64(ahead) / float64(event.Second)
+	}
+	cost = total*timeWeight + p.weight*fill
+	if late := total*margin - p.left; late > 0 {
+		cost += latePenalty * late
+	}
+	return cost, estimate{fill: fill, total: total, cached: cached}
+}
+
+// choice is what choose finds for a request. Times are in seconds.
+type choice struct {
+	room    *endpoint // with room, where it costs least; nil if none has room
+	est     estimate  // there
+	cost    float64   // there
+	left    float64   // until the deadline
+	fastest float64   // what the fastest endpoint needs at the least
+	hold    bool      // it is better to wait for a full endpoint
+}
+
+// choose finds the endpoint with room where k costs least: a little for its
+// time, more for prompt work by the pool's weight, much for being late. Those
+// with room are weighed as if they held nothing of the prompt, and its holders
+// once more.
+func (s *State) choose(now event.Time, k *ticket) choice {
+	p := s.price(now, k)
+	c := choice{left: p.left, cost: math.Inf(1), fastest: p.decode / s.fastest}
+	higher := k.Rank < s.top && now.Sub(s.topSeen) < topMemory
+	for i := range s.views {
+		v := &s.views[i]
+		if v.free > 0 && !(higher && v.free <= v.reserve) {
+			c.take(&p, v, 0)
+		}
+	}
+	s.weighHolders(&p, k, higher, &c, now)
+	return c
+}
+
+// take takes an endpoint with room if it costs less than what c has.
+func (c *choice) take(p *price, v *view, cached int) {
+	if cost, est := p.at(v, cached); cost < c.cost {
+		c.room, c.est, c.cost = v.endpoint, est, cost
+	}
+}
+
+// weighHolders weighs the endpoints that hold a part of the prompt. A full one
+// may be worth a short wait.
+func (s *State) weighHolders(p *price, k *ticket, higher bool, c *choice, now event.Time) {
+	leastFull := math.Inf(1)
+	for _, h := range s.prefix.search(k.Prefix, k.PromptTokens) {
+		v := &s.views[h.endpoint.index]
+		switch {
+		case v.free > 0 && !(higher && v.free <= v.reserve):
+			c.take(p, v, h.cached)
+		case h.endpoint.serves(now):
+			cost, _ := p.at(v, h.cached)
+			leastFull = min(leastFull, cost)
+		}
+	}
+	mayHold := now.Sub(k.arrived) < holdTime && c.est.total*margin+holdTime.Seconds() < c.left
+	c.hold = mayHold && leastFull+holdCost < c.cost
+}
--- a/slot/report.go
+++ b/slot/report.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +21,9 @@
 
 // Times of the slot's reports.
 const (
-	reportEvery   = 250 * time.Millisecond
+	reportEvery = 250 * time.Millisecond
+	// quietEvery is how often a report is sent that says nothing new.
+	quietEvery    = time.Second
 	reportTimeout = 600 * time.Millisecond
 	// downAfter is how long the endpoint may be silent before it counts as down.
 	downAfter = time.Second
@@ -76,23 +79,43 @@
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
 	current := 0
+	var last event.Report
+	var sent time.Time
 	for ctx.Err() == nil {
 		at := schedulers[current]
-		owner, leader := s.reportOnce(ctx, at)
+		report := s.report()
+		if sameNews(report, last) && time.Since(sent) < quietEvery {
+			waitTick(ctx, ticker)
+			continue
+		}
+		owner, leader := s.reportOnce(ctx, at, report)
+		last, sent = report, time.Now()
 		if !owner {
+			sent = time.Time{}
 			current = nextScheduler(schedulers, current, leader)
 			s.log.Debug("not the owner", zap.String("scheduler", at.Address))
 			if leader != "" && leader != at.Address {
 				continue // it is asked at once
 			}
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
+		waitTick(ctx, ticker)
 	}
 }
 
+func waitTick(ctx context.Context, ticker *time.Ticker) {
+	select {
+	case <-ticker.C:
+	case <-ctx.Done():
+	}
+}
+
+// sameNews reports whether a report says nothing that the last one did not, its
+// ages apart.
+func sameNews(a, b event.Report) bool {
+	return a.Leaving == b.Leaving && a.Down == b.Down && a.Waiting == b.Waiting &&
+		a.TokenGap == b.TokenGap && slices.Equal(a.Running, b.Running)
+}
+
 // nextScheduler returns the scheduler at an address, or the one after current.
 func nextScheduler(schedulers []Scheduler, current int, leader string) int {
 	for i, c := range schedulers {
@@ -105,10 +128,10 @@
 
 // reportOnce reports to one scheduler. It returns whether that is the owner, or
 // else who may be.
-func (s *Slot) reportOnce(ctx context.Context, c Scheduler) (owner bool, leader string) {
+func (s *Slot) reportOnce(ctx context.Context, c Scheduler, report event.Report) (owner bool, leader string) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	answer, err := c.Client.Report(ctx, rpc.ReportMessage(s.report()))
+	answer, err := c.Client.Report(ctx, rpc.ReportMessage(report))
 	if err != nil {
 		s.log.Debug("report failed", zap.String("scheduler", c.Address), logx.Err(err))
 		return false, ""
