--- /dev/null
+++ b/cmd/lynxramp/operate.go
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lynxramp.org/catalog"
+	"lynxramp.org/event"
+	"lynxramp.org/rpc"
+	"lynxramp.org/settings"
+	"lynxramp.org/store"
+)
+
+// commandTimeout bounds one try of a command.
+const commandTimeout = 5 * time.Second
+
+// remote has the flags that say where the control boxes are.
+type remote struct {
+	Control []string `required:"" help:"Addresses of the control boxes (IP:port), with commas."`
+	KeyFile string   `required:"" type:"existingfile" help:"File of the operators' key."`
+}
+
+// each calls the control boxes in turn until one that leads has answered.
+func (r remote) each(ctx context.Context, ask func(ctx context.Context, o rpc.Operator) (leads bool, err error)) error {
+	key, err := settings.ReadKey(r.KeyFile)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: rpc.WithKey(key, http.DefaultTransport)}
+	var last error
+	for _, address := range r.Control {
+		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		leads, err := ask(ctx, rpc.NewOperatorProtobufClient("http://"+address, client))
+		cancel()
+		if err == nil && leads {
+			return nil
+		}
+		last = errors.Wrap(err, address)
+	}
+	if last != nil {
+		return last
+	}
+	return errors.New("no control box leads now")
+}
+
+type showCommand struct {
+	remote
+	Catalog bool `help:"Print the catalog as JSON instead, as 'apply' takes it."`
+}
+
+// Run implements the command.
+func (c *showCommand) Run(ctx context.Context) error {
+	return c.each(ctx, func(ctx context.Context, o rpc.Operator) (bool, error) {
+		r, err := o.Show(ctx, &rpc.ShowRequest{})
+		if err != nil || !r.Leads {
+			return false, err
+		}
+		if c.Catalog {
+			fmt.Println(string(r.Catalog))
+			return true, nil
+		}
+		return true, printStatus(r)
+	})
+}
+
+func printStatus(r *rpc.ShowResponse) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "owner %s\tepoch %d\tcatalog version %d\n\n", r.Leader, r.Epoch, r.Version)
+	fmt.Fprintln(w, "box\tcatalog in force\tsilent")
+	for _, b := range r.Boxes {
+		fmt.Fprintf(w, "%s\t%d\t%v\n", b.Box, b.Version, time.Duration(b.SilentMs)*time.Millisecond)
+	}
+	fmt.Fprintln(w, "\npool\tendpoint\twaiting\trunning\tserves")
+	for _, p := range r.Pools {
+		fmt.Fprintf(w, "%s\t\t%d\t%d\t\n", p.Name, p.Waiting, p.Running)
+		for _, e := range p.Endpoints {
+			fmt.Fprintf(w, "\t%s\t\t%d\t%v\n", e.Name, e.Running, e.Serves)
+		}
+	}
+	return errors.Wrap(w.Flush(), "table")
+}
+
+type applyCommand struct {
+	remote
+	File   string `arg:"" type:"existingfile" help:"JSON list of changes, like [{\"tier\":{\"name\":\"gold\",\"rank\":3}}]."`
+	Expect uint64 `required:"" help:"Version of the catalog that the changes are meant for."`
+	ID     string `help:"Id of the command; give the one that was printed to send it again."`
+}
+
+// Run implements the command.
+func (c *applyCommand) Run(ctx context.Context) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "changes")
+	}
+	var changes []catalog.Change
+	if err := json.Unmarshal(data, &changes); err != nil {
+		return errors.Wrap(err, c.File)
+	}
+	if c.ID == "" {
+		c.ID = rand.Text()
+	}
+	request := &rpc.ApplyRequest{Id: c.ID, Operator: operatorName(), Expect: c.Expect, Changes: data}
+	var result *rpc.ApplyResponse
+	err = c.each(ctx, func(ctx context.Context, o rpc.Operator) (bool, error) {
+		r, err := o.Apply(ctx, request)
+		if err != nil {
+			return false, err
+		}
+		result = r
+		return r.Leads, nil
+	})
+	if err != nil {
+		return errors.Wrapf(err, "it is not known whether command %s was accepted; send it again with --id %s", c.ID, c.ID)
+	}
+	switch {
+	case result.Conflict != "":
+		return errors.Errorf("conflict: version %d was made by %s", result.Version, result.Conflict)
+	case len(result.Problems) > 0:
+		for _, p := range result.Problems {
+			fmt.Fprintln(os.Stderr, p)
+		}
+		return errors.New("the changes are not sound; nothing was changed")
+	}
+	fmt.Printf("accepted: command %s made version %d\n", c.ID, result.Version)
+	return nil
+}
+
+// operatorName returns who commands, for those who race with him.
+func operatorName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+type recoverCommand struct {
+	Settings string `arg:"" type:"existingfile" help:"Settings file of the box whose disk is left."`
+	Yes      bool   `required:"" help:"Confirm that most disks of the group are lost for good, and that no box of it runs."`
+}
+
+// Run implements the command.
+func (c *recoverCommand) Run() error {
+	s, _, err := settings.LoadBox(c.Settings)
+	if err != nil {
+		return err
+	}
+	for _, p := range s.Control {
+		if p.ID == s.ID {
+			if err := store.Recover(s.Data, event.BoxID(s.ID), p.Address); err != nil {
+				return err
+			}
+			fmt.Println("this box is now the group's only voter; start it, then the others with empty data folders")
+			return nil
+		}
+	}
+	return errors.New("the box is no control box")
+}
--- a/proc/failure_test.go
+++ b/proc/failure_test.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -168,7 +170,7 @@
 // is still no majority, and nobody leads.
 func TestNoSecondGroup(t *testing.T) {
 	c := newCluster(t, shape{boxes: 3, controls: 3, engines: []float64{4}})
-	c.waitLeader()
+	version := c.show(c.waitLeader()).Version
 	for i := range 3 {
 		c.boxes[i].kill()
 	}
@@ -187,6 +189,23 @@
 	if at := c.leader(); at >= 0 {
 		t.Errorf("box %d leads after a majority of disks was lost", at)
 	}
+	// The operators' recovery: the third box goes on alone, the others join it.
+	for i := range 3 {
+		c.boxes[i].kill()
+	}
+	c.wipe(0)
+	c.wipe(1)
+	recovery := exec.Command(filepath.Join(binaries, "lynxramp"), "recover", "--yes", filepath.Join(c.dir, "box-2.yaml"))
+	if out, err := recovery.CombinedOutput(); err != nil {
+		t.Fatalf("recover: %v\n%s", err, out)
+	}
+	for i := range 3 {
+		c.boxes[i].start()
+	}
+	c.waitVoter(c.waitLeader(), 0, version)
+	if s := c.show(c.waitLeader()); s.Version != version {
+		t.Errorf("version %d after the recovery, want %d", s.Version, version)
+	}
 }
 
 // TestOperatorsRace lets operators command under one version, and resend.
