slot, entry: take up at the engine what an earlier life of the slot dispatched

After a restart it now asks the engine, by the dispatch id, for the rest from the entry's byte; nothing is dispatched for that.

--- a/entry/run.go
+++ b/entry/run.go
@@ -157,7 +157,7 @@
 	t.runs = event.DispatchID(d.Grant.Attach)
 	until := time.Now().Add(resumeBound)
 	for {
-		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0)
+		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0, true)
 		if err == nil && response.StatusCode == http.StatusOK {
 			return e.transfer(ctx, t, d, response)
 		}
@@ -194,7 +194,7 @@
 func (e *Entry) recover(ctx context.Context, t *transfer, d Decision) (*http.Response, error) {
 	until := time.Now().Add(resumeBound)
 	for time.Now().Before(until) && ctx.Err() == nil {
-		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0)
+		response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0, false)
 		if err == nil && response.StatusCode == http.StatusOK {
 			return response, nil
 		}
@@ -207,7 +207,7 @@
 				return nil, nil
 			}
 			if err == nil {
-				return nil, unknownFate("the slot does not know what became of the request")
+				return e.adopt(ctx, t, d)
 			}
 		}
 		pause(ctx, resumePause)
@@ -219,6 +219,18 @@
 	return nil, unknownFate("the slot cannot be reached")
 }
 
+// adopt asks a slot that has forgotten the request to take it up at its engine.
+func (e *Entry) adopt(ctx context.Context, t *transfer, d Decision) (*http.Response, error) {
+	response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0, true)
+	if err == nil && response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	if err == nil {
+		_ = response.Body.Close() // the status says it all
+	}
+	return nil, unknownFate("the slot does not know what became of the request")
+}
+
 func unknownFate(message string) *Failure {
 	return &Failure{Status: http.StatusBadGateway, Code: "fate_unknown", Message: message, Outcome: Unknown}
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -103,9 +103,13 @@
 	return response, errors.Wrap(err, "offer")
 }
 
-// resume asks a slot for an answer again, from byte offset on.
-func (c *slotClient) resume(ctx context.Context, address string, id event.DispatchID, offset int) (*http.Response, error) {
+// resume asks a slot for an answer again, from byte offset on. With adopt, a
+// slot that was restarted asks its engine for it.
+func (c *slotClient) resume(ctx context.Context, address string, id event.DispatchID, offset int, adopt bool) (*http.Response, error) {
 	url := "http://" + address + "/v1/run/" + string(id) + "?offset=" + strconv.Itoa(offset)
+	if adopt {
+		url += "&" + slot.QueryAdopt
+	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "resume")
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -85,7 +85,7 @@
 // resume asks the slot for the rest of an answer until it comes or cannot.
 func (e *Entry) resume(ctx context.Context, d Decision, id event.DispatchID, offset int, until time.Time) (*http.Response, error) {
 	for time.Now().Before(until) && ctx.Err() == nil {
-		response, err := e.slots.resume(ctx, d.Grant.Address, id, offset)
+		response, err := e.slots.resume(ctx, d.Grant.Address, id, offset, true)
 		if err == nil && response.StatusCode == http.StatusOK {
 			return response, nil
 		}
--- a/proc/request_test.go
+++ b/proc/request_test.go
@@ -76,6 +76,24 @@
 	t.Logf("%d whole answers of %d", whole, len(l.answers))
 }
 
+// TestRestartedSlot kills a slot with answers under way and starts it again at
+// once. The engine has the answers still: each is whole and ran once.
+func TestRestartedSlot(t *testing.T) {
+	c := newCluster(t, shape{boxes: 1, controls: 1, engines: []float64{1}})
+	o := c.newOracle()
+	l := c.startLoad(16, 40, 0)
+	l.more(8)
+	for range 3 {
+		c.slots[0].kill()
+		c.slots[0].start()
+		l.more(20)
+	}
+	for _, a := range l.end() {
+		o.check(t, completions, a)
+		c.checkOnce(a)
+	}
+}
+
 // TestKilledEngine kills an engine. Requests that could not reach it run on the
 // other one; none runs twice.
 func TestKilledEngine(t *testing.T) {
--- a/slot/answer.go
+++ b/slot/answer.go
@@ -39,6 +39,14 @@
 // stay after they were acknowledged, up to keepBytes.
 func NewAnswer(keep bool) *Answer { return &Answer{changed: make(chan struct{}), keep: keep} }
 
+// newAnswerFrom returns an answer of which the entry has all bytes before offset.
+func newAnswerFrom(offset int) *Answer {
+	a := NewAnswer(false)
+	a.base = offset
+	a.acked = offset
+	return a
+}
+
 func (a *Answer) wake() {
 	close(a.changed)
 	a.changed = make(chan struct{})
--- a/slot/doc.go
+++ b/slot/doc.go
@@ -18,7 +18,8 @@
 // The paths, all under the shared box key:
 //
 //	POST /v1/run               offer a request; streams the answer
-//	GET  /v1/run/{id}?offset=N the answer again, from byte N
+//	GET  /v1/run/{id}?offset=N the answer again, from byte N; with adopt, also of
+//	                           a request that an earlier life dispatched
 //	POST /v1/void/{id}         never run this id, if it has not started
 //	POST /v1/cancel/{id}       the caller went away
 //	POST /v1/acks              bytes that entries have, for many requests
--- a/slot/guard.go
+++ b/slot/guard.go
@@ -169,6 +169,17 @@
 	g.running--
 }
 
+// Adopt notes that an id was started in an earlier life and runs on. It reports
+// false if this life has decided on it already.
+func (g *Guard) Adopt(now event.Time, id event.DispatchID) bool {
+	if g.requests[id].phase != phaseUnknown {
+		return false
+	}
+	g.requests[id] = memory{phase: phaseStarted, since: now}
+	g.running++
+	return true
+}
+
 // Unstart takes back a started request that never reached the endpoint. Its id
 // is void.
 func (g *Guard) Unstart(now event.Time, id event.DispatchID) {
--- a/slot/http.go
+++ b/slot/http.go
@@ -19,6 +19,10 @@
 	"lynxramp.org/rpc"
 )
 
+// QueryAdopt in a resume call lets a slot that was restarted take the request up
+// again at its engine.
+const QueryAdopt = "adopt"
+
 // maxAcks bounds the body of an acks call, in bytes.
 const maxAcks = 1 << 20
 
@@ -106,7 +110,11 @@
 		http.Error(w, "offset is not a number", http.StatusBadRequest)
 		return
 	}
-	u := s.find(event.DispatchID(chi.URLParam(r, "id")))
+	id := event.DispatchID(chi.URLParam(r, "id"))
+	u := s.find(id)
+	if u == nil && s.config.Model && r.URL.Query().Has(QueryAdopt) {
+		u = s.adopt(id, offset)
+	}
 	if u == nil {
 		w.Header().Set(HeaderIncarnation, strconv.FormatUint(uint64(s.life), 10))
 		w.WriteHeader(http.StatusNotFound)
--- a/slot/run.go
+++ b/slot/run.go
@@ -146,23 +146,60 @@
 	if !s.config.Model {
 		return errors.New("cut, and a plain service cannot resume")
 	}
-	url := s.config.EndpointURL + "/requests/" + string(u.call.id) + "/stream?offset=" + strconv.Itoa(u.answer.Size())
+	response, err := s.askEngine(ctx, u.call.id, u.answer.Size())
+	if err != nil {
+		return err
+	}
+	if u.answer.Size() == 0 {
+		u.answer.Begin(http.StatusOK, response.Header)
+	}
+	return s.copyAnswer(ctx, u, response.Body)
+}
+
+// askEngine asks a model engine for an answer from byte offset on.
+func (s *Slot) askEngine(ctx context.Context, id event.DispatchID, offset int) (*http.Response, error) {
+	url := s.config.EndpointURL + "/requests/" + string(id) + "/stream?offset=" + strconv.Itoa(offset)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return errors.Wrap(err, "resume request")
+		return nil, errors.Wrap(err, "resume request")
 	}
 	response, err := s.client.Do(r)
 	if err != nil {
-		return errors.Wrap(errCut, err.Error())
+		return nil, errors.Wrap(errCut, err.Error())
 	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close() // its content says no more than the status
-		return errors.Errorf("the engine does not resume: status %d", response.StatusCode)
+		return nil, errors.Errorf("the engine does not resume: status %d", response.StatusCode)
 	}
-	if u.answer.Size() == 0 {
-		u.answer.Begin(http.StatusOK, response.Header)
+	return response, nil
+}
+
+// adopt takes up a request that an earlier life of the slot dispatched, if the
+// engine still answers for it; nil if not. Nothing is dispatched.
+func (s *Slot) adopt(id event.DispatchID, offset int) *run {
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := s.askEngine(ctx, id, offset)
+	if err != nil {
+		cancel()
+		return nil
 	}
-	return s.copyAnswer(ctx, u, response.Body)
+	u := &run{call: call{id: id}, answer: newAnswerFrom(offset), cancel: cancel, idle: s.clock.Now()}
+	s.mu.Lock()
+	if other := s.runs[id]; other != nil || !s.guard.Adopt(s.clock.Now(), id) {
+		s.mu.Unlock()
+		cancel()
+		_ = response.Body.Close() // another call took the request up
+		return other
+	}
+	s.runs[id] = u
+	s.mu.Unlock()
+	u.answer.Begin(response.StatusCode, response.Header)
+	go func() {
+		err := s.copyAnswer(ctx, u, response.Body)
+		cancel()
+		s.end(u, err)
+	}()
+	return u
 }
 
 // cancelAtEngine tells a model engine to stop working on a request.
