--- a/bench/path.go
+++ b/bench/path.go
@@ -84,6 +84,7 @@
 type Rate struct {
 	To      Target
 	Callers int
+	Tokens  int // of each answer
 	For     time.Duration
 	PID     int // of the process whose use is measured; 0 for none
 }
@@ -105,7 +106,7 @@
 	for i := range r.Callers {
 		wait.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				q := engine.CompletionRequest{Prompt: fmt.Sprintf("caller %d call %d", i, n), MaxTokens: 1}
+				q := engine.CompletionRequest{Prompt: fmt.Sprintf("caller %d call %d", i, n), MaxTokens: r.Tokens}
 				first, _, err := stream(ctx, c, r.To, q)
 				switch {
 				case err == nil:
--- a/cmd/lynxramp/bench.go
+++ b/cmd/lynxramp/bench.go
@@ -43,13 +43,14 @@
 type benchRate struct {
 	target
 	Callers int           `default:"64" help:"Callers at once."`
+	Tokens  int           `default:"1" help:"Tokens of each answer."`
 	For     time.Duration `default:"5s" help:"How long."`
 	PID     int           `help:"Process whose use is measured."`
 }
 
 // Run implements the command.
 func (c *benchRate) Run(ctx context.Context) error {
-	return bench.Rate{To: c.target.target(), Callers: c.Callers, For: c.For, PID: c.PID}.Run(ctx, os.Stdout)
+	return bench.Rate{To: c.target.target(), Callers: c.Callers, Tokens: c.Tokens, For: c.For, PID: c.PID}.Run(ctx, os.Stdout)
 }
 
 type benchWaiting struct {
