--- a/engine/fake/engine.go
+++ b/engine/fake/engine.go
@@ -19,6 +19,8 @@
 	Slowdown float64 `json:"slowdown"`
 	// Frozen stops all work and all answers until it is lifted.
 	Frozen bool `json:"frozen"`
+	// Dead cuts every call without an answer.
+	Dead bool `json:"dead"`
 	// DropAfterBytes cuts each answer's connection once after so many bytes.
 	DropAfterBytes int `json:"drop_after_bytes"`
 	// LateMillis holds each answer's first byte back, in milliseconds, by a
--- a/engine/fake/http.go
+++ b/engine/fake/http.go
@@ -39,7 +39,8 @@
 // freezePoll is how often a frozen engine's callers look whether it thawed.
 const freezePoll = 20 * time.Millisecond
 
-// freeze holds every call but /faults while the engine is frozen.
+// freeze holds every call but /faults while the engine is frozen, and cuts it
+// while the engine is dead.
 func (e *Engine) freeze(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for r.URL.Path != "/faults" && e.frozen() {
@@ -49,10 +50,19 @@
 				return
 			}
 		}
+		if r.URL.Path != "/faults" && e.dead() {
+			panic(http.ErrAbortHandler)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
 
+func (e *Engine) dead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Dead
+}
+
 func (e *Engine) frozen() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/proc/failure_test.go
+++ b/proc/failure_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// TestCutOffOwner cuts the owner off from the other control boxes, both ways or
+// one, while entries and slots still reach it. Another rules, what is accepted
+// stays, nothing runs twice, and the old owner follows when it is back.
+func TestCutOffOwner(t *testing.T) {
+	c := newCluster(t, shape{boxes: 4, controls: 3, engines: []float64{4, 2}, controlRelays: true})
+	o := c.newOracle()
+	l := c.startLoad(20, 8, 3)
+	version := c.show(c.waitLeader()).Version
+	for n, way := range []struct{ from, to bool }{{true, true}, {true, false}} {
+		at := c.waitLeader()
+		l.more(20)
+		c.cutOff(at, way.from, way.to)
+		next := c.waitLeader(at)
+		if r := c.apply(fmt.Sprint("cut-", n), version, teamChange(n)); r.Version != version+1 {
+			t.Fatalf("command while the owner is cut off: %v", r)
+		}
+		version++
+		if s := c.show(at); s.Leads {
+			t.Errorf("the cut-off box says that it rules, as box %d does", next)
+		}
+		l.more(20)
+		c.cutOff(at, false, false)
+		c.wait("the old owner has the new catalog", func() bool { return c.show(at).Version == version })
+	}
+	for _, a := range l.end() {
+		o.check(t, completions, a)
+		c.checkOnce(a)
+	}
+}
+
 // waitVoter waits until the leader counts a box that came back as a voter, all
 // its repair done, and the box has a version.
 func (c *cluster) waitVoter(leader, box int, version uint64) {
--- a/proc/harness_test.go
+++ b/proc/harness_test.go
@@ -138,6 +138,7 @@
 	slots   []*process
 	engines []*process
 	relays  []*relay
+	ways    map[[2]int]*relay // between control boxes
 	started time.Time
 	shape   shape
 }
@@ -151,6 +152,8 @@
 	services int
 	// relays puts a relay in front of each slot.
 	relays bool
+	// controlRelays puts a relay on each way from one control box to another.
+	controlRelays bool
 	// catalog changes the catalog before anything starts.
 	catalog func(*catalog.Catalog)
 }
@@ -198,6 +201,16 @@
 			c.relays = append(c.relays, newRelay(t, c.reach(i), c.slot(i)))
 		}
 	}
+	if s.controlRelays {
+		c.ways = make(map[[2]int]*relay)
+		for from := range s.controls {
+			for to := range s.controls {
+				if from != to {
+					c.ways[[2]int{from, to}] = newRelay(t, c.way(from, to), c.box(to))
+				}
+			}
+		}
+	}
 	for i := range s.boxes {
 		file := c.writeBox(i)
 		c.boxes = append(c.boxes, c.process(fmt.Sprintf("box-%d", i), "lynxrampd", file))
@@ -289,14 +302,38 @@
 	c.write("catalog.yaml", string(data))
 }
 
-func (c *cluster) control() string {
+// control returns the control boxes as the process at a box reaches them; -1 is
+// any other process.
+func (c *cluster) control(from int) string {
 	var b strings.Builder
 	for i := range c.shape.controls {
-		fmt.Fprintf(&b, "  - {id: box-%d, address: '%s'}\n", i, c.box(i))
+		address := c.box(i)
+		if c.shape.controlRelays && from >= 0 && from < c.shape.controls && from != i {
+			address = c.way(from, i)
+		}
+		fmt.Fprintf(&b, "  - {id: box-%d, address: '%s'}\n", i, address)
 	}
 	return b.String()
 }
 
+// way returns the relay's address on the way from one control box to another.
+func (c *cluster) way(from, to int) string {
+	return fmt.Sprintf("%s.%d:%d", c.net, 10+to, boxPort+1+from)
+}
+
+// cutOff cuts the ways from a control box to the others, those to it, or both,
+// or heals them.
+func (c *cluster) cutOff(box int, from, to bool) {
+	for pair, r := range c.ways {
+		if pair[0] == box {
+			r.setDown(from)
+		}
+		if pair[1] == box {
+			r.setDown(to)
+		}
+	}
+}
+
 func (c *cluster) writeBox(i int) string {
 	roles := "[entry]"
 	if i < c.shape.controls {
@@ -312,7 +349,7 @@
 catalog: catalog.yaml
 drain: {notice: 100ms, bound: 30s}
 control:
-%s`, i, i%2, roles, c.caller(i), c.box(i), i, c.control()))
+%s`, i, i%2, roles, c.caller(i), c.box(i), i, c.control(i)))
 }
 
 func (c *cluster) writeSlot(n int) string {
@@ -330,7 +367,7 @@
 key_file: key
 drain: {bound: 30s}
 control:
-%s`, c.endpointName(n), pool, kind, c.slot(n), c.engine(n), c.reach(n), c.control()))
+%s`, c.endpointName(n), pool, kind, c.slot(n), c.engine(n), c.reach(n), c.control(-1)))
 }
 
 // waitServing waits until an entry answers a call to each service.
--- a/proc/operator_test.go
+++ b/proc/operator_test.go
@@ -162,8 +162,13 @@
 			return
 		}
 		out, err := net.Dial("tcp", r.to)
-		if err != nil || !r.add(in, out) {
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		if !r.add(in, out) {
 			_ = in.Close()
+			_ = out.Close()
 			continue
 		}
 		go func() { _, _ = io.Copy(out, in); _ = out.Close() }()
@@ -174,16 +179,31 @@
 func (r *relay) add(conns ...net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.down {
+		return false
+	}
 	for _, c := range conns {
 		r.open[c] = true
 	}
-	return !r.down
+	return true
 }
 
 // cut closes all connections of the moment.
 func (r *relay) cut() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closeAll()
+}
+
+// setDown cuts the relay until it is set up again.
+func (r *relay) setDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+	r.closeAll()
+}
+
+func (r *relay) closeAll() {
 	for c := range r.open {
 		_ = c.Close()
 		delete(r.open, c)
--- a/slot/slot_test.go
+++ b/slot/slot_test.go
@@ -116,6 +116,30 @@
 	})
 }
 
+// TestAnswerWindow fills an answer that nobody acknowledges: the endpoint's
+// stream is read no further than the window until there is an acknowledgement.
+func TestAnswerWindow(t *testing.T) {
+	a := NewAnswer(false)
+	chunk := make([]byte, 64<<10)
+	for range windowBytes / len(chunk) {
+		if err := a.Append(context.Background(), chunk); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := a.Append(ctx, chunk); err == nil || a.Size() != windowBytes {
+		t.Errorf("%d bytes held with a window of %d: %v", a.Size(), windowBytes, err)
+	}
+	a.Ack(len(chunk))
+	if err := a.Append(context.Background(), chunk); err != nil {
+		t.Errorf("after an acknowledgement: %v", err)
+	}
+	if _, _, err := a.Await(context.Background(), 0, true, chunk); err == nil {
+		t.Error("acknowledged bytes are still there")
+	}
+}
+
 // TestMalformedOffer sends an offer without its headers: nothing is dispatched.
 func TestMalformedOffer(t *testing.T) {
 	s := New(Config{EndpointURL: "http://127.0.0.1:1", MaxBody: 10}, 1, zap.NewNop())
