--- a/cmd/lynxramp/main.go
+++ b/cmd/lynxramp/main.go
@@ -30,6 +30,7 @@
 	Dev     devCommand     `cmd:"" help:"Run a whole small deployment in this process, with stand-in engines."`
 	Key     keyCommand     `cmd:"" help:"Make a key for a team, or print the hash of one that is typed in."`
 	Bench   benchCommand   `cmd:"" help:"Measure a running deployment as its callers see it."`
+	Do      doCommand      `cmd:"" help:"Ask or command in the operators' language."`
 	Show    showCommand    `cmd:"" help:"Show who decides, what waits and runs, and which boxes have the catalog in force."`
 	Apply   applyCommand   `cmd:"" help:"Change the catalog."`
 	Recover recoverCommand `cmd:"" help:"Make a box the only voter, after most disks of the control group were lost for good."`
--- a/cmd/lynxramp/operate.go
+++ b/cmd/lynxramp/operate.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/user"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -111,29 +112,34 @@
 	if c.ID == "" {
 		c.ID = rand.Text()
 	}
-	request := &rpc.ApplyRequest{Id: c.ID, Operator: operatorName(), Expect: c.Expect, Changes: data}
+	return c.apply(ctx, c.ID, c.Expect, changes)
+}
+
+// apply sends a command and tells what became of it.
+func (r remote) apply(ctx context.Context, id string, expect uint64, changes []catalog.Change) error {
+	data, err := json.Marshal(changes)
+	if err != nil {
+		return errors.Wrap(err, "changes")
+	}
+	request := &rpc.ApplyRequest{Id: id, Operator: operatorName(), Expect: expect, Changes: data}
 	var result *rpc.ApplyResponse
-	err = c.each(ctx, func(ctx context.Context, o rpc.Operator) (bool, error) {
-		r, err := o.Apply(ctx, request)
+	err = r.each(ctx, func(ctx context.Context, o rpc.Operator) (bool, error) {
+		answer, err := o.Apply(ctx, request)
 		if err != nil {
 			return false, err
 		}
-		result = r
-		return r.Leads, nil
+		result = answer
+		return answer.Leads, nil
 	})
-	if err != nil {
-		return errors.Wrapf(err, "it is not known whether command %s was accepted; send it again with --id %s", c.ID, c.ID)
-	}
 	switch {
+	case err != nil:
+		return errors.Wrapf(err, "it is not known whether command %s was accepted; send the same changes again with 'apply --id %s'", id, id)
 	case result.Conflict != "":
 		return errors.Errorf("conflict: version %d was made by %s", result.Version, result.Conflict)
 	case len(result.Problems) > 0:
-		for _, p := range result.Problems {
-			fmt.Fprintln(os.Stderr, p)
-		}
-		return errors.New("the changes are not sound; nothing was changed")
+		return errors.Errorf("nothing was changed:\n%s", strings.Join(result.Problems, "\n"))
 	}
-	fmt.Printf("accepted: command %s made version %d\n", c.ID, result.Version)
+	fmt.Printf("accepted: command %s made version %d\n", id, result.Version)
 	return nil
 }
 
--- /dev/null
+++ b/lang/lang_test.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+
+package lang
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"lynxramp.org/catalog"
+)
+
+var rows = []Row{
+	{Team: "blogs", Tier: "silver", Pool: "chef", Count: 5},
+	{Team: "portal", Tier: "gold", Pool: "chef", Count: 2},
+	{Team: "portal", Tier: "gold", Pool: "card", Count: 4},
+	{Team: "tagging", Tier: "bronze", Pool: "chef", Count: 9},
+}
+
+func TestQuery(t *testing.T) {
+	tests := []struct {
+		line string
+		want []Row
+	}{
+		{"show waiting", []Row{{Count: 20}}},
+		{"show waiting by team order by count desc limit 2", []Row{{Team: "tagging", Count: 9}, {Team: "portal", Count: 6}}},
+		{"show waiting by tier, pool where team = portal", []Row{{Tier: "gold", Pool: "card", Count: 4}, {Tier: "gold", Pool: "chef", Count: 2}}},
+		{"show waiting by team where pool != card and tier != gold", []Row{{Team: "blogs", Count: 5}, {Team: "tagging", Count: 9}}},
+		{`show refused by reason where team = "nobody"`, []Row{}},
+	}
+	for _, test := range tests {
+		s, err := Parse(test.line)
+		if err != nil {
+			t.Errorf("%s: %v", test.line, err)
+			continue
+		}
+		if diff := cmp.Diff(test.want, s.Query.Run(rows)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.line, diff)
+		}
+	}
+}
+
+func TestMistakes(t *testing.T) {
+	for line, column := range map[string]int{
+		"show running by teem":        17,
+		"show waiting limit many":     20,
+		"drain endpoint":              15,
+		"set pool chef colour red":    15,
+		"show waiting where team ~ x": 25,
+	} {
+		_, err := Parse(line)
+		var mistake *SyntaxError
+		if !errors.As(err, &mistake) || mistake.Column != column {
+			t.Errorf("%s: %v, want column %d", line, err, column)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	k := catalog.Catalog{
+		Tiers: []catalog.Tier{{Name: "gold", Rank: 3}, {Name: "bronze", Rank: 1}},
+		Teams: []catalog.Team{{Name: "blogs", Tier: "gold"}},
+		Pools: []catalog.Pool{{Name: "chef", MaxWaiting: 10, Endpoints: []catalog.Endpoint{{Name: "chef-01", Concurrency: 4}}}},
+	}
+	for _, line := range []string{
+		"drain endpoint chef-01", "set tier gold rank 5", "set pool chef max_waiting 500 at 7",
+		"set pool chef prefill_weight 2.5", "set team blogs tier bronze", "set rule * * tier bronze",
+	} {
+		s, err := Parse(line)
+		if err != nil {
+			t.Errorf("%s: %v", line, err)
+			continue
+		}
+		changes, err := s.Command.Changes(k)
+		if err != nil {
+			t.Errorf("%s: %v", line, err)
+			continue
+		}
+		next, problems := catalog.Apply(k, changes)
+		if len(problems) > 0 || cmp.Equal(k, next) {
+			t.Errorf("%s: problems %v, catalog %+v", line, problems, next)
+		}
+	}
+	s, err := Parse("drain endpoint nowhere")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Command.Changes(k); err == nil {
+		t.Error("an endpoint that is not there was drained")
+	}
+}
--- a/proc/failure_test.go
+++ b/proc/failure_test.go
@@ -324,6 +324,35 @@
 	t.Logf("committed after %v, in force on 5 boxes after %v", committed, time.Since(began))
 }
 
+// TestLanguage asks and commands through the operators' tool.
+func TestLanguage(t *testing.T) {
+	c := newCluster(t, shape{boxes: 3, controls: 3, engines: []float64{1}})
+	do := func(line string) string {
+		control := c.box(0) + "," + c.box(1) + "," + c.box(2)
+		tool := exec.Command(filepath.Join(binaries, "lynxramp"), "do", "--control", control,
+			"--key-file", filepath.Join(c.dir, "operator-key"), line)
+		out, _ := tool.CombinedOutput() // a failure is in what it prints
+		return string(out)
+	}
+	l := c.startLoad(24, 50, 0, 1, 2)
+	c.wait("16 run and 8 wait", func() bool {
+		return strings.Contains(do("show running by endpoint where tier = gold"), "chef-0    16") &&
+			strings.Contains(do("show waiting by team"), "gold-team  8")
+	})
+	for line, want := range map[string]string{
+		"set team bronze-team tier silver":   "accepted",
+		"set tier gold rank 9 at 1":          "conflict: version",
+		"set team bronze-team tier platinum": "there is no tier",
+		"show waiting by teem":               "^ unexpected token",
+		"drain endpoint nowhere":             "there is no endpoint",
+	} {
+		if got := do(line); !strings.Contains(got, want) {
+			t.Errorf("%s: %s", line, got)
+		}
+	}
+	l.end()
+}
+
 // TestLeavingEndpoint checks that an endpoint that an operator sends off gets
 // no new work.
 func TestLeavingEndpoint(t *testing.T) {
--- a/sched/state.go
+++ b/sched/state.go
@@ -70,6 +70,8 @@
 	entry    event.BoxID
 	at       event.Time
 	attempt  int
+	team     string
+	rank     int
 	service  string
 	output   int // tokens asked for
 	life     event.Incarnation
@@ -92,6 +94,7 @@
 	fastest   float64   // speed of the fastest that serves, 0 if none does
 	prefix    prefixIndex
 	lengths   map[string]*answerLength // by service
+	refused   map[Group]int            // since this owner began
 	top       int                      // the highest rank that came lately
 	topSeen   event.Time               // when it came
 }
@@ -107,6 +110,7 @@
 		entries: make(map[event.BoxID]event.Time),
 		prefix:  prefixIndex{holders: make(map[uint64][]*endpoint)},
 		lengths: make(map[string]*answerLength),
+		refused: make(map[Group]int),
 	}
 	s.setPool(now, pool)
 	return s
@@ -351,6 +355,8 @@
 		at:       now,
 		life:     e.report.Incarnation,
 		attempt:  k.Attempt,
+		team:     k.Team,
+		rank:     k.Rank,
 		service:  k.Service,
 		output:   k.OutputTokens,
 	}
@@ -386,6 +392,7 @@
 
 func (s *State) refuse(k *ticket, why event.Reason, out *event.Effects) {
 	s.queue.remove(k)
+	s.refused[Group{Team: k.Team, Rank: k.Rank, Reason: why}]++
 	out.Refusals = append(out.Refusals, event.Refused{
 		Entry:      k.entry,
 		ID:         k.ID,
