--- a/box/control.go
+++ b/box/control.go
@@ -20,6 +20,7 @@
 	"lynxramp.org/control"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/member"
 	"lynxramp.org/rpc"
 	"lynxramp.org/settings"
 	"lynxramp.org/store"
@@ -31,12 +32,19 @@
 	handoverPoll  = 10 * time.Millisecond
 )
 
+// Times of the platform's list.
+const (
+	platformEvery   = time.Second
+	platformTimeout = 2 * time.Second
+)
+
 // controlPart is what a box does in the control role.
 type controlPart struct {
 	catalog  catalog.Catalog
 	log      *zap.Logger
 	keys     Keys
 	clock    event.Clock
+	platform string // URL of the platform's list; empty if there is none
 	disk     *store.Store
 	restored consensus.Restored
 	peers    *control.Peers
@@ -65,7 +73,7 @@
 		addresses[p.ID] = p.Address
 	}
 	part := &controlPart{
-		catalog: c, log: log, keys: keys, clock: clock, disk: disk, restored: restored,
+		catalog: c, log: log, keys: keys, clock: clock, platform: s.Platform, disk: disk, restored: restored,
 		peers: control.NewPeers(identity, addresses, client, log),
 	}
 	part.setHandler(nil)
@@ -132,10 +140,35 @@
 	group.Go(func() error { loop.Run(ctx); return nil })
 	group.Go(func() error { p.peers.Run(ctx); return nil })
 	group.Go(func() error { p.peers.StayMember(ctx, loop); return nil })
+	group.Go(func() error { p.watchPlatform(ctx, loop); return nil })
 	group.Go(func() error { return keeper.Run(ctx) })
 	return group.Wait()
 }
 
+// watchPlatform tells loop of the platform's list until ctx ends. A list that
+// cannot be read changes nothing.
+func (p *controlPart) watchPlatform(ctx context.Context, loop *control.Loop) {
+	if p.platform == "" {
+		return
+	}
+	client := &http.Client{Timeout: platformTimeout}
+	ticker := time.NewTicker(platformEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		leaving, err := member.Fetch(ctx, client, p.platform)
+		if err == nil {
+			_, err = loop.Post(ctx, &event.PlatformListed{Leaving: leaving})
+		}
+		if err != nil {
+			p.log.Warn("platform list not read", logx.Err(err))
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // handOver lets another box lead before this one stops.
 func (p *controlPart) handOver(ctx context.Context) {
 	loop := p.loop.Load()
--- a/control/pools.go
+++ b/control/pools.go
@@ -50,6 +50,8 @@
 	case *event.EntrySeen:
 		s.seen[e.Entry] = boxSeen{version: e.Version, at: now}
 		s.stepAll(now, e, out)
+	case *event.PlatformListed:
+		s.stepAll(now, e, out)
 	case *event.Tick:
 		s.stepAll(now, e, out)
 		s.keys.sweep(now)
--- a/control/state.go
+++ b/control/state.go
@@ -38,7 +38,7 @@
 	compact  consensus.Index
 	proposed bool // the first catalog
 	version  uint64
-	stopping bool
+	listed   *event.PlatformListed // the last one, for pools that begin later
 }
 
 // NewState returns the state of a member of the group. first is the catalog that
@@ -70,8 +70,12 @@
 		out.Answers = append(out.Answers, Answer{Token: e.Token, Leads: err == nil, Done: done})
 	case *ChangeAsked:
 		s.ask(now, e, out)
+	case *event.PlatformListed:
+		s.listed = e
+		if s.leavesAlone(e.Leaving) {
+			s.node.Transfer(now, &out.Ready)
+		}
 	case *StopAsked:
-		s.stopping = true
 		s.node.Transfer(now, &out.Ready)
 	}
 	s.settle(now, out)
@@ -94,10 +98,27 @@
 // Machine returns the replicated state as far as it is applied here.
 func (s *State) Machine() *machine.State { return &s.machine }
 
-func (s *State) leaderAddress() string {
-	m := s.node.Members()
-	for _, v := range m.Voters {
-		if v.ID == s.node.Leader() {
+func (s *State) leaderAddress() string { return s.address(s.node.Leader()) }
+
+func (s *State) selfAddress() string { return s.address(s.node.ID()) }
+
+// leavesAlone reports whether this box is leaving and another voter is not.
+func (s *State) leavesAlone(leaving map[string]bool) bool {
+	if !leaving[event.Host(s.selfAddress())] {
+		return false
+	}
+	for _, v := range s.node.Members().Voters {
+		if !leaving[event.Host(v.Address)] {
+			return true
+		}
+	}
+	return false
+}
+
+// address returns where a voter is reached; empty if it is none.
+func (s *State) address(id consensus.ID) string {
+	for _, v := range s.node.Members().Voters {
+		if v.ID == id {
 			return v.Address
 		}
 	}
@@ -167,6 +188,9 @@
 	s.proposed = false
 	out.NewEpoch = true
 	s.changePools(now, out)
+	if s.listed != nil {
+		s.stepAll(now, s.listed, out)
+	}
 	s.proposeFirst(now, out)
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -119,19 +119,24 @@
 // SlotReported carries what a slot says about its endpoint.
 type SlotReported struct{ Report Report }
 
+// PlatformListed carries the IP numbers of the boxes that the platform's list
+// says are leaving. The map must not be changed.
+type PlatformListed struct{ Leaving map[string]bool }
+
 // Tick says that time passed.
 type Tick struct{}
 
 // PoolChanged carries the settings of a pool that are now in force.
 type PoolChanged struct{ Pool Pool }
 
-func (*Submitted) IsEvent()    {}
-func (*Withdrawn) IsEvent()    {}
-func (*Finished) IsEvent()     {}
-func (*EntrySeen) IsEvent()    {}
-func (*SlotReported) IsEvent() {}
-func (*Tick) IsEvent()         {}
-func (*PoolChanged) IsEvent()  {}
+func (*Submitted) IsEvent()      {}
+func (*Withdrawn) IsEvent()      {}
+func (*Finished) IsEvent()       {}
+func (*EntrySeen) IsEvent()      {}
+func (*SlotReported) IsEvent()   {}
+func (*PlatformListed) IsEvent() {}
+func (*Tick) IsEvent()           {}
+func (*PoolChanged) IsEvent()    {}
 
 // Report is a slot's regular message about its endpoint.
 type Report struct {
--- /dev/null
+++ b/member/list_test.go
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: MIT
+
+package member
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestParse(t *testing.T) {
+	got, err := parse(strings.NewReader(`[{"address":"10.0.0.1","state":"live"},{"address":"10.0.0.2","state":"leaving"},{"address":"10.0.0.3","state":"new"}]`))
+	if err != nil || len(got) != 1 || !got["10.0.0.2"] {
+		t.Errorf("%v, %v", got, err)
+	}
+	for _, bad := range []string{"", "{}", `[{"address":"host"}]`} {
+		if _, err := parse(strings.NewReader(bad)); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -21,6 +21,7 @@
 	index    int // of its view
 	report   event.Report
 	heard    event.Time
+	listed   bool // as leaving, by the platform
 	reported bool
 	inflight int
 	// leftUntil is when it may be granted work again.
@@ -33,7 +34,7 @@
 
 // serves reports whether the endpoint may be granted new work.
 func (e *endpoint) serves(now event.Time) bool {
-	return e.reported && !e.Leaving && now >= e.leftUntil && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
+	return e.reported && !e.Leaving && !e.listed && now >= e.leftUntil && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
 }
 
 // speed is relative to the reference engine: measured, or else the nameplate's.
--- a/sched/state.go
+++ b/sched/state.go
@@ -95,6 +95,7 @@
 	prefix    prefixIndex
 	lengths   map[string]*answerLength // by service
 	refused   map[Group]int            // since this owner began
+	leaving   map[string]bool          // IP numbers, by the platform's list
 	top       int                      // the highest rank that came lately
 	topSeen   event.Time               // when it came
 }
@@ -133,6 +134,10 @@
 		s.report(now, e.Report)
 	case *event.PoolChanged:
 		s.setPool(now, e.Pool)
+	case *event.PlatformListed:
+		s.leaving = e.Leaving
+		s.markLeaving()
+		s.refreshAll(now)
 	case *event.Tick:
 		s.refreshAll(now)
 		s.dropSilentEntries(now, out)
@@ -264,6 +269,7 @@
 	}
 	restarted := e.reported && e.report.Incarnation != r.Incarnation
 	e.report = r
+	e.listed = s.leaving[event.Host(r.Address)]
 	e.heard = now
 	e.reported = true
 	running := make(map[event.RequestID]struct{}, len(r.Running))
@@ -287,6 +293,13 @@
 	}
 }
 
+// markLeaving notes which endpoints stand on boxes that are leaving.
+func (s *State) markLeaving() {
+	for _, e := range s.endpoints {
+		e.listed = s.leaving[event.Host(e.report.Address)]
+	}
+}
+
 func (s *State) dropSilentEntries(now event.Time, out *event.Effects) {
 	for id, heard := range s.entries {
 		if now.Sub(heard) <= EntryBound {
--- a/settings/box.go
+++ b/settings/box.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -40,6 +41,9 @@
 	KeyFile string `yaml:"key_file"`
 	// OperatorKeyFile holds the key that operators' commands need.
 	OperatorKeyFile string `yaml:"operator_key_file"`
+	// Platform is the URL (http://IP:port/path) of the platform's list of boxes;
+	// empty if there is none.
+	Platform string `yaml:"platform"`
 	// Data is the folder of a control box's state.
 	Data string `yaml:"data"`
 	// Catalog is the file of the catalog that a new control group begins with.
@@ -266,6 +270,7 @@
 		}
 	}
 	d.peers(b.Control)
+	d.url("platform", b.Platform)
 	d.checkLimits(b.Limits)
 	d.checkDrain(b.Drain)
 	d.checkLog(b.Log)
@@ -313,6 +318,20 @@
 	}
 }
 
+// url checks the URL of a service that is reached by IP number; it may be empty.
+func (d *decoder) url(path, value string) {
+	if value == "" {
+		return
+	}
+	u, err := url.Parse(value)
+	if err == nil && u.Scheme == "http" {
+		_, err = netip.ParseAddrPort(u.Host)
+	}
+	if err != nil || u.Scheme != "http" {
+		d.addAt(path, "%q is not a URL like http://IP:port/path", value)
+	}
+}
+
 func (d *decoder) address(path, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		d.addAt(path, "%q is not an address (IP:port)", value)
