--- a/box/box.go
+++ b/box/box.go
@@ -17,6 +17,7 @@
 	"lynxramp.org/entry"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/wait"
 	"lynxramp.org/rpc"
 	"lynxramp.org/settings"
 )
@@ -156,7 +157,7 @@
 	var err error
 	if b.callers != nil {
 		b.entry.StartDrain()
-		pause(ctx, time.Duration(b.settings.Drain.Notice))
+		wait.For(ctx, time.Duration(b.settings.Drain.Notice))
 		err = b.callers.drain(ctx)
 	}
 	if b.control != nil {
@@ -164,11 +165,3 @@
 	}
 	return err
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/box/control.go
+++ b/box/control.go
@@ -20,6 +20,7 @@
 	"lynxramp.org/control"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/wait"
 	"lynxramp.org/member"
 	"lynxramp.org/rpc"
 	"lynxramp.org/settings"
@@ -162,10 +163,7 @@
 		if err != nil {
 			p.log.Warn("platform list not read", logx.Err(err))
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
+		wait.Next(ctx, ticker)
 	}
 }
 
@@ -189,7 +187,7 @@
 		if _, err := loop.Post(ctx, &control.StopAsked{}); err != nil {
 			break
 		}
-		pause(ctx, handoverPoll)
+		wait.For(ctx, handoverPoll)
 	}
 	p.log.Info("leadership handed over", logx.Err(ctx.Err()))
 }
--- /dev/null
+++ b/box/daemon.go
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: MIT
+
+package box
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"lynxramp.org/settings"
+)
+
+// daemonFlags are what the daemons take on their command lines.
+type daemonFlags struct {
+	Settings string `arg:"" type:"existingfile" help:"The settings file (YAML)."`
+}
+
+// Daemon is the main function of a daemon: it reads the command line and calls
+// run with the settings file until a signal says to stop. An error ends the
+// process with status 1.
+func Daemon(name, description string, run func(ctx context.Context, file string) error) {
+	var f daemonFlags
+	kong.Parse(&f, kong.Name(name), kong.Description(description))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, f.Settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// RunFile runs a box by its settings file.
+func RunFile(ctx context.Context, file string) error {
+	s, c, err := settings.LoadBox(file)
+	if err != nil {
+		return err
+	}
+	keys, err := ReadKeys(s)
+	if err != nil {
+		return err
+	}
+	log, err := NewLogger(os.Stderr, s.Log.Level)
+	if err != nil {
+		return err
+	}
+	b, err := New(s, c, keys, log)
+	if err != nil {
+		return err
+	}
+	return b.Run(ctx)
+}
+
+// RunSlotFile runs a slot by its settings file.
+func RunSlotFile(ctx context.Context, file string) error {
+	s, err := settings.LoadSlot(file)
+	if err != nil {
+		return err
+	}
+	key, err := settings.ReadKey(s.KeyFile)
+	if err != nil {
+		return err
+	}
+	log, err := NewLogger(os.Stderr, s.Log.Level)
+	if err != nil {
+		return err
+	}
+	made, err := NewSlot(s, key, log)
+	if err != nil {
+		return err
+	}
+	return made.Run(ctx)
+}
--- a/entry/link.go
+++ b/entry/link.go
@@ -11,6 +11,7 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/wait"
 	"lynxramp.org/rpc"
 )
 
@@ -92,10 +93,10 @@
 
 // Run pushes and polls until ctx ends.
 func (l *Link) Run(ctx context.Context) {
-	var wait sync.WaitGroup
-	wait.Go(func() { l.pushAll(ctx) })
-	wait.Go(func() { l.pollAll(ctx) })
-	wait.Wait()
+	var both sync.WaitGroup
+	both.Go(func() { l.pushAll(ctx) })
+	both.Go(func() { l.pollAll(ctx) })
+	both.Wait()
 }
 
 // Submit registers a ticket. Its decision comes on the channel, which holds it
@@ -162,7 +163,7 @@
 		if l.exchange(ctx, r, pushTimeout) {
 			return
 		}
-		pause(ctx, linkBackoff)
+		wait.For(ctx, linkBackoff)
 	}
 }
 
@@ -173,7 +174,7 @@
 		l.mu.Unlock()
 		r.WaitMs = uint32(pollWait.Milliseconds())
 		if !l.exchange(ctx, r, pollTimeout) {
-			pause(ctx, linkBackoff)
+			wait.For(ctx, linkBackoff)
 		}
 	}
 }
@@ -312,11 +313,3 @@
 	delete(l.waiting, id)
 	w.decided <- Decision{Epoch: event.Epoch(l.epoch), Grant: d.Grant, Refusal: d.Refusal}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/entry/run.go
+++ b/entry/run.go
@@ -12,6 +12,7 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/wait"
 	"lynxramp.org/rpc"
 	"lynxramp.org/slot"
 )
@@ -95,7 +96,7 @@
 		}
 		q.ticket.Attempt++
 		t.runs = q.dispatch()
-		pause(ctx, backoff)
+		wait.For(ctx, backoff)
 	}
 	e.link.Withdraw(q.ticket.ID, q.ticket.Pool)
 	return &Failure{
@@ -171,7 +172,7 @@
 			return refusal(event.ReasonClaimed, 0)
 		}
 		// The request with the key may only now be on its way to the slot.
-		pause(ctx, resumePause)
+		wait.For(ctx, resumePause)
 	}
 }
 
@@ -210,7 +211,7 @@
 				return e.adopt(ctx, t, d)
 			}
 		}
-		pause(ctx, resumePause)
+		wait.For(ctx, resumePause)
 	}
 	if ctx.Err() != nil {
 		e.slots.cancel(d.Grant.Address, t.runs)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -18,6 +18,7 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/once"
 	"lynxramp.org/rpc"
 	"lynxramp.org/slot"
 )
@@ -60,18 +61,6 @@
 // errNotSent says that the slot could not be reached: it has seen nothing.
 var errNotSent = errors.New("the slot cannot be reached")
 
-// isDialError reports whether err came before a connection stood.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
-// onceBody hides the body's type from net/http, so that the transport never
-// sends an offer a second time by itself.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // offer sends a request to the slot of a grant. The response's body is the
 // answer.
 func (c *slotClient) offer(ctx context.Context, q *request, d Decision) (*http.Response, error) {
@@ -94,10 +83,9 @@
 	if q.ticket.Key != "" {
 		h.Set(slot.HeaderKeep, "1")
 	}
-	r.Body = onceBody{bytes.NewReader(q.body)}
-	r.ContentLength = int64(len(q.body))
+	once.SetBody(r, bytes.NewReader(q.body), len(q.body))
 	response, err := c.http.Do(r)
-	if isDialError(err) {
+	if once.IsDialError(err) {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
 	return response, errors.Wrap(err, "offer")
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/wait"
 	"lynxramp.org/slot"
 )
 
@@ -93,7 +94,7 @@
 			_ = response.Body.Close() // the status says it all
 			return nil, unknownFate("the slot no longer has the answer")
 		}
-		pause(ctx, resumePause)
+		wait.For(ctx, resumePause)
 	}
 	return nil, unknownFate("the slot cannot be reached")
 }
--- /dev/null
+++ b/sched/place.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import "lynxramp.org/event"
+
+// expire gives up what has run out of time.
+func (s *State) expire(now event.Time, out *event.Effects) {
+	for k := s.queue.nextExpired(now); k != nil; k = s.queue.nextExpired(now) {
+		s.refuse(k, event.ReasonDeadline, out)
+	}
+}
+
+// place grants from the queue's head while an endpoint has room. A request for
+// which only endpoints have room that would be late with it is passed over, up
+// to a few at once: another endpoint may come free.
+func (s *State) place(now event.Time, out *event.Effects) {
+	s.passed = s.passed[:0]
+	if s.fastest == 0 {
+		return // no endpoint serves
+	}
+	passes := min(maxPassed, max(1, passedLooks/len(s.views)))
+	for k := s.queue.first(); k != nil && len(s.passed) < passes; k = s.queue.first() {
+		c := s.choose(now, k)
+		switch {
+		case c.room == nil:
+			s.unpass()
+			return
+		case c.fastest > c.left && s.length(k.Service).known():
+			// No endpoint can answer in time, whatever else waits.
+			s.refuse(k, event.ReasonDeadline, out)
+		case c.hold, c.est.total*startMargin > c.left && s.length(k.Service).known():
+			s.queue.remove(k)
+			s.passed = append(s.passed, k)
+		default:
+			s.grant(now, k, c.room, c.est, out)
+		}
+	}
+	s.unpass()
+}
+
+// unpass puts back what was passed over.
+func (s *State) unpass() {
+	for _, k := range s.passed {
+		s.queue.add(k)
+	}
+}
+
+func (s *State) grant(now event.Time, k *ticket, e *endpoint, est estimate, out *event.Effects) {
+	s.queue.remove(k)
+	s.queue.charge(k, float64(k.PromptTokens-est.cached+k.OutputTokens))
+	g := &grant{
+		endpoint: e,
+		entry:    k.entry,
+		at:       now,
+		life:     e.report.Incarnation,
+		attempt:  k.Attempt,
+		team:     k.Team,
+		rank:     k.Rank,
+		service:  k.Service,
+		output:   k.OutputTokens,
+	}
+	s.prefix.add(e, k.Prefix)
+	e.filledAt = max(e.filledAt, now).Add(event.Span(est.fill * float64(event.Second)))
+	s.book(k.ID, g)
+	s.refresh(now, e)
+	s.drain.add(now)
+	out.Grants = append(out.Grants, g.effect(k.ID))
+}
+
+func (g *grant) effect(id event.RequestID) event.Granted {
+	return event.Granted{
+		Entry:       g.entry,
+		ID:          id,
+		Endpoint:    g.endpoint.ID,
+		Address:     g.endpoint.report.Address,
+		Incarnation: g.life,
+		Attempt:     g.attempt,
+	}
+}
+
+// shed gives up the queue's end while it is too long.
+func (s *State) shed(now event.Time, out *event.Effects) {
+	if now.Sub(s.started) < SettleTime {
+		return
+	}
+	for s.queue.len() > s.pool.MaxWaiting {
+		k := s.queue.last()
+		s.refuse(k, event.ReasonShed, out)
+	}
+}
+
+func (s *State) refuse(k *ticket, why event.Reason, out *event.Effects) {
+	s.queue.remove(k)
+	s.refused[Group{Team: k.Team, Rank: k.Rank, Reason: why}]++
+	out.Refusals = append(out.Refusals, event.Refused{
+		Entry:      k.entry,
+		ID:         k.ID,
+		Reason:     why,
+		RetryAfter: s.retryAfter(),
+	})
+}
+
+// retryAfter is the time the queue needs to drain, spread by up to a quarter
+// so that those refused together do not come back together.
+func (s *State) retryAfter() event.Span {
+	wait := MinRetryAfter
+	if rate := s.drain.perSecond(); rate > 0 {
+		wait = event.Span(float64(s.queue.len()) / rate * float64(event.Second))
+	}
+	wait += event.Span(s.random.Float64() / 4 * float64(wait))
+	return min(max(wait, MinRetryAfter), MaxRetryAfter)
+}
--- a/slot/report.go
+++ b/slot/report.go
@@ -16,6 +16,7 @@
 	"lynxramp.org/engine"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/wait"
 	"lynxramp.org/rpc"
 )
 
@@ -69,10 +70,10 @@
 // Report tells the owner of the pool about the endpoint until ctx ends. The
 // owner is found among the schedulers.
 func (s *Slot) Report(ctx context.Context, schedulers []Scheduler) {
-	var wait sync.WaitGroup
-	wait.Go(func() { s.reportAll(ctx, schedulers) })
-	wait.Go(func() { s.watchLoad(ctx) })
-	wait.Wait()
+	var both sync.WaitGroup
+	both.Go(func() { s.reportAll(ctx, schedulers) })
+	both.Go(func() { s.watchLoad(ctx) })
+	both.Wait()
 }
 
 func (s *Slot) reportAll(ctx context.Context, schedulers []Scheduler) {
@@ -85,7 +86,7 @@
 		at := schedulers[current]
 		report := s.report()
 		if sameNews(report, last) && time.Since(sent) < quietEvery {
-			waitTick(ctx, ticker)
+			wait.Next(ctx, ticker)
 			continue
 		}
 		owner, leader := s.reportOnce(ctx, at, report)
@@ -98,14 +99,7 @@
 				continue // it is asked at once
 			}
 		}
-		waitTick(ctx, ticker)
-	}
-}
-
-func waitTick(ctx context.Context, ticker *time.Ticker) {
-	select {
-	case <-ticker.C:
-	case <-ctx.Done():
+		wait.Next(ctx, ticker)
 	}
 }
 
@@ -149,15 +143,11 @@
 func (s *Slot) watchLoad(ctx context.Context) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		if load, err := s.fetchLoad(ctx); err == nil {
 			s.load.set(s.clock.Now(), load)
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+		wait.Next(ctx, ticker)
 	}
 }
 
--- a/slot/run.go
+++ b/slot/run.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"lynxramp.org/engine"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/once"
 )
 
 // readBytes is how much is read from the endpoint at once.
@@ -32,12 +32,6 @@
 // errNotSent says that the endpoint could not be reached: it has seen nothing.
 var errNotSent = errors.New("the endpoint cannot be reached")
 
-// isDialError reports whether err came before a connection stood.
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // call is a request as the slot sends it to its endpoint.
 type call struct {
 	id       event.DispatchID
@@ -64,13 +58,6 @@
 	taken bool
 }
 
-// onceBody hides the body's type from net/http. The transport then cannot send
-// the call a second time by itself, as it does with a body-less GET whose
-// kept-alive connection turns out to be closed.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // request makes the HTTP request of a call to the endpoint at base.
 func (c call) request(ctx context.Context, base string) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, c.method, base+c.path, nil)
@@ -83,9 +70,7 @@
 	r.Header.Del("Content-Length")
 	r.Header.Set(engine.HeaderRequestID, string(c.id))
 	r.Header.Set(engine.HeaderPriority, c.priority)
-	r.Body = onceBody{bytes.NewReader(c.body)}
-	r.ContentLength = int64(len(c.body))
-	r.GetBody = nil
+	once.SetBody(r, bytes.NewReader(c.body), len(c.body))
 	return r, nil
 }
 
@@ -98,7 +83,7 @@
 	}
 	response, err := s.client.Do(r)
 	switch {
-	case isDialError(err):
+	case once.IsDialError(err):
 		err = errors.Wrap(errNotSent, err.Error())
 	case err != nil:
 		err = errors.Wrap(errCut, err.Error())
