--- a/proc/harness_test.go
+++ b/proc/harness_test.go
@@ -150,6 +150,7 @@
 	controls int
 	engines  []float64 // speeds
 	services int
+	delay    time.Duration // of each plain call
 	// relays puts a relay in front of each slot.
 	relays bool
 	// controlRelays puts a relay on each way from one control box to another.
@@ -192,7 +193,8 @@
 	}
 	for i := range s.services {
 		n := len(s.engines) + i
-		c.engines = append(c.engines, c.process(fmt.Sprintf("service-%d", i), "lynxramp", "service", "--listen", c.engine(n)))
+		c.engines = append(c.engines, c.process(fmt.Sprintf("service-%d", i), "lynxramp", "service",
+			"--listen", c.engine(n), "--delay", s.delay.String()))
 	}
 	for i := range c.engines {
 		file := c.writeSlot(i)
--- a/proc/measure_test.go
+++ b/proc/measure_test.go
@@ -170,3 +170,20 @@
 		})
 	}
 }
+
+// BenchmarkClaim measures plain calls with and without a key that is claimed in
+// the log, in turn.
+func BenchmarkClaim(b *testing.B) {
+	c := newCluster(b, shape{boxes: 3, controls: 3, engines: []float64{4}, services: 1})
+	box := (c.waitLeader() + 1) % 3
+	var without, with []time.Duration
+	for n := range b.N {
+		without = append(without, c.call(box, "POST", "/svc/card-api/tag", "x", nil).took)
+		with = append(with, c.call(box, "POST", "/svc/card-api/tag", "x", header("Idempotency-Key", fmt.Sprint(n))).took)
+	}
+	slices.Sort(without)
+	slices.Sort(with)
+	b.ReportMetric(float64(without[len(without)/2].Microseconds()), "without-p50-µs")
+	b.ReportMetric(float64(with[len(with)/2].Microseconds()), "with-p50-µs")
+	b.ReportMetric(float64(with[len(with)*99/100].Microseconds()), "with-p99-µs")
+}
--- a/proc/request_test.go
+++ b/proc/request_test.go
@@ -76,6 +76,37 @@
 	t.Logf("%d whole answers of %d", whole, len(l.answers))
 }
 
+// TestTruthAboutPlainCalls kills the slot of a plain service while calls run
+// there. The service cannot say what became of them: each caller is told
+// "unknown", and each call ran once.
+func TestTruthAboutPlainCalls(t *testing.T) {
+	c := newCluster(t, shape{boxes: 1, controls: 1, engines: []float64{4}, services: 1, delay: 2 * time.Second})
+	var mu sync.Mutex
+	var answers []answer
+	var wait sync.WaitGroup
+	for n := range 10 {
+		wait.Go(func() {
+			a := c.call(0, http.MethodPost, "/svc/card-api/slow", fmt.Sprint(n), nil)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+		})
+	}
+	c.wait("all calls run at the service", func() bool {
+		load := send(context.Background(), http.MethodGet, "http://"+c.engine(1)+"/load", "", nil)
+		return strings.Contains(string(load.body), `"running":10,`)
+	})
+	c.slots[1].kill()
+	c.slots[1].start()
+	wait.Wait()
+	for _, a := range answers {
+		n := c.starts(a.header.Get("Lynxramp-Request-Id"))
+		if a.outcome() != "unknown" || n != 1 {
+			t.Errorf("status %d, outcome %q, dispatched %d times: %s", a.status, a.outcome(), n, a.body)
+		}
+	}
+}
+
 // TestRestartedSlot kills a slot with answers under way and starts it again at
 // once. The engine has the answers still: each request that it was given is
 // answered whole and ran once. "Unknown" is only said of those that the slot died
