entry: name the endpoint in answers of unknown fate

Every answer that an endpoint may have run is to say which: a failure said after the hand-over did not. TestTruthAboutPlainCalls asks for it now and failed first.

--- a/entry/run.go
+++ b/entry/run.go
@@ -44,6 +44,9 @@
 	if errors.As(err, &failure) && !t.begun {
 		t.status = failure.Status
 		t.outcome = failure.Outcome
+		if t.endpoint != "" {
+			w.Header().Set(HeaderEndpoint, t.endpoint)
+		}
 		failure.write(w)
 	}
 	e.meters.answered(q.tier.Name, q.service.Name, t.status, t.outcome)
--- a/proc/request_test.go
+++ b/proc/request_test.go
@@ -101,8 +101,8 @@
 	wait.Wait()
 	for _, a := range answers {
 		n := c.starts(a.header.Get("Lynxramp-Request-Id"))
-		if a.outcome() != "unknown" || n != 1 {
-			t.Errorf("status %d, outcome %q, dispatched %d times: %s", a.status, a.outcome(), n, a.body)
+		if a.outcome() != "unknown" || a.endpoint() != "card-1" || n != 1 {
+			t.Errorf("status %d, outcome %q at %q, dispatched %d times: %s", a.status, a.outcome(), a.endpoint(), n, a.body)
 		}
 	}
 }
