--- a/box/box.go
+++ b/box/box.go
@@ -106,6 +106,7 @@
 		Life:        uint64(l),
 		Key:         keys.Boxes,
 		MaxBody:     s.Limits.BodyBytes,
+		BodyTime:    time.Duration(s.Limits.BodyTime),
 		MaxRequests: s.Limits.Requests,
 		MaxHeld:     s.Limits.HeldBytes,
 	}, schedulers, log)
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -110,6 +110,7 @@
 			BodyBytes: settings.DefaultBodyBytes,
 			HeldBytes: settings.DefaultHeldBytes,
 			Requests:  settings.DefaultRequests,
+			BodyTime:  catalog.Duration(settings.DefaultBodyTime),
 		},
 		Drain: settings.Drain{Bound: catalog.Duration(settings.DefaultDrainBound)},
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,8 @@
 	Key string
 	// MaxBody bounds a request's body, in bytes.
 	MaxBody int64
+	// BodyTime bounds how long a caller may take to send a body.
+	BodyTime time.Duration
 	// MaxRequests bounds the unfinished requests.
 	MaxRequests int
 	// MaxHeld bounds the bytes of all bodies held together.
--- a/entry/request.go
+++ b/entry/request.go
@@ -21,7 +21,6 @@
 // Bounds of what a caller may ask.
 const (
 	maxDeadline = time.Hour
-	bodyTimeout = 30 * time.Second
 	maxKeyBytes = 256
 )
 
@@ -66,7 +65,7 @@
 		return nil, tooLarge(e.config.MaxBody)
 	}
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := control.SetReadDeadline(time.Now().Add(e.config.BodyTime)); err != nil {
 		return nil, badRequest("body", "the body cannot be read in time")
 	}
 	body, err := readAll(http.MaxBytesReader(w, r.Body, e.config.MaxBody), r.ContentLength)
--- a/proc/harness_test.go
+++ b/proc/harness_test.go
@@ -353,6 +353,7 @@
 data: data-%d
 catalog: catalog.yaml
 drain: {notice: 100ms, bound: 30s}
+limits: {body_time: 2s}
 control:
 %s`, i, i%2, roles, c.caller(i), c.box(i), c.shape.platform, i, c.control(i)))
 }
--- a/proc/path_test.go
+++ b/proc/path_test.go
@@ -3,13 +3,17 @@
 package proc
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // TestWholePath sends streamed, whole and plain calls through two entries and
@@ -64,6 +68,27 @@
 	}
 }
 
+// TestSlowCaller sends a part of a body and no more. The caller is told so, and
+// nothing is dispatched.
+func TestSlowCaller(t *testing.T) {
+	c := newCluster(t, shape{boxes: 1, controls: 1, engines: []float64{4}})
+	caller, err := net.Dial("tcp", c.caller(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	_ = caller.SetDeadline(time.Now().Add(waitBound))
+	fmt.Fprintf(caller, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer gold-team\r\nContent-Length: 1000\r\n\r\n{\"model\":")
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(response.Body) // what came of it is compared
+	if response.StatusCode != http.StatusBadRequest || !bytes.Contains(body, []byte(`"code":"body"`)) {
+		t.Errorf("status %d: %s", response.StatusCode, body)
+	}
+}
+
 // TestBadInput sends what callers may not send. Nothing of it may reach an
 // endpoint.
 func TestBadInput(t *testing.T) {
--- a/settings/box.go
+++ b/settings/box.go
@@ -70,6 +70,8 @@
 	BodyBytes int64 `yaml:"body_bytes"`
 	HeldBytes int64 `yaml:"held_bytes"`
 	Requests  int   `yaml:"requests"`
+	// BodyTime is how long a caller may take to send a body.
+	BodyTime catalog.Duration `yaml:"body_time"`
 }
 
 // Drain says how a planned stop goes.
@@ -110,6 +112,7 @@
 	DefaultBodyBytes   = 4 << 20
 	DefaultHeldBytes   = 1 << 30
 	DefaultRequests    = 50_000
+	DefaultBodyTime    = 30 * time.Second
 	DefaultDrainNotice = 2 * time.Second
 	DefaultDrainBound  = 5 * time.Minute
 	defaultLevel       = "info"
@@ -355,7 +358,7 @@
 }
 
 func (d *decoder) checkLimits(l Limits) {
-	if l.BodyBytes < 0 || l.HeldBytes < 0 || l.Requests < 0 {
+	if l.BodyBytes < 0 || l.HeldBytes < 0 || l.Requests < 0 || l.BodyTime < 0 {
 		d.addAt("limits", "a limit is negative")
 	}
 }
@@ -376,6 +379,7 @@
 	b.Limits.BodyBytes = orDefault(b.Limits.BodyBytes, DefaultBodyBytes)
 	b.Limits.HeldBytes = orDefault(b.Limits.HeldBytes, DefaultHeldBytes)
 	b.Limits.Requests = orDefault(b.Limits.Requests, DefaultRequests)
+	b.Limits.BodyTime = orDefault(b.Limits.BodyTime, catalog.Duration(DefaultBodyTime))
 	b.Drain.setDefaults()
 	b.Log.Level = orDefault(b.Log.Level, defaultLevel)
 }
