entry: keep a stop from dropping acknowledgements

TestPlannedStops failed in one of four clean-clone runs: a slot did not end its drain within 30 s. Cause: an entry that stopped cancelled the call that was just taking acknowledgements to the slot, which then waited for them. Ruled out: the last flush itself, which was not cancelled.

--- a/entry/slots.go
+++ b/entry/slots.go
@@ -164,10 +164,11 @@
 		case <-ticker.C:
 		case <-c.kick:
 		case <-ctx.Done():
-			c.flushAcks(context.Background())
+			c.flushAcks(context.WithoutCancel(ctx))
 			return
 		}
-		c.flushAcks(ctx)
+		// A stop must not cut a call that has taken the acknowledgements.
+		c.flushAcks(context.WithoutCancel(ctx))
 	}
 }
 
