--- /dev/null
+++ b/admission/quota.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// bucket is a team's quota where only a share of it may be spent: tokens come
+// at the share's rate, and little may be saved up.
+type bucket struct {
+	tokens float64
+	filled event.Time
+}
+
+// bucketSpan is how much of a share's rate may be saved up.
+const bucketSpan = event.Second
+
+// spend counts an amount against a team's quota and reports whether it fits.
+func (s *State) spend(now event.Time, name string, amount int) bool {
+	var team *routing.Team
+	if s.table != nil {
+		team = s.table.Team(name)
+	}
+	if team == nil || amount == 0 {
+		return true
+	}
+	w := s.window(name)
+	if team.Rate <= 0 {
+		w.add(now, amount)
+		return true
+	}
+	if s.share < 1 {
+		if !s.take(now, team, amount) {
+			return false
+		}
+		w.add(now, amount)
+		return true
+	}
+	limit := (team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst) * (1 - s.reserve)
+	if float64(w.total(now)+amount) > limit {
+		return false
+	}
+	w.add(now, amount)
+	return true
+}
+
+// take draws on a team's bucket. A request larger than the bucket may go when
+// the bucket is full, and leaves a debt.
+func (s *State) take(now event.Time, team *routing.Team, amount int) bool {
+	rate := team.Rate * s.share
+	most := rate * bucketSpan.Seconds()
+	b, ok := s.buckets[team.Name]
+	if !ok {
+		b = &bucket{tokens: most, filled: now}
+		s.buckets[team.Name] = b
+	}
+	b.tokens = min(most, b.tokens+rate*now.Sub(b.filled).Seconds())
+	b.filled = now
+	if b.tokens < min(float64(amount), most) {
+		return false
+	}
+	b.tokens -= float64(amount)
+	return true
+}
+
+func (s *State) giveBack(now event.Time, team string, amount int) {
+	if w, ok := s.spent[team]; ok && amount > 0 {
+		w.remove(now, amount)
+	}
+}
+
+func (s *State) window(team string) *window {
+	w, ok := s.spent[team]
+	if !ok {
+		w = newWindow(s.limits.QuotaWindow)
+		s.spent[team] = w
+	}
+	return w
+}
+
+// Report returns what was spent and sent here lately, for a new owner.
+func (s *State) Report(now event.Time, h *message.Hello) {
+	for name, w := range s.spent {
+		h.Spent = append(h.Spent, spendings(now, name, w)...)
+	}
+	for name, v := range s.services {
+		h.Requests = append(h.Requests, spendings(now, name, v.requests)...)
+		h.Repeats = append(h.Repeats, spendings(now, name, v.repeats)...)
+	}
+}
+
+func spendings(now event.Time, name string, w *window) []message.Spending {
+	var list []message.Spending
+	w.list(now, func(age event.Span, amount int) {
+		list = append(list, message.Spending{Name: name, Age: age, Amount: amount})
+	})
+	return list
+}
+
+// Take counts what an entry says was spent before this owner.
+func (s *State) Take(now event.Time, h *message.Hello) {
+	for _, p := range h.Spent {
+		s.window(p.Name).addAt(now, now.Add(-p.Age), p.Amount)
+	}
+	for _, p := range h.Requests {
+		s.service(now, p.Name).requests.addAt(now, now.Add(-p.Age), p.Amount)
+	}
+	for _, p := range h.Repeats {
+		s.service(now, p.Name).repeats.addAt(now, now.Add(-p.Age), p.Amount)
+	}
+}
+
+// Note counts here what another State granted, so that Report tells of it.
+func (s *State) Note(now event.Time, m *message.Submission) {
+	s.window(m.Ticket.Team).add(now, m.Quota)
+	v := s.service(now, m.Ticket.Service)
+	if m.Repeat {
+		v.repeats.add(now, 1)
+		return
+	}
+	v.requests.add(now, 1)
+}
--- /dev/null
+++ b/admission/state.go
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+	"lynxramp.org/sched"
+)
+
+// Bounds of what is told to refused callers.
+const (
+	quotaRetryAfter  = event.Second
+	budgetRetryAfter = 500 * event.Millisecond
+)
+
+// maxWaiting bounds the queue of a service.
+const maxWaiting = 4000
+
+// suspectTime is how long an endpoint gets no work after it could not be reached.
+const suspectTime = event.Second
+
+// Limits are a deployment's bounds on quotas and repeats.
+type Limits struct {
+	QuotaWindow event.Span
+	// A service may be sent RetryRatio of its requests again, and RetryMin on
+	// top, in each RetryWindow.
+	RetryWindow event.Span
+	RetryRatio  float64
+	RetryMin    int
+}
+
+// service is the pool of one service and its retry budget.
+type service struct {
+	pool     *sched.State
+	requests *window
+	repeats  *window
+}
+
+// State decides on requests. It is not safe for concurrent use.
+type State struct {
+	limits    Limits
+	seed      uint64
+	table     *routing.Table
+	share     float64 // of quotas and budgets that may be spent here
+	reserve   float64 // of quotas, for entries that are away
+	services  map[string]*service
+	spent     map[string]*window // by team
+	endpoints map[event.EndpointID]*known
+	buckets   map[string]*bucket // by team, while share is below 1
+}
+
+// known is an endpoint with what is believed of it beside its own words.
+type known struct {
+	message.Endpoint
+	suspectUntil event.Time
+	failures     int
+}
+
+// New returns a State that knows nothing yet.
+func New(limits Limits, seed uint64) *State {
+	return &State{
+		limits:    limits,
+		seed:      seed,
+		share:     1,
+		services:  make(map[string]*service),
+		spent:     make(map[string]*window),
+		endpoints: make(map[event.EndpointID]*known),
+		buckets:   make(map[string]*bucket),
+	}
+}
+
+// SetTable puts a table in force.
+func (s *State) SetTable(now event.Time, t *routing.Table) {
+	s.table = t
+	for i := range t.Services {
+		s.service(now, t.Services[i].Name)
+	}
+}
+
+// SetShare bounds what may be spent here to a part of quotas and budgets.
+func (s *State) SetShare(share float64) { s.share = share }
+
+// SetReserve keeps a part of the quotas for entries that are away and may spend
+// it without this State.
+func (s *State) SetReserve(part float64) { s.reserve = part }
+
+func (s *State) service(now event.Time, name string) *service {
+	v, ok := s.services[name]
+	if !ok {
+		pool := event.Pool{Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: profile}
+		v = &service{
+			pool:     sched.New(now, pool, s.seed),
+			requests: newWindow(s.limits.RetryWindow),
+			repeats:  newWindow(s.limits.RetryWindow),
+		}
+		s.services[name] = v
+	}
+	return v
+}
+
+// profile is what an endpoint is taken for until it was measured.
+var profile = event.Profile{PrefillRate: 40000, TokenGap: 5 * event.Millisecond, CallTime: 30 * event.Millisecond}
+
+// SetEndpoint takes in what an endpoint says of itself.
+func (s *State) SetEndpoint(now event.Time, e message.Endpoint, out *event.Effects) {
+	id := event.EndpointID(e.ID)
+	k, ok := s.endpoints[id]
+	if !ok {
+		k = &known{}
+		s.endpoints[id] = k
+	}
+	k.Endpoint = e
+	s.tell(now, k, out)
+}
+
+// tell hands what is believed of an endpoint to its pool.
+func (s *State) tell(now event.Time, k *known, out *event.Effects) {
+	s.service(now, k.Service).pool.Step(now, &event.EndpointSeen{
+		Endpoint: event.Endpoint{
+			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Leaving: k.Leaving,
+		},
+		Address: k.Address,
+		Down:    k.Down || now < k.suspectUntil,
+	}, out)
+}
+
+// RemoveEndpoint takes note that an endpoint has ended.
+func (s *State) RemoveEndpoint(now event.Time, id event.EndpointID, out *event.Effects) {
+	k, ok := s.endpoints[id]
+	if !ok {
+		return
+	}
+	delete(s.endpoints, id)
+	s.service(now, k.Service).pool.Step(now, &event.EndpointGone{ID: id}, out)
+}
+
+// Endpoints returns the ids of the endpoints that are known.
+func (s *State) Endpoints() []event.EndpointID {
+	list := make([]event.EndpointID, 0, len(s.endpoints))
+	for id := range s.endpoints {
+		list = append(list, id)
+	}
+	return list
+}
+
+// Submit registers a request of an entry.
+func (s *State) Submit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
+	t := m.Ticket
+	v := s.service(now, t.Service)
+	if m.Repeat {
+		if !s.mayRepeat(now, v) {
+			out.Refusals = append(out.Refusals, event.Refused{Entry: entry, ID: t.ID, Reason: event.ReasonBudget, RetryAfter: budgetRetryAfter})
+			return
+		}
+		v.repeats.add(now, 1)
+	} else {
+		if !s.spend(now, t.Team, m.Quota) {
+			out.Refusals = append(out.Refusals, event.Refused{Entry: entry, ID: t.ID, Reason: event.ReasonQuota, RetryAfter: quotaRetryAfter})
+			return
+		}
+		v.requests.add(now, 1)
+	}
+	first := len(out.Refusals)
+	v.pool.Step(now, &event.Submitted{Entry: entry, Ticket: t}, out)
+	for _, r := range out.Refusals[first:] {
+		if r.ID == t.ID && !m.Repeat {
+			s.giveBack(now, t.Team, m.Quota)
+		}
+	}
+}
+
+// mayRepeat reports whether a service may be sent one more request again.
+func (s *State) mayRepeat(now event.Time, v *service) bool {
+	allowed := s.limits.RetryRatio*float64(v.requests.total(now)) + float64(s.limits.RetryMin)
+	return float64(v.repeats.total(now)+1) <= allowed*s.share*retryMargin
+}
+
+// retryMargin keeps the budget below its bound by what is under way.
+const retryMargin = 0.8
+
+// Withdraw takes a request back that has not been granted.
+func (s *State) Withdraw(now event.Time, entry event.BoxID, w message.Withdrawal, out *event.Effects) {
+	s.service(now, w.Service).pool.Step(now, &event.Withdrawn{Entry: entry, ID: w.ID}, out)
+}
+
+// Finish ends a request that was granted.
+func (s *State) Finish(now event.Time, f *message.Finish, out *event.Effects) {
+	if f.Void {
+		s.giveBack(now, f.Team, f.Quota)
+	}
+	s.suspect(now, f, out)
+	s.service(now, f.Pool).pool.Step(now, &f.Finished, out)
+}
+
+// suspect leaves an endpoint alone for a while that could not be reached, longer
+// each time until it serves again.
+func (s *State) suspect(now event.Time, f *message.Finish, out *event.Effects) {
+	k, ok := s.endpoints[f.Endpoint]
+	switch {
+	case !ok:
+	case f.Suspect:
+		k.failures = min(k.failures+1, 4)
+		k.suspectUntil = now.Add(suspectTime * event.Span(k.failures))
+		s.tell(now, k, out)
+	case !f.Failed && !f.Void:
+		k.failures = 0
+		if now < k.suspectUntil {
+			k.suspectUntil = now
+			s.tell(now, k, out)
+		}
+	}
+}
+
+// Adopt books a request that runs by the word of an entry.
+func (s *State) Adopt(now event.Time, entry event.BoxID, r message.Running, out *event.Effects) {
+	s.service(now, r.Ticket.Service).pool.Step(now, &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
+}
+
+// EntrySeen takes note that an entry is alive.
+func (s *State) EntrySeen(now event.Time, entry event.BoxID, out *event.Effects) {
+	for _, v := range s.services {
+		v.pool.Step(now, &event.EntrySeen{Entry: entry}, out)
+	}
+}
+
+// EntryGone forgets what an entry had here.
+func (s *State) EntryGone(now event.Time, entry event.BoxID, out *event.Effects) {
+	for _, v := range s.services {
+		v.pool.Step(now, &event.EntryGone{Entry: entry}, out)
+	}
+}
+
+// Tick tells all pools that time passed.
+func (s *State) Tick(now event.Time, out *event.Effects) {
+	for _, k := range s.endpoints {
+		if k.suspectUntil != 0 && now >= k.suspectUntil {
+			k.suspectUntil = 0
+			s.tell(now, k, out)
+		}
+	}
+	for _, v := range s.services {
+		v.pool.Step(now, &event.Tick{}, out)
+	}
+}
--- /dev/null
+++ b/admission/window.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import "lynxramp.org/event"
+
+// binsPerWindow is how finely a window slides.
+const binsPerWindow = 40
+
+// window sums amounts over the last span of time. Older parts leave it bin by
+// bin, never early. The zero value is not ready; see newWindow.
+type window struct {
+	bin    event.Span
+	bins   [binsPerWindow + 1]int
+	newest int64 // number of the newest bin
+	sum    int
+}
+
+func newWindow(span event.Span) *window { return &window{bin: span / binsPerWindow} }
+
+// slide forgets what is too old at now.
+func (w *window) slide(now event.Time) {
+	number := int64(now) / int64(w.bin)
+	for steps := 0; w.newest < number && steps <= binsPerWindow; steps++ {
+		w.newest++
+		slot := w.slot(w.newest)
+		w.sum -= w.bins[slot]
+		w.bins[slot] = 0
+	}
+	w.newest = max(w.newest, number)
+}
+
+func (w *window) slot(number int64) int {
+	n := int64(len(w.bins))
+	return int((number%n + n) % n)
+}
+
+// add counts an amount at now.
+func (w *window) add(now event.Time, amount int) { w.addAt(now, now, amount) }
+
+// addAt counts an amount that was spent at an earlier moment.
+func (w *window) addAt(now, at event.Time, amount int) {
+	w.slide(now)
+	number := int64(at) / int64(w.bin)
+	if number <= w.newest-int64(len(w.bins)) {
+		return
+	}
+	w.bins[w.slot(number)] += amount
+	w.sum += amount
+}
+
+// remove takes an amount back, from what was counted last.
+func (w *window) remove(now event.Time, amount int) {
+	w.slide(now)
+	for back := range int64(len(w.bins)) {
+		slot := w.slot(w.newest - back)
+		part := min(amount, w.bins[slot])
+		w.bins[slot] -= part
+		w.sum -= part
+		amount -= part
+	}
+}
+
+// total returns the sum at now.
+func (w *window) total(now event.Time) int {
+	w.slide(now)
+	return w.sum
+}
+
+// list calls f for each part that is still counted, with its age.
+func (w *window) list(now event.Time, f func(age event.Span, amount int)) {
+	w.slide(now)
+	for back := range int64(len(w.bins)) {
+		if amount := w.bins[w.slot(w.newest-back)]; amount > 0 {
+			f(event.Span(back)*w.bin, amount)
+		}
+	}
+}
--- a/box/control.go
+++ b/box/control.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	keeper := control.NewKeeper(p.disk, p.peers)
+	keeper := store.NewKeeper(p.disk, p.peers)
 	boxes := control.NewOutboxes(keeper)
 	loop := control.NewLoop(state, p.clock, boxes)
 	p.peers.Start(loop, boxes)
--- /dev/null
+++ b/cluster/owner.go
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"lynxramp.org/admission"
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+)
+
+// entryPatience is how long an entry may be away before what it had running is
+// taken as ended.
+const entryPatience = 4 * event.Second
+
+// absentTime is how long an entry that is away keeps its share of the quotas.
+const absentTime = 30 * event.Second
+
+// owner is what the owner of the pools knows beside the replicated state. It is
+// soft: a new owner learns it from entries and endpoints.
+type owner struct {
+	term      consensus.Term
+	admission *admission.State
+	sessions  map[SessionID]*session
+	entries   map[event.BoxID]*entry
+	heard     map[string]event.Time // endpoints, by id
+	down      map[string]bool
+	effects   event.Effects
+}
+
+// session is a connection of an entry.
+type session struct {
+	entry event.BoxID
+	sent  uint64 // version of the configuration that it was sent
+}
+
+// entry is what is known of an entry over its connections.
+type entry struct {
+	life    uint64
+	session SessionID // 0 while it is away
+	left    event.Time
+}
+
+func newOwner(now event.Time, s *State) *owner {
+	o := &owner{
+		term:      s.node.Term(),
+		admission: admission.New(s.settings.Limits, s.settings.Seed),
+		sessions:  make(map[SessionID]*session),
+		entries:   make(map[event.BoxID]*entry),
+		heard:     make(map[string]event.Time),
+		down:      make(map[string]bool),
+	}
+	if s.table != nil {
+		o.admission.SetTable(now, s.table)
+	}
+	for _, e := range s.machine.registry.List() {
+		o.heard[e.ID] = now
+		o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e}, &o.effects)
+	}
+	return o
+}
+
+// end closes all sessions: the entries go to the next owner.
+func (o *owner) end(s *State, out *Effects) {
+	for id := range o.sessions {
+		s.redirect(id, out)
+	}
+}
+
+// step takes an event while this box owns the pools.
+func (o *owner) step(now event.Time, e Event, s *State, out *Effects) {
+	switch e := e.(type) {
+	case *Ticked:
+		o.tick(now, s, out)
+	case *EndpointTold:
+		o.hear(now, e.Endpoint.ID, s, out)
+	case *SessionBegan:
+		o.begin(now, e, s, out)
+	case *SessionPinged:
+		o.ping(now, e, s, out)
+	case *SessionTold:
+		o.told(now, e, s, out)
+	case *SessionEnded:
+		o.ended(now, e.Session)
+	}
+	o.decide(now, s, out)
+}
+
+func (o *owner) tick(now event.Time, s *State, out *Effects) {
+	for name, e := range o.entries {
+		away := now.Sub(e.left)
+		if e.session != 0 {
+			continue
+		}
+		if away > entryPatience {
+			o.admission.EntryGone(now, name, &o.effects)
+		}
+		if away > absentTime {
+			delete(o.entries, name)
+		}
+	}
+	o.shareOut()
+	limit := downBeats * s.settings.BeatEvery
+	for id, at := range o.heard {
+		if down := now.Sub(at) > limit; down != o.down[id] {
+			o.setDown(now, id, down, s, out)
+		}
+	}
+	o.admission.Tick(now, &o.effects)
+}
+
+// shareOut keeps the shares of entries that are away for them.
+func (o *owner) shareOut() {
+	away := 0
+	for _, e := range o.entries {
+		if e.session == 0 {
+			away++
+		}
+	}
+	o.admission.SetReserve(float64(away) / float64(max(1, len(o.entries))))
+}
+
+func (o *owner) hear(now event.Time, id string, s *State, out *Effects) {
+	if _, ok := s.machine.registry.Endpoints[id]; !ok {
+		return
+	}
+	o.heard[id] = now
+	if o.down[id] {
+		o.setDown(now, id, false, s, out)
+	}
+}
+
+// setDown changes what is believed of an endpoint's life.
+func (o *owner) setDown(now event.Time, id string, down bool, s *State, out *Effects) {
+	e, ok := s.machine.registry.Endpoints[id]
+	if !ok {
+		delete(o.heard, id)
+		delete(o.down, id)
+		return
+	}
+	o.down[id] = down
+	out.note("endpoint silent", Field{"endpoint", id}, Field{"down", down}, Field{"heard_ms_ago", now.Sub(o.heard[id]).Milliseconds()})
+	o.show(now, e, s, out)
+}
+
+// show hands news of an endpoint to the scheduler and to all entries.
+func (o *owner) show(now event.Time, e registry.Endpoint, s *State, out *Effects) {
+	seen := message.Endpoint{Endpoint: e, Down: o.down[e.ID]}
+	o.admission.SetEndpoint(now, seen, &o.effects)
+	o.sendAll(&message.Envelope{View: &message.View{Endpoints: []message.Endpoint{seen}}}, out)
+}
+
+// applied takes what a command changed.
+func (o *owner) applied(now event.Time, c change, s *State, out *Effects) {
+	for _, id := range c.gone {
+		delete(o.heard, id)
+		delete(o.down, id)
+		o.admission.RemoveEndpoint(now, event.EndpointID(id), &o.effects)
+		out.note("endpoint gone", Field{"endpoint", id})
+		o.sendAll(&message.Envelope{View: &message.View{Gone: []event.EndpointID{event.EndpointID(id)}}}, out)
+	}
+	for _, e := range c.seen {
+		o.heard[e.ID] = now
+		out.note("endpoint", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
+		o.show(now, e, s, out)
+	}
+	if c.document && s.table != nil {
+		o.admission.SetTable(now, s.table)
+		for id, one := range o.sessions {
+			o.sendDocument(id, one, s, out)
+		}
+	}
+}
+
+func (o *owner) sendAll(m *message.Envelope, out *Effects) {
+	for id := range o.sessions {
+		out.Sends = append(out.Sends, Send{id, m})
+	}
+}
+
+func (o *owner) sendDocument(id SessionID, one *session, s *State, out *Effects) {
+	if one.sent == s.machine.document.Version {
+		return
+	}
+	one.sent = s.machine.document.Version
+	out.Sends = append(out.Sends, Send{id, &message.Envelope{View: &message.View{
+		Document: s.machine.document.Data, Version: one.sent,
+	}}})
+}
+
+// begin takes an entry in: what it says is running, and what it spent.
+func (o *owner) begin(now event.Time, b *SessionBegan, s *State, out *Effects) {
+	name := b.Hello.Entry
+	e, ok := o.entries[name]
+	if !ok {
+		e = &entry{}
+		o.entries[name] = e
+		o.admission.Take(now, &b.Hello)
+	}
+	if e.session != 0 {
+		delete(o.sessions, e.session)
+		out.Closes = append(out.Closes, e.session)
+	}
+	e.session = b.Session
+	e.life = b.Hello.Life
+	// What it had here is as it now says.
+	o.admission.EntryGone(now, name, &o.effects)
+	one := &session{entry: name}
+	o.sessions[b.Session] = one
+	for _, r := range b.Hello.Running {
+		o.admission.Adopt(now, name, r, &o.effects)
+	}
+	view := &message.View{Whole: true, Members: s.memberLinks()}
+	for _, r := range s.machine.registry.List() {
+		view.Endpoints = append(view.Endpoints, message.Endpoint{Endpoint: r, Down: o.down[r.ID]})
+	}
+	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
+	o.sendDocument(b.Session, one, s, out)
+	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)})
+}
+
+// ping tells an entry that this box still owns the pools.
+func (o *owner) ping(now event.Time, p *SessionPinged, s *State, out *Effects) {
+	one, ok := o.sessions[p.Session]
+	if !ok || !s.owns(now) {
+		s.redirect(p.Session, out)
+		return
+	}
+	o.admission.EntrySeen(now, one.entry, &o.effects)
+	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{Pong: &message.Pong{
+		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: len(o.entries),
+	}}})
+}
+
+func (o *owner) told(now event.Time, t *SessionTold, s *State, out *Effects) {
+	one, ok := o.sessions[t.Session]
+	if !ok {
+		s.redirect(t.Session, out)
+		return
+	}
+	for i := range t.Batch.Finish {
+		o.admission.Finish(now, &t.Batch.Finish[i], &o.effects)
+	}
+	for _, w := range t.Batch.Withdraw {
+		o.admission.Withdraw(now, one.entry, w, &o.effects)
+	}
+	for i := range t.Batch.Submit {
+		o.admission.Submit(now, one.entry, &t.Batch.Submit[i], &o.effects)
+	}
+}
+
+func (o *owner) ended(now event.Time, id SessionID) {
+	one, ok := o.sessions[id]
+	if !ok {
+		return
+	}
+	delete(o.sessions, id)
+	if e := o.entries[one.entry]; e != nil && e.session == id {
+		e.session = 0
+		e.left = now
+	}
+}
+
+// decide sends the decisions that were made to their entries. A box whose lease
+// is over decides nothing.
+func (o *owner) decide(now event.Time, s *State, out *Effects) {
+	defer o.effects.Reset()
+	if len(o.effects.Grants)+len(o.effects.Refusals) == 0 || !s.owns(now) {
+		return
+	}
+	byEntry := make(map[event.BoxID]*message.Decisions)
+	at := func(name event.BoxID) *message.Decisions {
+		d, ok := byEntry[name]
+		if !ok {
+			d = &message.Decisions{}
+			byEntry[name] = d
+		}
+		return d
+	}
+	for _, g := range o.effects.Grants {
+		d := at(g.Entry)
+		d.Grants = append(d.Grants, g)
+	}
+	for _, r := range o.effects.Refusals {
+		d := at(r.Entry)
+		d.Refusals = append(d.Refusals, r)
+	}
+	for name, d := range byEntry {
+		if e := o.entries[name]; e != nil && e.session != 0 {
+			out.Sends = append(out.Sends, Send{e.session, &message.Envelope{Decisions: d}})
+		}
+	}
+}
--- /dev/null
+++ b/cluster/state.go
@@ -0,0 +1,337 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"slices"
+
+	"lynxramp.org/admission"
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// Bounds of the log and of endpoints' silence.
+const (
+	compactEntries = 512
+	compactBytes   = 4 << 20
+	// downBeats is how many times its own rhythm an endpoint may be silent before
+	// it is taken for down.
+	downBeats = 4
+)
+
+// Settings are what a State must know of its deployment.
+type Settings struct {
+	Limits    admission.Limits
+	Members   consensus.Limits
+	BeatEvery event.Span
+	Seed      uint64
+	// Decode reads a configuration that was found sound before.
+	Decode func([]byte) (*routing.Table, error)
+}
+
+// State is the reducer of a control box. It is not safe for concurrent use.
+type State struct {
+	settings Settings
+	node     *consensus.Node
+	machine  machine
+	table    *routing.Table
+	pending  map[consensus.Index]pending
+	compact  consensus.Index
+	logged   int    // bytes of commands since the last snapshot
+	owner    *owner // nil while this box does not own the pools
+	leader   consensus.ID
+	members  int
+}
+
+// pending is a call that waits for its command to be committed.
+type pending struct {
+	token Token
+	term  consensus.Term
+}
+
+// NewState returns the state of a member with what its disk holds.
+func NewState(now event.Time, id consensus.ID, r consensus.Restored, settings Settings) (*State, error) {
+	s := &State{
+		settings: settings,
+		node:     consensus.New(now, id, r, settings.Seed),
+		pending:  make(map[consensus.Index]pending),
+		compact:  r.Snapshot.Index,
+	}
+	s.node.SetLimits(settings.Members)
+	if err := s.machine.restore(r.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	s.decode()
+	return s, nil
+}
+
+// Node returns the box's part in the replicated log.
+func (s *State) Node() *consensus.Node { return s.node }
+
+// Document returns the configuration as far as it is applied here.
+func (s *State) Document() Document { return s.machine.document }
+
+// Step takes one event and adds to out what follows from it.
+func (s *State) Step(now event.Time, e Event, out *Effects) {
+	if look, ok := e.(inspect); ok {
+		look(now, s)
+		return
+	}
+	s.stepNode(now, e, out)
+	s.settle(now, out)
+	s.stepCalls(now, e, out)
+	if s.owner != nil {
+		s.owner.step(now, e, s, out)
+	} else {
+		s.refuseSession(e, out)
+	}
+	s.settle(now, out)
+	s.tellLeader(out)
+}
+
+func (s *State) stepNode(now event.Time, e Event, out *Effects) {
+	switch e := e.(type) {
+	case *Ticked:
+		s.node.Tick(now, &out.Ready)
+	case *Received:
+		s.node.Step(now, e.Message, &out.Ready)
+	case *Saved:
+		s.node.Saved(now, e.Index, e.Term, &out.Ready)
+	case *JoinAsked:
+		// A box that does not lead has no say; the joining box asks on.
+		_, _ = s.node.Join(now, e.Member, &out.Ready)
+	case *StopAsked:
+		s.node.Transfer(now, &out.Ready)
+	}
+}
+
+// owns reports whether this box owns the pools at now: no other can.
+func (s *State) owns(now event.Time) bool { return s.node.HasLease(now) }
+
+// stepCalls takes the calls of operators and endpoints.
+func (s *State) stepCalls(now event.Time, e Event, out *Effects) {
+	switch e := e.(type) {
+	case *DocumentSent:
+		s.propose(now, e.Token, encodeDocument(e.Document), e.Document.Version <= s.machine.document.Version, out)
+	case *DocumentRead:
+		if !s.owns(now) {
+			s.elsewhere(e.Token, out)
+			return
+		}
+		out.Answers = append(out.Answers, Answer{
+			Token: e.Token, Status: StatusDone, Document: s.machine.document, Until: s.node.LeaseEnd(now),
+		})
+	case *EndpointTold:
+		known := !s.machine.registry.Accepts(e.Endpoint) || !s.machine.registry.Changes(e.Endpoint)
+		s.propose(now, e.Token, encodeEndpoint(e.Endpoint), known, out)
+	case *EndpointLeft:
+		s.propose(now, e.Token, encodeRemove(e.ID), slices.Contains(s.machine.registry.Gone, e.ID), out)
+	case *CallGone:
+		for i, p := range s.pending {
+			if p.token == e.Token {
+				delete(s.pending, i)
+			}
+		}
+	}
+}
+
+// propose puts a command into the log, unless it is known to change nothing; the
+// call is answered when it is committed.
+func (s *State) propose(now event.Time, token Token, command []byte, known bool, out *Effects) {
+	if !s.owns(now) {
+		s.elsewhere(token, out)
+		return
+	}
+	if known {
+		out.Answers = append(out.Answers, Answer{Token: token, Status: StatusDone})
+		return
+	}
+	index, err := s.node.Propose(now, command, &out.Ready)
+	if err != nil {
+		s.elsewhere(token, out)
+		return
+	}
+	s.pending[index] = pending{token: token, term: s.node.Term()}
+}
+
+// elsewhere answers a call that this box can't serve.
+func (s *State) elsewhere(token Token, out *Effects) {
+	out.Answers = append(out.Answers, Answer{Token: token, Status: StatusElsewhere, Leader: s.leaderAddress()})
+}
+
+// leaderAddress returns the operators' address of another box that leads; empty
+// if none is known.
+func (s *State) leaderAddress() string {
+	id := s.node.Leader()
+	if id == "" || id == s.node.ID() {
+		return ""
+	}
+	for _, m := range s.allMembers() {
+		if m.ID == id {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+func (s *State) allMembers() []consensus.Member {
+	m := s.node.Members()
+	return append(slices.Clone(m.Voters), m.Learners...)
+}
+
+// memberLinks returns the link addresses of all members.
+func (s *State) memberLinks() []string {
+	var list []string
+	for _, m := range s.allMembers() {
+		list = append(list, string(m.ID.Box()))
+	}
+	return list
+}
+
+// settle applies what was committed and takes up or lays down the ownership.
+func (s *State) settle(now event.Time, out *Effects) {
+	if snap := out.Ready.Snapshot; snap != nil && snap.Index > s.compact {
+		s.compact = snap.Index
+		s.logged = 0
+		if err := s.machine.restore(snap.Data); err != nil {
+			panic(err) // it was checked when it was taken
+		}
+		s.decode()
+	}
+	for len(out.Ready.Committed) > 0 {
+		committed := out.Ready.Committed
+		out.Ready.Committed = nil
+		for _, entry := range committed {
+			s.applyEntry(now, entry, out)
+		}
+	}
+	s.settleOwnership(now, out)
+	applied := s.node.Applied()
+	if applied >= s.compact+compactEntries || (s.logged > compactBytes && applied > s.compact) {
+		s.compact = applied
+		s.logged = 0
+		s.node.Compact(s.machine.snapshot(), &out.Ready)
+	}
+}
+
+func (s *State) applyEntry(now event.Time, entry consensus.Entry, out *Effects) {
+	if entry.Kind == consensus.EntryCommand {
+		s.applyCommand(now, entry.Data, out)
+	}
+	p, ok := s.pending[entry.Index]
+	if !ok {
+		return
+	}
+	delete(s.pending, entry.Index)
+	status := StatusDone
+	if p.term != entry.Term {
+		status = StatusUnclear
+	}
+	out.Answers = append(out.Answers, Answer{Token: p.token, Status: status})
+}
+
+func (s *State) applyCommand(now event.Time, command []byte, out *Effects) {
+	s.logged += len(command)
+	c, err := s.machine.apply(command)
+	if err != nil {
+		// A command that no version of this program can read does nothing, on
+		// every box alike.
+		out.note("command not applied", Field{"error", err.Error()})
+		return
+	}
+	if c.document {
+		s.decode()
+		out.note("configuration applied", Field{"version", s.machine.document.Version})
+	}
+	if s.owner != nil {
+		s.owner.applied(now, c, s, out)
+	}
+}
+
+// decode makes the table of the document.
+func (s *State) decode() {
+	if s.machine.document.Version == 0 {
+		return
+	}
+	table, err := s.settings.Decode(s.machine.document.Data)
+	if err != nil {
+		return // it was read before it was proposed
+	}
+	s.table = table
+}
+
+// settleOwnership begins to own when this box has come to lead, and ends when it
+// may not be the leader any more.
+func (s *State) settleOwnership(now event.Time, out *Effects) {
+	owns := s.owns(now)
+	if s.owner != nil && (!owns || s.owner.term != s.node.Term()) {
+		s.owner.end(s, out)
+		s.owner = nil
+		out.note("owns the pools no more", Field{"term", uint64(s.node.Term())})
+	}
+	if owns && s.owner == nil {
+		s.owner = newOwner(now, s)
+		out.note("owns the pools", Field{"term", uint64(s.node.Term())})
+	}
+	if !s.node.Leads() {
+		s.failPending(out)
+	}
+}
+
+// failPending answers the calls whose commands may or may not be committed.
+func (s *State) failPending(out *Effects) {
+	for index, p := range s.pending {
+		out.Answers = append(out.Answers, Answer{Token: p.token, Status: StatusUnclear})
+		delete(s.pending, index)
+	}
+}
+
+// refuseSession sends entries on when this box is not the owner.
+func (s *State) refuseSession(e Event, out *Effects) {
+	var session SessionID
+	switch e := e.(type) {
+	case *SessionBegan:
+		session = e.Session
+	case *SessionPinged:
+		session = e.Session
+	case *SessionTold:
+		session = e.Session
+	default:
+		return
+	}
+	s.redirect(session, out)
+}
+
+func (s *State) redirect(session SessionID, out *Effects) {
+	leader := ""
+	if id := s.node.Leader(); id != s.node.ID() {
+		leader = string(id.Box())
+	}
+	out.Sends = append(out.Sends, Send{session, &message.Envelope{Redirect: &message.Redirect{
+		Leader: leader, Members: s.memberLinks(),
+	}}})
+	out.Closes = append(out.Closes, session)
+}
+
+// tellLeader notes changes of the leader and of the members.
+func (s *State) tellLeader(out *Effects) {
+	if id := s.node.Leader(); id != s.leader {
+		s.leader = id
+		out.note("leader", Field{"leader", string(id)}, Field{"term", uint64(s.node.Term())})
+	}
+	m := s.node.Members()
+	if n := len(m.Voters)*100 + len(m.Learners); n != s.members {
+		s.members = n
+		out.note("members", Field{"voters", ids(m.Voters)}, Field{"learners", ids(m.Learners)})
+	}
+}
+
+func ids(list []consensus.Member) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, string(m.ID))
+	}
+	return names
+}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -94,8 +94,28 @@
 	transfer  ID
 	transferT event.Time
 	joins     []Member // boxes that ask to become members
+	limits    Limits
 }
 
+// Limits bound how the members change by themselves. The zero value lets every
+// box that joins become a voter and replaces none.
+type Limits struct {
+	// Voters is the most voters that joining boxes make; 0 is no limit.
+	Voters int
+	// DeadAfter is how long a voter may be silent before a joined box takes its
+	// place; 0 is for ever.
+	DeadAfter event.Span
+}
+
+// SetLimits bounds the changes of members from now on.
+func (n *Node) SetLimits(l Limits) { n.limits = l }
+
+// HeardLeader returns when a leader was last heard, or the time of the start.
+func (n *Node) HeardLeader() event.Time { return n.heard }
+
+// IsVoter reports whether this member has a vote, by all it knows.
+func (n *Node) IsVoter() bool { return n.members.isVoter(n.id) }
+
 // New returns a member that starts with what its disk holds. Right after a
 // start it refuses votes for ElectionMin: it may have answered a heartbeat just
 // before, and a lease rests on that.
@@ -156,6 +176,9 @@
 	return n.Leads() && n.transfer == "" && now < n.leaseEnd(now)
 }
 
+// LeaseEnd returns when the lease of a leader is over, as far as is known at now.
+func (n *Node) LeaseEnd(now event.Time) event.Time { return n.leaseEnd(now) }
+
 // leaseEnd returns when the lease is over, by the heartbeats that a quorum
 // answered.
 func (n *Node) leaseEnd(now event.Time) event.Time {
--- a/control/loop.go
+++ b/control/loop.go
@@ -8,6 +8,7 @@
 
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/store"
 )
 
 // tickEvery is how often the State is told that time passed.
@@ -24,7 +25,7 @@
 	// Keep takes what is to be saved and sent. It owns r.
 	Keep(r consensus.Ready)
 	// Saved is where it tells what was saved.
-	Saved() <-chan *LogSaved
+	Saved() <-chan store.Saved
 }
 
 // Loop is the goroutine that owns a State.
@@ -63,7 +64,7 @@
 			return
 		case b = <-l.input:
 		case e := <-l.carrier.Saved():
-			b.events = []event.Event{e}
+			b.events = []event.Event{&LogSaved{Index: e.Index, Term: e.Term}}
 		case t := <-ticker.C:
 			b.events = []event.Event{&WallClock{Millis: t.UnixMilli()}, &event.Tick{}}
 		}
--- a/control/outbox.go
+++ b/control/outbox.go
@@ -8,6 +8,7 @@
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/rpc"
+	"lynxramp.org/store"
 )
 
 // outboxLimit bounds the decisions kept for an entry that does not fetch them.
@@ -17,7 +18,7 @@
 // Outboxes keeps the decisions for each entry until the entry has them, and the
 // answers for the calls that wait for them. It implements Carrier.
 type Outboxes struct {
-	keeper *Keeper
+	keeper *store.Keeper
 
 	mu      sync.Mutex
 	epoch   event.Epoch
@@ -35,7 +36,7 @@
 
 // NewOutboxes returns Outboxes without any decision, which hand what is to be
 // kept on to keeper.
-func NewOutboxes(keeper *Keeper) *Outboxes {
+func NewOutboxes(keeper *store.Keeper) *Outboxes {
 	return &Outboxes{
 		keeper:  keeper,
 		boxes:   make(map[event.BoxID]*outbox),
@@ -47,7 +48,7 @@
 func (o *Outboxes) Keep(r consensus.Ready) { o.keeper.Keep(r) }
 
 // Saved implements Carrier.
-func (o *Outboxes) Saved() <-chan *LogSaved { return o.keeper.Saved() }
+func (o *Outboxes) Saved() <-chan store.Saved { return o.keeper.Saved() }
 
 // Decide implements Carrier: it lays each decision into its entry's outbox.
 func (o *Outboxes) Decide(e *Effects) {
--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,14 @@
 	// for none. Digest tells requests of one key apart.
 	Key    string
 	Digest uint64
+	// Target is the time left until the answer's beginning is no longer useful in
+	// full; 0 means that only the deadline counts.
+	Target Span
+	// Patience is the longest that the request may be expected to wait; 0 is
+	// without a limit.
+	Patience Span
+	// Avoid has endpoints that must not be chosen: they had the request before.
+	Avoid []EndpointID
 }
 
 // Event is something that happened: a pointer to one of the event types of this
@@ -107,8 +115,36 @@
 	Failed bool
 	// Void is set when the request has not run there and will not.
 	Void bool
+	// FirstAfter is the time from the hand-over to the answer's beginning; 0 if
+	// there was none.
+	FirstAfter Span
+	// TokenGap is the mean time between the answer's tokens; 0 if unknown.
+	TokenGap Span
+}
+
+// Adopted says that a request runs at an endpoint by the word of an entry: an
+// earlier owner granted it, or the entry itself did without one.
+type Adopted struct {
+	Entry    BoxID
+	Ticket   Ticket
+	Endpoint EndpointID
+}
+
+// EntryGone says that an entry has ended: what it had waiting or running is over.
+type EntryGone struct{ Entry BoxID }
+
+// EndpointSeen carries what is known of an endpoint without a slot of the system
+// beside it.
+type EndpointSeen struct {
+	Endpoint Endpoint
+	Address  string // IP:port
+	// Down is set while it gives no sign of life.
+	Down bool
 }
 
+// EndpointGone says that an endpoint has ended for good.
+type EndpointGone struct{ ID EndpointID }
+
 // EntrySeen says that an entry is alive and which version of the catalog is in
 // force there.
 type EntrySeen struct {
@@ -137,6 +173,10 @@
 func (*PlatformListed) IsEvent() {}
 func (*Tick) IsEvent()           {}
 func (*PoolChanged) IsEvent()    {}
+func (*Adopted) IsEvent()        {}
+func (*EntryGone) IsEvent()      {}
+func (*EndpointSeen) IsEvent()   {}
+func (*EndpointGone) IsEvent()   {}
 
 // Report is a slot's regular message about its endpoint.
 type Report struct {
@@ -166,6 +206,19 @@
 	// of a caller's waiting; 0 stands for 1.
 	PrefillWeight float64
 	Endpoints     []Endpoint
+	// Profile tells how fast an endpoint of speed 1 is.
+	Profile Profile
+	// Discovered says that endpoints tell of themselves (EndpointSeen) instead of
+	// standing in Endpoints.
+	Discovered bool
+}
+
+// Profile is the speed of an endpoint of speed 1. Zero values stand for the
+// reference engine's.
+type Profile struct {
+	PrefillRate float64 // prompt tokens a second
+	TokenGap    Span    // between a stream's tokens
+	CallTime    Span    // of a call without tokens
 }
 
 // Endpoint has the settings of an endpoint that its scheduler needs.
@@ -236,6 +289,10 @@
 	ReasonClaimed
 	// ReasonKeyReused: another request, with other content, has the key.
 	ReasonKeyReused
+	// ReasonQuota: the team has spent its quota.
+	ReasonQuota
+	// ReasonBudget: the service has no repeats left for now.
+	ReasonBudget
 )
 
 // String returns the reason as logs and answers have it.
@@ -251,6 +308,10 @@
 		return "claimed"
 	case ReasonKeyReused:
 		return "key_reused"
+	case ReasonQuota:
+		return "quota"
+	case ReasonBudget:
+		return "retry_budget"
 	default:
 		return "none"
 	}
--- /dev/null
+++ b/gateway/agent.go
@@ -0,0 +1,496 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/admission"
+	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
+	"lynxramp.org/link"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// Times of an agent.
+const (
+	agentTick = 50 * time.Millisecond
+	pingEvery = 200 * event.Millisecond
+	// pongPatience is how long an owner may leave a ping without an answer.
+	pongPatience = 800 * event.Millisecond
+	// aloneAfter is how long an entry is without an owner before it decides by
+	// itself.
+	aloneAfter = 150 * event.Millisecond
+	redialWait = 60 * event.Millisecond
+	inputDepth = 4096
+	// maxBatch is how many requests' news go in one message.
+	maxBatch = 256
+)
+
+// Decision is what became of a submission.
+type Decision struct {
+	Granted    bool
+	Endpoint   event.EndpointID
+	Address    string
+	Reason     event.Reason
+	RetryAfter event.Span
+	// Alone says that the entry decided without an owner.
+	Alone bool
+}
+
+// AgentConfig says who an agent is and whom it asks.
+type AgentConfig struct {
+	Entry event.BoxID
+	Life  uint64
+	// Control has link addresses of control boxes, perhaps old ones.
+	Control []string
+	Limits  admission.Limits
+	// Fresh is how long the configuration counts after it was known to be the
+	// newest.
+	Fresh  event.Span
+	Decode func([]byte) (*routing.Table, error)
+	Log    *zap.Logger
+}
+
+// Agent is the entry's side of the decisions. Its loop owns all that is not
+// atomic.
+type Agent struct {
+	config AgentConfig
+	log    *zap.Logger
+	clock  event.Clock
+	input  chan any
+	table  atomic.Pointer[routing.Table]
+	fresh  atomic.Int64 // event.Time until which the table may be used
+	pace   atomic.Int64 // entries that share quotas
+
+	conn      *link.Conn[message.Envelope]
+	owned     bool // the other side of conn said that it is the owner
+	dialing   bool
+	dialAt    event.Time
+	lostAt    event.Time
+	pinged    event.Time
+	ponged    event.Time
+	members   []string // known control boxes
+	hint      string   // the leader, as last told
+	nextTry   int
+	waiting   map[event.RequestID]*waiter
+	running   map[event.RequestID]*message.Running
+	endpoints map[event.EndpointID]message.Endpoint
+	ledger    *admission.State // what was spent here, for the next owner
+	alone     *admission.State // nil while there is an owner
+	batch     message.Batch
+	effects   event.Effects
+}
+
+// waiter is a request without a decision.
+type waiter struct {
+	submission message.Submission
+	arrived    event.Time
+	decision   chan Decision
+}
+
+// The inputs of the loop.
+type (
+	submitted struct{ w *waiter }
+	withdrawn struct{ id event.RequestID }
+	finished  struct{ f message.Finish }
+	dialed    struct {
+		conn    *link.Conn[message.Envelope]
+		address string
+		err     error
+	}
+	received struct {
+		conn *link.Conn[message.Envelope]
+		m    *message.Envelope
+	}
+	lost struct {
+		conn *link.Conn[message.Envelope]
+		err  error
+	}
+	reseeded struct{ control []string }
+)
+
+// NewAgent returns an agent; Run starts it.
+func NewAgent(c AgentConfig) *Agent {
+	a := &Agent{
+		config:    c,
+		log:       c.Log,
+		clock:     event.NewClock(),
+		input:     make(chan any, inputDepth),
+		members:   slices.Clone(c.Control),
+		waiting:   make(map[event.RequestID]*waiter),
+		running:   make(map[event.RequestID]*message.Running),
+		endpoints: make(map[event.EndpointID]message.Endpoint),
+		ledger:    admission.New(c.Limits, c.Life),
+		nextTry:   rand.IntN(len(c.Control) + 1),
+	}
+	a.pace.Store(1)
+	return a
+}
+
+// Table returns the configuration that requests are served by; nil while there is
+// none, or while it is not known to be the newest.
+func (a *Agent) Table() *routing.Table {
+	if int64(a.clock.Now()) >= a.fresh.Load() {
+		return nil
+	}
+	return a.table.Load()
+}
+
+// Now returns the agent's time.
+func (a *Agent) Now() event.Time { return a.clock.Now() }
+
+// Submit registers a request. Its decision comes on the channel.
+func (a *Agent) Submit(m message.Submission) <-chan Decision {
+	w := &waiter{submission: m, arrived: a.clock.Now(), decision: make(chan Decision, 1)}
+	a.input <- submitted{w}
+	return w.decision
+}
+
+// Withdraw takes a request back whose decision is not awaited any more.
+func (a *Agent) Withdraw(id event.RequestID) { a.input <- withdrawn{id} }
+
+// Finish says that a granted request does not use its endpoint any more.
+func (a *Agent) Finish(f message.Finish) { a.input <- finished{f} }
+
+// SetControl takes other addresses of control boxes.
+func (a *Agent) SetControl(control []string) { a.input <- reseeded{control} }
+
+// Run serves until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	ticker := time.NewTicker(agentTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			if a.conn != nil {
+				a.conn.Close()
+			}
+			return
+		case in := <-a.input:
+			a.take(in)
+			for range min(len(a.input), maxBatch) {
+				a.take(<-a.input)
+			}
+		case <-ticker.C:
+			a.tick()
+		}
+		a.flush()
+	}
+}
+
+func (a *Agent) take(in any) {
+	now := a.clock.Now()
+	switch in := in.(type) {
+	case submitted:
+		a.submit(now, in.w)
+	case withdrawn:
+		a.withdraw(now, in.id)
+	case finished:
+		a.finish(now, in.f)
+	case dialed:
+		a.dialed(now, in)
+	case received:
+		if in.conn == a.conn {
+			a.receive(now, in.m)
+		}
+	case lost:
+		if in.conn == a.conn {
+			a.lose(now, "connection ended", in.err)
+		}
+	case reseeded:
+		a.know(in.control)
+	}
+	a.settle(now)
+}
+
+func (a *Agent) submit(now event.Time, w *waiter) {
+	id := w.submission.Ticket.ID
+	a.waiting[id] = w
+	switch {
+	case a.owned:
+		a.batch.Submit = append(a.batch.Submit, w.submission)
+	case a.alone != nil:
+		a.alone.Submit(now, a.config.Entry, &w.submission, &a.effects)
+	}
+}
+
+func (a *Agent) withdraw(now event.Time, id event.RequestID) {
+	w, ok := a.waiting[id]
+	if !ok {
+		// It was granted in the meantime and is not used.
+		if r, runs := a.running[id]; runs {
+			a.finish(now, message.Finish{
+				Finished: event.Finished{ID: id, Pool: r.Ticket.Service, Void: true},
+				Team:     r.Ticket.Team, Endpoint: r.Endpoint,
+			})
+		}
+		return
+	}
+	delete(a.waiting, id)
+	withdrawal := message.Withdrawal{ID: id, Service: w.submission.Ticket.Service}
+	switch {
+	case a.owned:
+		a.batch.Withdraw = append(a.batch.Withdraw, withdrawal)
+	case a.alone != nil:
+		a.alone.Withdraw(now, a.config.Entry, withdrawal, &a.effects)
+	}
+}
+
+func (a *Agent) finish(now event.Time, f message.Finish) {
+	delete(a.running, f.ID)
+	if a.conn != nil {
+		a.batch.Finish = append(a.batch.Finish, f)
+	}
+	if a.alone != nil {
+		a.alone.Finish(now, &f, &a.effects)
+	}
+}
+
+// settle hands on what was decided here alone.
+func (a *Agent) settle(now event.Time) {
+	for len(a.effects.Grants)+len(a.effects.Refusals) > 0 {
+		grants, refusals := a.effects.Grants, a.effects.Refusals
+		a.effects = event.Effects{}
+		a.decided(now, grants, refusals, true)
+	}
+}
+
+// decided tells the waiting requests what was decided.
+func (a *Agent) decided(now event.Time, grants []event.Granted, refusals []event.Refused, alone bool) {
+	for _, g := range grants {
+		w, ok := a.waiting[g.ID]
+		if !ok {
+			a.refuseGrant(now, g)
+			continue
+		}
+		delete(a.waiting, g.ID)
+		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint}
+		a.ledger.Note(now, &w.submission)
+		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Alone: alone}
+	}
+	for _, r := range refusals {
+		w, ok := a.waiting[r.ID]
+		if !ok {
+			continue
+		}
+		delete(a.waiting, r.ID)
+		w.decision <- Decision{Reason: r.Reason, RetryAfter: r.RetryAfter, Alone: alone}
+	}
+}
+
+// refuseGrant gives back a grant that nobody waits for.
+func (a *Agent) refuseGrant(now event.Time, g event.Granted) {
+	if _, ok := a.running[g.ID]; ok {
+		return
+	}
+	e, ok := a.endpoints[g.Endpoint]
+	if !ok {
+		return
+	}
+	a.finish(now, message.Finish{Finished: event.Finished{ID: g.ID, Pool: e.Service, Void: true}, Endpoint: g.Endpoint})
+}
+
+// flush sends what was gathered.
+func (a *Agent) flush() {
+	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Finish) == 0 {
+		return
+	}
+	if a.conn != nil {
+		batch := a.batch
+		a.conn.Send(&message.Envelope{Batch: &batch})
+	}
+	a.batch = message.Batch{}
+}
+
+func (a *Agent) tick() {
+	now := a.clock.Now()
+	switch {
+	case a.conn != nil:
+		a.keepOwner(now)
+	case !a.dialing && now >= a.dialAt:
+		a.dial()
+	}
+	if !a.owned && a.alone == nil && now.Sub(a.lostAt) > aloneAfter && a.table.Load() != nil {
+		a.goAlone(now)
+	}
+	if a.alone != nil {
+		a.alone.EntrySeen(now, a.config.Entry, &a.effects)
+		a.alone.Tick(now, &a.effects)
+	}
+	a.settle(now)
+}
+
+// keepOwner asks the owner whether it still is.
+func (a *Agent) keepOwner(now event.Time) {
+	if now.Sub(a.ponged) > pongPatience {
+		a.lose(now, "owner does not answer", nil)
+		return
+	}
+	if now.Sub(a.pinged) >= pingEvery {
+		a.pinged = now
+		a.conn.Send(&message.Envelope{Ping: &message.Ping{Sent: now}})
+	}
+}
+
+// know adds control boxes to those that are asked.
+func (a *Agent) know(control []string) {
+	for _, address := range control {
+		if !slices.Contains(a.members, address) {
+			a.members = append(a.members, address)
+		}
+	}
+}
+
+// dial connects to the leader as last told, or to the next box that is known.
+func (a *Agent) dial() {
+	address := a.hint
+	a.hint = ""
+	if address == "" {
+		address = a.members[a.nextTry%len(a.members)]
+		a.nextTry++
+	}
+	a.dialing = true
+	go func() {
+		conn, err := link.Dial[message.Envelope](address)
+		a.input <- dialed{conn: conn, address: address, err: err}
+	}()
+}
+
+func (a *Agent) dialed(now event.Time, d dialed) {
+	a.dialing = false
+	a.dialAt = now.Add(redialWait)
+	if d.err != nil {
+		a.log.Debug("control box not reached", zap.String("address", d.address), logx.Err(d.err))
+		return
+	}
+	hello := &message.Hello{Entry: a.config.Entry, Life: a.config.Life}
+	a.ledger.Report(now, hello)
+	for _, r := range a.running {
+		hello.Running = append(hello.Running, *r)
+	}
+	conn := d.conn
+	a.conn = conn
+	a.ponged, a.pinged = now, now
+	conn.Send(&message.Envelope{Hello: hello})
+	conn.Send(&message.Envelope{Ping: &message.Ping{Sent: now}})
+	go func() {
+		err := conn.Serve(func(m *message.Envelope) { a.input <- received{conn, m} })
+		a.input <- lost{conn, err}
+	}()
+	a.batch = message.Batch{}
+	a.log.Info("asks control box", zap.String("address", d.address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
+}
+
+// lose gives up the connection to the owner.
+func (a *Agent) lose(now event.Time, why string, err error) {
+	a.conn.Close()
+	a.conn = nil
+	if a.owned {
+		a.lostAt = now
+	}
+	a.owned = false
+	a.dialAt = now
+	a.batch = message.Batch{}
+	a.log.Info("control box lost", zap.String("why", why), logx.Err(err))
+}
+
+func (a *Agent) receive(now event.Time, m *message.Envelope) {
+	switch {
+	case m.Redirect != nil:
+		a.know(m.Redirect.Members)
+		a.hint = m.Redirect.Leader
+		a.lose(now, "not the owner", nil)
+		if a.hint == "" {
+			a.dialAt = now.Add(redialWait)
+		}
+	case m.View != nil:
+		a.see(now, m.View)
+	case m.Pong != nil:
+		a.pong(now, m.Pong)
+	case m.Decisions != nil:
+		a.decided(now, m.Decisions.Grants, m.Decisions.Refusals, false)
+	}
+}
+
+// pong takes the owner's word that the configuration is the newest.
+func (a *Agent) pong(now event.Time, p *message.Pong) {
+	a.ponged = now
+	a.pace.Store(int64(max(1, p.Entries)))
+	if !a.owned {
+		a.beginOwned(now)
+	}
+	if t := a.table.Load(); t != nil && t.Version >= p.Version {
+		a.fresh.Store(int64(p.Sent.Add(a.config.Fresh)))
+	}
+}
+
+// beginOwned hands what waits to the owner that was found.
+func (a *Agent) beginOwned(now event.Time) {
+	a.owned = true
+	a.alone = nil
+	for _, w := range a.waiting {
+		m := w.submission
+		m.Ticket.Waited = now.Sub(w.arrived)
+		a.batch.Submit = append(a.batch.Submit, m)
+	}
+	a.log.Info("owner found", zap.String("address", a.conn.Remote()), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
+}
+
+// see takes news of the deployment.
+func (a *Agent) see(now event.Time, v *message.View) {
+	a.know(v.Members)
+	if v.Whole {
+		clear(a.endpoints)
+	}
+	for _, e := range v.Endpoints {
+		a.endpoints[event.EndpointID(e.ID)] = e
+	}
+	for _, id := range v.Gone {
+		delete(a.endpoints, id)
+	}
+	if len(v.Document) > 0 {
+		a.put(now, v)
+	}
+}
+
+// put puts a configuration in force. An entry never goes back to an older one.
+func (a *Agent) put(now event.Time, v *message.View) {
+	if t := a.table.Load(); t != nil && t.Version >= v.Version {
+		return
+	}
+	table, err := a.config.Decode(v.Document)
+	if err != nil {
+		a.log.Error("configuration not read", zap.Uint64("version", v.Version), logx.Err(err))
+		return
+	}
+	a.table.Store(table)
+	a.ledger.SetTable(now, table)
+	a.log.Info("configuration in force", zap.Uint64("version", v.Version), zap.Int("routes", len(table.Routes)))
+}
+
+// goAlone begins to decide without an owner.
+func (a *Agent) goAlone(now event.Time) {
+	entries := int(a.pace.Load())
+	a.alone = admission.New(a.config.Limits, a.config.Life)
+	a.alone.SetTable(now, a.table.Load())
+	a.alone.SetShare(1 / float64(entries+1))
+	for _, e := range a.endpoints {
+		e.Slots = max(1, (e.Slots+entries-1)/entries)
+		a.alone.SetEndpoint(now, e, &a.effects)
+	}
+	for _, r := range a.running {
+		a.alone.Adopt(now, a.config.Entry, *r, &a.effects)
+	}
+	for _, w := range a.waiting {
+		a.alone.Submit(now, a.config.Entry, &w.submission, &a.effects)
+	}
+	a.log.Warn("decides without an owner", zap.Int("entries", entries), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,301 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// Bounds of what an entry holds.
+const (
+	maxHeld = 2000 // requests
+	// retryUnready is what a caller is told who comes while the entry knows no
+	// configuration.
+	retryUnready = 500 * event.Millisecond
+	retryFull    = event.Second
+	sweepEvery   = time.Second
+)
+
+// Config is what a Gateway needs.
+type Config struct {
+	Agent *Agent
+	Names Names
+	// HeldBytes bounds the request bodies that are held at once.
+	HeldBytes int64
+	Log       *zap.Logger
+	Entry     event.BoxID
+	Life      uint64
+}
+
+// Gateway serves callers. It is an http.Handler.
+type Gateway struct {
+	config   Config
+	agent    *Agent
+	log      *zap.Logger
+	upstream *upstream
+	held     atomic.Int64 // requests
+	bytes    atomic.Int64 // of their bodies
+	count    atomic.Uint64
+	stopping atomic.Bool
+	meters   meters
+}
+
+// New returns a gateway; Run keeps it tidy.
+func New(c Config) *Gateway {
+	return &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), meters: newMeters()}
+}
+
+// Run drops connections that are not used until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.upstream.sweep()
+		}
+	}
+}
+
+// Ready reports whether new callers may come.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.agent.Table() != nil }
+
+// Stop says that the process will end: Ready is false from now on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Held returns how many requests are under way.
+func (g *Gateway) Held() int { return int(g.held.Load()) }
+
+// call is one request from its arrival to its last byte.
+type call struct {
+	gateway  *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	table    *routing.Table
+	route    *routing.Route
+	team     *routing.Team
+	service  string
+	id       event.RequestID // ours
+	callerID string
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	attempts int // endpoints that the request was sent to
+	avoid    []event.EndpointID
+	log      *zap.Logger
+
+	// Of a stream that has begun:
+	begun     bool
+	lastEvent string
+	events    int
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer g.held.Add(-1)
+	if g.held.Add(1) > maxHeld {
+		refuse(w, http.StatusServiceUnavailable, retryFull, "too many requests are held")
+		return
+	}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
+	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
+	c.log = g.log.With(zap.String("request", c.callerID), zap.String("id", string(c.id)))
+	if c.admit() {
+		c.run()
+	}
+}
+
+// admit finds what the request is and reads it whole. It answers by itself what
+// cannot be served.
+func (c *call) admit() bool {
+	g := c.gateway
+	if c.table = g.agent.Table(); c.table == nil {
+		c.end(http.StatusServiceUnavailable, retryUnready, "no configuration is known to be the newest")
+		return false
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	if c.route = c.table.Match(c.r.Host, path); c.route == nil {
+		c.end(http.StatusNotFound, 0, "no route")
+		return false
+	}
+	if !c.identify() {
+		c.end(http.StatusUnauthorized, 0, "unknown key")
+		return false
+	}
+	c.service = c.route.Pick(rand.Float64())
+	c.deadline = c.arrived.Add(c.route.Timeout)
+	if ms, err := strconv.ParseFloat(c.r.Header.Get(g.config.Names.Deadline), 64); err == nil && ms > 0 {
+		if d := c.arrived.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(c.deadline) {
+			c.deadline = d
+		}
+	}
+	return c.readBody()
+}
+
+// identify finds the team that holds the request's key. Public routes need none.
+func (c *call) identify() bool {
+	if c.route.Public || len(c.table.Teams) == 0 {
+		return true
+	}
+	scheme, key, ok := strings.Cut(c.r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, c.gateway.config.Names.KeyScheme) {
+		return false
+	}
+	c.team = c.table.Holder(strings.TrimSpace(key))
+	return c.team != nil
+}
+
+// stillAllowed reports whether the configuration that is now known to be in force
+// lets the request go to an endpoint: its key may have been taken away while it
+// waited, and its route may be gone.
+func (c *call) stillAllowed() bool {
+	table := c.gateway.agent.Table()
+	if table == nil {
+		return false
+	}
+	if table == c.table {
+		return true
+	}
+	c.table = table
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	route := table.Match(c.r.Host, path)
+	if route == nil || !allows(route, c.service) {
+		return false
+	}
+	c.route = route
+	return c.identify()
+}
+
+func allows(route *routing.Route, service string) bool {
+	for _, s := range route.Split {
+		if s.Service == service && s.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// rank is the request's place among others; the larger goes first.
+func (c *call) rank() int {
+	if c.team != nil && c.team.Rank != nil {
+		return *c.team.Rank
+	}
+	return c.route.Rank
+}
+
+// tokens returns the tokens of the prompt and the most that are generated.
+func (c *call) tokens() (prompt, output int) {
+	a, b, ok := strings.Cut(c.r.Header.Get(c.gateway.config.Names.Tokens), ",")
+	if !ok {
+		return 0, 0
+	}
+	prompt, _ = strconv.Atoi(strings.TrimSpace(a)) // what is no number counts 0
+	output, _ = strconv.Atoi(strings.TrimSpace(b))
+	return max(0, prompt), max(0, output)
+}
+
+// quota is what the request counts against its team's quota.
+func (c *call) quota() int {
+	switch {
+	case c.team == nil:
+		return 0
+	case !c.team.InTokens:
+		return 1
+	}
+	if prompt, output := c.tokens(); prompt+output > 0 {
+		return prompt + output
+	}
+	return c.team.PlainTokens
+}
+
+// ticket describes the request to who decides.
+func (c *call) ticket(repeat bool) message.Submission {
+	prompt, output := c.tokens()
+	if hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint)); err == nil && hint > 0 {
+		output = min(output, hint)
+	}
+	team := ""
+	if c.team != nil {
+		team = c.team.Name
+	}
+	left := time.Until(c.deadline)
+	target := c.route.Target - time.Since(c.arrived)
+	return message.Submission{
+		Ticket: event.Ticket{
+			ID: c.id, Team: team, Rank: c.rank(), Service: c.service, Pool: c.service,
+			PromptTokens: prompt, OutputTokens: output, Deadline: left,
+			Target: max(target, event.Millisecond), Patience: c.patience(left),
+			Avoid: c.avoid, Attempt: c.attempts,
+		},
+		Quota: c.quota(), Repeat: repeat,
+	}
+}
+
+// Patience: how many times its target a request may be expected to wait, and the
+// least part of the time left that it must leave.
+const (
+	patienceTargets = 1.5
+	patienceLeft    = 0.5
+)
+
+func (c *call) patience(left event.Span) event.Span {
+	patience := event.Span(float64(left) * patienceLeft)
+	if c.route.Target > 0 {
+		patience = min(patience, event.Span(float64(c.route.Target)*patienceTargets))
+	}
+	return max(patience, event.Millisecond)
+}
+
+// end answers with a status of our own.
+func (c *call) end(status int, retryAfter event.Span, why string) {
+	c.gateway.meters.ended(status)
+	c.log.Info("ended", zap.Int("status", status), zap.String("why", why),
+		zap.Duration("after", time.Since(c.arrived)), zap.Int("attempts", c.attempts), zap.String("service", c.service))
+	refuse(c.w, status, retryAfter, why)
+}
+
+func refuse(w http.ResponseWriter, status int, retryAfter event.Span, why string) {
+	h := w.Header()
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(why)+1))
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(why + "\n")) // a caller that is gone needs no answer
+}
+
+// meters are the gateway's figures.
+type meters struct {
+	set   *metrics.Set
+	first *metrics.Histogram
+}
+
+func newMeters() meters {
+	set := metrics.NewSet()
+	metrics.RegisterSet(set)
+	return meters{set: set, first: set.NewHistogram("lynxramp_gateway_first_seconds")}
+}
+
+func (m *meters) ended(status int) {
+	m.set.GetOrCreateCounter(`lynxramp_gateway_ended_total{status="` + strconv.Itoa(status) + `"}`).Inc()
+}
--- /dev/null
+++ b/gateway/pass.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+)
+
+// maxWhole is the longest answer that is held whole before it is passed on.
+const maxWhole = 1 << 20
+
+// hopHeaders returns the names of headers that concern one connection only.
+func hopHeaders(h http.Header) []string {
+	names := []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
+
+func copyHeader(to, from http.Header) {
+	drop := make(map[string]bool)
+	for _, name := range hopHeaders(from) {
+		drop[http.CanonicalHeaderKey(name)] = true
+	}
+	for name, values := range from {
+		if !drop[name] {
+			to[name] = values
+		}
+	}
+}
+
+// whole takes an answer that is held until it is there to its last byte.
+func (c *call) whole(x *exchange, a *attempt, began time.Time) {
+	data, all, err := x.readAll(maxWhole)
+	switch {
+	case err != nil:
+		a.outcome = outcomeUnknown
+		a.err = err
+		x.abort()
+		return
+	case !all:
+		c.long(x, a, data)
+		return
+	}
+	a.first = time.Since(began)
+	status := x.response.StatusCode
+	kept := &response{status: status, header: x.response.Header, body: data}
+	x.finish(c.gateway.upstream)
+	if status >= http.StatusInternalServerError {
+		a.outcome = outcomeFailed
+		a.err = errors.Errorf("endpoint answered %d", status)
+		a.kept = kept
+		return
+	}
+	a.outcome = outcomeDone
+	c.pass(kept)
+}
+
+// pass gives an endpoint's whole answer to the caller.
+func (c *call) pass(r *response) {
+	h := c.w.Header()
+	copyHeader(h, r.header)
+	if c.r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	}
+	c.w.WriteHeader(r.status)
+	_, _ = c.w.Write(r.body) // a caller that is gone needs no answer
+	c.gateway.meters.ended(r.status)
+	c.gateway.meters.first.UpdateDuration(c.arrived)
+	if r.status >= http.StatusInternalServerError {
+		c.log.Info("ended", zap.Int("status", r.status), zap.String("why", "the endpoint's own answer"),
+			zap.Duration("after", time.Since(c.arrived)), zap.Int("attempts", c.attempts), zap.String("service", c.service))
+	}
+}
+
+// long passes on an answer that is too long to be held whole, as it comes.
+func (c *call) long(x *exchange, a *attempt, begun []byte) {
+	copyHeader(c.w.Header(), x.response.Header)
+	if n := x.response.ContentLength; n >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	c.w.WriteHeader(x.response.StatusCode)
+	c.begun = true
+	_, err := c.w.Write(begun)
+	if err == nil {
+		_, err = io.Copy(c.w, x.response.Body)
+	}
+	if err != nil {
+		x.abort()
+		a.outcome = outcomeDone
+		a.err = err
+		c.tell(a)
+		c.cut(a)
+	}
+	x.finish(c.gateway.upstream)
+	a.outcome = outcomeDone
+	c.gateway.meters.ended(x.response.StatusCode)
+}
--- /dev/null
+++ b/gateway/run.go
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// unsentTries is how often a request goes to yet another endpoint because one
+// could not be reached at all.
+const unsentTries = 4
+
+// errCallerGone says that the caller does not take its answer any more.
+var errCallerGone = errors.New("the caller left")
+
+// retryRejected is what a caller is told whose request no endpoint ran.
+const retryRejected = 300 * event.Millisecond
+
+// outcome is how one attempt ended.
+type outcome uint8
+
+const (
+	// outcomeDone: the caller has its answer, or is gone.
+	outcomeDone outcome = iota
+	// outcomeNotSent: not a byte left for the endpoint.
+	outcomeNotSent
+	// outcomeNotRun: the endpoint says that it has not run the request.
+	outcomeNotRun
+	// outcomeFailed: the endpoint's own failure, whole.
+	outcomeFailed
+	// outcomeUnknown: the request may have run.
+	outcomeUnknown
+	// outcomeCut: a stream that has begun was cut off.
+	outcomeCut
+)
+
+// attempt is one try at one endpoint, with what came of it.
+type attempt struct {
+	decision Decision
+	outcome  outcome
+	err      error
+	first    time.Duration // to the answer's beginning
+	gap      time.Duration // mean time between events
+	tokens   int
+	kept     *response // of a failure
+}
+
+// response is an endpoint's whole answer.
+type response struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// run finds endpoints for the request until it has its answer or is given up.
+func (c *call) run() {
+	defer c.dropBody()
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	unsent := 0
+	repeat := false
+	var last *attempt
+	for {
+		decision, ok := c.decide(ctx, repeat, last)
+		if !ok {
+			return
+		}
+		a := c.try(ctx, decision)
+		c.tell(a)
+		if a.outcome != outcomeDone && c.r.Context().Err() != nil {
+			c.gone()
+			return
+		}
+		last = a
+		c.avoid = append(c.avoid, decision.Endpoint)
+		switch a.outcome {
+		case outcomeDone:
+			return
+		case outcomeNotSent:
+			unsent++
+			if unsent >= unsentTries && c.giveUp(last) {
+				return
+			}
+			continue
+		}
+		if !c.mayRepeat(a) {
+			c.giveUp(a)
+			return
+		}
+		repeat = true
+	}
+}
+
+// decide asks for an endpoint. It ends the call when there is none.
+func (c *call) decide(ctx context.Context, repeat bool, last *attempt) (Decision, bool) {
+	m := c.ticket(repeat)
+	answer := c.gateway.agent.Submit(m)
+	select {
+	case d := <-answer:
+		if d.Granted && !c.stillAllowed() {
+			c.withdraw(m)
+			c.end(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
+			return d, false
+		}
+		if d.Granted {
+			return d, true
+		}
+		c.log.Debug("refused", zap.Stringer("reason", d.Reason), zap.Bool("alone", d.Alone))
+		if last != nil && last.outcome != outcomeNotSent {
+			c.giveUp(last)
+			return d, false
+		}
+		c.end(refusalStatus(d.Reason), d.RetryAfter, d.Reason.String())
+		return d, false
+	case <-ctx.Done():
+		c.withdraw(m)
+		if c.r.Context().Err() != nil {
+			c.gone()
+			return Decision{}, false
+		}
+		if last != nil && last.outcome != outcomeNotSent {
+			c.giveUp(last)
+			return Decision{}, false
+		}
+		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint in time")
+		return Decision{}, false
+	}
+}
+
+func (c *call) withdraw(m message.Submission) { c.gateway.agent.Withdraw(m.Ticket.ID) }
+
+func refusalStatus(r event.Reason) int {
+	if r == event.ReasonQuota {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+// mayRepeat reports whether the request may go to another endpoint after an
+// attempt that was sent.
+func (c *call) mayRepeat(a *attempt) bool {
+	if c.attempts >= c.route.MaxAttempts || time.Until(c.deadline) < minRepeatTime {
+		return false
+	}
+	return a.outcome == outcomeNotRun || c.route.Repeatable()
+}
+
+// minRepeatTime is the least time that must be left for another attempt.
+const minRepeatTime = 10 * time.Millisecond
+
+// giveUp ends the call with what its last attempt left. It returns true.
+func (c *call) giveUp(a *attempt) bool {
+	switch {
+	case c.begun:
+		c.cut(a)
+	case a.outcome == outcomeNotSent:
+		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint was reached")
+	case a.outcome == outcomeNotRun:
+		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint took the request")
+	case a.outcome == outcomeFailed && a.kept != nil:
+		c.pass(a.kept)
+	case time.Until(c.deadline) <= 0:
+		c.end(http.StatusGatewayTimeout, 0, "the endpoint did not answer in time")
+	default:
+		c.end(http.StatusBadGateway, 0, "the endpoint's answer was lost")
+	}
+	return true
+}
+
+// cut ends a stream that can't be taken up: the connection is closed without the
+// end that would make the answer look whole.
+func (c *call) cut(a *attempt) {
+	c.gateway.meters.ended(0)
+	c.log.Warn("stream cut", zap.Int("events", c.events), zap.String("last_event", c.lastEvent),
+		zap.Int("attempts", c.attempts), zap.NamedError("cause", a.err), zap.Duration("after", time.Since(c.arrived)))
+	panic(http.ErrAbortHandler)
+}
+
+// gone takes note that the caller left.
+func (c *call) gone() {
+	c.gateway.meters.ended(0)
+	c.log.Debug("caller left", zap.Duration("after", time.Since(c.arrived)))
+	if c.begun {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// tell tells who decides how an attempt ended.
+func (c *call) tell(a *attempt) {
+	failed := a.outcome != outcomeDone || a.err != nil
+	team := ""
+	if c.team != nil {
+		team = c.team.Name
+	}
+	f := message.Finish{
+		Finished: event.Finished{
+			ID: c.id, Pool: c.service, Tokens: a.tokens, Failed: failed,
+			Void:       a.outcome == outcomeNotSent || a.outcome == outcomeNotRun,
+			FirstAfter: a.first, TokenGap: a.gap,
+		},
+		Team: team, Endpoint: a.decision.Endpoint,
+		Suspect: a.outcome == outcomeNotSent || (a.outcome == outcomeUnknown && a.first == 0),
+	}
+	if f.Void && a.outcome == outcomeNotSent {
+		f.Quota = c.quota()
+	}
+	c.gateway.agent.Finish(f)
+	if a.outcome != outcomeDone {
+		c.log.Info("attempt failed", zap.String("endpoint", string(a.decision.Endpoint)), zap.Uint8("outcome", uint8(a.outcome)),
+			zap.NamedError("cause", a.err), zap.Int("attempt", c.attempts), zap.Duration("after", time.Since(c.arrived)))
+	}
+}
+
+// try sends the request to an endpoint and passes its answer on.
+func (c *call) try(ctx context.Context, d Decision) *attempt {
+	a := &attempt{decision: d, outcome: outcomeNotSent}
+	began := time.Now()
+	conn, err := c.gateway.upstream.get(ctx, d.Address, string(d.Endpoint))
+	if err != nil {
+		a.err = err
+		return a
+	}
+	c.attempts++
+	x, err := c.gateway.upstream.send(ctx, conn, c.outgoing(d), c.gateway.config.Names.RequestID)
+	if err != nil {
+		a.err = err
+		a.outcome = outcomeUnknown
+		if errors.Is(err, errNotSent) {
+			c.attempts--
+			a.outcome = outcomeNotSent
+		}
+		return a
+	}
+	c.receive(x, a, began)
+	return a
+}
+
+// outgoing returns the request as the endpoint gets it.
+func (c *call) outgoing(d Decision) *outgoing {
+	names := &c.gateway.config.Names
+	h := c.r.Header.Clone()
+	for _, name := range hopHeaders(h) {
+		h.Del(name)
+	}
+	h.Del("Authorization")
+	h.Del(names.Team)
+	if c.team != nil {
+		h.Set(names.Team, c.team.Name)
+	}
+	h.Set(names.Expect, string(d.Endpoint))
+	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
+	if c.lastEvent != "" {
+		h.Set(names.LastEvent, c.lastEvent)
+	}
+	return &outgoing{
+		method: c.r.Method, uri: c.r.RequestURI, host: c.r.Host, header: h, body: c.body, id: c.callerID,
+	}
+}
+
+// receive takes an endpoint's answer.
+func (c *call) receive(x *exchange, a *attempt, began time.Time) {
+	names := &c.gateway.config.Names
+	r := x.response
+	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" {
+		c.reject(x, a)
+		return
+	}
+	ok := r.StatusCode >= 200 && r.StatusCode < 300
+	switch {
+	case ok && r.Header.Get(names.Signature) == "":
+		a.outcome = outcomeUnknown
+		a.err = errors.New("a success without the endpoint's signature")
+		x.abort()
+	case ok && c.route.Kind == routing.KindStream:
+		c.stream(x, a, began)
+	default:
+		c.whole(x, a, began)
+	}
+}
+
+// reject takes an endpoint's word that it has not run the request.
+func (c *call) reject(x *exchange, a *attempt) {
+	a.outcome = outcomeNotRun
+	a.err = errors.Errorf("endpoint answered %d, not run", x.response.StatusCode)
+	if _, all, err := x.readAll(maxWhole); err == nil && all {
+		x.finish(c.gateway.upstream)
+		return
+	}
+	x.abort()
+}
--- /dev/null
+++ b/gateway/upstream.go
@@ -0,0 +1,291 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lynxramp.org/link"
+)
+
+// Bounds of connections to endpoints.
+const (
+	connectTimeout = 400 * time.Millisecond
+	// defaultIdle is how long a connection without a word on it is kept, and
+	// idleMargin how much sooner than the endpoint says it is given up.
+	defaultIdle = 3 * time.Second
+	idleMargin  = 800 * time.Millisecond
+	maxIdle     = 16 // connections an endpoint
+	readBuffer  = 4 << 10
+	// inlineBody is the most that is written before the answer is looked for.
+	inlineBody   = 8 << 10
+	maxInterim   = 8
+	userTimeoutM = 3000 // milliseconds
+)
+
+// errNotSent says that not a byte of the request left.
+var errNotSent = errors.New("the endpoint was not reached")
+
+// errForeign says that an answer is not that of the request.
+var errForeign = errors.New("the answer belongs to another request")
+
+// upstream keeps connections to endpoints.
+type upstream struct {
+	mu   sync.Mutex
+	idle map[string][]*upConn // by address and endpoint
+}
+
+func newUpstream() *upstream { return &upstream{idle: make(map[string][]*upConn)} }
+
+// upConn is one connection to an endpoint.
+type upConn struct {
+	net.Conn
+	key    string
+	reader *bufio.Reader
+	until  time.Time // of its use
+	reused bool
+}
+
+// get returns a connection that is kept, or a new one.
+func (u *upstream) get(ctx context.Context, address, endpoint string) (*upConn, error) {
+	key := address + " " + endpoint
+	for {
+		c := u.pop(key)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.until) && isQuiet(c.Conn) {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close() // it is of no use any more
+	}
+	dialer := net.Dialer{Timeout: connectTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(errNotSent, err.Error())
+	}
+	link.SetUserTimeout(raw, userTimeoutM)
+	return &upConn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (u *upstream) pop(key string) *upConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	list := u.idle[key]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	u.idle[key] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (u *upstream) put(c *upConn, idle time.Duration) {
+	c.until = time.Now().Add(idle)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if len(u.idle[c.key]) >= maxIdle || idle <= 0 {
+		_ = c.Close() // enough are kept
+		return
+	}
+	u.idle[c.key] = append(u.idle[c.key], c)
+}
+
+// sweep closes what was kept too long.
+func (u *upstream) sweep() {
+	now := time.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for key, list := range u.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close() // its time is over
+		}
+		u.idle[key] = kept
+		if len(kept) == 0 {
+			delete(u.idle, key)
+		}
+	}
+}
+
+// isQuiet reports whether nothing, not even an end, has come on a connection that
+// waits for no answer.
+func isQuiet(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// outgoing is a request as an endpoint gets it.
+type outgoing struct {
+	method, uri, host string
+	header            http.Header
+	body              []byte
+	id                string
+}
+
+func (o *outgoing) head() []byte {
+	var b bytes.Buffer
+	b.WriteString(o.method + " " + o.uri + " HTTP/1.1\r\nHost: " + o.host + "\r\n")
+	_ = o.header.Write(&b) // a buffer takes all
+	if len(o.body) > 0 || (o.method != http.MethodGet && o.method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(o.body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// exchange is a request under way at an endpoint.
+type exchange struct {
+	conn     *upConn
+	response *http.Response
+	idle     time.Duration // that the connection may be kept
+	written  chan error    // of a body that is written beside
+	stop     func() bool
+}
+
+// send sends a request on a connection and reads the answer's head. The context's
+// end closes the connection, which cancels the request at the endpoint.
+func (u *upstream) send(ctx context.Context, c *upConn, o *outgoing, idHeader string) (*exchange, error) {
+	x := &exchange{conn: c, idle: defaultIdle}
+	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.SetDeadline(deadline); err != nil {
+			x.abort()
+			return nil, errors.Wrap(errNotSent, err.Error())
+		}
+	}
+	if err := x.write(o); err != nil {
+		x.abort()
+		return nil, err
+	}
+	if err := x.readHead(o); err != nil {
+		x.abort()
+		return nil, err
+	}
+	if x.response.Header.Get(idHeader) != o.id {
+		x.abort()
+		return nil, errForeign
+	}
+	return x, nil
+}
+
+func (x *exchange) write(o *outgoing) error {
+	data := o.head()
+	beside := len(o.body) > inlineBody
+	if !beside {
+		data = append(data, o.body...)
+	}
+	n, err := x.conn.Write(data)
+	if err != nil && n == 0 {
+		return errors.Wrap(errNotSent, err.Error())
+	}
+	if err != nil {
+		return errors.Wrap(err, "send")
+	}
+	if beside {
+		x.written = make(chan error, 1)
+		go func() {
+			_, err := x.conn.Write(o.body)
+			x.written <- err
+		}()
+	}
+	return nil
+}
+
+func (x *exchange) readHead(o *outgoing) error {
+	for range maxInterim {
+		r, err := http.ReadResponse(x.conn.reader, &http.Request{Method: o.method})
+		if err != nil {
+			return errors.Wrap(err, "answer")
+		}
+		if r.StatusCode >= http.StatusOK {
+			x.response = r
+			x.keepAlive()
+			return nil
+		}
+	}
+	return errors.New("answer: too many interim answers")
+}
+
+// keepAlive learns how long the connection may be kept.
+func (x *exchange) keepAlive() {
+	for part := range strings.SplitSeq(x.response.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			x.idle = time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	if x.response.Close {
+		x.idle = 0
+	}
+}
+
+// abort ends the exchange and its connection.
+func (x *exchange) abort() {
+	x.stop()
+	_ = x.conn.Close() // nothing is left to be read from it
+}
+
+// finish ends an exchange whose answer was read to its end, and keeps the
+// connection if it is as good as new.
+func (x *exchange) finish(u *upstream) {
+	whole := x.stop()
+	if x.written != nil {
+		select {
+		case err := <-x.written:
+			whole = whole && err == nil
+		default:
+			whole = false // the endpoint answered before it had the body
+		}
+	}
+	if !whole || x.conn.reader.Buffered() > 0 || x.idle <= 0 {
+		_ = x.conn.Close() // bytes of no answer, or an end, are on it
+		return
+	}
+	if err := x.conn.SetDeadline(time.Time{}); err != nil {
+		_ = x.conn.Close()
+		return
+	}
+	u.put(x.conn, x.idle)
+}
+
+// readAll reads an answer's body; false if it is longer than limit.
+func (x *exchange) readAll(limit int64) ([]byte, bool, error) {
+	data, err := io.ReadAll(io.LimitReader(x.response.Body, limit+1))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "answer")
+	}
+	return data, int64(len(data)) <= limit, nil
+}
--- /dev/null
+++ b/routing/check.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is something wrong at a place of a table.
+type Finding struct {
+	Path    string // such as routes[3].timeout
+	Message string
+}
+
+// Findings is all that is wrong with a table; as an error it lists them a line
+// each.
+type Findings []Finding
+
+// Error implements error.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.Path + ": " + one.Message
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (f *Findings) add(path, format string, args ...any) {
+	*f = append(*f, Finding{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// Check returns all that is wrong with a table.
+func Check(t *Table) Findings {
+	var found Findings
+	services := checkServices(t, &found)
+	places := make(map[place]string)
+	for i := range t.Routes {
+		checkRoute(fmt.Sprintf("routes[%d]", i), &t.Routes[i], services, places, &found)
+	}
+	checkTeams(t, &found)
+	return found
+}
+
+func checkServices(t *Table, found *Findings) map[string]bool {
+	names := make(map[string]bool, len(t.Services))
+	for i, s := range t.Services {
+		path := fmt.Sprintf("services[%d].name", i)
+		switch {
+		case s.Name == "":
+			found.add(path, "a service has a name")
+		case names[s.Name]:
+			found.add(path, "%q is there twice", s.Name)
+		}
+		names[s.Name] = true
+	}
+	return names
+}
+
+func checkRoute(path string, r *Route, services map[string]bool, places map[place]string, found *Findings) {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		found.add(path+".prefix", "%q does not begin and end with a slash", r.Prefix)
+	}
+	at := place{strings.ToLower(r.Host), r.Prefix}
+	if other, ok := places[at]; ok {
+		found.add(path, "host and prefix are those of %s", other)
+	}
+	places[at] = path
+	if r.Timeout <= 0 {
+		found.add(path+".timeout", "a timeout is more than 0")
+	}
+	total := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			found.add(path+".split", "there is no service %q", s.Service)
+		}
+		if s.Weight < 0 {
+			found.add(path+".split", "a weight is not negative")
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		found.add(path+".split", "the weights add up to 0")
+	}
+}
+
+func checkTeams(t *Table, found *Findings) {
+	names := make(map[string]bool)
+	keys := make(map[string]string)
+	for i, team := range t.Teams {
+		path := fmt.Sprintf("teams[%d]", i)
+		if team.Name == "" || names[team.Name] {
+			found.add(path+".name", "%q is empty or there twice", team.Name)
+		}
+		names[team.Name] = true
+		for _, key := range team.Keys {
+			if other, ok := keys[key]; ok && other != team.Name {
+				found.add(path+".keys", "a key is also one of %s", other)
+			}
+			keys[key] = team.Name
+		}
+	}
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind says what may be done with a request that may have run.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// KindOnce requests run at most once.
+	KindOnce Kind = iota
+	// KindRepeatable requests may run more than once.
+	KindRepeatable
+	// KindStream answers are series of events; they run once unless the route
+	// says that they may be resumed.
+	KindStream
+)
+
+// Table is the whole configuration of a deployment at one version.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+
+	places map[place]*Route
+	keys   map[string]*Team
+	byName map[string]*Service
+	team   map[string]*Team
+}
+
+// Route sends the requests of a host whose paths begin with a prefix to one or
+// more services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest that a request may be held.
+	Timeout time.Duration
+	// Target is the time within which an answer, or a stream's first event, is
+	// useful in full; Gap the longest pause between events that still is.
+	Target time.Duration
+	Gap    time.Duration
+	Rank   int // the larger is served first
+	Split  []Share
+	// MaxAttempts is the most endpoints that one request may be sent to.
+	MaxAttempts int
+	Public      bool
+	Resumable   bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindRepeatable || (r.Kind == KindStream && r.Resumable)
+}
+
+// Share is a service's weight among those of a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a set of endpoints that are alike in what they serve.
+type Service struct {
+	Name           string
+	MaxConnections int // an endpoint accepts from all callers together
+	// Slots is how many requests a model engine runs at once; 0 for a plain
+	// service, whose endpoints tell it.
+	Slots  int
+	Engine bool // whether it is a model engine
+	Stride int  // tokens in an event of its streams; 0 stands for 1
+}
+
+// Team is a customer with keys and a quota.
+type Team struct {
+	Name string
+	Keys []string
+	Rank *int // in place of the route's, where it is set
+	// Rate is the quota a second and Burst what may come on top; 0 is no limit.
+	Rate  float64
+	Burst float64
+	// InTokens says that the quota counts tokens; PlainTokens is what a request
+	// without any counts.
+	InTokens    bool
+	PlainTokens int
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// place is where a route stands.
+type place struct{ host, prefix string }
+
+// Index makes the table ready for look-ups. It must be called once, before any.
+func (t *Table) Index() {
+	t.places = make(map[place]*Route, len(t.Routes))
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.places[place{strings.ToLower(r.Host), r.Prefix}] = r
+	}
+	t.keys = make(map[string]*Team)
+	t.team = make(map[string]*Team, len(t.Teams))
+	for i := range t.Teams {
+		t.team[t.Teams[i].Name] = &t.Teams[i]
+		for _, key := range t.Teams[i].Keys {
+			t.keys[key] = &t.Teams[i]
+		}
+	}
+	t.byName = make(map[string]*Service, len(t.Services))
+	for i := range t.Services {
+		t.byName[t.Services[i].Name] = &t.Services[i]
+	}
+}
+
+// Match returns the route with the longest prefix of path at a host; nil if
+// there is none. The host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	host = strings.ToLower(host)
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if r, ok := t.places[place{host, path[:slash+1]}]; ok {
+			return r
+		}
+		end = slash
+	}
+	return nil
+}
+
+// Holder returns the team that holds a key; nil if none does.
+func (t *Table) Holder(key string) *Team { return t.keys[key] }
+
+// Service returns a service by name; nil if there is none.
+func (t *Table) Service(name string) *Service { return t.byName[name] }
+
+// Team returns a team by name; nil if there is none.
+func (t *Table) Team(name string) *Team { return t.team[name] }
+
+// Pick returns the service of a route for a number drawn from [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * float64(total)
+	for _, s := range r.Split {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/sched/discover.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"math"
+	"slices"
+
+	"lynxramp.org/event"
+)
+
+// always is a time that does not come: an endpoint that is heard then never
+// falls silent by itself.
+const always = event.Time(math.MaxInt64 / 2)
+
+// seeEndpoint takes in an endpoint that tells of itself, or news of one.
+func (s *State) seeEndpoint(now event.Time, seen *event.EndpointSeen) {
+	e, ok := s.byID[seen.Endpoint.ID]
+	if !ok {
+		e = &endpoint{grants: make(map[event.RequestID]*grant)}
+		s.byID[seen.Endpoint.ID] = e
+		s.endpoints = append(s.endpoints, e)
+	}
+	e.Endpoint = seen.Endpoint
+	e.report.Address = seen.Address
+	e.report.Down = seen.Down
+	e.reported = true
+	e.heard = always
+	if !ok {
+		s.orderEndpoints(now)
+		return
+	}
+	s.refresh(now, e)
+	if e.Concurrency > 0 && e.serves(now) {
+		s.fastest = max(s.fastest, e.speed())
+	}
+}
+
+// removeEndpoint forgets an endpoint and what was granted to it.
+func (s *State) removeEndpoint(now event.Time, id event.EndpointID) {
+	e, ok := s.byID[id]
+	if !ok {
+		return
+	}
+	for request := range e.grants {
+		s.release(now, request)
+	}
+	for mark := range e.memory.young {
+		s.prefix.forget(mark, e)
+	}
+	for mark := range e.memory.old {
+		s.prefix.forget(mark, e)
+	}
+	delete(s.byID, id)
+	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
+	s.orderEndpoints(now)
+}
+
+// adopt books a request that runs already.
+func (s *State) adopt(now event.Time, a *event.Adopted) {
+	e, ok := s.byID[a.Endpoint]
+	if !ok || s.grants[a.Ticket.ID] != nil {
+		return
+	}
+	s.book(a.Ticket.ID, &grant{
+		endpoint: e,
+		entry:    a.Entry,
+		at:       now,
+		team:     a.Ticket.Team,
+		rank:     a.Ticket.Rank,
+		service:  a.Ticket.Service,
+		output:   a.Ticket.OutputTokens,
+		call:     a.Ticket.OutputTokens == 0,
+	})
+	s.refresh(now, e)
+}
+
+// dropEntry forgets what an entry that has ended had here.
+func (s *State) dropEntry(now event.Time, entry event.BoxID) {
+	delete(s.entries, entry)
+	for _, k := range s.queue.byID {
+		if k.entry == entry {
+			s.queue.remove(k)
+		}
+	}
+	for id, g := range s.grants {
+		if g.entry == entry {
+			s.release(now, id)
+		}
+	}
+}
+
+// measure learns an endpoint's speed from a request that has ended there.
+func (s *State) measure(now event.Time, g *grant, f *event.Finished) {
+	if !s.pool.Discovered || f.Void {
+		return
+	}
+	profile := s.profile()
+	switch {
+	case f.TokenGap > 0:
+		g.endpoint.learn(now, f.TokenGap.Seconds()/profile.TokenGap.Seconds())
+	case g.call && f.FirstAfter > 0 && !f.Failed:
+		g.endpoint.learn(now, f.FirstAfter.Seconds()/profile.CallTime.Seconds())
+	}
+}
+
+// forecast refuses what would wait longer than it may: at its arrival, by what
+// waits before it and how fast the queue drains, and later when it has.
+func (s *State) forecast(now event.Time, e event.Event, out *event.Effects) {
+	switch e := e.(type) {
+	case *event.Submitted:
+		k, ok := s.queue.byID[e.Ticket.ID]
+		if ok && k.Patience > 0 && s.expectedWait(k) > k.Patience {
+			s.refuse(k, event.ReasonShed, out)
+		}
+	case *event.Tick:
+		var late []*ticket
+		for _, k := range s.queue.byID {
+			if k.Patience > 0 && now.Sub(k.arrived) > k.Patience {
+				late = append(late, k)
+			}
+		}
+		slices.SortFunc(late, func(a, b *ticket) int { return int(a.number) - int(b.number) })
+		for _, k := range late {
+			s.refuse(k, event.ReasonShed, out)
+		}
+	}
+}
+
+// expectedWait returns how long the queue before a ticket takes to drain.
+func (s *State) expectedWait(k *ticket) event.Span {
+	before := 0
+	for _, t := range s.queue.tiers {
+		if t.rank >= k.Rank {
+			before += t.size
+		}
+	}
+	rate := s.drain.perSecond()
+	if rate <= 0 {
+		return 0
+	}
+	return event.Span(float64(before) / rate * float64(event.Second))
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -30,6 +30,31 @@
 	filledAt event.Time
 	grants   map[event.RequestID]*grant
 	memory   memory
+	// measured is how much slower than the pool's profile the endpoint was lately;
+	// 0 is unknown.
+	measured   float64
+	measuredAt event.Time
+}
+
+// Weights and bounds of the measured slowness.
+const (
+	slownessWeight = 0.15
+	slownessMin    = 0.2
+	slownessMax    = 20.0
+	// slownessStale is how long a measurement counts. Then the endpoint is tried
+	// again by its nameplate.
+	slownessStale = 8 * event.Second
+)
+
+// learn takes note of how much slower than the profile the endpoint was.
+func (e *endpoint) learn(now event.Time, slowness float64) {
+	slowness = min(max(slowness, slownessMin), slownessMax)
+	if e.measured == 0 || now.Sub(e.measuredAt) > slownessStale {
+		e.measured = slowness
+	} else {
+		e.measured += slownessWeight * (slowness - e.measured)
+	}
+	e.measuredAt = now
 }
 
 // serves reports whether the endpoint may be granted new work.
@@ -39,6 +64,9 @@
 
 // speed is relative to the reference engine: measured, or else the nameplate's.
 func (e *endpoint) speed() float64 {
+	if e.measured > 0 {
+		return 1 / e.measured
+	}
 	if e.report.TokenGap > 0 {
 		return float64(referenceTokenGap) / float64(e.report.TokenGap)
 	}
@@ -50,4 +78,7 @@
 	fill   float64 // its own prompt, less what is cached
 	total  float64 // until its last token
 	cached int     // prompt tokens
+	// needed is until what the request's time left counts to: its beginning or
+	// its end.
+	needed float64
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -26,10 +26,10 @@
 		case c.room == nil:
 			s.unpass()
 			return
-		case c.fastest > c.left && s.length(k.Service).known():
+		case k.Target == 0 && c.fastest > c.left && s.length(k.Service).known():
 			// No endpoint can answer in time, whatever else waits.
 			s.refuse(k, event.ReasonDeadline, out)
-		case c.hold, c.est.total*startMargin > c.left && s.length(k.Service).known():
+		case c.hold, k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
 			s.queue.remove(k)
 			s.passed = append(s.passed, k)
 		default:
@@ -59,6 +59,8 @@
 		rank:     k.Rank,
 		service:  k.Service,
 		output:   k.OutputTokens,
+		needed:   est.needed,
+		call:     k.OutputTokens == 0,
 	}
 	s.prefix.add(e, k.Prefix)
 	e.filledAt = max(e.filledAt, now).Add(event.Span(est.fill * float64(event.Second)))
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -24,6 +24,11 @@
 	expected int        // output tokens, by what the service's answers had
 }
 
+// avoids reports whether the ticket must not go to an endpoint.
+func (k *ticket) avoids(e *endpoint) bool {
+	return len(k.Avoid) > 0 && slices.Contains(k.Avoid, e.ID)
+}
+
 func ticketLess(a, b *ticket) bool {
 	if a.place != b.place {
 		return a.place < b.place
--- a/sched/state.go
+++ b/sched/state.go
@@ -75,6 +75,9 @@
 	service  string
 	output   int // tokens asked for
 	life     event.Incarnation
+	// needed is how many seconds the answer's beginning was expected to take.
+	needed float64
+	call   bool // without tokens
 }
 
 // State is the scheduler of one pool. It is not safe for concurrent use.
@@ -134,6 +137,15 @@
 		s.report(now, e.Report)
 	case *event.PoolChanged:
 		s.setPool(now, e.Pool)
+	case *event.Adopted:
+		s.entries[e.Entry] = now
+		s.adopt(now, e)
+	case *event.EntryGone:
+		s.dropEntry(now, e.Entry)
+	case *event.EndpointSeen:
+		s.seeEndpoint(now, e)
+	case *event.EndpointGone:
+		s.removeEndpoint(now, e.ID)
 	case *event.PlatformListed:
 		s.leaving = e.Leaving
 		s.markLeaving()
@@ -145,6 +157,7 @@
 	s.expire(now, out)
 	s.place(now, out)
 	s.shed(now, out)
+	s.forecast(now, e, out)
 }
 
 // Waiting returns how many requests wait.
@@ -156,6 +169,9 @@
 func (s *State) setPool(now event.Time, p event.Pool) {
 	s.pool = p
 	for id, e := range s.byID {
+		if p.Discovered {
+			break
+		}
 		if !slices.ContainsFunc(p.Endpoints, func(c event.Endpoint) bool { return c.ID == id }) {
 			e.Concurrency = 0
 		}
@@ -169,6 +185,11 @@
 		}
 		e.Endpoint = c
 	}
+	s.orderEndpoints(now)
+}
+
+// orderEndpoints gives each endpoint its view, in the order of their names.
+func (s *State) orderEndpoints(now event.Time) {
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
@@ -245,6 +266,7 @@
 		if !e.Failed && !e.Void {
 			s.length(g.service).learn(e.Tokens, g.output)
 		}
+		s.measure(now, g, e)
 	}
 	s.release(now, e.ID)
 }
--- a/sched/view.go
+++ b/sched/view.go
@@ -48,35 +48,72 @@
 	weight float64 // of prefill
 	fill   float64
 	decode float64
+	// first says that left counts to the answer's beginning, not to its end.
+	first bool
+	rate  float64 // prompt tokens a second
 }
 
 func (s *State) price(now event.Time, k *ticket) price {
-	p := price{now: now, left: k.deadline.Sub(now).Seconds(), weight: s.pool.PrefillWeight}
+	profile := s.profile()
+	p := price{now: now, left: k.deadline.Sub(now).Seconds(), weight: s.pool.PrefillWeight, rate: profile.PrefillRate}
+	if k.Target > 0 {
+		p.left = (k.Target - now.Sub(k.arrived)).Seconds()
+		p.first = true
+	}
 	if p.weight == 0 {
 		p.weight = 1
 	}
 	if k.OutputTokens == 0 {
-		p.decode = callWork
+		p.decode = profile.CallTime.Seconds()
 		return p
 	}
-	p.fill = float64(k.PromptTokens) / referencePrefill
-	p.decode = referenceTokenGap.Seconds() * float64(k.expected)
+	p.fill = float64(k.PromptTokens) / p.rate
+	p.decode = profile.TokenGap.Seconds() * float64(k.expected)
+	return p
+}
+
+// profile returns the speed of an endpoint of speed 1.
+func (s *State) profile() event.Profile {
+	p := s.pool.Profile
+	if p.PrefillRate == 0 {
+		p.PrefillRate = referencePrefill
+	}
+	if p.TokenGap == 0 {
+		p.TokenGap = referenceTokenGap
+	}
+	if p.CallTime == 0 {
+		p.CallTime = event.Span(callWork * float64(event.Second))
+	}
 	return p
 }
 
 // at returns what the request costs at an endpoint that holds so many tokens of
 // its prompt, and how long it takes there.
 func (p *price) at(v *view, cached int) (cost float64, est estimate) {
-	fill := (p.fill - float64(cached)/referencePrefill) * v.slowness
+	fill := (p.fill - float64(cached)/p.rate) * v.slowness
 	total := fill + p.decode*v.slowness
+	begin := fill
+	if p.fill == 0 {
+		begin = total
+	}
 	if ahead := v.filledAt - p.now; ahead > 0 {
 		total += float64(ahead) / float64(event.Second)
+		begin += float64(ahead) / float64(event.Second)
 	}
 	cost = total*timeWeight + p.weight*fill
-	if late := total*margin - p.left; late > 0 {
+	if p.first {
+		// What is before the answer's beginning counts in full: it also holds up
+		// the streams beside it.
+		cost += begin
+	}
+	needed := total
+	if p.first {
+		needed = begin
+	}
+	if late := needed*margin - p.left; late > 0 {
 		cost += latePenalty * late
 	}
-	return cost, estimate{fill: fill, total: total, cached: cached}
+	return cost, estimate{fill: fill, total: total, needed: needed, cached: cached}
 }
 
 // choice is what choose finds for a request. Times are in seconds.
@@ -99,7 +136,7 @@
 	higher := k.Rank < s.top && now.Sub(s.topSeen) < topMemory
 	for i := range s.views {
 		v := &s.views[i]
-		if v.free > 0 && !(higher && v.free <= v.reserve) {
+		if v.free > 0 && !(higher && v.free <= v.reserve) && !k.avoids(v.endpoint) {
 			c.take(&p, v, 0)
 		}
 	}
--- a/control/keeper.go
+++ b/store/keeper.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package control
+package store
 
 import (
 	"context"
@@ -13,6 +13,12 @@
 // keepDepth is how many saves may wait for the disk.
 const keepDepth = 1024
 
+// Saved says that the log is on disk up to an entry.
+type Saved struct {
+	Index consensus.Index
+	Term  consensus.Term
+}
+
 // Disk saves what a member must not forget. Save returns when it is synced.
 type Disk interface {
 	Save(r *consensus.Ready) error
@@ -29,13 +35,13 @@
 	disk   Disk
 	sender Sender
 	queue  chan consensus.Ready
-	// saved has the newest LogSaved that the loop has not taken.
-	saved chan *LogSaved
+	// saved has the newest Saved that the loop has not taken.
+	saved chan Saved
 }
 
 // NewKeeper returns a keeper; Run starts it.
 func NewKeeper(disk Disk, sender Sender) *Keeper {
-	return &Keeper{disk: disk, sender: sender, queue: make(chan consensus.Ready, keepDepth), saved: make(chan *LogSaved, 1)}
+	return &Keeper{disk: disk, sender: sender, queue: make(chan consensus.Ready, keepDepth), saved: make(chan Saved, 1)}
 }
 
 // Keep takes what is to be saved and sent.
@@ -75,17 +81,17 @@
 	}
 	if n := len(r.Entries); n > 0 {
 		last := r.Entries[n-1]
-		k.tell(&LogSaved{Index: last.Index, Term: last.Term})
+		k.tell(Saved{Index: last.Index, Term: last.Term})
 	}
 	return nil
 }
 
 // Saved is where the loop hears what was saved.
-func (k *Keeper) Saved() <-chan *LogSaved { return k.saved }
+func (k *Keeper) Saved() <-chan Saved { return k.saved }
 
 // tell leaves news for the loop in place of older ones, and never waits: the
 // loop may itself be waiting for the keeper.
-func (k *Keeper) tell(e *LogSaved) {
+func (k *Keeper) tell(e Saved) {
 	select {
 	case <-k.saved:
 	default:
--- a/store/store.go
+++ b/store/store.go
@@ -48,6 +48,7 @@
 	log      *os.File
 	hard     consensus.HardState
 	logBytes int64
+	spoiled  bool // a write failed: what is behind logBytes does not count
 	buf      []byte
 }
 
@@ -177,13 +178,37 @@
 	return s.writeLog(s.buf)
 }
 
+// writeLog adds data to the log and syncs it. After an error the log is as it was
+// before, so that the same can be written again.
 func (s *Store) writeLog(data []byte) error {
-	n, err := s.log.Write(data)
-	s.logBytes += int64(n)
+	if err := s.repair(); err != nil {
+		return err
+	}
+	_, err := s.log.Write(data)
 	if err == nil {
 		err = s.log.Sync()
 	}
-	return errors.Wrap(err, "log")
+	if err != nil {
+		s.spoiled = true
+		return errors.Wrap(err, "log")
+	}
+	s.logBytes += int64(len(data))
+	return nil
+}
+
+// repair cuts off what a failed write may have left at the log's end.
+func (s *Store) repair() error {
+	if !s.spoiled {
+		return nil
+	}
+	if err := s.log.Truncate(s.logBytes); err != nil {
+		return errors.Wrap(err, "log")
+	}
+	if _, err := s.log.Seek(s.logBytes, 0); err != nil {
+		return errors.Wrap(err, "log")
+	}
+	s.spoiled = false
+	return nil
 }
 
 // LogBytes returns the length of the log since the last snapshot.
