--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -265,8 +265,12 @@
 	return max(patience, event.Millisecond)
 }
 
-// end answers with a status of our own.
+// end answers with a status of our own. A stream that has begun has its status:
+// it is cut off instead, so that it does not look whole.
 func (c *call) end(status int, retryAfter event.Span, why string) {
+	if c.begun {
+		c.cut(why, nil)
+	}
 	c.gateway.meters.ended(status)
 	c.log.Info("ended", zap.Int("status", status), zap.String("why", why),
 		zap.Duration("after", time.Since(c.arrived)), zap.Int("attempts", c.attempts), zap.String("service", c.service))
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -100,7 +100,7 @@
 		a.outcome = outcomeDone
 		a.err = err
 		c.tell(a)
-		c.cut(a)
+		c.cut("a long answer broke off", err)
 	}
 	x.finish(c.gateway.upstream)
 	a.outcome = outcomeDone
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/message"
 	"lynxramp.org/routing"
 )
@@ -162,7 +163,7 @@
 func (c *call) giveUp(a *attempt) bool {
 	switch {
 	case c.begun:
-		c.cut(a)
+		c.cut("the endpoint's answer was lost", a.err)
 	case a.outcome == outcomeNotSent:
 		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint was reached")
 	case a.outcome == outcomeNotRun:
@@ -179,10 +180,10 @@
 
 // cut ends a stream that can't be taken up: the connection is closed without the
 // end that would make the answer look whole.
-func (c *call) cut(a *attempt) {
+func (c *call) cut(why string, cause error) {
 	c.gateway.meters.ended(0)
-	c.log.Warn("stream cut", zap.Int("events", c.events), zap.String("last_event", c.lastEvent),
-		zap.Int("attempts", c.attempts), zap.NamedError("cause", a.err), zap.Duration("after", time.Since(c.arrived)))
+	c.log.Warn("stream cut", zap.String("why", why), zap.Int("events", c.events), zap.String("last_event", c.lastEvent),
+		zap.Int("attempts", c.attempts), logx.Cause(cause), zap.Duration("after", time.Since(c.arrived)))
 	panic(http.ErrAbortHandler)
 }
 
@@ -217,7 +218,7 @@
 	c.gateway.agent.Finish(f)
 	if a.outcome != outcomeDone {
 		c.log.Info("attempt failed", zap.String("endpoint", string(a.decision.Endpoint)), zap.Uint8("outcome", uint8(a.outcome)),
-			zap.NamedError("cause", a.err), zap.Int("attempt", c.attempts), zap.Duration("after", time.Since(c.arrived)))
+			logx.Cause(a.err), zap.Int("attempt", c.attempts), zap.Duration("after", time.Since(c.arrived)))
 	}
 }
 
--- a/internal/logx/logx.go
+++ b/internal/logx/logx.go
@@ -13,3 +13,11 @@
 	}
 	return zap.String("error", err.Error())
 }
+
+// Cause returns what an error rests on as a field of one line.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("cause", err.Error())
+}
