cluster, fleet: keep absent entries' shares at a new owner, stop streams early at a planned stop

It now counts the entries that others tell of until their configuration is too old, and takes what a restarted entry forgot as spent.

--- a/admission/quota.go
+++ b/admission/quota.go
@@ -113,6 +113,25 @@
 	}
 }
 
+// Assume counts a part of each team's quota as spent evenly over the part of the
+// window that is older than age: what was spent then is not known.
+func (s *State) Assume(now event.Time, age event.Span, part float64) {
+	if s.table == nil {
+		return
+	}
+	for i := range s.table.Teams {
+		team := &s.table.Teams[i]
+		w := s.window(team.Name)
+		amount := team.Rate * w.bin.Seconds() * part
+		if team.Rate > 0 && age < s.limits.QuotaWindow {
+			w.addAt(now, now.Add(-age), int(team.Burst*part))
+		}
+		for back := age; back < s.limits.QuotaWindow; back += w.bin {
+			w.addAt(now, now.Add(-back), int(amount))
+		}
+	}
+}
+
 // Note counts here what another State granted, so that Report tells of it.
 func (s *State) Note(now event.Time, m *message.Submission) {
 	s.window(m.Ticket.Team).add(now, m.Quota)
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -14,9 +14,6 @@
 // taken as ended.
 const entryPatience = 4 * event.Second
 
-// absentTime is how long an entry that is away keeps its share of the quotas.
-const absentTime = 30 * event.Second
-
 // owner is what the owner of the pools knows beside the replicated state. It is
 // soft: a new owner learns it from entries and endpoints.
 type owner struct {
@@ -27,6 +24,12 @@
 	heard     map[string]event.Time // endpoints, by id
 	down      map[string]bool
 	effects   event.Effects
+	// expected is how many entries there were by the word of an entry, which
+	// counts for keepTime from began on.
+	expected int
+	began    event.Time
+	keepTime event.Span
+	assumed  float64 // part of the quotas that is taken as spent before
 }
 
 // session is a connection of an entry.
@@ -50,6 +53,8 @@
 		entries:   make(map[event.BoxID]*entry),
 		heard:     make(map[string]event.Time),
 		down:      make(map[string]bool),
+		began:     now,
+		keepTime:  s.settings.Fresh + s.settings.Limits.QuotaWindow,
 	}
 	if s.table != nil {
 		o.admission.SetTable(now, s.table)
@@ -96,11 +101,11 @@
 		if away > entryPatience {
 			o.admission.EntryGone(now, name, &o.effects)
 		}
-		if away > absentTime {
+		if away > o.keepTime {
 			delete(o.entries, name)
 		}
 	}
-	o.shareOut()
+	o.shareOut(now)
 	limit := downBeats * s.settings.BeatEvery
 	for id, at := range o.heard {
 		if down := now.Sub(at) > limit; down != o.down[id] {
@@ -110,15 +115,37 @@
 	o.admission.Tick(now, &o.effects)
 }
 
+// count returns how many entries share the quotas, those that are away included:
+// what an entry spent counts for a window, and it may spend its share alone until
+// its configuration is too old.
+func (o *owner) count(now event.Time) int {
+	if now.Sub(o.began) > o.keepTime {
+		return max(1, len(o.entries))
+	}
+	return max(1, o.expected, len(o.entries))
+}
+
 // shareOut keeps the shares of entries that are away for them.
-func (o *owner) shareOut() {
-	away := 0
+func (o *owner) shareOut(now event.Time) {
+	present := 0
 	for _, e := range o.entries {
-		if e.session == 0 {
-			away++
+		if e.session != 0 {
+			present++
 		}
 	}
-	o.admission.SetReserve(float64(away) / float64(max(1, len(o.entries))))
+	count := o.count(now)
+	o.admission.SetReserve(float64(count-present) / float64(count))
+}
+
+// assume takes a part of the quotas as spent by an entry that has forgotten what
+// it spent.
+func (o *owner) assume(now event.Time, h *message.Hello) {
+	part := min(1/float64(o.count(now)), 1-o.assumed)
+	if part <= 0 {
+		return
+	}
+	o.assumed += part
+	o.admission.Assume(now, h.Age, part)
 }
 
 func (o *owner) hear(now event.Time, id string, s *State, out *Effects) {
@@ -196,7 +223,11 @@
 	if !ok {
 		e = &entry{}
 		o.entries[name] = e
+		o.expected = max(o.expected, b.Hello.Entries)
 		o.admission.Take(now, &b.Hello)
+		if b.Hello.Age < s.settings.Limits.QuotaWindow {
+			o.assume(now, &b.Hello)
+		}
 	}
 	if e.session != 0 {
 		delete(o.sessions, e.session)
@@ -204,6 +235,7 @@
 	}
 	e.session = b.Session
 	e.life = b.Hello.Life
+	o.shareOut(now)
 	// What it had here is as it now says.
 	o.admission.EntryGone(now, name, &o.effects)
 	one := &session{entry: name}
@@ -229,7 +261,7 @@
 	}
 	o.admission.EntrySeen(now, one.entry, &o.effects)
 	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{Pong: &message.Pong{
-		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: len(o.entries),
+		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: o.count(now),
 	}}})
 }
 
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -26,7 +26,9 @@
 	Limits    admission.Limits
 	Members   consensus.Limits
 	BeatEvery event.Span
-	Seed      uint64
+	// Fresh is how long an entry serves without an owner.
+	Fresh event.Span
+	Seed  uint64
 	// Decode reads a configuration that was found sound before.
 	Decode func([]byte) (*routing.Table, error)
 }
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -12,6 +12,7 @@
 	"lynxramp.org/cluster"
 	"lynxramp.org/event"
 	"lynxramp.org/gateway"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/settings"
 )
 
@@ -19,10 +20,12 @@
 const (
 	// noticeTime is how long callers still come after the entry said that it is
 	// not ready.
-	noticeTime = 3 * time.Second
-	// stopMargin is how much sooner than it must an entry ends.
-	stopMargin = 700 * time.Millisecond
-	stopLook   = 50 * time.Millisecond
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is how much sooner than it must an entry gives up its streams, and
+	// callsMargin how long it then waits for other requests.
+	stopMargin  = 1000 * time.Millisecond
+	callsMargin = 600 * time.Millisecond
+	stopLook    = 50 * time.Millisecond
 )
 
 func runEntry(ctx context.Context, file string, f settings.Fleet, d Dialect, log *zap.Logger) error {
@@ -77,19 +80,26 @@
 	return mux
 }
 
-// stopEntry ends an entry without cutting what it holds: it is not ready at once,
-// serves on while callers may still come, and ends when all have their answers or
-// its time is over.
+// stopEntry ends an entry without cutting what it holds: it is not ready at once
+// and serves on while callers may still come. Then it takes no more streams, and
+// when those that it holds have ended it takes nothing more and ends.
 func stopEntry(g *gateway.Gateway, callers *http.Server, within time.Duration, log *zap.Logger) error {
-	log.Info("stops", zap.Int("held", g.Held()))
 	began := time.Now()
+	all, streams := g.Held()
+	log.Info("stops", zap.Int("held", all), zap.Int("streams", streams))
 	g.Stop()
-	time.Sleep(min(noticeTime, within/2))
-	// From here on each answer closes its connection, and idle ones are closed.
-	callers.SetKeepAlivesEnabled(false)
-	for g.Held() > 0 && time.Since(began) < within-stopMargin {
+	time.Sleep(min(noticeTime, within/3))
+	g.RefuseStreams()
+	for time.Since(began) < within-stopMargin {
+		if _, streams := g.Held(); streams == 0 {
+			break
+		}
 		time.Sleep(stopLook)
 	}
-	log.Info("stopped taking requests", zap.Int("held", g.Held()), zap.Duration("after", time.Since(began)))
+	ctx, cancel := context.WithTimeout(context.Background(), callsMargin)
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	all, streams = g.Held()
+	log.Info("takes no more requests", zap.Int("held", all), zap.Int("streams", streams), zap.Duration("after", time.Since(began)), logx.Err(err))
 	return nil
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -142,6 +142,7 @@
 			Limits:    limits(f.Bounds),
 			Members:   consensus.Limits{Voters: 2*f.Bounds.Tolerated + 1, DeadAfter: deadAfter},
 			BeatEvery: event.Span(f.Bounds.Beat),
+			Fresh:     event.Span(f.Bounds.Fresh),
 			Decode:    d.Decode,
 		},
 		Log: log,
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -371,7 +371,9 @@
 		a.log.Debug("control box not reached", zap.String("address", d.address), logx.Err(d.err))
 		return
 	}
-	hello := &message.Hello{Entry: a.config.Entry, Life: a.config.Life}
+	hello := &message.Hello{
+		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Age: event.Span(now),
+	}
 	a.ledger.Report(now, hello)
 	for _, r := range a.running {
 		hello.Running = append(hello.Running, *r)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,7 +27,9 @@
 	// configuration.
 	retryUnready = 500 * event.Millisecond
 	retryFull    = event.Second
-	sweepEvery   = time.Second
+	// retryElsewhere is what a caller is told whom another entry can serve at once.
+	retryElsewhere = 50 * event.Millisecond
+	sweepEvery     = time.Second
 )
 
 // Config is what a Gateway needs.
@@ -48,9 +50,11 @@
 	log      *zap.Logger
 	upstream *upstream
 	held     atomic.Int64 // requests
+	streams  atomic.Int64 // of these
 	bytes    atomic.Int64 // of their bodies
 	count    atomic.Uint64
 	stopping atomic.Bool
+	closing  atomic.Bool // streams are not taken any more
 	meters   meters
 }
 
@@ -79,8 +83,11 @@
 // Stop says that the process will end: Ready is false from now on.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
-// Held returns how many requests are under way.
-func (g *Gateway) Held() int { return int(g.held.Load()) }
+// RefuseStreams says that the process will end sooner than a stream may.
+func (g *Gateway) RefuseStreams() { g.closing.Store(true) }
+
+// Held returns how many requests are under way, and how many of them are streams.
+func (g *Gateway) Held() (all, streams int) { return int(g.held.Load()), int(g.streams.Load()) }
 
 // call is one request from its arrival to its last byte.
 type call struct {
@@ -119,9 +126,18 @@
 	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
 	c.log = g.log.With(zap.String("request", c.callerID), zap.String("id", string(c.id)))
-	if c.admit() {
-		c.run()
+	if !c.admit() {
+		return
+	}
+	if c.route.Kind == routing.KindStream {
+		g.streams.Add(1)
+		defer g.streams.Add(-1)
+		if g.closing.Load() {
+			c.end(http.StatusServiceUnavailable, retryElsewhere, "the entry is about to end")
+			return
+		}
 	}
+	c.run()
 }
 
 // admit finds what the request is and reads it whole. It answers by itself what
--- a/message/message.go
+++ b/message/message.go
@@ -37,6 +37,10 @@
 	Repeats  []Spending
 	Requests []Spending
 	Running  []Running
+	// Entries is how many entries share the quotas, as last told by an owner.
+	Entries int
+	// Age is how long the process lives; of what it spent before it knows nothing.
+	Age event.Span
 }
 
 // Spending is an amount that was spent some time ago.
