--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -210,12 +210,17 @@
 	return false
 }
 
-// rank is the request's place among others; the larger goes first.
+// ranksOfRoutes is how many ranks of routes there are within a rank of teams.
+const ranksOfRoutes = 1000
+
+// rank is the request's place among others; the larger goes first. A team's rank
+// comes before that of the route.
 func (c *call) rank() int {
+	route := max(-ranksOfRoutes/2+1, min(ranksOfRoutes/2-1, c.route.Rank))
 	if c.team != nil && c.team.Rank != nil {
-		return *c.team.Rank
+		return *c.team.Rank*ranksOfRoutes + route
 	}
-	return c.route.Rank
+	return route
 }
 
 // tokens returns the tokens of the prompt and the most that are generated.
@@ -269,7 +274,7 @@
 // Patience: how many times its target a request may be expected to wait, and the
 // least part of the time left that it must leave.
 const (
-	patienceTargets = 1.5
+	patienceTargets = 0.9
 	patienceLeft    = 0.5
 )
 
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -104,19 +104,23 @@
 	}
 }
 
-// forecast refuses what would wait longer than it may: at its arrival, by what
-// waits before it and how fast the queue drains, and later when it has.
+// earlyPart is the part of its target within which a request may be refused for
+// its wait. Later it is held: who waited so long is not sent away.
+const earlyPart = 4
+
+// forecast refuses what would wait longer than it may, by what waits before it and
+// how fast the queue drains: at its arrival and a short time after.
 func (s *State) forecast(now event.Time, e event.Event, out *event.Effects) {
 	switch e := e.(type) {
 	case *event.Submitted:
 		k, ok := s.queue.byID[e.Ticket.ID]
-		if ok && k.Patience > 0 && s.expectedWait(k) > k.Patience {
+		if ok && s.isHopeless(now, k) {
 			s.refuse(k, event.ReasonShed, out)
 		}
 	case *event.Tick:
 		var late []*ticket
 		for _, k := range s.queue.byID {
-			if k.Patience > 0 && now.Sub(k.arrived) > k.Patience {
+			if s.isHopeless(now, k) {
 				late = append(late, k)
 			}
 		}
@@ -127,6 +131,18 @@
 	}
 }
 
+// isHopeless reports whether a request is to be refused for its wait.
+func (s *State) isHopeless(now event.Time, k *ticket) bool {
+	if k.Patience == 0 {
+		return false
+	}
+	waited := now.Sub(k.arrived) + k.Waited
+	if k.Target > 0 && waited > (k.Target+k.Waited)/earlyPart {
+		return false
+	}
+	return waited+s.expectedWait(k) > k.Patience
+}
+
 // expectedWait returns how long the queue before a ticket takes to drain.
 func (s *State) expectedWait(k *ticket) event.Span {
 	before := 0
--- a/sched/place.go
+++ b/sched/place.go
@@ -23,6 +23,9 @@
 	for k := s.queue.first(); k != nil && len(s.passed) < passes; k = s.queue.first() {
 		c := s.choose(now, k)
 		switch {
+		case c.room == nil && len(k.Avoid) > 0:
+			s.queue.remove(k)
+			s.passed = append(s.passed, k)
 		case c.room == nil:
 			s.unpass()
 			return
--- a/sched/state.go
+++ b/sched/state.go
@@ -220,7 +220,10 @@
 		number:   s.arrivals,
 	}
 	k.expected = s.length(k.Service).expect(k.OutputTokens)
-	k.place = now.Add(-e.Ticket.Waited).Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
+	k.place = now.Add(-e.Ticket.Waited)
+	if k.Target == 0 {
+		k.place = k.place.Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
+	}
 	s.queue.add(k)
 }
 
--- a/sched/view.go
+++ b/sched/view.go
@@ -24,7 +24,9 @@
 	*v = view{endpoint: e, slowness: 1 / e.speed(), filledAt: e.filledAt}
 	if e.Concurrency > 0 && e.serves(now) {
 		v.free = max(0, e.Concurrency-e.inflight)
-		v.reserve = e.Concurrency / reservePart
+		if !s.pool.Discovered {
+			v.reserve = e.Concurrency / reservePart
+		}
 	}
 }
 
