--- a/sched/discover.go
+++ b/sched/discover.go
@@ -96,6 +96,7 @@
 		return
 	}
 	profile := s.profile()
+	s.measurePrefill(g, f, profile)
 	switch {
 	case f.TokenGap > 0:
 		g.endpoint.learn(now, f.TokenGap.Seconds()/profile.TokenGap.Seconds())
@@ -104,6 +105,22 @@
 	}
 }
 
+// How the rate of reading prompts is learned.
+const (
+	prefillSample = 1000 // least prompt tokens of a sample
+	prefillWeight = 0.05
+)
+
+// measurePrefill learns how fast prompts are read, from long ones that had not to
+// wait for others.
+func (s *State) measurePrefill(g *grant, f *event.Finished, profile event.Profile) {
+	if !g.alone || g.prompt < prefillSample || f.FirstAfter <= 0 || f.Failed {
+		return
+	}
+	sample := float64(g.prompt) / g.endpoint.speed() / f.FirstAfter.Seconds()
+	s.prefillRate = profile.PrefillRate + prefillWeight*(sample-profile.PrefillRate)
+}
+
 // earlyPart is the part of its target within which a request may be refused for
 // its wait. Later it is held: who waited so long is not sent away.
 const earlyPart = 4
@@ -140,7 +157,13 @@
 	if k.Target > 0 && waited > (k.Target+k.Waited)/earlyPart {
 		return false
 	}
-	return waited+s.expectedWait(k) > k.Patience
+	patience := k.Patience
+	if k.Target > 0 && k.OutputTokens > 0 {
+		// Its own prompt has to be read in the time, too.
+		fill := event.Span(float64(k.PromptTokens) / s.profile().PrefillRate * float64(event.Second))
+		patience = max(patience-fill, patience/earlyPart)
+	}
+	return waited+s.expectedWait(k) > patience
 }
 
 // expectedWait returns how long the queue before a ticket takes to drain.
--- a/sched/place.go
+++ b/sched/place.go
@@ -64,6 +64,8 @@
 		output:   k.OutputTokens,
 		needed:   est.needed,
 		call:     k.OutputTokens == 0,
+		prompt:   k.PromptTokens - est.cached,
+		alone:    e.filledAt <= now,
 	}
 	s.prefix.add(e, k.Prefix)
 	e.filledAt = max(e.filledAt, now).Add(event.Span(est.fill * float64(event.Second)))
--- a/sched/state.go
+++ b/sched/state.go
@@ -78,6 +78,8 @@
 	// needed is how many seconds the answer's beginning was expected to take.
 	needed float64
 	call   bool // without tokens
+	prompt int  // tokens to be read
+	alone  bool // no other prompt was to be read before it
 }
 
 // State is the scheduler of one pool. It is not safe for concurrent use.
@@ -94,13 +96,15 @@
 	drain     drainRate
 	passed    []*ticket // of the step under way
 	views     []view    // of the endpoints, in their order
-	fastest   float64   // speed of the fastest that serves, 0 if none does
-	prefix    prefixIndex
-	lengths   map[string]*answerLength // by service
-	refused   map[Group]int            // since this owner began
-	leaving   map[string]bool          // IP numbers, by the platform's list
-	top       int                      // the highest rank that came lately
-	topSeen   event.Time               // when it came
+	// prefillRate is the measured prompt tokens a second at speed 1; 0 is unknown.
+	prefillRate float64
+	fastest     float64 // speed of the fastest that serves, 0 if none does
+	prefix      prefixIndex
+	lengths     map[string]*answerLength // by service
+	refused     map[Group]int            // since this owner began
+	leaving     map[string]bool          // IP numbers, by the platform's list
+	top         int                      // the highest rank that came lately
+	topSeen     event.Time               // when it came
 }
 
 // New returns the scheduler of pool, which owns it from now on.
--- a/sched/view.go
+++ b/sched/view.go
@@ -53,11 +53,13 @@
 	// first says that left counts to the answer's beginning, not to its end.
 	first bool
 	rate  float64 // prompt tokens a second
+	end   float64 // until the answer's end is of no use
 }
 
 func (s *State) price(now event.Time, k *ticket) price {
 	profile := s.profile()
-	p := price{now: now, left: k.deadline.Sub(now).Seconds(), weight: s.pool.PrefillWeight, rate: profile.PrefillRate}
+	left := k.deadline.Sub(now).Seconds()
+	p := price{now: now, left: left, end: left, weight: s.pool.PrefillWeight, rate: profile.PrefillRate}
 	if k.Target > 0 {
 		p.left = (k.Target - now.Sub(k.arrived)).Seconds()
 		p.first = true
@@ -77,6 +79,9 @@
 // profile returns the speed of an endpoint of speed 1.
 func (s *State) profile() event.Profile {
 	p := s.pool.Profile
+	if s.prefillRate > 0 {
+		p.PrefillRate = s.prefillRate
+	}
 	if p.PrefillRate == 0 {
 		p.PrefillRate = referencePrefill
 	}
@@ -115,6 +120,9 @@
 	if late := needed*margin - p.left; late > 0 {
 		cost += latePenalty * late
 	}
+	if late := total*margin - p.end; p.first && late > 0 {
+		cost += latePenalty * late
+	}
 	return cost, estimate{fill: fill, total: total, needed: needed, cached: cached}
 }
 
