--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"lynxramp.org/event"
 	"lynxramp.org/message"
 	"lynxramp.org/routing"
+	"lynxramp.org/sched"
 )
 
 // Bounds of what an entry holds.
@@ -210,15 +211,13 @@
 	return false
 }
 
-// ranksOfRoutes is how many ranks of routes there are within a rank of teams.
-const ranksOfRoutes = 1000
-
 // rank is the request's place among others; the larger goes first. A team's rank
 // comes before that of the route.
 func (c *call) rank() int {
-	route := max(-ranksOfRoutes/2+1, min(ranksOfRoutes/2-1, c.route.Rank))
+	const half = sched.RanksOfTeam / 2
+	route := max(-half+1, min(half-1, c.route.Rank))
 	if c.team != nil && c.team.Rank != nil {
-		return *c.team.Rank*ranksOfRoutes + route
+		return *c.team.Rank*sched.RanksOfTeam + route
 	}
 	return route
 }
--- /dev/null
+++ b/sched/class.go
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"math"
+
+	"lynxramp.org/event"
+)
+
+// RanksOfTeam is how many ranks lie within one of a team: ranks whose numbers
+// divided by it, rounded down, are equal are of one tier of teams.
+const RanksOfTeam = 1000
+
+// classMemory is the time over which the shares of classes are averaged.
+const classMemory = 10 * event.Second
+
+// cheapPart is the most work, as a part of that of the class above, with which a
+// class may be served beside it.
+const cheapPart = 0.25
+
+// fading is a count whose older parts fade. The zero value is ready.
+type fading struct {
+	value float64
+	at    event.Time
+}
+
+func (f *fading) get(now event.Time) float64 {
+	return f.value * math.Exp(-now.Sub(f.at).Seconds()/classMemory.Seconds())
+}
+
+func (f *fading) add(now event.Time, amount float64) {
+	f.value = f.get(now) + amount
+	f.at = now
+}
+
+// class is what is known of the requests of one rank.
+type class struct {
+	asked   fading
+	refused fading
+	work    float64 // mean seconds at speed 1
+}
+
+// classes are by rank.
+type classes map[int]*class
+
+func (c classes) at(rank int) *class {
+	one, ok := c[rank]
+	if !ok {
+		one = &class{}
+		c[rank] = one
+	}
+	return one
+}
+
+// served returns which part of the class was lately not refused.
+func (c *class) served(now event.Time) float64 {
+	asked := c.asked.get(now)
+	if asked < 1 {
+		return 1
+	}
+	return 1 - min(1, c.refused.get(now)/asked)
+}
+
+// above returns the next higher rank of the same tier of teams that asked lately.
+func (c classes) above(now event.Time, rank int) (int, bool) {
+	found, ok := 0, false
+	for other, one := range c {
+		if other <= rank || teamTier(other) != teamTier(rank) || one.asked.get(now) < 1 {
+			continue
+		}
+		if !ok || other < found {
+			found, ok = other, true
+		}
+	}
+	return found, ok
+}
+
+func teamTier(rank int) int { return int(math.Floor(float64(rank)/RanksOfTeam + 0.5)) }
+
+// promote returns the rank at which a request waits: its own, or the one above
+// while its class is so cheap that it takes next to nothing from that one and is
+// served less.
+func (s *State) promote(now event.Time, k *ticket) int {
+	own := k.class
+	own.asked.add(now, 1)
+	own.work += (s.seconds(k) - own.work) * workWeight
+	rank, ok := s.classes.above(now, k.Rank)
+	if !ok {
+		return k.Rank
+	}
+	higher := s.classes[rank]
+	if own.work < cheapPart*higher.work && own.served(now) < higher.served(now) {
+		return rank
+	}
+	return k.Rank
+}
+
+// workWeight is the weight of a request in its class's mean work.
+const workWeight = 0.05
+
+// seconds is the work of a request at speed 1 by the pool's profile.
+func (s *State) seconds(k *ticket) float64 {
+	profile := s.profile()
+	return float64(k.PromptTokens)/profile.PrefillRate + profile.TokenGap.Seconds()*float64(k.expected)
+}
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -132,7 +132,7 @@
 	case *event.Submitted:
 		k, ok := s.queue.byID[e.Ticket.ID]
 		if ok && s.isHopeless(now, k) {
-			s.refuse(k, event.ReasonShed, out)
+			s.refuse(now, k, event.ReasonShed, out)
 		}
 	case *event.Tick:
 		var late []*ticket
@@ -143,7 +143,7 @@
 		}
 		slices.SortFunc(late, func(a, b *ticket) int { return int(a.number) - int(b.number) })
 		for _, k := range late {
-			s.refuse(k, event.ReasonShed, out)
+			s.refuse(now, k, event.ReasonShed, out)
 		}
 	}
 }
@@ -163,20 +163,31 @@
 		fill := event.Span(float64(k.PromptTokens) / s.profile().PrefillRate * float64(event.Second))
 		patience = max(patience-fill, patience/earlyPart)
 	}
-	return waited+s.expectedWait(k) > patience
+	return waited+s.expectedWait(now, k) > patience
 }
 
-// expectedWait returns how long the queue before a ticket takes to drain.
-func (s *State) expectedWait(k *ticket) event.Span {
-	before := 0
+// expectedWait returns how long the queue before a ticket takes to drain. What
+// ranks above it leave over is what its own rank and those below got lately.
+func (s *State) expectedWait(now event.Time, k *ticket) event.Span {
+	above, beside := 0, 0
+	left := 0.0
 	for _, t := range s.queue.tiers {
-		if t.rank >= k.Rank {
-			before += t.size
+		switch {
+		case t.rank > k.Rank:
+			above += t.size
+			continue
+		case t.rank == k.Rank:
+			beside = t.size
 		}
+		left += t.drain.perSecond(now)
 	}
-	rate := s.drain.perSecond()
+	rate := s.drain.perSecond(now)
 	if rate <= 0 {
 		return 0
 	}
-	return event.Span(float64(before) / rate * float64(event.Second))
+	left = max(left, rate*leastLeft)
+	return event.Span((float64(above)/rate + float64(beside)/left) * float64(event.Second))
 }
+
+// leastLeft is the least part of the drain that is taken as left for a rank.
+const leastLeft = 0.02
--- a/sched/place.go
+++ b/sched/place.go
@@ -7,7 +7,7 @@
 // expire gives up what has run out of time.
 func (s *State) expire(now event.Time, out *event.Effects) {
 	for k := s.queue.nextExpired(now); k != nil; k = s.queue.nextExpired(now) {
-		s.refuse(k, event.ReasonDeadline, out)
+		s.refuse(now, k, event.ReasonDeadline, out)
 	}
 }
 
@@ -31,7 +31,7 @@
 			return
 		case k.Target == 0 && c.fastest > c.left && s.length(k.Service).known():
 			// No endpoint can answer in time, whatever else waits.
-			s.refuse(k, event.ReasonDeadline, out)
+			s.refuse(now, k, event.ReasonDeadline, out)
 		case c.hold, k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
 			s.queue.remove(k)
 			s.passed = append(s.passed, k)
@@ -72,6 +72,7 @@
 	s.book(k.ID, g)
 	s.refresh(now, e)
 	s.drain.add(now)
+	s.queue.tier(k.Rank).drain.add(now)
 	out.Grants = append(out.Grants, g.effect(k.ID))
 }
 
@@ -93,26 +94,27 @@
 	}
 	for s.queue.len() > s.pool.MaxWaiting {
 		k := s.queue.last()
-		s.refuse(k, event.ReasonShed, out)
+		s.refuse(now, k, event.ReasonShed, out)
 	}
 }
 
-func (s *State) refuse(k *ticket, why event.Reason, out *event.Effects) {
+func (s *State) refuse(now event.Time, k *ticket, why event.Reason, out *event.Effects) {
 	s.queue.remove(k)
+	k.class.refused.add(now, 1)
 	s.refused[Group{Team: k.Team, Rank: k.Rank, Reason: why}]++
 	out.Refusals = append(out.Refusals, event.Refused{
 		Entry:      k.entry,
 		ID:         k.ID,
 		Reason:     why,
-		RetryAfter: s.retryAfter(),
+		RetryAfter: s.retryAfter(now),
 	})
 }
 
 // retryAfter is the time the queue needs to drain, spread by up to a quarter
 // so that those refused together do not come back together.
-func (s *State) retryAfter() event.Span {
+func (s *State) retryAfter(now event.Time) event.Span {
 	wait := MinRetryAfter
-	if rate := s.drain.perSecond(); rate > 0 {
+	if rate := s.drain.perSecond(now); rate > 0 {
 		wait = event.Span(float64(s.queue.len()) / rate * float64(event.Second))
 	}
 	wait += event.Span(s.random.Float64() / 4 * float64(wait))
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -22,6 +22,7 @@
 	place    event.Time // arrival plus the charge for size
 	number   uint64     // order of arrival; breaks ties
 	expected int        // output tokens, by what the service's answers had
+	class    *class     // of the rank that it came with
 }
 
 // avoids reports whether the ticket must not go to an endpoint.
@@ -67,6 +68,7 @@
 	// starts there: it has no credit for the time it did not ask.
 	floor float64
 	size  int
+	drain drainRate
 }
 
 // queue has all that waits in a pool, in one order.
--- a/sched/state.go
+++ b/sched/state.go
@@ -102,9 +102,10 @@
 	prefix      prefixIndex
 	lengths     map[string]*answerLength // by service
 	refused     map[Group]int            // since this owner began
-	leaving     map[string]bool          // IP numbers, by the platform's list
-	top         int                      // the highest rank that came lately
-	topSeen     event.Time               // when it came
+	classes     classes
+	leaving     map[string]bool // IP numbers, by the platform's list
+	top         int             // the highest rank that came lately
+	topSeen     event.Time      // when it came
 }
 
 // New returns the scheduler of pool, which owns it from now on.
@@ -119,6 +120,7 @@
 		prefix:  prefixIndex{holders: make(map[uint64][]*endpoint)},
 		lengths: make(map[string]*answerLength),
 		refused: make(map[Group]int),
+		classes: make(classes),
 	}
 	s.setPool(now, pool)
 	return s
@@ -224,6 +226,10 @@
 		number:   s.arrivals,
 	}
 	k.expected = s.length(k.Service).expect(k.OutputTokens)
+	k.class = s.classes.at(k.Rank)
+	if s.pool.Discovered {
+		k.Rank = s.promote(now, k)
+	}
 	k.place = now.Add(-e.Ticket.Waited)
 	if k.Target == 0 {
 		k.place = k.place.Add(event.Span(sizeCharge * work(k) * float64(event.Second)))
@@ -359,7 +365,9 @@
 	d.rate = d.rate*keep + 1/rateWindow.Seconds()
 }
 
-func (d *drainRate) perSecond() float64 { return d.rate }
+func (d *drainRate) perSecond(now event.Time) float64 {
+	return d.rate * max(0, 1-now.Sub(d.last).Seconds()/rateWindow.Seconds())
+}
 
 // EndpointStatus is what operators are told of an endpoint.
 type EndpointStatus struct {
