--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,253 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+	"lynxramp.org/routing"
+)
+
+var testLimits = Limits{
+	QuotaWindow: 8 * event.Second, RetryWindow: 10 * event.Second, RetryRatio: 0.2, RetryMin: 20,
+}
+
+func testTable() *routing.Table {
+	t := &routing.Table{
+		Services: []routing.Service{{Name: "s"}},
+		Teams:    []routing.Team{{Name: "t", Keys: []string{"k"}, Rate: 1000, Burst: 1000}},
+	}
+	t.Index()
+	return t
+}
+
+// newTestState returns a State with one endpoint that has many places.
+func newTestState(now event.Time) *State {
+	s := New(testLimits, 1)
+	s.SetTable(now, testTable())
+	var out event.Effects
+	s.SetEndpoint(now, message.Endpoint{Endpoint: registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1 << 20, Sequence: 1}}, &out)
+	return s
+}
+
+func submission(id int, quota int, repeat bool) *message.Submission {
+	return &message.Submission{
+		Ticket: event.Ticket{ID: event.RequestID(fmt.Sprint(id)), Team: "t", Service: "s", Pool: "s", Deadline: event.Second},
+		Quota:  quota, Repeat: repeat,
+	}
+}
+
+func TestWindowSumsTheLastSpan(t *testing.T) {
+	w := newWindow(8 * event.Second)
+	second := event.Time(event.Second)
+	w.add(1*second, 10)
+	w.add(5*second, 20)
+	for _, c := range []struct {
+		at   event.Time
+		want int
+	}{{5 * second, 30}, {8*second + second/2, 30}, {10 * second, 20}, {20 * second, 0}} {
+		if got := w.total(c.at); got != c.want {
+			t.Errorf("total at %v: %d, want %d", event.Span(c.at), got, c.want)
+		}
+	}
+	w.add(20*second, 5)
+	w.remove(20*second, 3)
+	if got := w.total(20 * second); got != 2 {
+		t.Errorf("total after taking back: %d, want 2", got)
+	}
+}
+
+func TestWindowNeverForgetsEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWindow(8 * event.Second)
+		type spent struct {
+			at     event.Time
+			amount int
+		}
+		var all []spent
+		now := event.Time(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(event.Span(rapid.IntRange(0, 2000).Draw(t, "gap")) * event.Millisecond)
+			amount := rapid.IntRange(0, 100).Draw(t, "amount")
+			w.add(now, amount)
+			all = append(all, spent{now, amount})
+			least := 0
+			for _, s := range all {
+				if now.Sub(s.at) < 8*event.Second {
+					least += s.amount
+				}
+			}
+			if got := w.total(now); got < least {
+				t.Fatalf("total %d, but %d were spent in the last 8 s", got, least)
+			}
+		}
+	})
+}
+
+func TestQuotaHoldsInEachWindow(t *testing.T) {
+	s := newTestState(0)
+	var granted []event.Time
+	for i := range 4000 {
+		now := event.Time(i) * event.Time(10*event.Millisecond)
+		var out event.Effects
+		s.Submit(now, "entry", submission(i, 100, false), &out)
+		if len(out.Grants) == 1 {
+			granted = append(granted, now)
+		} else if len(out.Refusals) != 1 || out.Refusals[0].Reason != event.ReasonQuota || out.Refusals[0].RetryAfter <= 0 {
+			t.Fatalf("neither granted nor refused with when to come back: %+v", out)
+		}
+	}
+	const limit = 8*1000 + 1000
+	for i, from := range granted {
+		sum := 0
+		for _, at := range granted[i:] {
+			if at.Sub(from) < 8*event.Second {
+				sum += 100
+			}
+		}
+		if sum > limit {
+			t.Fatalf("%d in 8 s from %v, limit %d", sum, event.Span(from), limit)
+		}
+	}
+}
+
+// TestSharesAddUpWithinTheQuota lets entries go from an owner to being alone and
+// back to another owner that has heard only some of them.
+func TestSharesAddUpWithinTheQuota(t *testing.T) {
+	const entries = 4
+	const limit = (8*1000 + 1000) * 1.1
+	owner := newTestState(0)
+	alone := make([]*State, entries)
+	var spent []event.Time
+	step := func(s *State, id int, now event.Time) {
+		var out event.Effects
+		s.Submit(now, "entry", submission(id, 100, false), &out)
+		if len(out.Grants) == 1 {
+			spent = append(spent, now)
+		}
+	}
+	id := 0
+	for ms := 0; ms < 40000; ms += 20 {
+		now := event.Time(ms) * event.Time(event.Millisecond)
+		if ms == 12000 { // two entries lose the owner
+			for i := range 2 {
+				alone[i] = newTestState(now)
+				alone[i].SetShare(1.0 / (entries + 1))
+			}
+			owner.SetReserve(2.0 / entries)
+		}
+		if ms == 17000 { // their configuration is too old
+			alone[0], alone[1] = nil, nil
+		}
+		if ms == 25000 {
+			owner.SetReserve(0)
+		}
+		for i := range entries {
+			id++
+			switch {
+			case ms >= 12000 && ms < 25000 && i < 2:
+				if alone[i] != nil {
+					step(alone[i], id, now)
+				}
+			default:
+				step(owner, id, now)
+			}
+		}
+	}
+	for i, from := range spent {
+		sum := 0
+		for _, at := range spent[i:] {
+			if at.Sub(from) < 8*event.Second {
+				sum += 100
+			}
+		}
+		if float64(sum) > limit {
+			t.Fatalf("%d in 8 s from %v, limit %v", sum, event.Span(from), limit)
+		}
+	}
+}
+
+func TestNewOwnerTakesWhatWasSpent(t *testing.T) {
+	second := event.Time(event.Second)
+	before := newTestState(0)
+	for i := range 10 {
+		before.Note(5*second, submission(i, 100, false))
+	}
+	var h message.Hello
+	before.Report(5*second+second/5, &h)
+	after := newTestState(0)
+	after.Take(0, &h)
+	granted := 0
+	for i := range 40 {
+		var out event.Effects
+		after.Submit(second/5, "entry", submission(i, 100, false), &out)
+		granted += len(out.Grants)
+	}
+	// What came back in 0.4 s; bins make it up to 0.2 s less or more.
+	if granted < 2 || granted > 6 {
+		t.Errorf("%d granted, about 4 are left of the quota", granted)
+	}
+}
+
+func TestAssumedSpendingFades(t *testing.T) {
+	s := newTestState(0)
+	s.Assume(0, 100*event.Millisecond, 1)
+	grants := func(now event.Time) int {
+		var out event.Effects
+		for i := range 200 {
+			s.Submit(now, "entry", submission(int(now)+i, 100, false), &out)
+		}
+		return len(out.Grants)
+	}
+	if got := grants(0); got > 2 {
+		t.Errorf("%d granted at once where the quota may be spent", got)
+	}
+	if got := grants(event.Time(9 * event.Second)); got != 10 {
+		t.Errorf("%d granted after a whole window, the burst has 10", got)
+	}
+}
+
+func TestRetryBudgetHolds(t *testing.T) {
+	s := newTestState(0)
+	repeats := 0
+	for i := range 1000 {
+		now := event.Time(i) * event.Time(event.Millisecond)
+		var out event.Effects
+		s.Submit(now, "entry", submission(i, 0, false), &out)
+		out.Reset()
+		s.Submit(now, "entry", submission(10000+i, 0, true), &out)
+		repeats += len(out.Grants)
+	}
+	if most := int(0.2*1000) + 20; repeats > most || repeats < most/2 {
+		t.Errorf("%d repeats of 1000 requests, the budget is %d", repeats, most)
+	}
+}
+
+func TestUnreachedEndpointIsLeftAlone(t *testing.T) {
+	s := newTestState(0)
+	var out event.Effects
+	s.Submit(0, "entry", submission(1, 0, false), &out)
+	s.Finish(0, &message.Finish{
+		Finished: event.Finished{ID: "1", Pool: "s", Void: true}, Endpoint: "e", Suspect: true,
+	}, &out)
+	out.Reset()
+	s.Submit(event.Time(event.Millisecond), "entry", submission(2, 0, false), &out)
+	if len(out.Grants) != 0 {
+		t.Fatal("an endpoint that was not reached a moment ago was granted")
+	}
+	s.Tick(event.Time(suspectTime+event.Millisecond), &out)
+	if len(out.Grants) != 0 {
+		// The request's deadline is a second: it may have been refused instead.
+		return
+	}
+	s.Submit(event.Time(suspectTime+2*event.Millisecond), "entry", submission(3, 0, false), &out)
+	if len(out.Grants) != 1 {
+		t.Errorf("the endpoint was not tried again: %+v", out)
+	}
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -8,17 +8,20 @@
 	"lynxramp.org/routing"
 )
 
-// bucket is a team's quota where only a share of it may be spent: tokens come
-// at the share's rate, and little may be saved up.
+// bucket is a team's quota at a moment: tokens come at the team's rate, and a burst
+// of them may be saved up.
 type bucket struct {
 	tokens float64
 	filled event.Time
 }
 
-// bucketSpan is how much of a share's rate may be saved up.
-const bucketSpan = event.Second
+// aloneSpan is how much of its share's rate may be saved up where only a share may
+// be spent.
+const aloneSpan = event.Second
 
-// spend counts an amount against a team's quota and reports whether it fits.
+// spend counts an amount against a team's quota and reports whether it fits: into
+// the bucket, which keeps the rate, and into the window, which also has what was
+// spent elsewhere before.
 func (s *State) spend(now event.Time, name string, amount int) bool {
 	var team *routing.Team
 	if s.table != nil {
@@ -28,47 +31,72 @@
 		return true
 	}
 	w := s.window(name)
-	if team.Rate <= 0 {
-		w.add(now, amount)
-		return true
+	if team.Rate > 0 && !s.fits(now, team, w, amount) {
+		return false
 	}
+	w.add(now, amount)
+	return true
+}
+
+func (s *State) fits(now event.Time, team *routing.Team, w *window, amount int) bool {
+	part := s.share * (1 - s.reserve)
+	limit := (team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst) * part
+	if float64(w.total(now)+amount) > limit {
+		return false
+	}
+	most := team.Burst
 	if s.share < 1 {
-		if !s.take(now, team, amount) {
-			return false
-		}
-		w.add(now, amount)
-		return true
+		most = team.Rate * s.share * aloneSpan.Seconds()
 	}
-	limit := (team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst) * (1 - s.reserve)
-	if float64(w.total(now)+amount) > limit {
+	b := s.bucket(now, team, most)
+	b.tokens = min(most, b.tokens+team.Rate*part*now.Sub(b.filled).Seconds())
+	b.filled = now
+	// A request larger than the bucket may go when the bucket is full, and leaves
+	// a debt.
+	if b.tokens < min(float64(amount), most) {
 		return false
 	}
-	w.add(now, amount)
+	b.tokens -= float64(amount)
 	return true
 }
 
-// take draws on a team's bucket. A request larger than the bucket may go when
-// the bucket is full, and leaves a debt.
-func (s *State) take(now event.Time, team *routing.Team, amount int) bool {
-	rate := team.Rate * s.share
-	most := rate * bucketSpan.Seconds()
+// bucket returns a team's bucket. A new one holds what the window leaves.
+func (s *State) bucket(now event.Time, team *routing.Team, most float64) *bucket {
 	b, ok := s.buckets[team.Name]
 	if !ok {
 		b = &bucket{tokens: most, filled: now}
 		s.buckets[team.Name] = b
 	}
-	b.tokens = min(most, b.tokens+rate*now.Sub(b.filled).Seconds())
-	b.filled = now
-	if b.tokens < min(float64(amount), most) {
-		return false
+	return b
+}
+
+// drain makes the teams' buckets fit what the windows hold: as if it had been
+// drawn from full ones.
+func (s *State) drain(now event.Time) {
+	if s.table == nil {
+		return
+	}
+	for name, w := range s.spent {
+		team := s.table.Team(name)
+		if team == nil || team.Rate <= 0 {
+			continue
+		}
+		tokens := team.Burst
+		last := s.limits.QuotaWindow
+		w.each(now, func(age event.Span, amount int) {
+			tokens = min(team.Burst, tokens+team.Rate*(last-age).Seconds()) - float64(amount)
+			last = age
+		})
+		s.buckets[name] = &bucket{tokens: min(team.Burst, tokens+team.Rate*last.Seconds()), filled: now}
 	}
-	b.tokens -= float64(amount)
-	return true
 }
 
 func (s *State) giveBack(now event.Time, team string, amount int) {
 	if w, ok := s.spent[team]; ok && amount > 0 {
 		w.remove(now, amount)
+		if b := s.buckets[team]; b != nil {
+			b.tokens += float64(amount)
+		}
 	}
 }
 
@@ -94,7 +122,7 @@
 
 func spendings(now event.Time, name string, w *window) []message.Spending {
 	var list []message.Spending
-	w.list(now, func(age event.Span, amount int) {
+	w.each(now, func(age event.Span, amount int) {
 		list = append(list, message.Spending{Name: name, Age: age, Amount: amount})
 	})
 	return list
@@ -111,6 +139,7 @@
 	for _, p := range h.Repeats {
 		s.service(now, p.Name).repeats.addAt(now, now.Add(-p.Age), p.Amount)
 	}
+	s.drain(now)
 }
 
 // Assume counts a part of each team's quota as spent evenly over the part of the
@@ -130,6 +159,7 @@
 			w.addAt(now, now.Add(-back), int(amount))
 		}
 	}
+	s.drain(now)
 }
 
 // Note counts here what another State granted, so that Report tells of it.
--- a/admission/state.go
+++ b/admission/state.go
@@ -48,7 +48,7 @@
 	services  map[string]*service
 	spent     map[string]*window // by team
 	endpoints map[event.EndpointID]*known
-	buckets   map[string]*bucket // by team, while share is below 1
+	buckets   map[string]*bucket // by team
 }
 
 // known is an endpoint with what is believed of it beside its own words.
--- a/admission/window.go
+++ b/admission/window.go
@@ -67,12 +67,12 @@
 	return w.sum
 }
 
-// list calls f for each part that is still counted, with its age.
-func (w *window) list(now event.Time, f func(age event.Span, amount int)) {
+// each calls f for each part that is still counted, with its age, oldest first.
+func (w *window) each(now event.Time, f func(age event.Span, amount int)) {
 	w.slide(now)
-	for back := range int64(len(w.bins)) {
+	for back := int64(len(w.bins)) - 1; back >= 0; back-- {
 		if amount := w.bins[w.slot(w.newest-back)]; amount > 0 {
-			f(event.Span(back)*w.bin, amount)
+			f(min(event.Span(back)*w.bin, w.bin*binsPerWindow), amount)
 		}
 	}
 }
