--- a/admission/quota.go
+++ b/admission/quota.go
@@ -8,20 +8,21 @@
 	"lynxramp.org/routing"
 )
 
-// bucket is a team's quota at a moment: tokens come at the team's rate, and a burst
-// of them may be saved up.
+// bucket keeps the rate at which a team's quota is spent where only a share of it
+// may be spent.
 type bucket struct {
 	tokens float64
 	filled event.Time
 }
 
-// aloneSpan is how much of its share's rate may be saved up where only a share may
-// be spent.
-const aloneSpan = event.Second
+// aloneSpan is how much of its share's rate may be saved up there.
+const aloneSpan = event.Second / 2
 
-// spend counts an amount against a team's quota and reports whether it fits: into
-// the bucket, which keeps the rate, and into the window, which also has what was
-// spent elsewhere before.
+// ownerPart is the part of what quotas may be overrun by that an owner uses. The
+// rest is for entries that decide without one.
+const ownerPart = 0.5
+
+// spend counts an amount against a team's quota and reports whether it fits.
 func (s *State) spend(now event.Time, name string, amount int) bool {
 	var team *routing.Team
 	if s.table != nil {
@@ -39,56 +40,31 @@
 }
 
 func (s *State) fits(now event.Time, team *routing.Team, w *window, amount int) bool {
-	part := s.share * (1 - s.reserve)
-	limit := (team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst) * part
-	if float64(w.total(now)+amount) > limit {
-		return false
-	}
-	most := team.Burst
-	if s.share < 1 {
-		most = team.Rate * s.share * aloneSpan.Seconds()
-	}
-	b := s.bucket(now, team, most)
-	b.tokens = min(most, b.tokens+team.Rate*part*now.Sub(b.filled).Seconds())
-	b.filled = now
-	// A request larger than the bucket may go when the bucket is full, and leaves
-	// a debt.
-	if b.tokens < min(float64(amount), most) {
+	limit := team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst
+	limit += (limit*s.limits.QuotaOvershoot + s.limits.QuotaSlack) * ownerPart
+	if float64(w.total(now)+amount) > limit*s.share*(1-s.reserve) {
 		return false
 	}
-	b.tokens -= float64(amount)
-	return true
+	return s.share == 1 || s.take(now, team, amount)
 }
 
-// bucket returns a team's bucket. A new one holds what the window leaves.
-func (s *State) bucket(now event.Time, team *routing.Team, most float64) *bucket {
+// take draws on a team's bucket. A request larger than the bucket may go when the
+// bucket is full, and leaves a debt.
+func (s *State) take(now event.Time, team *routing.Team, amount int) bool {
+	rate := team.Rate * s.share
+	most := rate * aloneSpan.Seconds()
 	b, ok := s.buckets[team.Name]
 	if !ok {
 		b = &bucket{tokens: most, filled: now}
 		s.buckets[team.Name] = b
 	}
-	return b
-}
-
-// drain makes the teams' buckets fit what the windows hold: as if it had been
-// drawn from full ones.
-func (s *State) drain(now event.Time) {
-	if s.table == nil {
-		return
-	}
-	for name, w := range s.spent {
-		team := s.table.Team(name)
-		if team == nil || team.Rate <= 0 {
-			continue
-		}
-		tokens := team.Burst
-		last := s.limits.QuotaWindow
-		w.each(now, func(age event.Span, amount int) {
-			tokens = min(team.Burst, tokens+team.Rate*(last-age).Seconds()) - float64(amount)
-			last = age
-		})
-		s.buckets[name] = &bucket{tokens: min(team.Burst, tokens+team.Rate*last.Seconds()), filled: now}
+	b.tokens = min(most, b.tokens+rate*now.Sub(b.filled).Seconds())
+	b.filled = now
+	if b.tokens < min(float64(amount), most) {
+		return false
 	}
+	b.tokens -= float64(amount)
+	return true
 }
 
 func (s *State) giveBack(now event.Time, team string, amount int) {
@@ -139,7 +115,6 @@
 	for _, p := range h.Repeats {
 		s.service(now, p.Name).repeats.addAt(now, now.Add(-p.Age), p.Amount)
 	}
-	s.drain(now)
 }
 
 // Assume counts a part of each team's quota as spent evenly over the part of the
@@ -159,7 +134,6 @@
 			w.addAt(now, now.Add(-back), int(amount))
 		}
 	}
-	s.drain(now)
 }
 
 // Note counts here what another State granted, so that Report tells of it.
--- a/admission/state.go
+++ b/admission/state.go
@@ -24,6 +24,9 @@
 // Limits are a deployment's bounds on quotas and repeats.
 type Limits struct {
 	QuotaWindow event.Span
+	// A quota may be overrun by QuotaOvershoot of it and QuotaSlack on top.
+	QuotaOvershoot float64
+	QuotaSlack     float64
 	// A service may be sent RetryRatio of its requests again, and RetryMin on
 	// top, in each RetryWindow.
 	RetryWindow event.Span
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -92,7 +92,7 @@
 
 func limits(b settings.FleetBounds) admission.Limits {
 	return admission.Limits{
-		QuotaWindow: event.Span(b.QuotaWindow),
+		QuotaWindow: event.Span(b.QuotaWindow), QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack,
 		RetryWindow: event.Span(b.RetryWindow),
 		RetryRatio:  b.RetryRatio,
 		RetryMin:    b.RetryMin,
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -483,7 +483,10 @@
 	entries := int(a.pace.Load())
 	a.alone = admission.New(a.config.Limits, a.config.Life)
 	a.alone.SetTable(now, a.table.Load())
-	a.alone.SetShare(1 / float64(entries+1))
+	a.alone.SetShare(1 / float64(entries))
+	var spent message.Hello
+	a.ledger.Report(now, &spent)
+	a.alone.Take(now, &spent)
 	for _, e := range a.endpoints {
 		e.Slots = max(1, (e.Slots+entries-1)/entries)
 		a.alone.SetEndpoint(now, e, &a.effects)
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -56,9 +56,12 @@
 	// is the newest.
 	Fresh       catalog.Duration `yaml:"fresh"`
 	QuotaWindow catalog.Duration `yaml:"quota_window"`
-	RetryWindow catalog.Duration `yaml:"retry_window"`
-	RetryRatio  float64          `yaml:"retry_ratio"`
-	RetryMin    int              `yaml:"retry_min"`
+	// A quota may be overrun by QuotaOvershoot of it and QuotaSlack on top.
+	QuotaOvershoot float64          `yaml:"quota_overshoot"`
+	QuotaSlack     float64          `yaml:"quota_slack"`
+	RetryWindow    catalog.Duration `yaml:"retry_window"`
+	RetryRatio     float64          `yaml:"retry_ratio"`
+	RetryMin       int              `yaml:"retry_min"`
 }
 
 // Defaults of a fleet's bounds.
@@ -117,6 +120,9 @@
 	if b.RetryRatio < 0 || b.RetryMin < 0 {
 		d.addAt("bounds.retry_ratio", "a retry budget is not negative")
 	}
+	if b.QuotaOvershoot < 0 || b.QuotaSlack < 0 {
+		d.addAt("bounds.quota_overshoot", "a quota's overshoot and slack are not negative")
+	}
 	for path, value := range map[string]catalog.Duration{
 		"bounds.beat": b.Beat, "bounds.stop": b.Stop, "bounds.fresh": b.Fresh,
 		"bounds.quota_window": b.QuotaWindow, "bounds.retry_window": b.RetryWindow,
