--- /dev/null
+++ b/cluster/sim_test.go
@@ -0,0 +1,270 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"lynxramp.org/admission"
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+	"lynxramp.org/routing"
+)
+
+// simStep is how finely simulated time goes on.
+const simStep = 10 * event.Millisecond
+
+// simDisk is what a simulated box has saved.
+type simDisk struct {
+	member   consensus.Member
+	restored consensus.Restored
+}
+
+// save does what package store does for a Ready.
+func (d *simDisk) save(r *consensus.Ready) {
+	if r.HardState != nil {
+		d.restored.HardState = *r.HardState
+	}
+	if r.Snapshot != nil {
+		d.restored.Snapshot = *r.Snapshot
+		d.restored.Entries = slices.Clone(r.Entries)
+		return
+	}
+	for _, e := range r.Entries {
+		keep := int(e.Index - d.restored.Snapshot.Index - 1)
+		d.restored.Entries = append(slices.Clone(d.restored.Entries[:keep]), e)
+	}
+}
+
+// simBox is one control box.
+type simBox struct {
+	name  string
+	disk  *simDisk
+	state *State // nil while it is off
+	joins bool   // it asks to join while it has no vote or hears no leader
+	// stalled disks save nothing; what rests on it waits.
+	stalled bool
+	waiting []consensus.Ready
+}
+
+// sim runs control boxes in simulated time.
+type sim struct {
+	t        testing.TB
+	now      event.Time
+	boxes    map[string]*simBox
+	order    []string
+	messages []consensus.Message
+	cut      func(from, to string) bool
+	answers  map[Token]Answer
+	sends    map[SessionID][]*message.Envelope
+	closed   map[SessionID]bool
+	token    Token
+	random   *rand.Rand
+	lives    int
+}
+
+var simLimits = admission.Limits{QuotaWindow: 8 * event.Second, RetryWindow: 10 * event.Second, RetryRatio: 0.2, RetryMin: 20}
+
+func simSettings(seed uint64) Settings {
+	return Settings{
+		Limits:    simLimits,
+		Members:   consensus.Limits{Voters: 5, DeadAfter: 1800 * event.Millisecond},
+		BeatEvery: event.Second,
+		Fresh:     5 * event.Second,
+		Seed:      seed,
+		Decode: func(data []byte) (*routing.Table, error) {
+			t := &routing.Table{Services: []routing.Service{{Name: "s"}}}
+			t.Index()
+			return t, nil
+		},
+	}
+}
+
+// newSim starts founders and as many boxes that join.
+func newSim(t testing.TB, founders, joining int) *sim {
+	s := &sim{
+		t: t, boxes: make(map[string]*simBox), answers: make(map[Token]Answer), closed: make(map[SessionID]bool),
+		sends: make(map[SessionID][]*message.Envelope), random: rand.New(rand.NewPCG(1, 2)),
+		cut: func(string, string) bool { return false },
+	}
+	var members []consensus.Member
+	for i := range founders {
+		name := fmt.Sprintf("box%d", i+1)
+		members = append(members, consensus.Member{ID: consensus.MakeID(event.BoxID(name), founderDisk), Address: name + ":operators"})
+	}
+	for _, m := range members {
+		disk := &simDisk{member: m, restored: consensus.Restored{Snapshot: consensus.Snapshot{
+			Index: 1, Members: consensus.Membership{Voters: members},
+		}}}
+		s.add(string(m.ID.Box()), disk)
+	}
+	for i := range joining {
+		s.addEmpty(fmt.Sprintf("box%d", founders+i+1))
+	}
+	return s
+}
+
+func (s *sim) add(name string, disk *simDisk) {
+	b := &simBox{name: name, disk: disk, joins: true}
+	s.boxes[name] = b
+	if !slices.Contains(s.order, name) {
+		s.order = append(s.order, name)
+	}
+	s.start(b)
+}
+
+// addEmpty starts a box with an empty disk.
+func (s *sim) addEmpty(name string) {
+	s.lives++
+	s.add(name, &simDisk{member: consensus.Member{
+		ID: consensus.MakeID(event.BoxID(name), event.Incarnation(100+s.lives)), Address: name + ":operators",
+	}})
+}
+
+// start starts a box with what its disk holds.
+func (s *sim) start(b *simBox) {
+	state, err := NewState(s.now, b.disk.member.ID, b.disk.restored, simSettings(s.random.Uint64()))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	b.state = state
+}
+
+func (s *sim) stop(name string) {
+	s.boxes[name].state = nil
+	s.boxes[name].waiting = nil
+}
+
+func (s *sim) restart(name string) { s.start(s.boxes[name]) }
+
+// step hands an event to a box and carries out what follows.
+func (s *sim) step(b *simBox, e Event) {
+	if b.state == nil {
+		return
+	}
+	var out Effects
+	b.state.Step(s.now, e, &out)
+	s.messages = append(s.messages, out.Ready.Early...)
+	b.waiting = append(b.waiting, out.Ready)
+	for _, a := range out.Answers {
+		s.answers[a.Token] = a
+	}
+	for _, one := range out.Sends {
+		s.sends[one.Session] = append(s.sends[one.Session], one.Message)
+	}
+	for _, id := range out.Closes {
+		s.closed[id] = true
+	}
+	s.saveAll(b)
+}
+
+func (s *sim) saveAll(b *simBox) {
+	if b.stalled {
+		return
+	}
+	for len(b.waiting) > 0 {
+		r := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		b.disk.save(&r)
+		s.messages = append(s.messages, r.Messages...)
+		if n := len(r.Entries); n > 0 {
+			s.step(b, &Saved{Index: r.Entries[n-1].Index, Term: r.Entries[n-1].Term})
+		}
+	}
+}
+
+// run lets time go on.
+func (s *sim) run(span event.Span) {
+	for end := s.now.Add(span); s.now < end; {
+		s.now = s.now.Add(simStep)
+		sent := s.messages
+		s.messages = nil
+		for _, m := range sent {
+			to := s.boxes[string(m.To.Box())]
+			if to == nil || to.disk.member.ID != m.To || s.cut(string(m.From.Box()), to.name) {
+				continue
+			}
+			s.step(to, &Received{Message: m})
+		}
+		for _, name := range s.order {
+			b := s.boxes[name]
+			s.step(b, &Ticked{})
+			if b.state != nil && b.joins {
+				s.join(b)
+			}
+		}
+	}
+}
+
+// join does what Server.stayMember does.
+func (s *sim) join(b *simBox) {
+	node := b.state.Node()
+	quiet := s.now.Sub(node.HeardLeader()) > quietLeader && node.Leader() != node.ID()
+	if int64(s.now)%int64(300*event.Millisecond) != 0 || (node.IsVoter() && !quiet) {
+		return
+	}
+	for _, name := range s.order {
+		if name != b.name && !s.cut(b.name, name) {
+			s.step(s.boxes[name], &JoinAsked{Member: b.disk.member})
+		}
+	}
+}
+
+// owner returns the box that owns the pools; nil if none does.
+func (s *sim) owner() *simBox {
+	var found *simBox
+	for _, name := range s.order {
+		b := s.boxes[name]
+		if b.state == nil || !b.state.owns(s.now) {
+			continue
+		}
+		if found != nil {
+			s.t.Fatalf("%s and %s own the pools at %v", found.name, name, event.Span(s.now))
+		}
+		found = b
+	}
+	return found
+}
+
+func (s *sim) mustOwner() *simBox {
+	s.t.Helper()
+	b := s.owner()
+	if b == nil {
+		s.t.Fatalf("nobody owns the pools at %v", event.Span(s.now))
+	}
+	return b
+}
+
+// put sends a configuration to a box and returns its token.
+func (s *sim) put(b *simBox, version uint64) Token {
+	s.token++
+	s.step(b, &DocumentSent{Token: s.token, Document: Document{Version: version, Data: fmt.Appendf(nil, "v%d", version)}})
+	return s.token
+}
+
+func (s *sim) tell(b *simBox, e registry.Endpoint) Token {
+	s.token++
+	s.step(b, &EndpointTold{Token: s.token, Endpoint: e})
+	return s.token
+}
+
+// read asks a box for the configuration.
+func (s *sim) read(b *simBox) Answer {
+	s.token++
+	s.step(b, &DocumentRead{Token: s.token})
+	return s.answers[s.token]
+}
+
+func (s *sim) voters() []string {
+	var names []string
+	for _, v := range s.mustOwner().state.Node().Members().Voters {
+		names = append(names, string(v.ID))
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/cluster/state_test.go
@@ -0,0 +1,338 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"testing"
+
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+)
+
+const second = event.Second
+
+func TestThreeSeedsFoundAndTwoJoin(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	if got := len(s.voters()); got != 5 {
+		t.Errorf("%d voters after 5 s, want 5", got)
+	}
+}
+
+func TestSparesStandBy(t *testing.T) {
+	s := newSim(t, 3, 4)
+	s.run(6 * second)
+	m := s.mustOwner().state.Node().Members()
+	if len(m.Voters) != 5 || len(m.Learners) != 2 {
+		t.Errorf("%d voters and %d learners, want 5 and 2", len(m.Voters), len(m.Learners))
+	}
+}
+
+// TestDeadVoterIsReplaced loses a box for good, brings an empty one, and loses two
+// more right after: the group still commits.
+func TestDeadVoterIsReplaced(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 7)
+	s.run(second)
+	lost := s.mustOwner().name
+	s.stop(lost)
+	s.run(second)
+	s.addEmpty("box9")
+	s.run(4 * second)
+	voters := s.voters()
+	if len(voters) != 5 {
+		t.Fatalf("voters %v, want 5 with the new box", voters)
+	}
+	stopped := 0
+	for _, name := range s.order {
+		if b := s.boxes[name]; b.state != nil && stopped < 2 && name != "box9" {
+			s.stop(name)
+			stopped++
+		}
+	}
+	s.run(4 * second)
+	token := s.put(s.mustOwner(), 8)
+	s.run(second)
+	if s.answers[token].Status != StatusDone {
+		t.Errorf("no commit with 3 of 5 voters: %+v", s.answers[token])
+	}
+}
+
+// TestSilentVoterStaysWithoutSuccessor: nobody leaves the group before another can
+// take the place.
+func TestSilentVoterStaysWithoutSuccessor(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	for _, name := range s.order {
+		if b := s.boxes[name]; b != s.mustOwner() {
+			s.stop(name)
+			break
+		}
+	}
+	s.run(10 * second)
+	if got := len(s.voters()); got != 5 {
+		t.Errorf("%d voters, want 5: the silent one has no successor", got)
+	}
+}
+
+// TestLostDisksLoseNothing wipes two disks right after an acknowledgement while all
+// others lose power.
+func TestLostDisksLoseNothing(t *testing.T) {
+	for first := range 5 {
+		for next := range 5 {
+			if next == first {
+				continue
+			}
+			s := newSim(t, 3, 2)
+			s.run(5 * second)
+			token := s.put(s.mustOwner(), 9)
+			for s.answers[token].Status != StatusDone {
+				s.run(simStep)
+			}
+			for _, name := range s.order {
+				s.stop(name)
+			}
+			s.messages = nil
+			for i, name := range s.order {
+				if i == first || i == next {
+					s.addEmpty(name)
+				} else {
+					s.restart(name)
+				}
+			}
+			s.run(8 * second)
+			if a := s.read(s.mustOwner()); a.Document.Version != 9 {
+				t.Errorf("disks %d and %d lost: version %d, want 9", first, next, a.Document.Version)
+			}
+			if got := len(s.voters()); got != 5 {
+				t.Errorf("disks %d and %d lost: %d voters, want 5", first, next, got)
+			}
+		}
+	}
+}
+
+// TestCutOffOwnerAnswersNothing cuts the owner off in silence: after its lease it
+// neither reads nor grants, and another one has taken over.
+func TestCutOffOwnerAnswersNothing(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	old := s.mustOwner()
+	s.put(old, 3)
+	s.run(second)
+	s.cut = func(from, to string) bool { return from == old.name || to == old.name }
+	s.run(4 * second)
+	if a := s.read(old); a.Status == StatusDone {
+		t.Errorf("a box that is cut off answered a read: %+v", a)
+	}
+	next := s.mustOwner()
+	if next == old {
+		t.Fatal("the box that is cut off still owns the pools")
+	}
+	s.put(next, 4)
+	s.run(second)
+	if a := s.read(next); a.Document.Version != 4 {
+		t.Errorf("version %d, want 4", a.Document.Version)
+	}
+}
+
+// TestFrozenOwnerFindsItsLeaseOver lets an owner stand still; its first event after
+// that is a read.
+func TestFrozenOwnerFindsItsLeaseOver(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	old := s.mustOwner()
+	s.step(old, &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	frozen := old.state
+	old.state = nil
+	s.run(4 * second)
+	old.state = frozen
+	if a := s.read(old); a.Status == StatusDone {
+		t.Errorf("a box that was frozen answered a read: %+v", a)
+	}
+	if !s.closed[1] {
+		t.Error("the session of an owner whose lease is over goes on")
+	}
+}
+
+// TestLeaderWithStalledDiskStillCommits: its own copy does not count, those of the
+// others do.
+func TestLeaderWithStalledDiskStillCommits(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	leader := s.mustOwner()
+	leader.stalled = true
+	token := s.put(leader, 5)
+	s.run(second)
+	if s.answers[token].Status != StatusDone {
+		t.Error("no commit while the leader's disk stalls")
+	}
+	leader.stalled = false
+	s.saveAll(leader)
+	s.run(second)
+	s.mustOwner()
+}
+
+func TestSameOrLowerVersionChangesNothing(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 6)
+	s.run(second)
+	s.token++
+	token := s.token
+	s.step(s.mustOwner(), &DocumentSent{Token: token, Document: Document{Version: 6, Data: []byte("other")}})
+	older := s.put(s.mustOwner(), 5)
+	s.run(second)
+	for _, k := range []Token{token, older} {
+		if s.answers[k].Status != StatusDone {
+			t.Errorf("a resent or older configuration was not acknowledged: %+v", s.answers[k])
+		}
+	}
+	if a := s.read(s.mustOwner()); string(a.Document.Data) != "v6" {
+		t.Errorf("%q is in force, want v6", a.Document.Data)
+	}
+}
+
+func TestBoxThatDoesNotOwnNamesTheLeader(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	leader := s.mustOwner()
+	for _, name := range s.order {
+		if name == leader.name {
+			continue
+		}
+		a := s.read(s.boxes[name])
+		if a.Status != StatusElsewhere || a.Leader != leader.name+":operators" {
+			t.Errorf("%s: %+v, want the address of %s", name, a, leader.name)
+		}
+	}
+}
+
+// grants returns the grants that a session was sent.
+func (s *sim) grants(id SessionID) []event.Granted {
+	var list []event.Granted
+	for _, m := range s.sends[id] {
+		if m.Decisions != nil {
+			list = append(list, m.Decisions.Grants...)
+		}
+	}
+	return list
+}
+
+func submit(ids ...event.RequestID) *message.Batch {
+	b := &message.Batch{}
+	for _, id := range ids {
+		b.Submit = append(b.Submit, message.Submission{Ticket: event.Ticket{ID: id, Service: "s", Pool: "s", Deadline: 10 * second}})
+	}
+	return b
+}
+
+// TestLeavingEndpointGetsNothingAfterItsAcknowledgement also changes the owner.
+func TestLeavingEndpointGetsNothingAfterItsAcknowledgement(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	ready := registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 100, Sequence: 1}
+	s.tell(s.mustOwner(), ready)
+	s.run(second)
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("a")})
+	if got := s.grants(1); len(got) != 1 || got[0].Endpoint != "e" {
+		t.Fatalf("grants %+v, want one to e", got)
+	}
+	leaving := ready
+	leaving.Leaving = true
+	leaving.Sequence = 3
+	token := s.tell(s.mustOwner(), leaving)
+	if s.answers[token].Status == StatusDone {
+		t.Error("leaving was acknowledged before it was committed")
+	}
+	for s.answers[token].Status != StatusDone {
+		s.run(simStep)
+	}
+	late := ready
+	late.Sequence = 2
+	s.tell(s.mustOwner(), late)
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("b")})
+	s.run(second)
+	if got := s.grants(1); len(got) != 1 {
+		t.Errorf("grants %+v: one came after the acknowledgement", got)
+	}
+	s.stop(s.mustOwner().name)
+	s.run(4 * second)
+	s.step(s.mustOwner(), &SessionBegan{Session: 2, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 2, Batch: submit("c")})
+	s.run(second)
+	if got := s.grants(2); len(got) != 0 {
+		t.Errorf("the next owner granted %+v to an endpoint that is leaving", got)
+	}
+}
+
+// TestNewOwnerKnowsWhatRuns: a place that an entry says is taken is not given again.
+func TestNewOwnerKnowsWhatRuns(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	s.tell(s.mustOwner(), registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 1})
+	s.run(second)
+	s.stop(s.mustOwner().name)
+	s.run(4 * second)
+	running := message.Running{Ticket: event.Ticket{ID: "old", Service: "s", Pool: "s"}, Endpoint: "e"}
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry", Running: []message.Running{running}}})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("new")})
+	if got := s.grants(1); len(got) != 0 {
+		t.Fatalf("granted %+v though the only place is taken", got)
+	}
+	done := message.Finish{Finished: event.Finished{ID: "old", Pool: "s"}, Endpoint: "e"}
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: &message.Batch{Finish: []message.Finish{done}}})
+	if got := s.grants(1); len(got) != 1 {
+		t.Errorf("grants %+v, want one when the place came free", got)
+	}
+}
+
+func TestSilentEndpointIsTakenForDown(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	e := registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 9, Sequence: 1}
+	s.tell(s.mustOwner(), e)
+	s.run((downBeats + 1) * second)
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("a")})
+	if got := s.grants(1); len(got) != 0 {
+		t.Fatalf("granted %+v to an endpoint that is silent", got)
+	}
+	e.Sequence = 2
+	s.tell(s.mustOwner(), e)
+	s.run(simStep)
+	if got := s.grants(1); len(got) != 1 {
+		t.Errorf("grants %+v, want one when the endpoint was heard again", got)
+	}
+}
+
+func TestMachineSurvivesItsSnapshot(t *testing.T) {
+	var m machine
+	for _, command := range [][]byte{
+		encodeDocument(Document{Version: 4, Data: []byte(`{"version": 4}`)}),
+		encodeEndpoint(registry.Endpoint{ID: "a", Service: "s", Address: "10.0.0.1:80", Sequence: 2}),
+		encodeEndpoint(registry.Endpoint{ID: "b", Service: "s", Address: "10.0.0.2:80", Sequence: 2}),
+		encodeRemove("b"),
+	} {
+		if _, err := m.apply(command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var again machine
+	if err := again.restore(m.snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if string(again.document.Data) != `{"version": 4}` || len(again.registry.Endpoints) != 1 || len(again.registry.Gone) != 1 {
+		t.Errorf("restored %+v", again)
+	}
+	for _, bad := range [][]byte{nil, {99}, {commandDocument, 1}, append([]byte{commandEndpoint}, '{')} {
+		if _, err := again.apply(bad); err == nil {
+			t.Errorf("command %v was applied", bad)
+		}
+	}
+}
