--- a/consensus/node.go
+++ b/consensus/node.go
@@ -15,10 +15,10 @@
 // Times of the group. ElectionMin is also the length of a leader's lease, less
 // LeaseMargin for clocks that run at unlike rates.
 const (
-	ElectionMin    = 1000 * event.Millisecond
-	ElectionSpread = 600 * event.Millisecond
-	HeartbeatEvery = 300 * event.Millisecond
-	LeaseMargin    = 100 * event.Millisecond
+	ElectionMin    = 600 * event.Millisecond
+	ElectionSpread = 400 * event.Millisecond
+	HeartbeatEvery = 200 * event.Millisecond
+	LeaseMargin    = 60 * event.Millisecond
 	// appendRetry is how long an append may be without a reply before it is
 	// sent again.
 	appendRetry = HeartbeatEvery
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,7 +26,7 @@
 	maxHeld = 2000 // requests
 	// retryUnready is what a caller is told who comes while the entry knows no
 	// configuration.
-	retryUnready = 500 * event.Millisecond
+	retryUnready = 1500 * event.Millisecond
 	retryFull    = event.Second
 	// retryElsewhere is what a caller is told whom another entry can serve at once.
 	retryElsewhere = 50 * event.Millisecond
