--- a/cluster/server.go
+++ b/cluster/server.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -42,6 +43,7 @@
 // Config says what a control box is and whom it knows.
 type Config struct {
 	Link      string // its own link address, IP:port
+	LinkBind  string // where it listens for links, if that is not Link
 	Operators string // where operators and endpoints reach it, IP:port
 	// Seeds are operators' addresses of boxes of the group, perhaps old ones.
 	Seeds []string
@@ -151,7 +153,7 @@
 
 // Run serves until ctx ends, then hands the lead to another box.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := link.Listen(s.config.Link, s.serveLink)
+	listener, err := link.Listen(cmp.Or(s.config.LinkBind, s.config.Link), s.serveLink)
 	if err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -134,6 +134,7 @@
 func runControl(ctx context.Context, file string, f settings.Fleet, d Dialect, log *zap.Logger) error {
 	server, err := cluster.Open(cluster.Config{
 		Link:      f.Listen.Link,
+		LinkBind:  f.Listen.LinkBind,
 		Operators: f.Listen.Operators,
 		Seeds:     f.Seeds,
 		Found:     f.Found,
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -35,7 +35,9 @@
 	Readiness string `yaml:"readiness"`
 	Operators string `yaml:"operators"`
 	Link      string `yaml:"link"`
-	Metrics   string `yaml:"metrics"`
+	// LinkBind is where the box listens for links, if others reach Link by way of
+	// something else; empty for Link itself.
+	LinkBind string `yaml:"link_bind"`
 }
 
 // FleetResources is what a box may use.
@@ -97,8 +99,8 @@
 		d.addAt("role", "%q is neither %q nor %q", f.Role, RoleEntry, RoleControl)
 	}
 	d.address("listen.link", f.Listen.Link)
-	if f.Listen.Metrics != "" {
-		d.address("listen.metrics", f.Listen.Metrics)
+	if f.Listen.LinkBind != "" {
+		d.address("listen.link_bind", f.Listen.LinkBind)
 	}
 	if len(f.Seeds) == 0 {
 		d.addAt("seeds", "there is no seed")
