--- a/admission/quota.go
+++ b/admission/quota.go
@@ -20,7 +20,7 @@
 
 // ownerPart is the part of what quotas may be overrun by that an owner uses. The
 // rest is for entries that decide without one.
-const ownerPart = 0.5
+const ownerPart = 0.75
 
 // spend counts an amount against a team's quota and reports whether it fits.
 func (s *State) spend(now event.Time, name string, amount int) bool {
