--- a/event/event.go
+++ b/event/event.go
@@ -83,6 +83,8 @@
 	// Patience is the longest that the request may be expected to wait; 0 is
 	// without a limit.
 	Patience Span
+	// Zone is where the request's entry is; empty if it does not matter.
+	Zone string
 	// Avoid has endpoints that must not be chosen: they had the request before.
 	Avoid []EndpointID
 }
@@ -231,6 +233,8 @@
 	Speed float64
 	// Leaving endpoints get no new work.
 	Leaving bool
+	// Zone is where the endpoint is; empty if it does not matter.
+	Zone string
 }
 
 // Effects is what the world is asked to do, in the order of each slice. The
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	HeldBytes int64
 	Log       *zap.Logger
 	Entry     event.BoxID
+	Zone      string // where the entry is; empty if it does not matter
 	Life      uint64
 }
 
@@ -264,7 +265,7 @@
 			ID: c.id, Team: team, Rank: c.rank(), Service: c.service, Pool: c.service,
 			PromptTokens: prompt, OutputTokens: output, Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.patience(left),
-			Avoid: c.avoid, Attempt: c.attempts,
+			Avoid: c.avoid, Attempt: c.attempts, Zone: c.gateway.config.Zone,
 		},
 		Quota: c.quota(), Repeat: repeat,
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -16,12 +16,13 @@
 	filledAt event.Time
 	free     int // places for the highest tier; 0 if it does not serve
 	reserve  int // of these, not for lower tiers
+	zone     string
 }
 
 // refresh makes an endpoint's view fit what is known of it at now.
 func (s *State) refresh(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
-	*v = view{endpoint: e, slowness: 1 / e.speed(), filledAt: e.filledAt}
+	*v = view{endpoint: e, slowness: 1 / e.speed(), filledAt: e.filledAt, zone: e.Zone}
 	if e.Concurrency > 0 && e.serves(now) {
 		v.free = max(0, e.Concurrency-e.inflight)
 		if !s.pool.Discovered {
@@ -54,12 +55,17 @@
 	first bool
 	rate  float64 // prompt tokens a second
 	end   float64 // until the answer's end is of no use
+	zone  string
 }
 
+// farCost is what an endpoint in another zone costs: as much as so many seconds of
+// waiting. It decides between endpoints that are about as good.
+const farCost = 0.02
+
 func (s *State) price(now event.Time, k *ticket) price {
 	profile := s.profile()
 	left := k.deadline.Sub(now).Seconds()
-	p := price{now: now, left: left, end: left, weight: s.pool.PrefillWeight, rate: profile.PrefillRate}
+	p := price{now: now, left: left, end: left, weight: s.pool.PrefillWeight, rate: profile.PrefillRate, zone: k.Zone}
 	if k.Target > 0 {
 		p.left = (k.Target - now.Sub(k.arrived)).Seconds()
 		p.first = true
@@ -108,6 +114,9 @@
 		begin += float64(ahead) / float64(event.Second)
 	}
 	cost = total*timeWeight + p.weight*fill
+	if p.zone != "" && v.zone != "" && p.zone != v.zone {
+		cost += farCost
+	}
 	if p.first {
 		// What is before the answer's beginning counts in full: it also holds up
 		// the streams beside it.
