--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -259,3 +259,34 @@
 		t.Errorf("the endpoint was not tried again: %+v", out)
 	}
 }
+
+// TestRequestWaitsForItsQuota: one that has room in a moment waits for it, another
+// is told when it has.
+func TestRequestWaitsForItsQuota(t *testing.T) {
+	s := newTestState(0)
+	var out event.Effects
+	fill := submission(1, 9500, false)
+	s.Submit(0, "entry", fill, &out)
+	if len(out.Grants) != 1 {
+		t.Fatalf("the first request was not granted: %+v", out)
+	}
+	out.Reset()
+	near := event.Time(7900 * event.Millisecond)
+	patient := submission(2, 500, false)
+	patient.Ticket.Target = 2 * event.Second
+	s.Submit(near, "entry", patient, &out)
+	hasty := submission(3, 500, false)
+	hasty.Ticket.Target = 100 * event.Millisecond
+	s.Submit(near, "entry", hasty, &out)
+	if len(out.Grants) != 0 || len(out.Refusals) != 1 || out.Refusals[0].ID != "3" {
+		t.Fatalf("want the hasty one refused and the patient one kept: %+v", out)
+	}
+	if after := out.Refusals[0].RetryAfter; after < 100*event.Millisecond || after > 400*event.Millisecond {
+		t.Errorf("told to come back after %v, there is room in 0.1 s", after)
+	}
+	out.Reset()
+	s.Tick(near.Add(200*event.Millisecond), &out)
+	if len(out.Grants) != 1 || out.Grants[0].ID != "2" {
+		t.Errorf("the quota has room and the request was not granted: %+v", out)
+	}
+}
--- /dev/null
+++ b/admission/park.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+)
+
+// parkPart is the part of its target that a request may wait for its team's quota;
+// beyond that it is sent away at once.
+const parkPart = 5
+
+// parked is a request that waits for its team's quota to have room.
+type parked struct {
+	entry      event.BoxID
+	submission message.Submission
+	arrived    event.Time
+	until      event.Time
+}
+
+// parkOrRefuse keeps a request that a quota has room for in a moment, and refuses
+// any other with the time when it has.
+func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
+	room := s.roomIn(now, m)
+	if room > m.Ticket.Target/parkPart {
+		s.refuseQuota(now, entry, m, out)
+		return
+	}
+	s.parked = append(s.parked, parked{
+		entry: entry, submission: *m, arrived: now, until: now.Add(m.Ticket.Target / parkPart),
+	})
+}
+
+func (s *State) refuseQuota(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
+	out.Refusals = append(out.Refusals, event.Refused{
+		Entry: entry, ID: m.Ticket.ID, Reason: event.ReasonQuota, RetryAfter: max(quotaRetryLeast, s.roomIn(now, m)),
+	})
+}
+
+// roomIn returns how long it takes until a team's quota has room for a request.
+func (s *State) roomIn(now event.Time, m *message.Submission) event.Span {
+	team := s.table.Team(m.Ticket.Team)
+	if team == nil {
+		return 0
+	}
+	return s.window(team.Name).room(now, s.limitOf(team)-float64(m.Quota))
+}
+
+// unpark tries the requests that wait for a quota, oldest first.
+func (s *State) unpark(now event.Time, out *event.Effects) {
+	waiting := s.parked
+	s.parked = nil
+	for _, p := range waiting {
+		m := p.submission
+		switch {
+		case s.spend(now, m.Ticket.Team, m.Quota):
+			m.Ticket.Waited += now.Sub(p.arrived)
+			m.Ticket.Deadline -= now.Sub(p.arrived)
+			m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-now.Sub(p.arrived))
+			s.admit(now, p.entry, &m, out)
+		case now >= p.until:
+			s.refuseQuota(now, p.entry, &m, out)
+		default:
+			s.parked = append(s.parked, p)
+		}
+	}
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -40,14 +40,19 @@
 }
 
 func (s *State) fits(now event.Time, team *routing.Team, w *window, amount int) bool {
-	limit := team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst
-	limit += (limit*s.limits.QuotaOvershoot + s.limits.QuotaSlack) * ownerPart
-	if float64(w.total(now)+amount) > limit*s.share*(1-s.reserve) {
+	if float64(w.total(now)+amount) > s.limitOf(team) {
 		return false
 	}
 	return s.share == 1 || s.take(now, team, amount)
 }
 
+// limitOf returns what a team may spend here in a window.
+func (s *State) limitOf(team *routing.Team) float64 {
+	limit := team.Rate*s.limits.QuotaWindow.Seconds() + team.Burst
+	limit += (limit*s.limits.QuotaOvershoot + s.limits.QuotaSlack) * ownerPart
+	return limit * s.share * (1 - s.reserve)
+}
+
 // take draws on a team's bucket. A request larger than the bucket may go when the
 // bucket is full, and leaves a debt.
 func (s *State) take(now event.Time, team *routing.Team, amount int) bool {
--- a/admission/state.go
+++ b/admission/state.go
@@ -3,6 +3,8 @@
 package admission
 
 import (
+	"slices"
+
 	"lynxramp.org/event"
 	"lynxramp.org/message"
 	"lynxramp.org/routing"
@@ -11,7 +13,7 @@
 
 // Bounds of what is told to refused callers.
 const (
-	quotaRetryAfter  = event.Second
+	quotaRetryLeast  = 200 * event.Millisecond
 	budgetRetryAfter = 500 * event.Millisecond
 )
 
@@ -52,6 +54,7 @@
 	spent     map[string]*window // by team
 	endpoints map[event.EndpointID]*known
 	buckets   map[string]*bucket // by team
+	parked    []parked           // in the order of their arrival
 }
 
 // known is an endpoint with what is believed of it beside its own words.
@@ -160,9 +163,18 @@
 		v.repeats.add(now, 1)
 	} else {
 		if !s.spend(now, t.Team, m.Quota) {
-			out.Refusals = append(out.Refusals, event.Refused{Entry: entry, ID: t.ID, Reason: event.ReasonQuota, RetryAfter: quotaRetryAfter})
+			s.parkOrRefuse(now, entry, m, out)
 			return
 		}
+	}
+	s.admit(now, entry, m, out)
+}
+
+// admit hands a request that may be spent on to its service.
+func (s *State) admit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
+	t := m.Ticket
+	v := s.service(now, t.Service)
+	if !m.Repeat {
 		v.requests.add(now, 1)
 	}
 	first := len(out.Refusals)
@@ -185,6 +197,7 @@
 
 // Withdraw takes a request back that has not been granted.
 func (s *State) Withdraw(now event.Time, entry event.BoxID, w message.Withdrawal, out *event.Effects) {
+	s.parked = slices.DeleteFunc(s.parked, func(p parked) bool { return p.submission.Ticket.ID == w.ID })
 	s.service(now, w.Service).pool.Step(now, &event.Withdrawn{Entry: entry, ID: w.ID}, out)
 }
 
@@ -230,6 +243,7 @@
 
 // EntryGone forgets what an entry had here.
 func (s *State) EntryGone(now event.Time, entry event.BoxID, out *event.Effects) {
+	s.parked = slices.DeleteFunc(s.parked, func(p parked) bool { return p.entry == entry })
 	for _, v := range s.services {
 		v.pool.Step(now, &event.EntryGone{Entry: entry}, out)
 	}
@@ -237,6 +251,7 @@
 
 // Tick tells all pools that time passed.
 func (s *State) Tick(now event.Time, out *event.Effects) {
+	s.unpark(now, out)
 	for _, k := range s.endpoints {
 		if k.suspectUntil != 0 && now >= k.suspectUntil {
 			k.suspectUntil = 0
--- a/admission/window.go
+++ b/admission/window.go
@@ -5,7 +5,7 @@
 import "lynxramp.org/event"
 
 // binsPerWindow is how finely a window slides.
-const binsPerWindow = 40
+const binsPerWindow = 160
 
 // window sums amounts over the last span of time. Older parts leave it bin by
 // bin, never early. The zero value is not ready; see newWindow.
@@ -67,6 +67,19 @@
 	return w.sum
 }
 
+// room returns how long it takes until the window's sum is at most limit, if
+// nothing is added.
+func (w *window) room(now event.Time, limit float64) event.Span {
+	left := float64(w.total(now))
+	for back := int64(len(w.bins)) - 1; back >= 0; back-- {
+		if left <= limit {
+			return max(0, event.Span(int64(len(w.bins))-1-back)*w.bin)
+		}
+		left -= float64(w.bins[w.slot(w.newest-back)])
+	}
+	return event.Span(len(w.bins)) * w.bin
+}
+
 // each calls f for each part that is still counted, with its age, oldest first.
 func (w *window) each(now event.Time, f func(age event.Span, amount int)) {
 	w.slide(now)
