--- a/admission/park.go
+++ b/admission/park.go
@@ -35,6 +35,7 @@
 func (s *State) refuseQuota(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	out.Refusals = append(out.Refusals, event.Refused{
 		Entry: entry, ID: m.Ticket.ID, Reason: event.ReasonQuota, RetryAfter: max(quotaRetryLeast, s.roomIn(now, m)),
+		Inputs: s.quotaInputs(now, m.Ticket.Team),
 	})
 }
 
@@ -66,3 +67,12 @@
 		}
 	}
 }
+
+// quotaInputs returns what a team has spent and may spend, for the log.
+func (s *State) quotaInputs(now event.Time, name string) event.Inputs {
+	team := s.table.Team(name)
+	if team == nil {
+		return event.Inputs{}
+	}
+	return event.Inputs{Spent: s.window(name).total(now), Limit: int(s.limitOf(team))}
+}
--- /dev/null
+++ b/cmd/lynxramp/explain.go
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+
+	"lynxramp.org/explain"
+)
+
+type explainCommand struct {
+	ID    string   `arg:"" help:"The caller's id of the request, or ours."`
+	Files []string `arg:"" type:"existingfile" help:"Log files of all processes."`
+}
+
+// Run implements the command.
+func (c *explainCommand) Run() error {
+	var lines []explain.Line
+	for _, name := range c.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		more, err := explain.Read(file)
+		_ = file.Close() // it was only read
+		if err != nil {
+			return err
+		}
+		lines = append(lines, more...)
+	}
+	return explain.Explain(os.Stdout, c.ID, lines)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -262,6 +262,7 @@
 	Incarnation Incarnation
 	// Attempt is the ticket's.
 	Attempt int
+	Inputs  Inputs
 	// Attach, if set, is the dispatch whose answer there is to be fetched:
 	// nothing is offered.
 	Attach DispatchID
@@ -274,6 +275,16 @@
 	Reason Reason
 	// RetryAfter is when the caller should come back.
 	RetryAfter Span
+	Inputs     Inputs
+}
+
+// Inputs are what decided on a request, for the log.
+type Inputs struct {
+	Ahead   int  // requests that waited before it
+	Wait    Span // expected, in the queue or to the answer's beginning
+	Running int  // requests at the endpoint, itself included
+	Spent   int  // of the team's quota in its window
+	Limit   int  // that it may spend
 }
 
 // Reason says why a request is given up.
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: MIT
+
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+const testLog = `
+  5.1 entry1 {"level":"info","time":"2026-01-01T10:00:01Z","msg":"configuration in force","box":"entry1","version":4}
+no line of ours
+{"level":"info","time":"2026-01-01T10:00:02Z","msg":"owner found","box":"entry1","address":"10.0.0.1:7600"}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"admitted","box":"entry1","request":"r1","id":"e-1","at":"2026-01-01T10:00:05Z","service":"s"}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"dispatched","box":"entry1","request":"r1","id":"e-1","at":"2026-01-01T10:00:05.1Z","endpoint":"i-1"}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"attempt failed","box":"entry1","request":"r1","id":"e-1","at":"2026-01-01T10:00:06Z","endpoint":"i-1","outcome":"unknown","cause":"connection reset"}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"ended","box":"entry1","request":"r1","id":"e-1","at":"2026-01-01T10:00:06.1Z","status":502,"why":"the endpoint's answer was lost"}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"refused","box":"entry1","request":"r2","id":"e-2","at":"2026-01-01T10:00:07Z","reason":"quota","spent":90,"limit":100}
+{"level":"info","time":"2026-01-01T10:00:09Z","msg":"ended","box":"entry1","request":"r2","id":"e-2","at":"2026-01-01T10:00:07Z","status":429,"why":"quota"}
+`
+
+func TestExplainNamesTheCause(t *testing.T) {
+	lines, err := Read(strings.NewReader(testLog))
+	if err != nil || len(lines) != 8 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	for id, want := range map[string][]string{
+		"r1":  {"owner found", "version=4", "cause: the endpoint's answer was lost (status 502); at endpoint i-1: unknown (connection reset)"},
+		"e-1": {"dispatched"},
+		"r2":  {"cause: refused before any endpoint had it; refused for quota: 90 of 100 spent"},
+	} {
+		var out strings.Builder
+		if err := Explain(&out, id, lines); err != nil {
+			t.Fatal(err)
+		}
+		for _, one := range want {
+			if !strings.Contains(out.String(), one) {
+				t.Errorf("%s: %q is missing in\n%s", id, one, out.String())
+			}
+		}
+	}
+	if err := Explain(&strings.Builder{}, "r9", lines); err == nil {
+		t.Error("a request that is in no line was explained")
+	}
+}
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -43,6 +43,8 @@
 	RetryAfter event.Span
 	// Alone says that the entry decided without an owner.
 	Alone bool
+	// Inputs are what decided.
+	Inputs event.Inputs
 }
 
 // AgentConfig says who an agent is and whom it asks.
@@ -274,7 +276,7 @@
 		delete(a.waiting, g.ID)
 		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint}
 		a.ledger.Note(now, &w.submission)
-		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Alone: alone}
+		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Alone: alone, Inputs: g.Inputs}
 	}
 	for _, r := range refusals {
 		w, ok := a.waiting[r.ID]
@@ -282,7 +284,7 @@
 			continue
 		}
 		delete(a.waiting, r.ID)
-		w.decision <- Decision{Reason: r.Reason, RetryAfter: r.RetryAfter, Alone: alone}
+		w.decision <- Decision{Reason: r.Reason, RetryAfter: r.RetryAfter, Alone: alone, Inputs: r.Inputs}
 	}
 }
 
@@ -388,20 +390,22 @@
 		a.input <- lost{conn, err}
 	}()
 	a.batch = message.Batch{}
-	a.log.Info("asks control box", zap.String("address", d.address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
+	a.log.Debug("asks control box", zap.String("address", d.address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
 }
 
 // lose gives up the connection to the owner.
 func (a *Agent) lose(now event.Time, why string, err error) {
 	a.conn.Close()
 	a.conn = nil
+	level := zap.DebugLevel
 	if a.owned {
 		a.lostAt = now
+		level = zap.WarnLevel
 	}
 	a.owned = false
 	a.dialAt = now
 	a.batch = message.Batch{}
-	a.log.Info("control box lost", zap.String("why", why), logx.Err(err))
+	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)))
 }
 
 func (a *Agent) receive(now event.Time, m *message.Envelope) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/message"
 	"lynxramp.org/routing"
 	"lynxramp.org/sched"
@@ -58,11 +59,15 @@
 	stopping atomic.Bool
 	closing  atomic.Bool // streams are not taken any more
 	meters   meters
+
+	failedBudget, wellBudget *logx.Budget
 }
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	return &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), meters: newMeters()}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), meters: newMeters()}
+	g.failedBudget, g.wellBudget = newBudgets()
+	return g
 }
 
 // Run drops connections that are not used until ctx ends.
@@ -75,6 +80,7 @@
 			return
 		case <-ticker.C:
 			g.upstream.sweep()
+			g.tellLeftOut()
 		}
 	}
 }
@@ -107,7 +113,7 @@
 	deadline time.Time
 	attempts int // endpoints that the request was sent to
 	avoid    []event.EndpointID
-	log      *zap.Logger
+	record   record
 
 	// Of a stream that has begun:
 	begun     bool
@@ -127,7 +133,7 @@
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
-	c.log = g.log.With(zap.String("request", c.callerID), zap.String("id", string(c.id)))
+	defer c.writeRecord()
 	if !c.admit() {
 		return
 	}
@@ -166,7 +172,30 @@
 			c.deadline = d
 		}
 	}
-	return c.readBody()
+	if !c.readBody() {
+		return false
+	}
+	prompt, output := c.tokens()
+	c.note(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
+		zap.Int("rank", c.rank()), zap.Int("prompt_tokens", prompt), zap.Int("output_tokens", output),
+		zap.Duration("left", time.Until(c.deadline)), zap.Uint64("version", c.table.Version))
+	return true
+}
+
+// teamName returns the name of the request's team; empty without one.
+func (c *call) teamName() string {
+	if c.team == nil {
+		return ""
+	}
+	return c.team.Name
+}
+
+// version returns the version of the configuration that the request is judged by.
+func (c *call) version() uint64 {
+	if c.table == nil {
+		return 0
+	}
+	return c.table.Version
 }
 
 // identify finds the team that holds the request's key. Public routes need none.
@@ -254,15 +283,11 @@
 	if hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint)); err == nil && hint > 0 {
 		output = min(output, hint)
 	}
-	team := ""
-	if c.team != nil {
-		team = c.team.Name
-	}
 	left := time.Until(c.deadline)
 	target := c.route.Target - time.Since(c.arrived)
 	return message.Submission{
 		Ticket: event.Ticket{
-			ID: c.id, Team: team, Rank: c.rank(), Service: c.service, Pool: c.service,
+			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
 			PromptTokens: prompt, OutputTokens: output, Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.patience(left),
 			Avoid: c.avoid, Attempt: c.attempts, Zone: c.gateway.config.Zone,
@@ -293,8 +318,9 @@
 		c.cut(why, nil)
 	}
 	c.gateway.meters.ended(status)
-	c.log.Info("ended", zap.Int("status", status), zap.String("why", why),
-		zap.Duration("after", time.Since(c.arrived)), zap.Int("attempts", c.attempts), zap.String("service", c.service))
+	c.record.failed = true
+	c.note(stepEnded, zap.Int("status", status), zap.String("why", why), zap.Int("attempts", c.attempts),
+		zap.Duration("retry_after", retryAfter), zap.Uint64("version", c.version()))
 	refuse(c.w, status, retryAfter, why)
 }
 
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -77,10 +77,14 @@
 	_, _ = c.w.Write(r.body) // a caller that is gone needs no answer
 	c.gateway.meters.ended(r.status)
 	c.gateway.meters.first.UpdateDuration(c.arrived)
-	if r.status >= http.StatusInternalServerError {
-		c.log.Info("ended", zap.Int("status", r.status), zap.String("why", "the endpoint's own answer"),
-			zap.Duration("after", time.Since(c.arrived)), zap.Int("attempts", c.attempts), zap.String("service", c.service))
-	}
+	c.record.failed = c.record.failed || r.status >= http.StatusInternalServerError || c.isLate(time.Now())
+	c.note(stepEnded, zap.Int("status", r.status), zap.String("why", "the endpoint's own answer"), zap.Int("attempts", c.attempts))
+}
+
+// isLate reports whether an answer that begins at a moment is past its target.
+func (c *call) isLate(at time.Time) bool {
+	return c.route.Target > 0 && at.Sub(c.arrived) > c.route.Target
+
 }
 
 // long passes on an answer that is too long to be held whole, as it comes.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -45,6 +45,24 @@
 	outcomeCut
 )
 
+// String returns the outcome as logs have it.
+func (o outcome) String() string {
+	switch o {
+	case outcomeDone:
+		return "done"
+	case outcomeNotSent:
+		return "not_sent"
+	case outcomeNotRun:
+		return "not_run"
+	case outcomeFailed:
+		return "endpoint_failed"
+	case outcomeCut:
+		return "cut"
+	default:
+		return "unknown"
+	}
+}
+
 // attempt is one try at one endpoint, with what came of it.
 type attempt struct {
 	decision Decision
@@ -99,6 +117,11 @@
 			return
 		}
 		repeat = true
+		if c.begun {
+			c.note(stepResumed, zap.String("last_event", c.lastEvent))
+		} else {
+			c.note(stepRepeated, zap.Stringer("after_outcome", a.outcome))
+		}
 	}
 }
 
@@ -114,9 +137,13 @@
 			return d, false
 		}
 		if d.Granted {
+			c.note(stepGranted, zap.String("endpoint", string(d.Endpoint)), zap.Bool("alone", d.Alone),
+				zap.Int("running", d.Inputs.Running), zap.Duration("expected_first", d.Inputs.Wait))
 			return d, true
 		}
-		c.log.Debug("refused", zap.Stringer("reason", d.Reason), zap.Bool("alone", d.Alone))
+		c.note(stepRefused, zap.Stringer("reason", d.Reason), zap.Bool("alone", d.Alone), zap.Duration("retry_after", d.RetryAfter),
+			zap.Int("ahead", d.Inputs.Ahead), zap.Duration("expected_wait", d.Inputs.Wait),
+			zap.Int("spent", d.Inputs.Spent), zap.Int("limit", d.Inputs.Limit))
 		if last != nil && last.outcome != outcomeNotSent {
 			c.giveUp(last)
 			return d, false
@@ -182,15 +209,17 @@
 // end that would make the answer look whole.
 func (c *call) cut(why string, cause error) {
 	c.gateway.meters.ended(0)
-	c.log.Warn("stream cut", zap.String("why", why), zap.Int("events", c.events), zap.String("last_event", c.lastEvent),
-		zap.Int("attempts", c.attempts), logx.Cause(cause), zap.Duration("after", time.Since(c.arrived)))
+	c.record.failed = true
+	c.note(stepCut, zap.String("why", why), zap.Int("events", c.events), zap.String("last_event", c.lastEvent),
+		zap.Int("attempts", c.attempts), logx.Cause(cause))
 	panic(http.ErrAbortHandler)
 }
 
 // gone takes note that the caller left.
 func (c *call) gone() {
 	c.gateway.meters.ended(0)
-	c.log.Debug("caller left", zap.Duration("after", time.Since(c.arrived)))
+	c.record.failed = true
+	c.note(stepCancelled, zap.String("why", "the caller left"), zap.Int("attempts", c.attempts), zap.Int("events", c.events))
 	if c.begun {
 		panic(http.ErrAbortHandler)
 	}
@@ -199,17 +228,13 @@
 // tell tells who decides how an attempt ended.
 func (c *call) tell(a *attempt) {
 	failed := a.outcome != outcomeDone || a.err != nil
-	team := ""
-	if c.team != nil {
-		team = c.team.Name
-	}
 	f := message.Finish{
 		Finished: event.Finished{
 			ID: c.id, Pool: c.service, Tokens: a.tokens, Failed: failed,
 			Void:       a.outcome == outcomeNotSent || a.outcome == outcomeNotRun,
 			FirstAfter: a.first, TokenGap: a.gap,
 		},
-		Team: team, Endpoint: a.decision.Endpoint,
+		Team: c.teamName(), Endpoint: a.decision.Endpoint,
 		Suspect: a.outcome == outcomeNotSent || (a.outcome == outcomeUnknown && a.first == 0),
 	}
 	if f.Void && a.outcome == outcomeNotSent {
@@ -217,8 +242,8 @@
 	}
 	c.gateway.agent.Finish(f)
 	if a.outcome != outcomeDone {
-		c.log.Info("attempt failed", zap.String("endpoint", string(a.decision.Endpoint)), zap.Uint8("outcome", uint8(a.outcome)),
-			logx.Cause(a.err), zap.Int("attempt", c.attempts), zap.Duration("after", time.Since(c.arrived)))
+		c.note(stepFailed, zap.String("endpoint", string(a.decision.Endpoint)), zap.Stringer("outcome", a.outcome),
+			logx.Cause(a.err), zap.Int("attempt", c.attempts))
 	}
 }
 
@@ -232,6 +257,8 @@
 		return a
 	}
 	c.attempts++
+	c.note(stepDispatched, zap.String("endpoint", string(d.Endpoint)), zap.String("address", d.Address),
+		zap.Bool("connection_kept", conn.reused), zap.Int("attempt", c.attempts))
 	x, err := c.gateway.upstream.send(ctx, conn, c.outgoing(d), c.gateway.config.Names.RequestID)
 	if err != nil {
 		a.err = err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -76,7 +76,7 @@
 		c.beginStream(x)
 	}
 	c.gateway.meters.ended(x.response.StatusCode)
-	c.log.Debug("stream ended", zap.Int("events", c.events), zap.Duration("after", time.Since(c.arrived)))
+	c.note(stepEnded, zap.Int("status", x.response.StatusCode), zap.Int("events", c.events), zap.Int("attempts", c.attempts))
 }
 
 // beginStream sends the head of the answer, once.
@@ -85,6 +85,7 @@
 		return
 	}
 	c.begun = true
+	c.record.failed = c.record.failed || c.isLate(time.Now())
 	copyHeader(c.w.Header(), x.response.Header)
 	c.w.WriteHeader(x.response.StatusCode)
 	c.gateway.meters.first.UpdateDuration(c.arrived)
--- a/sched/place.go
+++ b/sched/place.go
@@ -73,7 +73,9 @@
 	s.refresh(now, e)
 	s.drain.add(now)
 	s.queue.tier(k.Rank).drain.add(now)
-	out.Grants = append(out.Grants, g.effect(k.ID))
+	granted := g.effect(k.ID)
+	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Span(est.needed * float64(event.Second))}
+	out.Grants = append(out.Grants, granted)
 }
 
 func (g *grant) effect(id event.RequestID) event.Granted {
@@ -107,6 +109,7 @@
 		ID:         k.ID,
 		Reason:     why,
 		RetryAfter: s.retryAfter(now),
+		Inputs:     event.Inputs{Ahead: s.queue.len(), Wait: s.expectedWait(now, k)},
 	})
 }
 
