--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -145,9 +145,7 @@
 			for i := range 2 {
 				alone[i] = newTestState(now)
 				alone[i].SetShare(1.0 / entries)
-				var h message.Hello
-				ledgers[i].Report(now, &h)
-				alone[i].Take(now, &h)
+				alone[i].Take(now, ledgers[i].Report(now), 8*event.Second)
 			}
 			owner.SetReserve(2.0 / entries)
 		}
@@ -188,10 +186,8 @@
 	for i := range 80 {
 		before.Note(5*second, submission(i, 100, false))
 	}
-	var h message.Hello
-	before.Report(5*second+second/5, &h)
 	after := newTestState(0)
-	after.Take(0, &h)
+	after.Take(0, before.Report(5*second+second/5), 8*event.Second)
 	granted := 0
 	for i := range 40 {
 		var out event.Effects
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -90,15 +90,17 @@
 	return w
 }
 
-// Report returns what was spent and sent here lately, for a new owner.
-func (s *State) Report(now event.Time, h *message.Hello) {
+// Report returns what was spent and sent here lately.
+func (s *State) Report(now event.Time) message.Ledger {
+	var l message.Ledger
 	for name, w := range s.spent {
-		h.Spent = append(h.Spent, spendings(now, name, w)...)
+		l.Teams = append(l.Teams, spendings(now, name, w)...)
 	}
 	for name, v := range s.services {
-		h.Requests = append(h.Requests, spendings(now, name, v.requests)...)
-		h.Repeats = append(h.Repeats, spendings(now, name, v.repeats)...)
+		l.Requests = append(l.Requests, spendings(now, name, v.requests)...)
+		l.Repeats = append(l.Repeats, spendings(now, name, v.repeats)...)
 	}
+	return l
 }
 
 func spendings(now event.Time, name string, w *window) []message.Spending {
@@ -109,17 +111,18 @@
 	return list
 }
 
-// Take counts what an entry says was spent before this owner.
-func (s *State) Take(now event.Time, h *message.Hello) {
-	for _, p := range h.Spent {
-		s.window(p.Name).addAt(now, now.Add(-p.Age), p.Amount)
-	}
-	for _, p := range h.Requests {
-		s.service(now, p.Name).requests.addAt(now, now.Add(-p.Age), p.Amount)
-	}
-	for _, p := range h.Repeats {
-		s.service(now, p.Name).repeats.addAt(now, now.Add(-p.Age), p.Amount)
+// Take counts what was spent elsewhere within the last span.
+func (s *State) Take(now event.Time, l message.Ledger, within event.Span) {
+	take := func(list []message.Spending, window func(string) *window) {
+		for _, p := range list {
+			if p.Age <= within {
+				window(p.Name).addAt(now, now.Add(-p.Age), p.Amount)
+			}
+		}
 	}
+	take(l.Teams, s.window)
+	take(l.Requests, func(name string) *window { return s.service(now, name).requests })
+	take(l.Repeats, func(name string) *window { return s.service(now, name).repeats })
 }
 
 // Assume counts a part of each team's quota as spent evenly over the part of the
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -43,6 +43,16 @@
 	life    uint64
 	session SessionID // 0 while it is away
 	left    event.Time
+	pinged  event.Time // when it was last heard
+}
+
+// quietEntry is how long an entry may be unheard before it is taken for away: it
+// may then decide alone.
+const quietEntry = 500 * event.Millisecond
+
+// isHere reports whether an entry asks this owner for its decisions.
+func (e *entry) isHere(now event.Time) bool {
+	return e.session != 0 && now.Sub(e.pinged) < quietEntry
 }
 
 func newOwner(now event.Time, s *State) *owner {
@@ -129,7 +139,7 @@
 func (o *owner) shareOut(now event.Time) {
 	present := 0
 	for _, e := range o.entries {
-		if e.session != 0 {
+		if e.isHere(now) {
 			present++
 		}
 	}
@@ -224,11 +234,15 @@
 		e = &entry{}
 		o.entries[name] = e
 		o.expected = max(o.expected, b.Hello.Entries)
-		o.admission.Take(now, &b.Hello)
+		o.admission.Take(now, b.Hello.Spent, max(s.settings.Limits.QuotaWindow, s.settings.Limits.RetryWindow))
 		if b.Hello.Age < s.settings.Limits.QuotaWindow {
 			o.assume(now, &b.Hello)
 		}
+	} else if e.life == b.Hello.Life {
+		// What it was granted here is counted; what it spent alone since is not.
+		o.admission.Take(now, b.Hello.SpentAlone, now.Sub(e.pinged))
 	}
+	e.pinged = now
 	if e.session != 0 {
 		delete(o.sessions, e.session)
 		out.Closes = append(out.Closes, e.session)
@@ -259,6 +273,7 @@
 		s.redirect(p.Session, out)
 		return
 	}
+	o.entries[one.entry].pinged = now
 	o.admission.EntrySeen(now, one.entry, &o.effects)
 	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{Pong: &message.Pong{
 		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: o.count(now),
--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -16,6 +16,9 @@
 	"lynxramp.org/routing"
 )
 
+// simQuota is what the team of the tests may spend in a window.
+const simQuota = 10000
+
 // simStep is how finely simulated time goes on.
 const simStep = 10 * event.Millisecond
 
@@ -78,7 +81,10 @@
 		Fresh:     5 * event.Second,
 		Seed:      seed,
 		Decode: func(data []byte) (*routing.Table, error) {
-			t := &routing.Table{Services: []routing.Service{{Name: "s"}}}
+			t := &routing.Table{
+				Services: []routing.Service{{Name: "s"}},
+				Teams:    []routing.Team{{Name: "t", Rate: simQuota / 10, Burst: simQuota / 5}},
+			}
 			t.Index()
 			return t, nil
 		},
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -336,3 +336,38 @@
 		}
 	}
 }
+
+// TestOwnerCountsWhatAnEntrySpentAlone: an entry that was away and comes back to
+// the same owner tells what it spent in between. It failed when only a new owner
+// took it (QUOTA on days with cut-off entries and a tenant beyond its quota).
+func TestOwnerCountsWhatAnEntrySpentAlone(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	s.tell(s.mustOwner(), registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1000, Sequence: 1})
+	s.run(second)
+	spend := func(session SessionID, id event.RequestID, amount int) {
+		b := submit(id)
+		b.Submit[0].Ticket.Team = "t"
+		b.Submit[0].Quota = amount
+		s.step(s.mustOwner(), &SessionTold{Session: session, Batch: b})
+	}
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry", Life: 5, Age: 60 * second}})
+	spend(1, "a", simQuota/2)
+	s.step(s.mustOwner(), &SessionEnded{Session: 1})
+	s.run(second)
+	alone := message.Ledger{Teams: []message.Spending{
+		{Name: "t", Age: second / 2, Amount: simQuota / 4},
+		{Name: "t", Age: 3 * second, Amount: simQuota / 4}, // taken before: it is older than its last word
+	}}
+	s.step(s.mustOwner(), &SessionBegan{Session: 2, Hello: message.Hello{Entry: "entry", Life: 5, Age: 60 * second, SpentAlone: alone}})
+	s.run(simStep)
+	spend(2, "b", simQuota/2)
+	if got := s.grants(2); len(got) != 0 {
+		t.Fatalf("granted %+v beyond the quota", got)
+	}
+	spend(2, "c", simQuota/4)
+	if got := s.grants(2); len(got) != 1 {
+		t.Errorf("grants %+v, want one: a quarter of the quota is left", got)
+	}
+}
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -29,7 +29,10 @@
 	// itself.
 	aloneAfter = 150 * event.Millisecond
 	redialWait = 60 * event.Millisecond
-	inputDepth = 4096
+	// startPatience is how long requests wait in a process that has just started
+	// and knows no configuration yet.
+	startPatience = 2 * event.Second
+	inputDepth    = 4096
 	// maxBatch is how many requests' news go in one message.
 	maxBatch = 256
 )
@@ -69,26 +72,28 @@
 	clock  event.Clock
 	input  chan any
 	table  atomic.Pointer[routing.Table]
-	fresh  atomic.Int64 // event.Time until which the table may be used
-	pace   atomic.Int64 // entries that share quotas
-
-	conn      *link.Conn[message.Envelope]
-	owned     bool // the other side of conn said that it is the owner
-	dialing   bool
-	dialAt    event.Time
-	lostAt    event.Time
-	pinged    event.Time
-	ponged    event.Time
-	members   []string // known control boxes
-	hint      string   // the leader, as last told
-	nextTry   int
-	waiting   map[event.RequestID]*waiter
-	running   map[event.RequestID]*message.Running
-	endpoints map[event.EndpointID]message.Endpoint
-	ledger    *admission.State // what was spent here, for the next owner
-	alone     *admission.State // nil while there is an owner
-	batch     message.Batch
-	effects   event.Effects
+	fresh  atomic.Int64  // event.Time until which the table may be used
+	pace   atomic.Int64  // entries that share quotas
+	known  chan struct{} // closed when a configuration is in force for the first time
+
+	conn        *link.Conn[message.Envelope]
+	owned       bool // the other side of conn said that it is the owner
+	dialing     bool
+	dialAt      event.Time
+	lostAt      event.Time
+	pinged      event.Time
+	ponged      event.Time
+	members     []string // known control boxes
+	hint        string   // the leader, as last told
+	nextTry     int
+	waiting     map[event.RequestID]*waiter
+	running     map[event.RequestID]*message.Running
+	endpoints   map[event.EndpointID]message.Endpoint
+	ledger      *admission.State // what was spent here, for the next owner
+	ledgerAlone *admission.State // the part of it that no owner granted
+	alone       *admission.State // nil while there is an owner
+	batch       message.Batch
+	effects     event.Effects
 }
 
 // waiter is a request without a decision.
@@ -122,16 +127,18 @@
 // NewAgent returns an agent; Run starts it.
 func NewAgent(c AgentConfig) *Agent {
 	a := &Agent{
-		config:    c,
-		log:       c.Log,
-		clock:     event.NewClock(),
-		input:     make(chan any, inputDepth),
-		members:   slices.Clone(c.Control),
-		waiting:   make(map[event.RequestID]*waiter),
-		running:   make(map[event.RequestID]*message.Running),
-		endpoints: make(map[event.EndpointID]message.Endpoint),
-		ledger:    admission.New(c.Limits, c.Life),
-		nextTry:   rand.IntN(len(c.Control) + 1),
+		config:      c,
+		log:         c.Log,
+		clock:       event.NewClock(),
+		input:       make(chan any, inputDepth),
+		members:     slices.Clone(c.Control),
+		waiting:     make(map[event.RequestID]*waiter),
+		running:     make(map[event.RequestID]*message.Running),
+		endpoints:   make(map[event.EndpointID]message.Endpoint),
+		known:       make(chan struct{}),
+		ledger:      admission.New(c.Limits, c.Life),
+		ledgerAlone: admission.New(c.Limits, c.Life),
+		nextTry:     rand.IntN(len(c.Control) + 1),
 	}
 	a.pace.Store(1)
 	return a
@@ -146,6 +153,23 @@
 	return a.table.Load()
 }
 
+// AwaitTable returns the configuration like Table. In a process that has just
+// started and knows none yet, it waits for the first one, for startPatience at the
+// most.
+func (a *Agent) AwaitTable(ctx context.Context) *routing.Table {
+	if t := a.Table(); t != nil || a.clock.Now() > event.Time(startPatience) {
+		return t
+	}
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	select {
+	case <-a.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return a.Table()
+}
+
 // Now returns the agent's time.
 func (a *Agent) Now() event.Time { return a.clock.Now() }
 
@@ -276,6 +300,9 @@
 		delete(a.waiting, g.ID)
 		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint}
 		a.ledger.Note(now, &w.submission)
+		if alone {
+			a.ledgerAlone.Note(now, &w.submission)
+		}
 		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Alone: alone, Inputs: g.Inputs}
 	}
 	for _, r := range refusals {
@@ -376,7 +403,8 @@
 	hello := &message.Hello{
 		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Age: event.Span(now),
 	}
-	a.ledger.Report(now, hello)
+	hello.Spent = a.ledger.Report(now)
+	hello.SpentAlone = a.ledgerAlone.Report(now)
 	for _, r := range a.running {
 		hello.Running = append(hello.Running, *r)
 	}
@@ -434,7 +462,9 @@
 		a.beginOwned(now)
 	}
 	if t := a.table.Load(); t != nil && t.Version >= p.Version {
-		a.fresh.Store(int64(p.Sent.Add(a.config.Fresh)))
+		if a.fresh.Swap(int64(p.Sent.Add(a.config.Fresh))) == 0 {
+			close(a.known)
+		}
 	}
 }
 
@@ -488,9 +518,7 @@
 	a.alone = admission.New(a.config.Limits, a.config.Life)
 	a.alone.SetTable(now, a.table.Load())
 	a.alone.SetShare(1 / float64(entries))
-	var spent message.Hello
-	a.ledger.Report(now, &spent)
-	a.alone.Take(now, &spent)
+	a.alone.Take(now, a.ledger.Report(now), a.config.Limits.QuotaWindow)
 	for _, e := range a.endpoints {
 		e.Slots = max(1, (e.Slots+entries-1)/entries)
 		a.alone.SetEndpoint(now, e, &a.effects)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,7 @@
 // cannot be served.
 func (c *call) admit() bool {
 	g := c.gateway
-	if c.table = g.agent.Table(); c.table == nil {
+	if c.table = g.agent.AwaitTable(c.r.Context()); c.table == nil {
 		c.end(http.StatusServiceUnavailable, retryUnready, "no configuration is known to be the newest")
 		return false
 	}
--- a/message/message.go
+++ b/message/message.go
@@ -31,18 +31,24 @@
 	Entry event.BoxID
 	// Life tells the lives of the process apart.
 	Life uint64
-	// Spent is what the entry's teams spent lately, Repeats and Requests what it
-	// sent again and at all, by service.
-	Spent    []Spending
-	Repeats  []Spending
-	Requests []Spending
-	Running  []Running
+	// Spent is all that was spent at the entry lately, and SpentAlone the part of
+	// it that no owner granted.
+	Spent      Ledger
+	SpentAlone Ledger
+	Running    []Running
 	// Entries is how many entries share the quotas, as last told by an owner.
 	Entries int
 	// Age is how long the process lives; of what it spent before it knows nothing.
 	Age event.Span
 }
 
+// Ledger is what was spent in the last windows.
+type Ledger struct {
+	Teams    []Spending // of quotas
+	Requests []Spending // sent, by service
+	Repeats  []Spending // of these, sent again
+}
+
 // Spending is an amount that was spent some time ago.
 type Spending struct {
 	Name   string
