--- a/box/daemon.go
+++ b/box/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/settings"
 )
 
@@ -43,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := NewLogger(os.Stderr, s.Log.Level)
+	log, err := logx.New(os.Stderr, s.Log.Level)
 	if err != nil {
 		return err
 	}
@@ -64,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := NewLogger(os.Stderr, s.Log.Level)
+	log, err := logx.New(os.Stderr, s.Log.Level)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cluster/meters.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the figures of a control box; docs/METRICS.md lists them. Those that
+// the loop sets are told as it left them.
+type meters struct {
+	set      *metrics.Set
+	owner    *metrics.Gauge
+	term     *metrics.Gauge
+	version  *metrics.Gauge
+	voters   *metrics.Gauge
+	sessions *metrics.Gauge
+	grants   *metrics.Counter
+	refusals *metrics.Counter
+	steps    *metrics.Histogram
+}
+
+func newMeters() meters {
+	set := metrics.NewSet()
+	m := meters{
+		set:      set,
+		owner:    set.NewGauge("lynxramp_control_owner", nil),
+		term:     set.NewGauge("lynxramp_control_term", nil),
+		version:  set.NewGauge("lynxramp_control_configuration_version", nil),
+		voters:   set.NewGauge("lynxramp_control_voters", nil),
+		sessions: set.NewGauge("lynxramp_control_sessions", nil),
+		grants:   set.NewCounter("lynxramp_control_grants_total"),
+		refusals: set.NewCounter("lynxramp_control_refusals_total"),
+		steps:    set.NewHistogram("lynxramp_control_step_seconds"),
+	}
+	metrics.RegisterSet(set)
+	return m
+}
+
+// stepped takes what a step took and left.
+func (m *meters) stepped(began time.Time, s *State, out *Effects) {
+	m.steps.UpdateDuration(began)
+	owner, sessions := 0.0, 0.0
+	if s.owner != nil {
+		owner, sessions = 1, float64(len(s.owner.sessions))
+	}
+	m.owner.Set(owner)
+	m.sessions.Set(sessions)
+	m.term.Set(float64(s.node.Term()))
+	m.version.Set(float64(s.machine.document.Version))
+	m.voters.Set(float64(len(s.node.Members().Voters)))
+	for _, one := range out.Sends {
+		if d := one.Message.Decisions; d != nil {
+			m.grants.Add(len(d.Grants))
+			m.refusals.Add(len(d.Refusals))
+		}
+	}
+}
+
+// called takes how long a call of an operator or an endpoint took.
+func (m *meters) called(began time.Time, status Status) {
+	name := map[Status]string{StatusDone: "done", StatusElsewhere: "elsewhere", StatusUnclear: "unclear"}[status]
+	m.set.GetOrCreateHistogram(`lynxramp_control_call_seconds{status="` + name + `"}`).UpdateDuration(began)
+}
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -63,6 +63,7 @@
 	keeper *store.Keeper
 	peers  *peers
 	input  chan Event
+	meters meters
 	tokens atomic.Uint64
 
 	mu       sync.Mutex
@@ -92,6 +93,7 @@
 		log:      c.Log,
 		clock:    event.NewClock(),
 		input:    make(chan Event, inputDepth),
+		meters:   newMeters(),
 		calls:    make(map[Token]chan Answer),
 		sessions: make(map[SessionID]*link.Conn[message.Envelope]),
 	}
@@ -198,7 +200,9 @@
 			e = &Ticked{}
 		}
 		out.reset()
+		began := time.Now()
 		s.state.Step(s.clock.Now(), e, &out)
+		s.meters.stepped(began, s.state, &out)
 		s.carryOut(&out)
 	}
 }
@@ -324,6 +328,13 @@
 
 // call passes an event with a token on and waits for the answer.
 func (s *Server) call(ctx context.Context, ask func(Token) Event) Answer {
+	began := time.Now()
+	a := s.await(ctx, ask)
+	s.meters.called(began, a.Status)
+	return a
+}
+
+func (s *Server) await(ctx context.Context, ask func(Token) Event) Answer {
 	token := Token(s.tokens.Add(1))
 	answer := make(chan Answer, 1)
 	s.mu.Lock()
--- a/cmd/lynxramp/main.go
+++ b/cmd/lynxramp/main.go
@@ -18,10 +18,10 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"lynxramp.org/box"
 	"lynxramp.org/catalog"
 	"lynxramp.org/dev"
 	"lynxramp.org/engine/fake"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/settings"
 )
 
@@ -82,7 +82,7 @@
 
 // Run implements the command.
 func (c *devCommand) Run(ctx context.Context) error {
-	log, err := box.NewLogger(os.Stderr, c.Log)
+	log, err := logx.New(os.Stderr, c.Log)
 	if err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,7 +19,6 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/admission"
-	"lynxramp.org/box"
 	"lynxramp.org/cluster"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
@@ -64,7 +63,7 @@
 		return err
 	}
 	out := logx.NewAsync(os.Stdout)
-	log, err := box.NewLogger(out, f.Log.Level)
+	log, err := logx.New(out, f.Log.Level)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
@@ -65,7 +64,8 @@
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), meters: newMeters()}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream()}
+	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
 	return g
 }
@@ -252,6 +252,14 @@
 	return route
 }
 
+// rankLabel is the rank of the request's team as figures have it.
+func (c *call) rankLabel() string {
+	if c.team != nil && c.team.Rank != nil {
+		return strconv.Itoa(*c.team.Rank)
+	}
+	return "none"
+}
+
 // tokens returns the tokens of the prompt and the most that are generated.
 func (c *call) tokens() (prompt, output int) {
 	a, b, ok := strings.Cut(c.r.Header.Get(c.gateway.config.Names.Tokens), ",")
@@ -317,7 +325,7 @@
 	if c.begun {
 		c.cut(why, nil)
 	}
-	c.gateway.meters.ended(status)
+	c.gateway.meters.ended(status, c.rankLabel())
 	c.record.failed = true
 	c.note(stepEnded, zap.Int("status", status), zap.String("why", why), zap.Int("attempts", c.attempts),
 		zap.Duration("retry_after", retryAfter), zap.Uint64("version", c.version()))
@@ -334,19 +342,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(why + "\n")) // a caller that is gone needs no answer
 }
-
-// meters are the gateway's figures.
-type meters struct {
-	set   *metrics.Set
-	first *metrics.Histogram
-}
-
-func newMeters() meters {
-	set := metrics.NewSet()
-	metrics.RegisterSet(set)
-	return meters{set: set, first: set.NewHistogram("lynxramp_gateway_first_seconds")}
-}
-
-func (m *meters) ended(status int) {
-	m.set.GetOrCreateCounter(`lynxramp_gateway_ended_total{status="` + strconv.Itoa(status) + `"}`).Inc()
-}
--- /dev/null
+++ b/gateway/meters.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// meters are the gateway's figures; docs/METRICS.md lists them.
+type meters struct{ set *metrics.Set }
+
+func newMeters(g *Gateway) meters {
+	set := metrics.NewSet()
+	set.NewGauge("lynxramp_gateway_held_requests", func() float64 { return float64(g.held.Load()) })
+	set.NewGauge("lynxramp_gateway_held_bytes", func() float64 { return float64(g.bytes.Load()) })
+	set.NewGauge("lynxramp_gateway_ready", func() float64 { return float64(one(g.Ready())) })
+	set.NewGauge("lynxramp_gateway_configuration_version", func() float64 {
+		if t := g.agent.table.Load(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	metrics.RegisterSet(set)
+	return meters{set: set}
+}
+
+func one(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
+
+// ended counts a request's end by its status; 0 is an end without one.
+func (m *meters) ended(status int, rank string) {
+	m.set.GetOrCreateCounter(`lynxramp_gateway_requests_total{status="` + strconv.Itoa(status) + `",rank="` + rank + `"}`).Inc()
+}
+
+// began takes the time to an answer's beginning.
+func (m *meters) began(since time.Time, rank string) {
+	m.set.GetOrCreateHistogram(`lynxramp_gateway_first_byte_seconds{rank="` + rank + `"}`).UpdateDuration(since)
+}
+
+// tried counts an attempt at an endpoint by how it ended.
+func (m *meters) tried(o outcome) {
+	m.set.GetOrCreateCounter(`lynxramp_gateway_attempts_total{outcome="` + o.String() + `"}`).Inc()
+}
+
+// decided takes how long a request waited for its decision, and who decided.
+func (m *meters) decided(since time.Time, alone bool) {
+	by := "owner"
+	if alone {
+		by = "entry"
+	}
+	m.set.GetOrCreateHistogram(`lynxramp_gateway_decision_seconds{by="` + by + `"}`).UpdateDuration(since)
+}
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -75,8 +75,8 @@
 	}
 	c.w.WriteHeader(r.status)
 	_, _ = c.w.Write(r.body) // a caller that is gone needs no answer
-	c.gateway.meters.ended(r.status)
-	c.gateway.meters.first.UpdateDuration(c.arrived)
+	c.gateway.meters.ended(r.status, c.rankLabel())
+	c.gateway.meters.began(c.arrived, c.rankLabel())
 	c.record.failed = c.record.failed || r.status >= http.StatusInternalServerError || c.isLate(time.Now())
 	c.note(stepEnded, zap.Int("status", r.status), zap.String("why", "the endpoint's own answer"), zap.Int("attempts", c.attempts))
 }
@@ -108,5 +108,5 @@
 	}
 	x.finish(c.gateway.upstream)
 	a.outcome = outcomeDone
-	c.gateway.meters.ended(x.response.StatusCode)
+	c.gateway.meters.ended(x.response.StatusCode, c.rankLabel())
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -128,9 +128,11 @@
 // decide asks for an endpoint. It ends the call when there is none.
 func (c *call) decide(ctx context.Context, repeat bool, last *attempt) (Decision, bool) {
 	m := c.ticket(repeat)
+	asked := time.Now()
 	answer := c.gateway.agent.Submit(m)
 	select {
 	case d := <-answer:
+		c.gateway.meters.decided(asked, d.Alone)
 		if d.Granted && !c.stillAllowed() {
 			c.withdraw(m)
 			c.end(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
@@ -208,7 +210,7 @@
 // cut ends a stream that can't be taken up: the connection is closed without the
 // end that would make the answer look whole.
 func (c *call) cut(why string, cause error) {
-	c.gateway.meters.ended(0)
+	c.gateway.meters.ended(0, c.rankLabel())
 	c.record.failed = true
 	c.note(stepCut, zap.String("why", why), zap.Int("events", c.events), zap.String("last_event", c.lastEvent),
 		zap.Int("attempts", c.attempts), logx.Cause(cause))
@@ -217,7 +219,7 @@
 
 // gone takes note that the caller left.
 func (c *call) gone() {
-	c.gateway.meters.ended(0)
+	c.gateway.meters.ended(0, c.rankLabel())
 	c.record.failed = true
 	c.note(stepCancelled, zap.String("why", "the caller left"), zap.Int("attempts", c.attempts), zap.Int("events", c.events))
 	if c.begun {
@@ -228,6 +230,7 @@
 // tell tells who decides how an attempt ended.
 func (c *call) tell(a *attempt) {
 	failed := a.outcome != outcomeDone || a.err != nil
+	c.gateway.meters.tried(a.outcome)
 	f := message.Finish{
 		Finished: event.Finished{
 			ID: c.id, Pool: c.service, Tokens: a.tokens, Failed: failed,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,7 +75,7 @@
 	if !c.begun {
 		c.beginStream(x)
 	}
-	c.gateway.meters.ended(x.response.StatusCode)
+	c.gateway.meters.ended(x.response.StatusCode, c.rankLabel())
 	c.note(stepEnded, zap.Int("status", x.response.StatusCode), zap.Int("events", c.events), zap.Int("attempts", c.attempts))
 }
 
@@ -88,7 +88,7 @@
 	c.record.failed = c.record.failed || c.isLate(time.Now())
 	copyHeader(c.w.Header(), x.response.Header)
 	c.w.WriteHeader(x.response.StatusCode)
-	c.gateway.meters.first.UpdateDuration(c.arrived)
+	c.gateway.meters.began(c.arrived, c.rankLabel())
 }
 
 // passEvent writes an event and sends it off.
--- a/box/log.go
+++ b/internal/logx/new.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package box
+package logx
 
 import (
 	"io"
@@ -10,8 +10,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// NewLogger returns a logger of JSON lines to w.
-func NewLogger(w io.Writer, level string) (*zap.Logger, error) {
+// New returns a logger of JSON lines to w.
+func New(w io.Writer, level string) (*zap.Logger, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
