--- a/sched/view.go
+++ b/sched/view.go
@@ -60,7 +60,7 @@
 
 // farCost is what an endpoint in another zone costs: as much as so many seconds of
 // waiting. It decides between endpoints that are about as good.
-const farCost = 0.02
+const farCost = 0.04
 
 func (s *State) price(now event.Time, k *ticket) price {
 	profile := s.profile()
