--- a/admission/quota.go
+++ b/admission/quota.go
@@ -16,7 +16,7 @@
 }
 
 // aloneSpan is how much of its share's rate may be saved up there.
-const aloneSpan = event.Second / 2
+const aloneSpan = 3 * event.Second
 
 // ownerPart is the part of what quotas may be overrun by that an owner uses. The
 // rest is for entries that decide without one.
