sched, gateway: count an answer's tokens, weigh a prompt's work once

Cause: an answer's events were counted as its tokens, so lengths were learned too short by the tokens in an event.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,8 +53,7 @@
 			break
 		}
 	}
-	_, output := c.tokens()
-	a.tokens = min(output, c.events)
+	a.tokens = c.events * c.stride()
 	if seen > 1 {
 		a.gap = gaps / time.Duration((seen-1)*c.stride())
 	}
--- a/sched/length.go
+++ b/sched/length.go
@@ -6,6 +6,9 @@
 const (
 	lengthWeight  = 0.05
 	lengthSamples = 20
+	// maxLengthShare bounds what one answer teaches: where callers only guess, some
+	// answers are much longer.
+	maxLengthShare = 3.0
 )
 
 // answerLength learns which part of the tokens that callers allow a service's
@@ -31,7 +34,7 @@
 	if tokens == 0 || allowed == 0 {
 		return
 	}
-	share := min(1, float64(tokens)/float64(allowed))
+	share := min(maxLengthShare, float64(tokens)/float64(allowed))
 	l.samples++
 	if l.samples == 1 {
 		l.share = share
--- a/sched/view.go
+++ b/sched/view.go
@@ -113,7 +113,7 @@
 		total += float64(ahead) / float64(event.Second)
 		begin += float64(ahead) / float64(event.Second)
 	}
-	cost = total*timeWeight + p.weight*fill
+	cost = total * timeWeight
 	if p.zone != "" && v.zone != "" && p.zone != v.zone {
 		cost += farCost
 	}
@@ -121,6 +121,8 @@
 		// What is before the answer's beginning counts in full: it also holds up
 		// the streams beside it.
 		cost += begin
+	} else {
+		cost += p.weight * fill
 	}
 	needed := total
 	if p.first {
