sched: forecast a queue's drain by what runs, too, once enough has ended

Cause: after a quiet time the drain measured lately is the demand, not what the pool can run, and a small burst was refused with a forecast of seconds (TestQuietPool- TakesABurst failed).

--- /dev/null
+++ b/gateway/agent_owner.go
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
+	"lynxramp.org/link"
+	"lynxramp.org/message"
+)
+
+// This file is the agent's way to the owner: finding it, keeping it, and what it
+// tells of the deployment.
+
+// keepOwner asks the owner whether it still is.
+func (a *Agent) keepOwner(now event.Time) {
+	if now.Sub(a.ponged) > pongPatience {
+		a.lose(now, "owner does not answer", nil)
+		return
+	}
+	if now.Sub(a.pinged) >= pingEvery {
+		a.pinged = now
+		a.conn.Send(&message.Envelope{Ping: &message.Ping{Sent: now}})
+	}
+}
+
+// know adds control boxes to those that are asked.
+func (a *Agent) know(control []string) {
+	for _, address := range control {
+		if !slices.Contains(a.members, address) {
+			a.members = append(a.members, address)
+		}
+	}
+}
+
+// dial connects to the leader as last told, or to the next box that is known.
+func (a *Agent) dial() {
+	address := a.hint
+	a.hint = ""
+	if address == "" {
+		address = a.members[a.nextTry%len(a.members)]
+		a.nextTry++
+	}
+	a.dialing = true
+	go func() {
+		conn, err := link.Dial[message.Envelope](address)
+		a.input <- dialed{conn: conn, address: address, err: err}
+	}()
+}
+
+func (a *Agent) dialed(now event.Time, d dialed) {
+	a.dialing = false
+	a.dialAt = now.Add(redialWait)
+	if d.err != nil {
+		a.log.Debug("control box not reached", zap.String("address", d.address), logx.Err(d.err))
+		return
+	}
+	hello := &message.Hello{
+		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Age: event.Span(now),
+	}
+	hello.Spent = a.ledger.Report(now)
+	hello.SpentAlone = a.ledgerAlone.Report(now)
+	for _, r := range a.running {
+		hello.Running = append(hello.Running, *r)
+	}
+	conn := d.conn
+	a.conn = conn
+	a.ponged, a.pinged = now, now
+	conn.Send(&message.Envelope{Hello: hello})
+	conn.Send(&message.Envelope{Ping: &message.Ping{Sent: now}})
+	go func() {
+		err := conn.Serve(func(m *message.Envelope) { a.input <- received{conn, m} })
+		a.input <- lost{conn, err}
+	}()
+	a.batch = message.Batch{}
+	a.log.Debug("asks control box", zap.String("address", d.address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
+}
+
+// lose gives up the connection to the owner.
+func (a *Agent) lose(now event.Time, why string, err error) {
+	a.conn.Close()
+	a.conn = nil
+	level := zap.DebugLevel
+	if a.owned {
+		a.lostAt = now
+		level = zap.WarnLevel
+	}
+	a.owned = false
+	a.dialAt = now
+	a.batch = message.Batch{}
+	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)))
+}
+
+func (a *Agent) receive(now event.Time, m *message.Envelope) {
+	switch {
+	case m.Redirect != nil:
+		a.know(m.Redirect.Members)
+		a.hint = m.Redirect.Leader
+		a.lose(now, "not the owner", nil)
+		if a.hint == "" {
+			a.dialAt = now.Add(redialWait)
+		}
+	case m.View != nil:
+		a.see(now, m.View)
+	case m.Pong != nil:
+		a.pong(now, m.Pong)
+	case m.Decisions != nil:
+		a.decided(now, m.Decisions.Grants, m.Decisions.Refusals, false)
+	}
+}
+
+// pong takes the owner's word that the configuration is the newest.
+func (a *Agent) pong(now event.Time, p *message.Pong) {
+	a.ponged = now
+	a.pace.Store(int64(max(1, p.Entries)))
+	if !a.owned {
+		a.beginOwned(now)
+	}
+	if t := a.table.Load(); t != nil && t.Version >= p.Version {
+		if a.fresh.Swap(int64(p.Sent.Add(a.config.Fresh))) == 0 {
+			close(a.known)
+		}
+	}
+}
+
+// beginOwned hands what waits to the owner that was found.
+func (a *Agent) beginOwned(now event.Time) {
+	a.owned = true
+	a.alone = nil
+	for _, w := range a.waiting {
+		m := w.submission
+		m.Ticket.Waited = now.Sub(w.arrived)
+		a.batch.Submit = append(a.batch.Submit, m)
+	}
+	a.log.Info("owner found", zap.String("address", a.conn.Remote()), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
+}
+
+// see takes news of the deployment.
+func (a *Agent) see(now event.Time, v *message.View) {
+	a.know(v.Members)
+	if v.Whole {
+		clear(a.endpoints)
+	}
+	for _, e := range v.Endpoints {
+		a.endpoints[event.EndpointID(e.ID)] = e
+	}
+	for _, id := range v.Gone {
+		delete(a.endpoints, id)
+	}
+	if len(v.Document) > 0 {
+		a.put(now, v)
+	}
+}
+
+// put puts a configuration in force. An entry never goes back to an older one.
+func (a *Agent) put(now event.Time, v *message.View) {
+	if t := a.table.Load(); t != nil && t.Version >= v.Version {
+		return
+	}
+	table, err := a.config.Decode(v.Document)
+	if err != nil {
+		a.log.Error("configuration not read", zap.Uint64("version", v.Version), logx.Err(err))
+		return
+	}
+	a.table.Store(table)
+	a.ledger.SetTable(now, table)
+	a.log.Info("configuration in force", zap.Uint64("version", v.Version), zap.Int("routes", len(table.Routes)))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,9 +16,7 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
-	"lynxramp.org/message"
 	"lynxramp.org/routing"
-	"lynxramp.org/sched"
 )
 
 // Bounds of what an entry holds.
@@ -241,84 +239,6 @@
 	return false
 }
 
-// rank is the request's place among others; the larger goes first. A team's rank
-// comes before that of the route.
-func (c *call) rank() int {
-	const half = sched.RanksOfTeam / 2
-	route := max(-half+1, min(half-1, c.route.Rank))
-	if c.team != nil && c.team.Rank != nil {
-		return *c.team.Rank*sched.RanksOfTeam + route
-	}
-	return route
-}
-
-// rankLabel is the rank of the request's team as figures have it.
-func (c *call) rankLabel() string {
-	if c.team != nil && c.team.Rank != nil {
-		return strconv.Itoa(*c.team.Rank)
-	}
-	return "none"
-}
-
-// tokens returns the tokens of the prompt and the most that are generated.
-func (c *call) tokens() (prompt, output int) {
-	a, b, ok := strings.Cut(c.r.Header.Get(c.gateway.config.Names.Tokens), ",")
-	if !ok {
-		return 0, 0
-	}
-	prompt, _ = strconv.Atoi(strings.TrimSpace(a)) // what is no number counts 0
-	output, _ = strconv.Atoi(strings.TrimSpace(b))
-	return max(0, prompt), max(0, output)
-}
-
-// quota is what the request counts against its team's quota.
-func (c *call) quota() int {
-	switch {
-	case c.team == nil:
-		return 0
-	case !c.team.InTokens:
-		return 1
-	}
-	if prompt, output := c.tokens(); prompt+output > 0 {
-		return prompt + output
-	}
-	return c.team.PlainTokens
-}
-
-// ticket describes the request to who decides.
-func (c *call) ticket(repeat bool) message.Submission {
-	prompt, output := c.tokens()
-	if hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint)); err == nil && hint > 0 {
-		output = min(output, hint)
-	}
-	left := time.Until(c.deadline)
-	target := c.route.Target - time.Since(c.arrived)
-	return message.Submission{
-		Ticket: event.Ticket{
-			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
-			PromptTokens: prompt, OutputTokens: output, Deadline: left,
-			Target: max(target, event.Millisecond), Patience: c.patience(left),
-			Avoid: c.avoid, Attempt: c.attempts, Zone: c.gateway.config.Zone,
-		},
-		Quota: c.quota(), Repeat: repeat,
-	}
-}
-
-// Patience: how many times its target a request may be expected to wait, and the
-// least part of the time left that it must leave.
-const (
-	patienceTargets = 0.9
-	patienceLeft    = 0.5
-)
-
-func (c *call) patience(left event.Span) event.Span {
-	patience := event.Span(float64(left) * patienceLeft)
-	if c.route.Target > 0 {
-		patience = min(patience, event.Span(float64(c.route.Target)*patienceTargets))
-	}
-	return max(patience, event.Millisecond)
-}
-
 // end answers with a status of our own. A stream that has begun has its status:
 // it is cut off instead, so that it does not look whole.
 func (c *call) end(status int, retryAfter event.Span, why string) {
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -170,8 +170,10 @@
 // ranks above it leave over is what its own rank and those below got lately.
 func (s *State) expectedWait(now event.Time, k *ticket) event.Span {
 	above, beside := 0, 0
-	left := 0.0
+	lower, all := 0.0, 0.0
 	for _, t := range s.queue.tiers {
+		drained := t.drain.perSecond(now)
+		all += drained
 		switch {
 		case t.rank > k.Rank:
 			above += t.size
@@ -179,15 +181,51 @@
 		case t.rank == k.Rank:
 			beside = t.size
 		}
-		left += t.drain.perSecond(now)
+		lower += drained
 	}
-	rate := s.drain.perSecond(now)
+	rate := s.drainRate(now)
 	if rate <= 0 {
 		return 0
 	}
-	left = max(left, rate*leastLeft)
+	left := rate
+	if all > 0 {
+		left = max(rate*lower/all, rate*leastLeft)
+	}
 	return event.Span((float64(above)/rate + float64(beside)/left) * float64(event.Second))
 }
 
 // leastLeft is the least part of the drain that is taken as left for a rank.
 const leastLeft = 0.02
+
+// drainRate returns how many requests a second leave the queue while places are
+// taken: as many as did lately, or as the running ones will by the time that
+// requests ran. The former alone is too little after a time without a queue.
+func (s *State) drainRate(now event.Time) float64 {
+	rate := s.drain.perSecond(now)
+	if s.holding.samples < holdingSamples {
+		return rate
+	}
+	return max(rate, heldPart*float64(len(s.grants))/s.holding.mean)
+}
+
+// heldPart is the part of what the running requests promise that is counted on: a
+// queue that is forecast too short lets requests in that will be late.
+const heldPart = 0.7
+
+// holdingWeight is the weight of a request in the mean time that requests run, and
+// holdingSamples how many are needed: the first to end are the short ones.
+const (
+	holdingWeight  = 0.02
+	holdingSamples = 200
+)
+
+// holding is the mean time that requests run, in seconds. The zero value is ready.
+type holding struct {
+	mean    float64
+	samples int
+}
+
+func (h *holding) learn(ran event.Span) {
+	h.samples++
+	h.mean += max(holdingWeight, 1/float64(h.samples)) * (ran.Seconds() - h.mean)
+}
--- /dev/null
+++ b/sched/discover_test.go
@@ -0,0 +1,293 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"lynxramp.org/event"
+)
+
+// discovered returns a scheduler of a pool whose endpoints tell of themselves.
+func discovered(endpoints, slots int) *State {
+	s := New(0, event.Pool{Name: pool, MaxWaiting: 40000, Discovered: true, Profile: event.Profile{
+		PrefillRate: 10000, TokenGap: 5 * event.Millisecond, CallTime: 10 * event.Millisecond,
+	}}, 1)
+	var out event.Effects
+	for i := range endpoints {
+		s.Step(0, &event.EndpointSeen{Endpoint: event.Endpoint{
+			ID: event.EndpointID(fmt.Sprintf("e%04d", i)), Concurrency: slots, Speed: 1, Zone: fmt.Sprintf("z%d", i%4),
+		}, Address: "10.0.0.1:80"}, &out)
+	}
+	return s
+}
+
+func call(id int, change func(*event.Ticket)) *event.Submitted {
+	t := event.Ticket{
+		ID: event.RequestID(fmt.Sprintf("r%d", id)), Service: pool, Pool: pool, Deadline: 10 * event.Second,
+		Target: event.Second, Patience: event.Second, PromptTokens: 100, OutputTokens: 50,
+	}
+	if change != nil {
+		change(&t)
+	}
+	return &event.Submitted{Entry: "entry", Ticket: t}
+}
+
+func TestNearEndpointIsChosenAmongEqual(t *testing.T) {
+	s := discovered(8, 1)
+	for i := range 2 {
+		var out event.Effects
+		s.Step(0, call(i, func(k *event.Ticket) { k.Zone = "z2" }), &out)
+		if len(out.Grants) != 1 || (out.Grants[0].Endpoint != "e0002" && out.Grants[0].Endpoint != "e0006") {
+			t.Errorf("grants %+v, want an endpoint of zone z2", out.Grants)
+		}
+	}
+	var out event.Effects
+	s.Step(0, call(9, func(k *event.Ticket) { k.Zone = "z2" }), &out)
+	if len(out.Grants) != 1 {
+		t.Error("with the near ones full a far one was not taken")
+	}
+}
+
+func TestSlowEndpointIsAvoided(t *testing.T) {
+	s := discovered(2, 4)
+	var out event.Effects
+	for i := range 4 {
+		out.Reset()
+		s.Step(0, call(i, nil), &out)
+		gap := 5 * event.Millisecond
+		if out.Grants[0].Endpoint == "e0000" {
+			gap = 50 * event.Millisecond
+		}
+		s.Step(0, &event.Finished{ID: out.Grants[0].ID, Pool: pool, Tokens: 50, TokenGap: gap, FirstAfter: event.Millisecond}, &out)
+	}
+	out.Reset()
+	s.Step(0, call(9, nil), &out)
+	if len(out.Grants) != 1 || out.Grants[0].Endpoint != "e0001" {
+		t.Errorf("grants %+v, want the fast endpoint", out.Grants)
+	}
+}
+
+func TestEndpointThatHadTheRequestIsAvoided(t *testing.T) {
+	s := discovered(2, 4)
+	var out event.Effects
+	for i := range 6 {
+		s.Step(0, call(i, func(k *event.Ticket) { k.Avoid = []event.EndpointID{"e0000"} }), &out)
+	}
+	for _, g := range out.Grants {
+		if g.Endpoint != "e0001" {
+			t.Errorf("%s was granted again", g.Endpoint)
+		}
+	}
+	if len(out.Grants) != 4 {
+		t.Errorf("%d grants, the other endpoint has 4 places", len(out.Grants))
+	}
+	// One that must avoid the only free endpoint does not hold up others.
+	out.Reset()
+	s.Step(0, call(20, nil), &out)
+	if len(out.Grants) != 1 || out.Grants[0].Endpoint != "e0000" {
+		t.Errorf("grants %+v, want one at the free endpoint", out.Grants)
+	}
+}
+
+func TestGoneEndpointGivesItsPlacesBack(t *testing.T) {
+	s := discovered(1, 1)
+	var out event.Effects
+	s.Step(0, call(1, nil), &out)
+	s.Step(0, &event.EndpointGone{ID: "e0000"}, &out)
+	if s.Running() != 0 {
+		t.Error("a request runs at an endpoint that is gone")
+	}
+	out.Reset()
+	s.Step(0, call(2, nil), &out)
+	if len(out.Grants) != 0 {
+		t.Errorf("granted %+v without an endpoint", out.Grants)
+	}
+}
+
+func TestGoneEntryFreesItsPlaces(t *testing.T) {
+	s := discovered(1, 1)
+	var out event.Effects
+	s.Step(0, call(1, nil), &out)
+	s.Step(0, call(2, nil), &out)
+	s.Step(0, &event.EntryGone{Entry: "entry"}, &out)
+	if s.Running() != 0 || s.Waiting() != 0 {
+		t.Errorf("%d run and %d wait for an entry that is gone", s.Running(), s.Waiting())
+	}
+}
+
+// overloaded fills a pool whose drain is slow and known: one place, an end each
+// 100 ms.
+func overloaded(t *testing.T) (*State, event.Time) {
+	t.Helper()
+	s := discovered(1, 1)
+	now := event.Time(0)
+	running := event.RequestID("")
+	for i := range 60 {
+		var out event.Effects
+		s.Step(now, call(i, func(k *event.Ticket) { k.Patience = 0; k.Deadline = event.Second / 2 }), &out)
+		s.Step(now, &event.Finished{ID: running, Pool: pool, FirstAfter: event.Millisecond}, &out)
+		for _, g := range out.Grants {
+			running = g.ID
+		}
+		now = now.Add(100 * event.Millisecond)
+	}
+	return s, now
+}
+
+func TestHopelessWaitIsRefusedAtOnceAndOnlyEarly(t *testing.T) {
+	s, now := overloaded(t)
+	var out event.Effects
+	for i := range 30 {
+		s.Step(now, call(1000+i, nil), &out)
+	}
+	if len(out.Refusals) < 10 {
+		t.Fatalf("%d of 30 refused, 10 a second drain and each may wait a second", len(out.Refusals))
+	}
+	for _, r := range out.Refusals {
+		if r.Reason != event.ReasonShed || r.RetryAfter < MinRetryAfter {
+			t.Errorf("refused with %+v", r)
+		}
+	}
+	// Nothing drains any more: those that wait are sent away only while it is early.
+	out.Reset()
+	early := now.Add(event.Second / earlyPart / 2)
+	s.Step(early, &event.Tick{}, &out)
+	out.Reset()
+	s.Step(now.Add(event.Second/2), &event.Tick{}, &out)
+	for _, r := range out.Refusals {
+		if r.Reason == event.ReasonShed {
+			t.Errorf("refused for its wait after half a second: %+v", r)
+		}
+	}
+}
+
+func TestNothingIsRefusedWhilePlacesAreFree(t *testing.T) {
+	s, now := overloaded(t)
+	var out event.Effects
+	s.Step(now, &event.EndpointSeen{Endpoint: event.Endpoint{ID: "e9", Concurrency: 40, Speed: 1}, Address: "10.0.0.9:80"}, &out)
+	out.Reset()
+	for i := range 30 {
+		s.Step(now, call(2000+i, nil), &out)
+	}
+	if len(out.Refusals) != 0 || len(out.Grants) != 30 {
+		t.Errorf("%d refused and %d granted with 40 free places", len(out.Refusals), len(out.Grants))
+	}
+}
+
+// TestHigherRankGoesFirst also holds for a team's rank over a route's.
+func TestHigherRankGoesFirst(t *testing.T) {
+	s := discovered(1, 1)
+	var out event.Effects
+	rank := func(team, route int) func(*event.Ticket) {
+		return func(k *event.Ticket) {
+			k.Rank = team*RanksOfTeam + route
+			k.Patience = 0
+		}
+	}
+	s.Step(0, call(0, nil), &out)
+	s.Step(0, call(1, rank(-1, 0)), &out)
+	s.Step(0, call(2, rank(0, -2)), &out)
+	s.Step(0, call(3, rank(0, -1)), &out)
+	var order []event.RequestID
+	running := event.RequestID("r0")
+	for range 3 {
+		out.Reset()
+		s.Step(0, &event.Finished{ID: running, Pool: pool}, &out)
+		running = out.Grants[0].ID
+		order = append(order, running)
+	}
+	if fmt.Sprint(order) != "[r3 r2 r1]" {
+		t.Errorf("order %v, want r3 r2 r1", order)
+	}
+}
+
+// TestCheapClassIsServedBesideTheOneAbove: a class of next to no work, refused more
+// often than the one above it, waits at that one's rank.
+func TestCheapClassIsServedBesideTheOneAbove(t *testing.T) {
+	s := discovered(1, 1)
+	dear := func(k *event.Ticket) { k.Rank = 0; k.PromptTokens = 8000 }
+	cheap := func(k *event.Ticket) { k.Rank = -1; k.PromptTokens = 10; k.OutputTokens = 1 }
+	own := &ticket{Ticket: call(1, cheap).Ticket, class: s.classes.at(-1), expected: 1}
+	for range 100 {
+		s.promote(0, &ticket{Ticket: call(0, dear).Ticket, class: s.classes.at(0), expected: 50})
+		s.promote(0, own)
+	}
+	if got := s.promote(0, own); got != -1 {
+		t.Errorf("rank %d while it is served as often, want its own", got)
+	}
+	s.classes.at(-1).refused.add(0, 20)
+	if got := s.promote(0, own); got != 0 {
+		t.Errorf("rank %d while it is refused more often, want that above", got)
+	}
+	costly := &ticket{Ticket: call(2, func(k *event.Ticket) { k.Rank = -2; k.PromptTokens = 9000 }).Ticket, class: s.classes.at(-2), expected: 50}
+	for range 50 {
+		s.promote(0, costly)
+	}
+	s.classes.at(-2).refused.add(0, 40)
+	if got := s.promote(0, costly); got != -2 {
+		t.Errorf("rank %d of a class that is not cheap, want its own", got)
+	}
+}
+
+// BenchmarkDiscovered measures an end and the decision that follows in a pool whose
+// endpoints are full.
+func BenchmarkDiscovered(b *testing.B) {
+	for _, size := range [...]struct{ endpoints, waiting int }{{18, 200}, {110, 2000}, {1100, 2000}, {1100, 20000}} {
+		b.Run(fmt.Sprintf("endpoints=%d/waiting=%d", size.endpoints, size.waiting), func(b *testing.B) {
+			s := discovered(size.endpoints, 10)
+			patient := func(k *event.Ticket) {
+				k.Patience = 0
+				k.Deadline = 3600 * event.Second
+				k.Team = fmt.Sprint("team", len(k.ID)%7)
+				k.Zone = "z1"
+			}
+			var out event.Effects
+			for i := range 10*size.endpoints + size.waiting {
+				s.Step(0, call(i, patient), &out)
+			}
+			running := make([]event.RequestID, 0, len(out.Grants))
+			for _, g := range out.Grants {
+				running = append(running, g.ID)
+			}
+			fresh := make([]*event.Submitted, b.N)
+			for i := range fresh {
+				fresh[i] = call(1_000_000+i, patient)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				out.Reset()
+				s.Step(0, fresh[i], &out)
+				n := i % len(running)
+				s.Step(0, &event.Finished{ID: running[n], Pool: pool, TokenGap: 5 * event.Millisecond}, &out)
+				if len(out.Grants) > 0 {
+					running[n] = out.Grants[0].ID
+				}
+			}
+		})
+	}
+}
+
+// TestQuietPoolTakesABurst: the few requests of a quiet time say nothing of how many
+// a pool can run. It failed when only what drained lately counted.
+func TestQuietPoolTakesABurst(t *testing.T) {
+	s := discovered(2, 5)
+	now := event.Time(0)
+	for i := range holdingSamples + 1 {
+		var out event.Effects
+		s.Step(now, call(i, nil), &out)
+		now = now.Add(500 * event.Millisecond)
+		for _, g := range out.Grants {
+			s.Step(now, &event.Finished{ID: g.ID, Pool: pool, FirstAfter: event.Millisecond}, &out)
+		}
+	}
+	var out event.Effects
+	for i := range 20 {
+		s.Step(now, call(1000+i, nil), &out)
+	}
+	if len(out.Refusals) != 0 || len(out.Grants) != 10 {
+		t.Errorf("%d refused and %d granted, want 10 at once and 10 after half a second", len(out.Refusals), len(out.Grants))
+	}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -103,6 +103,7 @@
 	lengths     map[string]*answerLength // by service
 	refused     map[Group]int            // since this owner began
 	classes     classes
+	holding     holding
 	leaving     map[string]bool // IP numbers, by the platform's list
 	top         int             // the highest rank that came lately
 	topSeen     event.Time      // when it came
@@ -280,6 +281,9 @@
 			s.length(g.service).learn(e.Tokens, g.output)
 		}
 		s.measure(now, g, e)
+		if !e.Void {
+			s.holding.learn(now.Sub(g.at))
+		}
 	}
 	s.release(now, e.ID)
 }
