--- a/admission/state.go
+++ b/admission/state.go
@@ -34,6 +34,8 @@
 	RetryWindow event.Span
 	RetryRatio  float64
 	RetryMin    int
+	// LeastOutstanding is the baseline's way to place requests.
+	LeastOutstanding bool
 }
 
 // service is the pool of one service and its retry budget.
@@ -95,7 +97,7 @@
 func (s *State) service(now event.Time, name string) *service {
 	v, ok := s.services[name]
 	if !ok {
-		pool := event.Pool{Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: profile}
+		pool := event.Pool{Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: profile, LeastOutstanding: s.limits.LeastOutstanding}
 		v = &service{
 			pool:     sched.New(now, pool, s.seed),
 			requests: newWindow(s.limits.RetryWindow),
--- a/event/event.go
+++ b/event/event.go
@@ -210,6 +210,10 @@
 	Endpoints     []Endpoint
 	// Profile tells how fast an endpoint of speed 1 is.
 	Profile Profile
+	// LeastOutstanding places each request where the fewest run, in the order of
+	// arrival within its rank and without a forecast: the baseline that the scheduler
+	// is compared with.
+	LeastOutstanding bool
 	// Discovered says that endpoints tell of themselves (EndpointSeen) instead of
 	// standing in Endpoints.
 	Discovered bool
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,6 +95,8 @@
 		RetryWindow: event.Span(b.RetryWindow),
 		RetryRatio:  b.RetryRatio,
 		RetryMin:    b.RetryMin,
+
+		LeastOutstanding: b.Placement == settings.PlacementLeastOutstanding,
 	}
 }
 
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -150,7 +150,7 @@
 
 // isHopeless reports whether a request is to be refused for its wait.
 func (s *State) isHopeless(now event.Time, k *ticket) bool {
-	if k.Patience == 0 {
+	if k.Patience == 0 || s.pool.LeastOutstanding {
 		return false
 	}
 	waited := now.Sub(k.arrived) + k.Waited
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -291,3 +291,19 @@
 		t.Errorf("%d refused and %d granted, want 10 at once and 10 after half a second", len(out.Refusals), len(out.Grants))
 	}
 }
+
+func TestLeastOutstandingIsTheBaseline(t *testing.T) {
+	s := New(0, event.Pool{Name: pool, MaxWaiting: 100, Discovered: true, LeastOutstanding: true}, 1)
+	var out event.Effects
+	for _, id := range []event.EndpointID{"a", "b"} {
+		s.Step(0, &event.EndpointSeen{Endpoint: event.Endpoint{ID: id, Concurrency: 4, Speed: 1}, Address: "10.0.0.1:80"}, &out)
+	}
+	for i := range 8 {
+		s.Step(0, call(i, nil), &out)
+	}
+	for i, g := range out.Grants {
+		if want := []event.EndpointID{"a", "b"}[i%2]; g.Endpoint != want {
+			t.Errorf("request %d went to %s, want %s", i, g.Endpoint, want)
+		}
+	}
+}
--- a/sched/view.go
+++ b/sched/view.go
@@ -155,6 +155,10 @@
 	p := s.price(now, k)
 	c := choice{left: p.left, cost: math.Inf(1), fastest: p.decode / s.fastest}
 	higher := k.Rank < s.top && now.Sub(s.topSeen) < topMemory
+	if s.pool.LeastOutstanding {
+		s.chooseLeast(k, &c)
+		return c
+	}
 	for i := range s.views {
 		v := &s.views[i]
 		if v.free > 0 && !(higher && v.free <= v.reserve) && !k.avoids(v.endpoint) {
@@ -165,6 +169,19 @@
 	return c
 }
 
+// chooseLeast finds the endpoint with room that has the fewest requests.
+func (s *State) chooseLeast(k *ticket, c *choice) {
+	for i := range s.views {
+		v := &s.views[i]
+		if v.free == 0 || k.avoids(v.endpoint) {
+			continue
+		}
+		if c.room == nil || v.endpoint.inflight < c.room.inflight {
+			c.room = v.endpoint
+		}
+	}
+}
+
 // take takes an endpoint with room if it costs less than what c has.
 func (c *choice) take(p *price, v *view, cached int) {
 	if cost, est := p.at(v, cached); cost < c.cost {
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -64,8 +64,21 @@
 	RetryWindow    catalog.Duration `yaml:"retry_window"`
 	RetryRatio     float64          `yaml:"retry_ratio"`
 	RetryMin       int              `yaml:"retry_min"`
+	// Placement is how requests are placed; empty is PlacementForecast.
+	Placement Placement `yaml:"placement"`
 }
 
+// Placement is how requests are placed.
+type Placement string
+
+// The ways to place requests.
+const (
+	// PlacementForecast weighs measured speed, prompts and zones, and forecasts waits.
+	PlacementForecast Placement = "forecast"
+	// PlacementLeastOutstanding is the baseline for comparisons.
+	PlacementLeastOutstanding Placement = "least_outstanding"
+)
+
 // Defaults of a fleet's bounds.
 const (
 	defaultBeat   = time.Second
@@ -119,6 +132,11 @@
 	if b.Tolerated < 0 {
 		d.addAt("bounds.tolerated", "%d is negative", b.Tolerated)
 	}
+	switch b.Placement {
+	case "", PlacementForecast, PlacementLeastOutstanding:
+	default:
+		d.addAt("bounds.placement", "%q is neither %q nor %q", b.Placement, PlacementForecast, PlacementLeastOutstanding)
+	}
 	if b.RetryRatio < 0 || b.RetryMin < 0 {
 		d.addAt("bounds.retry_ratio", "a retry budget is not negative")
 	}
