cluster: any box of the group takes a heartbeat without news

A follower that hears the leader now answers what has no news, tells the leader in batches, and names itself for the next heartbeats.

--- a/cluster/events.go
+++ b/cluster/events.go
@@ -50,6 +50,8 @@
 		Token Token
 		ID    string
 	}
+	// EndpointsHeard says that other boxes have heard endpoints that had no news.
+	EndpointsHeard struct{ IDs []string }
 	// CallGone says that a call does not wait any more.
 	CallGone struct{ Token Token }
 	// SessionBegan says that an entry connected.
@@ -73,20 +75,21 @@
 	StopAsked struct{}
 )
 
-func (*Ticked) isEvent()        {}
-func (*Received) isEvent()      {}
-func (*Saved) isEvent()         {}
-func (*JoinAsked) isEvent()     {}
-func (*DocumentSent) isEvent()  {}
-func (*DocumentRead) isEvent()  {}
-func (*EndpointTold) isEvent()  {}
-func (*EndpointLeft) isEvent()  {}
-func (*CallGone) isEvent()      {}
-func (*SessionBegan) isEvent()  {}
-func (*SessionPinged) isEvent() {}
-func (*SessionTold) isEvent()   {}
-func (*SessionEnded) isEvent()  {}
-func (*StopAsked) isEvent()     {}
+func (*Ticked) isEvent()         {}
+func (*Received) isEvent()       {}
+func (*Saved) isEvent()          {}
+func (*JoinAsked) isEvent()      {}
+func (*DocumentSent) isEvent()   {}
+func (*DocumentRead) isEvent()   {}
+func (*EndpointTold) isEvent()   {}
+func (*EndpointLeft) isEvent()   {}
+func (*EndpointsHeard) isEvent() {}
+func (*CallGone) isEvent()       {}
+func (*SessionBegan) isEvent()   {}
+func (*SessionPinged) isEvent()  {}
+func (*SessionTold) isEvent()    {}
+func (*SessionEnded) isEvent()   {}
+func (*StopAsked) isEvent()      {}
 
 // Status says how a call ended.
 type Status uint8
@@ -103,9 +106,11 @@
 
 // Answer ends a call.
 type Answer struct {
-	Token    Token
-	Status   Status
-	Leader   string // operators' address of the leader
+	Token  Token
+	Status Status
+	Leader string // operators' address of the leader
+	// Here says that the caller may come back to this very box.
+	Here     bool
 	Document Document
 	// Until is when the lease ends on which the answer rests.
 	Until event.Time
@@ -123,7 +128,10 @@
 	Answers []Answer
 	Sends   []Send
 	Closes  []SessionID
-	Notes   []Note
+	// Heard are endpoints of which Leader is to be told that they live.
+	Heard  []string
+	Leader consensus.ID
+	Notes  []Note
 }
 
 // Note is a line for the log: a belief that changed.
@@ -147,5 +155,6 @@
 	e.Answers = e.Answers[:0]
 	e.Sends = e.Sends[:0]
 	e.Closes = e.Closes[:0]
+	e.Heard = nil
 	e.Notes = e.Notes[:0]
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -90,6 +90,10 @@
 		o.tick(now, s, out)
 	case *EndpointTold:
 		o.hear(now, e.Endpoint.ID, s, out)
+	case *EndpointsHeard:
+		for _, id := range e.IDs {
+			o.hear(now, id, s, out)
+		}
 	case *SessionBegan:
 		o.begin(now, e, s, out)
 	case *SessionPinged:
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -232,6 +232,9 @@
 			time.AfterFunc(tickEvery, c.Close) // what was sent goes first
 		}
 	}
+	if len(out.Heard) > 0 {
+		s.peers.send(string(out.Leader.Box()), &message.Envelope{Heard: &message.Heard{Endpoints: out.Heard}})
+	}
 	for _, a := range out.Answers {
 		if call, ok := s.calls[a.Token]; ok {
 			call <- a
@@ -255,6 +258,8 @@
 			s.input <- &SessionTold{Session: id, Batch: m.Batch}
 		case m.Consensus != nil && m.Consensus.Valid():
 			s.input <- &Received{Message: *m.Consensus}
+		case m.Heard != nil:
+			s.input <- &EndpointsHeard{IDs: m.Heard.Endpoints}
 		case m.Join != nil:
 			s.input <- &JoinAsked{Member: *m.Join}
 			s.peers.tellMembers(string(m.Join.ID.Box()))
@@ -373,6 +378,9 @@
 	return s.call(ctx, func(k Token) Event { return &EndpointTold{Token: k, Endpoint: e} })
 }
 
+// Address is where operators and endpoints reach this box.
+func (s *Server) Address() string { return s.config.Operators }
+
 // RemoveEndpoint takes note that an endpoint ends.
 func (s *Server) RemoveEndpoint(ctx context.Context, id string) Answer {
 	return s.call(ctx, func(k Token) Event { return &EndpointLeft{Token: k, ID: id} })
--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -160,6 +160,9 @@
 	for _, a := range out.Answers {
 		s.answers[a.Token] = a
 	}
+	if to := s.boxes[string(out.Leader.Box())]; len(out.Heard) > 0 && to != nil && !s.cut(b.name, to.name) {
+		defer s.step(to, &EndpointsHeard{IDs: out.Heard})
+	}
 	for _, one := range out.Sends {
 		s.sends[one.Session] = append(s.sends[one.Session], one.Message)
 	}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -40,6 +40,7 @@
 	machine  machine
 	table    *routing.Table
 	pending  map[consensus.Index]pending
+	heard    map[string]bool // endpoints that the leader is not yet told of
 	compact  consensus.Index
 	logged   int    // bytes of commands since the last snapshot
 	owner    *owner // nil while this box does not own the pools
@@ -59,6 +60,7 @@
 		settings: settings,
 		node:     consensus.New(now, id, r, settings.Seed),
 		pending:  make(map[consensus.Index]pending),
+		heard:    make(map[string]bool),
 		compact:  r.Snapshot.Index,
 	}
 	s.node.SetLimits(settings.Members)
@@ -97,6 +99,7 @@
 	switch e := e.(type) {
 	case *Ticked:
 		s.node.Tick(now, &out.Ready)
+		s.tellHeard(now, out)
 	case *Received:
 		s.node.Step(now, e.Message, &out.Ready)
 	case *Saved:
@@ -127,6 +130,12 @@
 		})
 	case *EndpointTold:
 		known := !s.machine.registry.Accepts(e.Endpoint) || !s.machine.registry.Changes(e.Endpoint)
+		if known && s.hearsLeader(now) {
+			// It has no news: the leader need only know that it lives.
+			s.heard[e.Endpoint.ID] = true
+			out.Answers = append(out.Answers, Answer{Token: e.Token, Status: StatusDone, Here: true})
+			return
+		}
 		s.propose(now, e.Token, encodeEndpoint(e.Endpoint), known, out)
 	case *EndpointLeft:
 		s.propose(now, e.Token, encodeRemove(e.ID), slices.Contains(s.machine.registry.Gone, e.ID), out)
@@ -147,7 +156,7 @@
 		return
 	}
 	if known {
-		out.Answers = append(out.Answers, Answer{Token: token, Status: StatusDone})
+		out.Answers = append(out.Answers, Answer{Token: token, Status: StatusDone, Here: true})
 		return
 	}
 	index, err := s.node.Propose(now, command, &out.Ready)
@@ -158,6 +167,26 @@
 	s.pending[index] = pending{token: token, term: s.node.Term()}
 }
 
+// hearsLeader reports whether another box leads and was heard a moment ago.
+func (s *State) hearsLeader(now event.Time) bool {
+	leader := s.node.Leader()
+	return leader != "" && leader != s.node.ID() && now.Sub(s.node.HeardLeader()) < consensus.ElectionMin
+}
+
+// tellHeard tells the leader which endpoints were heard here.
+func (s *State) tellHeard(now event.Time, out *Effects) {
+	if len(s.heard) == 0 {
+		return
+	}
+	if s.hearsLeader(now) {
+		out.Leader = s.node.Leader()
+		for id := range s.heard {
+			out.Heard = append(out.Heard, id)
+		}
+	}
+	clear(s.heard)
+}
+
 // elsewhere answers a call that this box can't serve.
 func (s *State) elsewhere(token Token, out *Effects) {
 	out.Answers = append(out.Answers, Answer{Token: token, Status: StatusElsewhere, Leader: s.leaderAddress()})
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -371,3 +371,44 @@
 		t.Errorf("grants %+v, want one: a quarter of the quota is left", got)
 	}
 }
+
+// TestEndpointIsHeardByAnyBox: a heartbeat without news is taken by any box that
+// hears the leader, which is told of it; one with news goes to the leader.
+func TestEndpointIsHeardByAnyBox(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	e := registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 9, Sequence: 1}
+	s.tell(s.mustOwner(), e)
+	s.run(second)
+	var other *simBox
+	for _, name := range s.order {
+		if s.boxes[name] != s.mustOwner() {
+			other = s.boxes[name]
+		}
+	}
+	for range 3 * downBeats {
+		e.Sequence++
+		if token := s.tell(other, e); s.answers[token].Status != StatusDone || !s.answers[token].Here {
+			t.Fatalf("a heartbeat without news got %+v", s.answers[token])
+		}
+		s.run(second / 2)
+	}
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("a")})
+	if got := s.grants(1); len(got) != 1 {
+		t.Errorf("grants %+v: the owner takes an endpoint for down that another box hears", got)
+	}
+	e.Sequence++
+	e.Leaving = true
+	if token := s.tell(other, e); s.answers[token].Status != StatusElsewhere {
+		t.Errorf("news got %+v at a box that does not lead", s.answers[token])
+	}
+	// A box that hears no leader takes no heartbeat.
+	s.cut = func(from, to string) bool { return from == other.name || to == other.name }
+	s.run(2 * second)
+	e.Leaving = false
+	if token := s.tell(other, e); s.answers[token].Status == StatusDone {
+		t.Errorf("a box that is cut off took a heartbeat: %+v", s.answers[token])
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,7 +37,7 @@
 	// harder.
 	memoryPart        = 0.75
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 60 * time.Second
+	idleTimeout       = 15 * time.Second
 	maxHeaderBytes    = 64 << 10
 	// heldPart is how much of an entry's memory request bodies may take.
 	heldPart = 0.2
--- a/message/message.go
+++ b/message/message.go
@@ -16,6 +16,7 @@
 	Hello     *Hello
 	Redirect  *Redirect
 	Consensus *consensus.Message
+	Heard     *Heard
 	Join      *consensus.Member
 	Ping      *Ping
 	Pong      *Pong
@@ -82,6 +83,10 @@
 	Entries int // how many entries share quotas and budgets
 }
 
+// Heard tells the leader which endpoints another box of the group has heard, with
+// nothing new about them.
+type Heard struct{ Endpoints []string }
+
 // View brings news of the deployment. Document is empty when it has not changed.
 type View struct {
 	Document []byte
