fleet, settings: close callers' resting connections by the configuration, check fleet settings by the tool

Cause: callers' connections were closed after 15 s whatever the configuration said; where it allows more, callers come back to closed ones. What nothing used (sizes, header times, connections of services) is gone.

--- a/cmd/lynxramp/main.go
+++ b/cmd/lynxramp/main.go
@@ -54,7 +54,7 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" help:"Files of any kind: box, slot or catalog."`
+	Files []string `arg:"" help:"Files of any kind: box, slot, fleet or catalog."`
 }
 
 // Run implements the command.
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -47,12 +47,14 @@
 	})
 	go agent.Run(run)
 	go g.Run(run)
-	ready, err := serve(f.Listen.Readiness, withMetrics(readiness(g, d), d))
+	ready, err := serve(f.Listen.Readiness, newServer(withMetrics(readiness(g, d), d), idleTimeout))
 	if err != nil {
 		return err
 	}
 	defer ready.Close()
-	callers, err := serve(f.Listen.Callers, g)
+	server := newServer(g, callersIdle)
+	server.ConnState = newIdleCloser(g.IdleTimeout).observe
+	callers, err := serve(f.Listen.Callers, server)
 	if err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -37,8 +37,11 @@
 	// harder.
 	memoryPart        = 0.75
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 15 * time.Second
-	maxHeaderBytes    = 64 << 10
+	// idleTimeout is how long a connection to an operators' or readiness address may
+	// rest; callersIdle is the most for callers, whose configuration may say less.
+	idleTimeout    = 15 * time.Second
+	callersIdle    = 10 * time.Minute
+	maxHeaderBytes = 64 << 10
 	// heldPart is how much of an entry's memory request bodies may take.
 	heldPart = 0.2
 )
@@ -153,7 +156,7 @@
 		return err
 	}
 	handler := withMetrics(d.Operators(server), d)
-	operators, err := serve(f.Listen.Operators, handler)
+	operators, err := serve(f.Listen.Operators, newServer(handler, idleTimeout))
 	if err != nil {
 		return err
 	}
@@ -172,15 +175,18 @@
 	return mux
 }
 
-func serve(address string, h http.Handler) (*http.Server, error) {
+func newServer(h http.Handler, idle time.Duration) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idle,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
+	}
+}
+
+func serve(address string, s *http.Server) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
-	}
 	go func() { _ = s.Serve(l) }() // it ends when it is closed
 	return s, nil
 }
--- /dev/null
+++ b/fleet/idle_test.go
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: MIT
+
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// ask sends a request on a connection and reads its answer.
+func ask(c net.Conn) error {
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, a.Body)
+	return err
+}
+
+func TestRestingConnectionIsClosedWhenItsTimeIsOver(t *testing.T) {
+	const rest = 300 * time.Millisecond
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = newIdleCloser(func() time.Duration { return rest }).observe
+	server.Start()
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 3 { // each request begins the time anew
+		if err := ask(c); err != nil {
+			t.Fatalf("a connection that rested shortly was closed: %v", err)
+		}
+		time.Sleep(rest / 3)
+	}
+	began := time.Now()
+	_ = c.SetReadDeadline(began.Add(20 * rest))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a resting connection ended with %v, want its close", err)
+	}
+	if took := time.Since(began); took < rest/3 {
+		t.Errorf("it was closed after %v", took)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,14 @@
 // Ready reports whether new callers may come.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.agent.Table() != nil }
 
+// IdleTimeout returns how long a caller's connection may rest; 0 is without a limit.
+func (g *Gateway) IdleTimeout() time.Duration {
+	if t := g.agent.table.Load(); t != nil {
+		return t.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // Stop says that the process will end: Ready is false from now on.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -19,8 +19,6 @@
 	NotRun string
 	// Signature is on endpoints' own answers.
 	Signature string
-	// Load is an endpoint's requests running, waiting and its slots.
-	Load string
 	// LastEvent is the last event of a stream that its reader has.
 	LastEvent string
 	// KeyScheme stands before a key in the Authorization header.
--- a/routing/table.go
+++ b/routing/table.go
@@ -69,13 +69,8 @@
 
 // Service is a set of endpoints that are alike in what they serve.
 type Service struct {
-	Name           string
-	MaxConnections int // an endpoint accepts from all callers together
-	// Slots is how many requests a model engine runs at once; 0 for a plain
-	// service, whose endpoints tell it.
-	Slots  int
-	Engine bool // whether it is a model engine
-	Stride int  // tokens in an event of its streams; 0 stands for 1
+	Name   string
+	Stride int // tokens in an event of its streams; 0 stands for 1
 }
 
 // Team is a customer with keys and a quota.
@@ -94,10 +89,9 @@
 
 // Limits bound what a caller may send and how long it may take.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
+	// IdleTimeout is how long a connection may rest between requests.
+	IdleTimeout time.Duration
 }
 
 // place is where a route stands.
--- a/settings/box.go
+++ b/settings/box.go
@@ -129,6 +129,7 @@
 	KindBox     Kind = "box"
 	KindSlot    Kind = "slot"
 	KindCatalog Kind = "catalog"
+	KindFleet   Kind = "fleet"
 )
 
 // LoadBox reads the settings of lynxrampd with the catalog they name.
@@ -186,6 +187,9 @@
 	case KindSlot:
 		_, err = LoadSlot(file)
 		return KindSlot, err
+	case KindFleet:
+		_, err = LoadFleet(file)
+		return KindFleet, err
 	default:
 		_, _, err = LoadBox(file)
 		return KindBox, err
@@ -200,7 +204,9 @@
 			return KindCatalog
 		case "endpoint", "endpoint_address", "pool":
 			return KindSlot
-		case "id", "roles":
+		case "role", "seeds", "unprotected":
+			return KindFleet
+		case "roles", "control":
 			return KindBox
 		}
 	}
--- /dev/null
+++ b/settings/fleet_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: MIT
+
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const soundFleet = `id: "n1"
+role: entry
+listen:
+  callers: "127.0.0.1:80"
+  readiness: "127.0.0.1:81"
+  link: "127.0.0.1:82"
+seeds: ["127.0.0.1:83"]
+unprotected: true
+bounds:
+  quota_window: 8s
+`
+
+func writeFleet(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "fleet.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func TestFleetSettings(t *testing.T) {
+	file := writeFleet(t, soundFleet)
+	f, err := LoadFleet(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if time.Duration(f.Bounds.QuotaWindow) != 8*time.Second || time.Duration(f.Bounds.Fresh) != defaultFresh {
+		t.Errorf("bounds %+v", f.Bounds)
+	}
+	if kind, err := Check(file); kind != KindFleet || err != nil {
+		t.Errorf("checked as %s: %v", kind, err)
+	}
+}
+
+func TestFleetFindingsNameTheirPlaces(t *testing.T) {
+	for name, c := range map[string]struct{ old, with, want string }{
+		"no seed":       {`["127.0.0.1:83"]`, `[]`, ":7: seeds:"},
+		"unprotected":   {"unprotected: true", "unprotected: false", ":8: unprotected:"},
+		"role":          {"role: entry", "role: king", ":2: role:"},
+		"address":       {`"127.0.0.1:81"`, `"here"`, ":5: listen.readiness:"},
+		"unknown key":   {"quota_window", "quota_windows", "bounds.quota_windows:"},
+		"negative":      {"8s", "-8s", "bounds.quota_window:"},
+		"placement":     {"quota_window: 8s", "placement: luck", "bounds.placement:"},
+		"no data":       {"role: entry", "role: control", "data:"},
+		"link bind":     {"link:", "link_bind: x\n  link:", "listen.link_bind:"},
+		"not YAML":      {"seeds:", "seeds: [", ":"},
+		"wrong literal": {"unprotected: true", "unprotected: maybe", ":8: unprotected:"},
+	} {
+		_, err := LoadFleet(writeFleet(t, strings.Replace(soundFleet, c.old, c.with, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want a finding at %s", name, err, c.want)
+		}
+	}
+}
