gateway: never say that a request has not run after an attempt whose fate is unknown

Cause: found by reading. A repeatable request whose first endpoint may have run it and whose second rejected it, or was not reached, ended with 503, which promises that it has not run (TestRefusalIsTrueAfterALostAnswer failed on both).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,10 @@
 	deadline time.Time
 	attempts int // endpoints that the request was sent to
 	avoid    []event.EndpointID
-	record   record
+	// mayHaveRun is set once an endpoint had the request and did not say that it has
+	// not run it.
+	mayHaveRun bool
+	record     record
 
 	// Of a stream that has begun:
 	begun     bool
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -396,6 +396,23 @@
 	}
 }
 
+// TestRefusalIsTrueAfterALostAnswer: a first endpoint may have run the request, a
+// second one rejects it or can't be reached. "Not run" would be a lie.
+func TestRefusalIsTrueAfterALostAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := &standIn{address: l.Addr().String()}
+	_ = l.Close()
+	for name, second := range map[string]*standIn{"rejected": newStandIn(t, notRun), "not reached": dead} {
+		r := newRig(t, newStandIn(t, reset), second)
+		if status, body, _ := r.do(t, r.request("POST", "/safe/x", "q")); status != 502 {
+			t.Errorf("%s: %d %q, want 502", name, status, body)
+		}
+	}
+}
+
 func TestNoMoreAttemptsThanTheRouteAllows(t *testing.T) {
 	list := []*standIn{newStandIn(t, notRun), newStandIn(t, notRun), newStandIn(t, whole(200, "answer"))}
 	r := newRig(t, list...)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -101,6 +101,9 @@
 			return
 		}
 		last = a
+		if a.outcome != outcomeNotSent && a.outcome != outcomeNotRun {
+			c.mayHaveRun = true
+		}
 		c.avoid = append(c.avoid, decision.Endpoint)
 		switch a.outcome {
 		case outcomeDone:
@@ -135,7 +138,7 @@
 		c.gateway.meters.decided(asked, d.Alone)
 		if d.Granted && !c.stillAllowed() {
 			c.withdraw(m)
-			c.end(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
+			c.endNotRun(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
 			return d, false
 		}
 		if d.Granted {
@@ -150,7 +153,7 @@
 			c.giveUp(last)
 			return d, false
 		}
-		c.end(refusalStatus(d.Reason), d.RetryAfter, d.Reason.String())
+		c.endNotRun(refusalStatus(d.Reason), d.RetryAfter, d.Reason.String())
 		return d, false
 	case <-ctx.Done():
 		c.withdraw(m)
@@ -162,7 +165,7 @@
 			c.giveUp(last)
 			return Decision{}, false
 		}
-		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint in time")
+		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint in time")
 		return Decision{}, false
 	}
 }
@@ -176,6 +179,16 @@
 	return http.StatusServiceUnavailable
 }
 
+// endNotRun answers with a status that says that the request has not run. Where an
+// earlier attempt may have run, it says that its fate is not known instead.
+func (c *call) endNotRun(status int, retryAfter event.Span, why string) {
+	if c.mayHaveRun {
+		c.end(http.StatusBadGateway, 0, "an earlier attempt's answer was lost, then: "+why)
+		return
+	}
+	c.end(status, retryAfter, why)
+}
+
 // mayRepeat reports whether the request may go to another endpoint after an
 // attempt that was sent.
 func (c *call) mayRepeat(a *attempt) bool {
@@ -194,9 +207,9 @@
 	case c.begun:
 		c.cut("the endpoint's answer was lost", a.err)
 	case a.outcome == outcomeNotSent:
-		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint was reached")
+		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint was reached")
 	case a.outcome == outcomeNotRun:
-		c.end(http.StatusServiceUnavailable, retryRejected, "no endpoint took the request")
+		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint took the request")
 	case a.outcome == outcomeFailed && a.kept != nil:
 		c.pass(a.kept)
 	case time.Until(c.deadline) <= 0:
