--- a/entry/run.go
+++ b/entry/run.go
@@ -211,7 +211,14 @@
 				return nil, nil
 			}
 			if err == nil {
-				return e.adopt(ctx, t, d)
+				response, answered := e.adopt(ctx, t, d)
+				switch {
+				case response != nil:
+					return response, nil
+				case answered:
+					return nil, unknownFate("the slot does not know what became of the request")
+				}
+				// The connection was cut once more: the slot is asked again.
 			}
 		}
 		wait.For(ctx, resumePause)
@@ -223,16 +230,18 @@
 	return nil, unknownFate("the slot cannot be reached")
 }
 
-// adopt asks a slot that has forgotten the request to take it up at its engine.
-func (e *Entry) adopt(ctx context.Context, t *transfer, d Decision) (*http.Response, error) {
+// adopt asks a slot that has forgotten the request to take it up at its engine. It
+// returns the answer's beginning; if there is none, whether the slot said so.
+func (e *Entry) adopt(ctx context.Context, t *transfer, d Decision) (response *http.Response, answered bool) {
 	response, err := e.slots.resume(ctx, d.Grant.Address, t.runs, 0, true)
-	if err == nil && response.StatusCode == http.StatusOK {
-		return response, nil
+	if err != nil {
+		return nil, false
 	}
-	if err == nil {
-		_ = response.Body.Close() // the status says it all
+	if response.StatusCode == http.StatusOK {
+		return response, true
 	}
-	return nil, unknownFate("the slot does not know what became of the request")
+	_ = response.Body.Close() // the status says it all
+	return nil, true
 }
 
 func unknownFate(message string) *Failure {
