gateway, admission, cluster: drop what nothing uses

Found on the last reading: the agent's time, a list of endpoints, and the table that came with a configuration and was never looked at. No decision changes.

--- a/admission/state.go
+++ b/admission/state.go
@@ -144,15 +144,6 @@
 	s.service(now, k.Service).pool.Step(now, &event.EndpointGone{ID: id}, out)
 }
 
-// Endpoints returns the ids of the endpoints that are known.
-func (s *State) Endpoints() []event.EndpointID {
-	list := make([]event.EndpointID, 0, len(s.endpoints))
-	for id := range s.endpoints {
-		list = append(list, id)
-	}
-	return list
-}
-
 // Submit registers a request of an entry.
 func (s *State) Submit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	t := m.Ticket
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -7,7 +7,6 @@
 	"lynxramp.org/event"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
-	"lynxramp.org/routing"
 )
 
 // SessionID names a connection of an entry.
@@ -36,7 +35,6 @@
 	DocumentSent struct {
 		Token    Token
 		Document Document
-		Table    *routing.Table
 	}
 	// DocumentRead asks for the newest configuration.
 	DocumentRead struct{ Token Token }
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -20,7 +20,6 @@
 	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
-	"lynxramp.org/routing"
 	"lynxramp.org/store"
 )
 
@@ -360,8 +359,8 @@
 
 // PutDocument replicates a configuration that was found sound. When the answer
 // is StatusDone, it or a higher version is committed.
-func (s *Server) PutDocument(ctx context.Context, d Document, t *routing.Table) Answer {
-	return s.call(ctx, func(k Token) Event { return &DocumentSent{Token: k, Document: d, Table: t} })
+func (s *Server) PutDocument(ctx context.Context, d Document) Answer {
+	return s.call(ctx, func(k Token) Event { return &DocumentSent{Token: k, Document: d} })
 }
 
 // ReadDocument returns the newest configuration. Before it is passed on, Holds
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -169,9 +169,6 @@
 	return a.Table()
 }
 
-// Now returns the agent's time.
-func (a *Agent) Now() event.Time { return a.clock.Now() }
-
 // Submit registers a request. Its decision comes on the channel.
 func (a *Agent) Submit(m message.Submission) <-chan Decision {
 	w := &waiter{submission: m, arrived: a.clock.Now(), decision: make(chan Decision, 1)}
