sched, gateway: keep exact books of the prompts that endpoints have to read

Change: an entry tells the owner when an answer has begun; the owner keeps what each endpoint has not read yet. The rate of reading is a least-squares fit that leaves the fixed part of the time out, an endpoint's speed is the middle gap of a stream. A request that would be late behind a prompt waits while another endpoint that comes free would do.

--- a/admission/state.go
+++ b/admission/state.go
@@ -194,6 +194,11 @@
 	s.service(now, w.Service).pool.Step(now, &event.Withdrawn{Entry: entry, ID: w.ID}, out)
 }
 
+// Begin takes note that a granted request's answer has begun.
+func (s *State) Begin(now event.Time, b *event.Begun, out *event.Effects) {
+	s.service(now, b.Pool).pool.Step(now, b, out)
+}
+
 // Finish ends a request that was granted.
 func (s *State) Finish(now event.Time, f *message.Finish, out *event.Effects) {
 	if f.Void {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -290,6 +290,9 @@
 		s.redirect(t.Session, out)
 		return
 	}
+	for i := range t.Batch.Begun {
+		o.admission.Begin(now, &t.Batch.Begun[i], &o.effects)
+	}
 	for i := range t.Batch.Finish {
 		o.admission.Finish(now, &t.Batch.Finish[i], &o.effects)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -107,6 +107,14 @@
 	Pool  string
 }
 
+// Begun says that the answer of a granted request has begun: its prompt is read.
+type Begun struct {
+	ID   RequestID
+	Pool string
+	// After is the time from the hand-over to the answer's beginning.
+	After Span
+}
+
 // Finished says that a granted request no longer uses its endpoint.
 type Finished struct {
 	ID   RequestID
@@ -120,7 +128,7 @@
 	// FirstAfter is the time from the hand-over to the answer's beginning; 0 if
 	// there was none.
 	FirstAfter Span
-	// TokenGap is the mean time between the answer's tokens; 0 if unknown.
+	// TokenGap is the usual time between the answer's tokens; 0 if unknown.
 	TokenGap Span
 }
 
@@ -170,6 +178,7 @@
 func (*Submitted) IsEvent()      {}
 func (*Withdrawn) IsEvent()      {}
 func (*Finished) IsEvent()       {}
+func (*Begun) IsEvent()          {}
 func (*EntrySeen) IsEvent()      {}
 func (*SlotReported) IsEvent()   {}
 func (*PlatformListed) IsEvent() {}
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -106,6 +106,7 @@
 type (
 	submitted struct{ w *waiter }
 	withdrawn struct{ id event.RequestID }
+	begun     struct{ b event.Begun }
 	finished  struct{ f message.Finish }
 	dialed    struct {
 		conn    *link.Conn[message.Envelope]
@@ -179,6 +180,9 @@
 // Withdraw takes a request back whose decision is not awaited any more.
 func (a *Agent) Withdraw(id event.RequestID) { a.input <- withdrawn{id} }
 
+// Begin says that a granted request's answer has begun.
+func (a *Agent) Begin(b event.Begun) { a.input <- begun{b} }
+
 // Finish says that a granted request does not use its endpoint any more.
 func (a *Agent) Finish(f message.Finish) { a.input <- finished{f} }
 
@@ -215,6 +219,8 @@
 		a.submit(now, in.w)
 	case withdrawn:
 		a.withdraw(now, in.id)
+	case begun:
+		a.begin(now, in.b)
 	case finished:
 		a.finish(now, in.f)
 	case dialed:
@@ -266,6 +272,15 @@
 	}
 }
 
+func (a *Agent) begin(now event.Time, b event.Begun) {
+	if a.owned {
+		a.batch.Begun = append(a.batch.Begun, b)
+	}
+	if a.alone != nil {
+		a.alone.Begin(now, &b, &a.effects)
+	}
+}
+
 func (a *Agent) finish(now event.Time, f message.Finish) {
 	delete(a.running, f.ID)
 	if a.conn != nil {
@@ -325,7 +340,7 @@
 
 // flush sends what was gathered.
 func (a *Agent) flush() {
-	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Finish) == 0 {
+	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Begun)+len(a.batch.Finish) == 0 {
 		return
 	}
 	if a.conn != nil {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -69,7 +69,7 @@
 	outcome  outcome
 	err      error
 	first    time.Duration // to the answer's beginning
-	gap      time.Duration // mean time between events
+	gap      time.Duration // usual time between tokens
 	tokens   int
 	kept     *response // of a failure
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,10 +5,13 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
+
+	"lynxramp.org/event"
 )
 
 // stream passes a series of events on, each whole and at once, under the head of
@@ -17,10 +20,10 @@
 	events := newEventReader(x.response.Body)
 	control := http.NewResponseController(c.w)
 	var last time.Time
-	var gaps time.Duration
+	var gaps []time.Duration
 	seen := 0
 	for {
-		event, id, err := events.next()
+		data, id, err := events.next()
 		if err == io.EOF {
 			c.streamEnd(x, a)
 			break
@@ -37,16 +40,17 @@
 		now := time.Now()
 		if seen == 0 {
 			a.first = now.Sub(began)
+			c.gateway.agent.Begin(event.Begun{ID: c.id, Pool: c.service, After: a.first})
 			c.beginStream(x)
-		} else {
-			gaps += now.Sub(last)
+		} else if len(gaps) < maxGaps {
+			gaps = append(gaps, now.Sub(last))
 		}
 		last = now
 		seen++
 		if !isAfter(id, c.lastEvent) {
 			continue // the caller has it
 		}
-		if !c.passEvent(control, event, id) {
+		if !c.passEvent(control, data, id) {
 			x.abort()
 			a.err = errCallerGone
 			a.outcome = outcomeDone
@@ -54,9 +58,21 @@
 		}
 	}
 	a.tokens = c.events * c.stride()
-	if seen > 1 {
-		a.gap = gaps / time.Duration((seen-1)*c.stride())
+	a.gap = median(gaps) / time.Duration(c.stride())
+}
+
+// maxGaps is how many of a stream's gaps are measured.
+const maxGaps = 48
+
+// median returns the middle one of some times, 0 of none. It orders them. A prompt
+// that the endpoint reads beside the stream makes a few gaps long and leaves the
+// middle one as it is.
+func median(times []time.Duration) time.Duration {
+	if len(times) == 0 {
+		return 0
 	}
+	slices.Sort(times)
+	return times[len(times)/2]
 }
 
 // stride returns how many tokens an event of the service's streams holds.
--- a/message/message.go
+++ b/message/message.go
@@ -108,6 +108,7 @@
 type Batch struct {
 	Submit   []Submission
 	Withdraw []Withdrawal
+	Begun    []event.Begun
 	Finish   []Finish
 }
 
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -96,7 +96,6 @@
 		return
 	}
 	profile := s.profile()
-	s.measurePrefill(g, f, profile)
 	switch {
 	case f.TokenGap > 0:
 		g.endpoint.learn(now, f.TokenGap.Seconds()/profile.TokenGap.Seconds())
@@ -105,20 +104,28 @@
 	}
 }
 
-// How the rate of reading prompts is learned.
-const (
-	prefillSample = 1000 // least prompt tokens of a sample
-	prefillWeight = 0.05
-)
-
-// measurePrefill learns how fast prompts are read, from long ones that had not to
-// wait for others.
-func (s *State) measurePrefill(g *grant, f *event.Finished, profile event.Profile) {
-	if !g.alone || g.prompt < prefillSample || f.FirstAfter <= 0 || f.Failed {
+// begin takes note that an answer has begun: its prompt is read.
+func (s *State) begin(now event.Time, b *event.Begun) {
+	g, ok := s.grants[b.ID]
+	if !ok {
 		return
 	}
-	sample := float64(g.prompt) / g.endpoint.speed() / f.FirstAfter.Seconds()
-	s.prefillRate = profile.PrefillRate + prefillWeight*(sample-profile.PrefillRate)
+	if g.alone && s.pool.Discovered && b.After > 0 {
+		s.prefill.learn(float64(g.prompt)/g.endpoint.speed(), b.After.Seconds())
+	}
+	g.endpoint.reading.remove(now, g)
+	s.refresh(now, g.endpoint)
+}
+
+// isWorthWaiting reports whether a request would be late at the best endpoint that
+// has room, by the prompts to be read there first, but in time at another that comes
+// free soon.
+func (s *State) isWorthWaiting(now event.Time, k *ticket, c *choice) bool {
+	if !s.pool.Discovered || k.Target == 0 || c.est.work == 0 || s.pool.LeastOutstanding {
+		return false
+	}
+	left := (k.Target - now.Sub(k.arrived)).Seconds()
+	return c.est.needed > left && c.est.work/s.fastest < left
 }
 
 // earlyPart is the part of its target within which a request may be refused for
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -26,10 +26,9 @@
 	inflight int
 	// leftUntil is when it may be granted work again.
 	leftUntil event.Time
-	// filledAt is when the prompts granted so far should be computed.
-	filledAt event.Time
-	grants   map[event.RequestID]*grant
-	memory   memory
+	reading   reading
+	grants    map[event.RequestID]*grant
+	memory    memory
 	// measured is how much slower than the pool's profile the endpoint was lately;
 	// 0 is unknown.
 	measured   float64
@@ -76,6 +75,7 @@
 // estimate is how long a request would take at an endpoint, in seconds.
 type estimate struct {
 	fill   float64 // its own prompt, less what is cached
+	work   float64 // the same at speed 1
 	total  float64 // until its last token
 	cached int     // prompt tokens
 	// needed is until what the request's time left counts to: its beginning or
--- a/sched/place.go
+++ b/sched/place.go
@@ -32,7 +32,7 @@
 		case k.Target == 0 && c.fastest > c.left && s.length(k.Service).known():
 			// No endpoint can answer in time, whatever else waits.
 			s.refuse(now, k, event.ReasonDeadline, out)
-		case c.hold, k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
+		case c.hold, s.isWorthWaiting(now, k, &c), k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
 			s.queue.remove(k)
 			s.passed = append(s.passed, k)
 		default:
@@ -65,10 +65,16 @@
 		needed:   est.needed,
 		call:     k.OutputTokens == 0,
 		prompt:   k.PromptTokens - est.cached,
-		alone:    e.filledAt <= now,
+		fill:     est.work,
 	}
 	s.prefix.add(e, k.Prefix)
-	e.filledAt = max(e.filledAt, now).Add(event.Span(est.fill * float64(event.Second)))
+	switch {
+	case !s.pool.Discovered:
+		e.reading.plan(now, event.Span(est.fill*float64(event.Second)))
+	case !g.call:
+		g.alone = len(e.reading.pending) == 0
+		e.reading.add(now, g)
+	}
 	s.book(k.ID, g)
 	s.refresh(now, e)
 	s.drain.add(now)
--- /dev/null
+++ b/sched/reading.go
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"slices"
+
+	"lynxramp.org/event"
+)
+
+// reading is what an endpoint still has to read of the prompts that it was granted.
+// An endpoint reads one prompt after the other, in the order of the grants. The zero
+// value has nothing to read.
+type reading struct {
+	pending []*grant   // whose answers have not begun, oldest first
+	work    float64    // of all pending, seconds at speed 1
+	since   event.Time // when the first pending one came first
+	until   event.Time // when all should be read, by plan
+}
+
+// add takes in a grant whose prompt is to be read.
+func (r *reading) add(now event.Time, g *grant) {
+	if len(r.pending) == 0 {
+		r.since = now
+	}
+	r.pending = append(r.pending, g)
+	r.work += g.fill
+}
+
+// remove takes note that a grant's prompt is not to be read any more: its answer has
+// begun, or it has ended.
+func (r *reading) remove(now event.Time, g *grant) {
+	i := slices.Index(r.pending, g)
+	if i < 0 {
+		return
+	}
+	if i == 0 {
+		r.since = now
+	}
+	r.pending = slices.Delete(r.pending, i, i+1)
+	r.work -= g.fill
+	if len(r.pending) == 0 {
+		r.work = 0 // without what rounding left
+	}
+}
+
+// plan takes in a prompt that takes so long, where nobody tells when it is read.
+func (r *reading) plan(now event.Time, fill event.Span) {
+	r.until = max(r.until, now).Add(fill)
+}
+
+// first returns the work of the prompt that is being read, in seconds at speed 1.
+func (r *reading) first() float64 {
+	if len(r.pending) == 0 {
+		return 0
+	}
+	return r.pending[0].fill
+}
+
+// How the rate of reading prompts is learned.
+const (
+	prefillSamples = 20   // needed before the rate is used
+	prefillKeep    = 0.99 // of the older samples' weight, at each new one
+	// minPrefillRate bounds the rate from below, in tokens a second.
+	minPrefillRate = 500.0
+)
+
+// prefillFit learns how long an endpoint of speed 1 takes for a prompt's token, by
+// the least squares of the time to an answer's beginning over the prompt's length:
+// what each answer takes beside its prompt does not count. Older samples fade. The
+// zero value knows nothing.
+type prefillFit struct {
+	samples      int
+	weight       float64
+	x, y, xx, xy float64
+}
+
+// learn takes a sample: a prompt's tokens, over the endpoint's speed, and the seconds
+// to the answer's beginning.
+func (f *prefillFit) learn(tokens, seconds float64) {
+	f.samples++
+	f.weight = f.weight*prefillKeep + 1
+	f.x = f.x*prefillKeep + tokens
+	f.y = f.y*prefillKeep + seconds
+	f.xx = f.xx*prefillKeep + tokens*tokens
+	f.xy = f.xy*prefillKeep + tokens*seconds
+}
+
+// rate returns the prompt tokens a second at speed 1; 0 while it is not known.
+func (f *prefillFit) rate() float64 {
+	if f.samples < prefillSamples {
+		return 0
+	}
+	spread := f.weight*f.xx - f.x*f.x
+	slope := f.weight*f.xy - f.x*f.y
+	if spread <= 0 || slope <= 0 {
+		return 0
+	}
+	return max(minPrefillRate, spread/slope)
+}
--- /dev/null
+++ b/sched/reading_test.go
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"math"
+	"testing"
+
+	"lynxramp.org/event"
+)
+
+func TestReadingGoesOnePromptAfterTheOther(t *testing.T) {
+	var r reading
+	a, b := &grant{fill: 1}, &grant{fill: 2}
+	r.add(0, a)
+	r.add(event.Time(event.Second/2), b)
+	if r.work != 3 || r.first() != 1 || r.since != 0 {
+		t.Errorf("work %v, first %v, since %v", r.work, r.first(), r.since)
+	}
+	r.remove(event.Time(event.Second), a)
+	if r.work != 2 || r.first() != 2 || r.since != event.Time(event.Second) {
+		t.Errorf("with one read: work %v, first %v, since %v", r.work, r.first(), r.since)
+	}
+	r.remove(event.Time(2*event.Second), a) // it is not there any more
+	r.remove(event.Time(2*event.Second), b)
+	if r.work != 0 || r.first() != 0 {
+		t.Errorf("with all read: work %v, first %v", r.work, r.first())
+	}
+}
+
+func TestPrefillRateIsFoundBesideAFixedTime(t *testing.T) {
+	var f prefillFit
+	if f.rate() != 0 {
+		t.Error("a rate without a sample")
+	}
+	for i := range 200 {
+		tokens := float64(500 + i%37*1000)
+		f.learn(tokens, 0.05+tokens/20000)
+	}
+	if got := f.rate(); math.Abs(got-20000) > 1 {
+		t.Errorf("rate %v, want 20000", got)
+	}
+	for i := range 1000 {
+		tokens := float64(500 + i%37*1000)
+		f.learn(tokens, 0.05+tokens/40000)
+	}
+	if got := f.rate(); math.Abs(got-40000) > 100 {
+		t.Errorf("rate %v, want 40000 after it changed", got)
+	}
+}
+
+// TestBegunAnswerFreesItsPrompt holds that a long prompt is counted against an
+// endpoint until its answer begins, and no longer: before, it was counted by an
+// estimate, seconds too long.
+func TestBegunAnswerFreesItsPrompt(t *testing.T) {
+	s := discovered(2, 4)
+	var out event.Effects
+	long := func(k *event.Ticket) { k.PromptTokens = 8000 }
+	s.Step(0, call(1, long), &out)
+	first := out.Grants[0].Endpoint
+	out.Reset()
+	s.Step(0, call(2, nil), &out)
+	if out.Grants[0].Endpoint == first {
+		t.Error("a short request was placed behind a long prompt")
+	}
+	s.Step(0, &event.Finished{ID: "r2", Pool: pool}, &out)
+	now := event.Time(100 * event.Millisecond)
+	s.Step(now, &event.Begun{ID: "r1", Pool: pool, After: 100 * event.Millisecond}, &out)
+	out.Reset()
+	s.Step(now, call(4, nil), &out)
+	if out.Grants[0].Endpoint != first {
+		t.Errorf("placed at %s, %s has read its prompt", out.Grants[0].Endpoint, first)
+	}
+}
+
+// TestRequestWaitsForAnEndpointWhereItIsInTime holds that a place behind a prompt
+// that would make a request late is not taken while another comes free soon.
+func TestRequestWaitsForAnEndpointWhereItIsInTime(t *testing.T) {
+	s := discovered(2, 2)
+	var out event.Effects
+	s.Step(0, call(1, func(k *event.Ticket) { k.PromptTokens = 40000; k.Target = 10 * event.Second }), &out)
+	busy := out.Grants[0].Endpoint
+	for i := 2; i <= 3; i++ {
+		s.Step(0, call(i, nil), &out)
+	}
+	out.Reset()
+	s.Step(0, call(4, func(k *event.Ticket) { k.Patience = 0 }), &out)
+	if len(out.Grants) != 0 {
+		t.Fatalf("granted %+v behind a prompt of four seconds, its target is one", out.Grants)
+	}
+	s.Step(0, &event.Finished{ID: "r2", Pool: pool}, &out)
+	if len(out.Grants) != 1 || out.Grants[0].Endpoint == busy {
+		t.Errorf("grants %+v, want the endpoint that came free", out.Grants)
+	}
+	// One that can be in time nowhere takes what there is.
+	out.Reset()
+	s.Step(0, call(5, func(k *event.Ticket) { k.PromptTokens = 40000 }), &out)
+	if len(out.Grants) != 1 {
+		t.Error("a request that is late everywhere does not take the place that is free")
+	}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -77,9 +77,10 @@
 	life     event.Incarnation
 	// needed is how many seconds the answer's beginning was expected to take.
 	needed float64
-	call   bool // without tokens
-	prompt int  // tokens to be read
-	alone  bool // no other prompt was to be read before it
+	call   bool    // without tokens
+	prompt int     // tokens to be read
+	fill   float64 // work of reading them, seconds at speed 1
+	alone  bool    // no other prompt was to be read before it
 }
 
 // State is the scheduler of one pool. It is not safe for concurrent use.
@@ -96,17 +97,16 @@
 	drain     drainRate
 	passed    []*ticket // of the step under way
 	views     []view    // of the endpoints, in their order
-	// prefillRate is the measured prompt tokens a second at speed 1; 0 is unknown.
-	prefillRate float64
-	fastest     float64 // speed of the fastest that serves, 0 if none does
-	prefix      prefixIndex
-	lengths     map[string]*answerLength // by service
-	refused     map[Group]int            // since this owner began
-	classes     classes
-	holding     holding
-	leaving     map[string]bool // IP numbers, by the platform's list
-	top         int             // the highest rank that came lately
-	topSeen     event.Time      // when it came
+	prefill   prefillFit
+	fastest   float64 // speed of the fastest that serves, 0 if none does
+	prefix    prefixIndex
+	lengths   map[string]*answerLength // by service
+	refused   map[Group]int            // since this owner began
+	classes   classes
+	holding   holding
+	leaving   map[string]bool // IP numbers, by the platform's list
+	top       int             // the highest rank that came lately
+	topSeen   event.Time      // when it came
 }
 
 // New returns the scheduler of pool, which owns it from now on.
@@ -135,6 +135,8 @@
 		s.submit(now, e, out)
 	case *event.Withdrawn:
 		s.withdraw(now, e)
+	case *event.Begun:
+		s.begin(now, e)
 	case *event.Finished:
 		s.finish(now, e)
 	case *event.EntrySeen:
@@ -295,6 +297,7 @@
 		return
 	}
 	g.endpoint.inflight--
+	g.endpoint.reading.remove(now, g)
 	delete(g.endpoint.grants, id)
 	delete(s.grants, id)
 	s.refresh(now, g.endpoint)
--- a/sched/view.go
+++ b/sched/view.go
@@ -13,16 +13,24 @@
 type view struct {
 	endpoint *endpoint
 	slowness float64 // 1 / speed
-	filledAt event.Time
-	free     int // places for the highest tier; 0 if it does not serve
-	reserve  int // of these, not for lower tiers
-	zone     string
+	// The prompts that it has to read first: firstWork seconds of the one that it
+	// reads since readSince, and moreWork of those behind it, both at speed 1.
+	firstWork, moreWork float64
+	readSince           event.Time
+	readUntil           event.Time // by plan, where beginnings are not told
+	free                int        // places for the highest tier; 0 if it does not serve
+	reserve             int        // of these, not for lower tiers
+	zone                string
 }
 
 // refresh makes an endpoint's view fit what is known of it at now.
 func (s *State) refresh(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
-	*v = view{endpoint: e, slowness: 1 / e.speed(), filledAt: e.filledAt, zone: e.Zone}
+	first := e.reading.first()
+	*v = view{
+		endpoint: e, slowness: 1 / e.speed(), zone: e.Zone,
+		firstWork: first, moreWork: e.reading.work - first, readSince: e.reading.since, readUntil: e.reading.until,
+	}
 	if e.Concurrency > 0 && e.serves(now) {
 		v.free = max(0, e.Concurrency-e.inflight)
 		if !s.pool.Discovered {
@@ -85,8 +93,8 @@
 // profile returns the speed of an endpoint of speed 1.
 func (s *State) profile() event.Profile {
 	p := s.pool.Profile
-	if s.prefillRate > 0 {
-		p.PrefillRate = s.prefillRate
+	if rate := s.prefill.rate(); rate > 0 {
+		p.PrefillRate = rate
 	}
 	if p.PrefillRate == 0 {
 		p.PrefillRate = referencePrefill
@@ -103,16 +111,16 @@
 // at returns what the request costs at an endpoint that holds so many tokens of
 // its prompt, and how long it takes there.
 func (p *price) at(v *view, cached int) (cost float64, est estimate) {
-	fill := (p.fill - float64(cached)/p.rate) * v.slowness
+	work := p.fill - float64(cached)/p.rate
+	fill := work * v.slowness
 	total := fill + p.decode*v.slowness
 	begin := fill
 	if p.fill == 0 {
 		begin = total
 	}
-	if ahead := v.filledAt - p.now; ahead > 0 {
-		total += float64(ahead) / float64(event.Second)
-		begin += float64(ahead) / float64(event.Second)
-	}
+	ahead := v.ahead(p.now)
+	total += ahead
+	begin += ahead
 	cost = total * timeWeight
 	if p.zone != "" && v.zone != "" && p.zone != v.zone {
 		cost += farCost
@@ -134,7 +142,14 @@
 	if late := total*margin - p.end; p.first && late > 0 {
 		cost += latePenalty * late
 	}
-	return cost, estimate{fill: fill, total: total, needed: needed, cached: cached}
+	return cost, estimate{fill: fill, work: work, total: total, needed: needed, cached: cached}
+}
+
+// ahead returns how many seconds the endpoint reads other prompts first.
+func (v *view) ahead(now event.Time) float64 {
+	first := v.firstWork*v.slowness - now.Sub(v.readSince).Seconds()
+	planned := v.readUntil.Sub(now).Seconds()
+	return max(0, first) + v.moreWork*v.slowness + max(0, planned)
 }
 
 // choice is what choose finds for a request. Times are in seconds.
