--- a/sched/class.go
+++ b/sched/class.go
@@ -36,9 +36,11 @@
 
 // class is what is known of the requests of one rank.
 type class struct {
+	rank    int
 	asked   fading
 	refused fading
 	work    float64 // mean seconds at speed 1
+	held    holding // of places
 }
 
 // classes are by rank.
@@ -47,7 +49,7 @@
 func (c classes) at(rank int) *class {
 	one, ok := c[rank]
 	if !ok {
-		one = &class{}
+		one = &class{rank: rank}
 		c[rank] = one
 	}
 	return one
--- /dev/null
+++ b/sched/forecast.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"slices"
+
+	"lynxramp.org/event"
+)
+
+// earlyPart is the part of its target within which a request may be refused for
+// its wait. Later it is held: who waited so long is not sent away.
+const earlyPart = 4
+
+// forecast refuses what would wait longer than it may, by the work that waits before
+// it and the places that serve: at its arrival and a short time after.
+func (s *State) forecast(now event.Time, e event.Event, out *event.Effects) {
+	switch e := e.(type) {
+	case *event.Submitted:
+		k, ok := s.queue.byID[e.Ticket.ID]
+		if ok && s.isHopeless(now, k) {
+			s.refuse(now, k, event.ReasonShed, out)
+		}
+	case *event.Tick:
+		var late []*ticket
+		for _, k := range s.queue.byID {
+			if s.isHopeless(now, k) {
+				late = append(late, k)
+			}
+		}
+		slices.SortFunc(late, func(a, b *ticket) int { return int(a.number) - int(b.number) })
+		for _, k := range late {
+			s.refuse(now, k, event.ReasonShed, out)
+		}
+	}
+}
+
+// isHopeless reports whether a request is to be refused for its wait.
+func (s *State) isHopeless(now event.Time, k *ticket) bool {
+	if k.Patience == 0 || s.pool.LeastOutstanding {
+		return false
+	}
+	waited := now.Sub(k.arrived) + k.Waited
+	if k.Target > 0 && waited > (k.Target+k.Waited)/earlyPart {
+		return false
+	}
+	patience := k.Patience
+	if k.Target > 0 && k.OutputTokens > 0 {
+		// Its own prompt has to be read in the time, too.
+		fill := event.Span(float64(k.PromptTokens) / s.profile().PrefillRate * float64(event.Second))
+		patience = max(patience-fill, patience/earlyPart)
+	}
+	return waited+s.expectedWait(now, k) > patience
+}
+
+// expectedWait returns how long the queue before a ticket takes to drain: the time
+// that its requests will hold places, over the places. What ranks above it leave over
+// is what its own rank and those below got lately.
+func (s *State) expectedWait(now event.Time, k *ticket) event.Span {
+	if s.places == 0 {
+		return 0
+	}
+	above, beside := 0.0, 0.0
+	lower, all := 0.0, 0.0
+	for _, t := range s.queue.tiers {
+		drained := t.drain.perSecond(now)
+		all += drained
+		switch {
+		case t.rank > k.Rank:
+			above += t.work
+			continue
+		case t.rank == k.Rank:
+			beside = t.work
+		}
+		lower += drained
+	}
+	places := float64(s.places)
+	left := places
+	if all > 0 {
+		left = places * max(lower/all, leastLeft)
+	}
+	return event.Span((above/places + beside/left) * float64(event.Second))
+}
+
+// leastLeft is the least part of the places that is taken as left for a rank.
+const leastLeft = 0.02
+
+// hold returns how long a request will hold its place, in seconds: as long as others
+// of its class lately, or, until some have ended, its own work.
+func (s *State) hold(k *ticket) float64 {
+	if k.class.held.samples < holdingSamples {
+		return s.seconds(k)
+	}
+	return k.class.held.mean
+}
+
+// holdingWeight is the weight of a request in the mean time that requests run, and
+// holdingSamples how many are needed: the first to end are the short ones.
+const (
+	holdingWeight  = 0.02
+	holdingSamples = 50
+)
+
+// holding is the mean time that requests run, in seconds. The zero value is ready.
+type holding struct {
+	mean    float64
+	samples int
+}
+
+func (h *holding) learn(ran event.Span) {
+	h.samples++
+	h.mean += max(holdingWeight, 1/float64(h.samples)) * (ran.Seconds() - h.mean)
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -60,6 +60,7 @@
 		attempt:  k.Attempt,
 		team:     k.Team,
 		rank:     k.Rank,
+		asked:    k.class.rank,
 		service:  k.Service,
 		output:   k.OutputTokens,
 		needed:   est.needed,
@@ -77,8 +78,8 @@
 	}
 	s.book(k.ID, g)
 	s.refresh(now, e)
-	s.drain.add(now)
-	s.queue.tier(k.Rank).drain.add(now)
+	s.drain.add(now, 1)
+	s.queue.tier(k.Rank).drain.add(now, k.hold)
 	granted := g.effect(k.ID)
 	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Span(est.needed * float64(event.Second))}
 	out.Grants = append(out.Grants, granted)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -23,6 +23,7 @@
 	number   uint64     // order of arrival; breaks ties
 	expected int        // output tokens, by what the service's answers had
 	class    *class     // of the rank that it came with
+	hold     float64    // seconds that it is expected to hold its place
 }
 
 // avoids reports whether the ticket must not go to an endpoint.
@@ -68,7 +69,8 @@
 	// starts there: it has no credit for the time it did not ask.
 	floor float64
 	size  int
-	drain drainRate
+	work  float64   // seconds that its requests will hold places
+	drain drainRate // of that work
 }
 
 // queue has all that waits in a pool, in one order.
@@ -114,6 +116,7 @@
 	}
 	m.waiting.ReplaceOrInsert(k)
 	t.size++
+	t.work += k.hold
 	q.byID[k.ID] = k
 	q.expiry.ReplaceOrInsert(k)
 }
@@ -126,6 +129,10 @@
 		t.active.Delete(m)
 	}
 	t.size--
+	t.work -= k.hold
+	if t.size == 0 {
+		t.work = 0 // without what rounding left
+	}
 	delete(q.byID, k.ID)
 	q.expiry.Delete(k)
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -72,6 +72,7 @@
 	attempt  int
 	team     string
 	rank     int
+	asked    int // the rank that it came with
 	service  string
 	output   int // tokens asked for
 	life     event.Incarnation
@@ -99,11 +100,11 @@
 	views     []view    // of the endpoints, in their order
 	prefill   prefillFit
 	fastest   float64 // speed of the fastest that serves, 0 if none does
+	places    int     // of all that serve
 	prefix    prefixIndex
 	lengths   map[string]*answerLength // by service
 	refused   map[Group]int            // since this owner began
 	classes   classes
-	holding   holding
 	leaving   map[string]bool // IP numbers, by the platform's list
 	top       int             // the highest rank that came lately
 	topSeen   event.Time      // when it came
@@ -203,6 +204,7 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 	s.views = make([]view, len(s.endpoints))
+	s.places = 0
 	for i, e := range s.endpoints {
 		e.index = i
 	}
@@ -230,6 +232,7 @@
 	}
 	k.expected = s.length(k.Service).expect(k.OutputTokens)
 	k.class = s.classes.at(k.Rank)
+	k.hold = s.hold(k)
 	if s.pool.Discovered {
 		k.Rank = s.promote(now, k)
 	}
@@ -284,7 +287,7 @@
 		}
 		s.measure(now, g, e)
 		if !e.Void {
-			s.holding.learn(now.Sub(g.at))
+			s.classes.at(g.asked).held.learn(now.Sub(g.at))
 		}
 	}
 	s.release(now, e.ID)
@@ -359,17 +362,18 @@
 	}
 }
 
-// drainRate averages how often something happens. The zero value is ready.
+// drainRate averages how much of something goes in a second. The zero value is
+// ready.
 type drainRate struct {
 	last event.Time
 	rate float64 // a second
 }
 
-func (d *drainRate) add(now event.Time) {
+func (d *drainRate) add(now event.Time, amount float64) {
 	gap := now.Sub(d.last).Seconds()
 	d.last = now
 	keep := max(0, 1-gap/rateWindow.Seconds())
-	d.rate = d.rate*keep + 1/rateWindow.Seconds()
+	d.rate = d.rate*keep + amount/rateWindow.Seconds()
 }
 
 func (d *drainRate) perSecond(now event.Time) float64 {
--- a/sched/view.go
+++ b/sched/view.go
@@ -20,12 +20,14 @@
 	readUntil           event.Time // by plan, where beginnings are not told
 	free                int        // places for the highest tier; 0 if it does not serve
 	reserve             int        // of these, not for lower tiers
+	places              int        // in all; 0 if it does not serve
 	zone                string
 }
 
 // refresh makes an endpoint's view fit what is known of it at now.
 func (s *State) refresh(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
+	s.places -= v.places
 	first := e.reading.first()
 	*v = view{
 		endpoint: e, slowness: 1 / e.speed(), zone: e.Zone,
@@ -33,6 +35,8 @@
 	}
 	if e.Concurrency > 0 && e.serves(now) {
 		v.free = max(0, e.Concurrency-e.inflight)
+		v.places = e.Concurrency
+		s.places += v.places
 		if !s.pool.Discovered {
 			v.reserve = e.Concurrency / reservePart
 		}
