sched, gateway, admission: order within a rank by what a request can still earn

Ruled out: quotas.

Change: a rank's queue has three parts: streams to be resumed, requests that can be in time at their first try, and the others (late, or refused before: their caller has less time left than the route allows). What was never sent gives back its quota or its part of the budget. A request handed to another owner keeps the time that it has waited.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -286,3 +286,37 @@
 		t.Errorf("the quota has room and the request was not granted: %+v", out)
 	}
 }
+
+// TestUnsentSubmissionCountsNothing: what was never sent gives back its part of the
+// quota, or of the retry budget, and only that one.
+func TestUnsentSubmissionCountsNothing(t *testing.T) {
+	finish := func(s *State, repeat, unsent bool) {
+		var out event.Effects
+		s.Finish(0, &message.Finish{
+			Finished: event.Finished{ID: "1", Pool: "s", Void: true}, Team: "t", Quota: 500, Endpoint: "e",
+			Unsent: unsent, Repeat: repeat,
+		}, &out)
+	}
+	for name, c := range map[string]struct{ repeat, unsent bool }{
+		"first, not sent": {false, true}, "first, rejected": {false, false},
+		"repeat, not sent": {true, true}, "repeat, rejected": {true, false},
+	} {
+		s := newTestState(0)
+		var out event.Effects
+		s.Submit(0, "entry", submission(9, 700, false), &out)
+		s.Submit(0, "entry", submission(1, 500, c.repeat), &out)
+		quota, repeats := s.window("t").total(0), s.service(0, "s").repeats.total(0)
+		finish(s, c.repeat, c.unsent)
+		gotQuota, gotRepeats := quota-s.window("t").total(0), repeats-s.service(0, "s").repeats.total(0)
+		wantQuota, wantRepeats := 0, 0
+		switch {
+		case c.unsent && c.repeat:
+			wantRepeats = 1
+		case c.unsent:
+			wantQuota = 500
+		}
+		if gotQuota != wantQuota || gotRepeats != wantRepeats {
+			t.Errorf("%s: quota %d and %d repeats given back, want %d and %d", name, gotQuota, gotRepeats, wantQuota, wantRepeats)
+		}
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -201,13 +201,24 @@
 
 // Finish ends a request that was granted.
 func (s *State) Finish(now event.Time, f *message.Finish, out *event.Effects) {
-	if f.Void {
-		s.giveBack(now, f.Team, f.Quota)
+	if f.Unsent {
+		s.undo(now, f)
 	}
 	s.suspect(now, f, out)
 	s.service(now, f.Pool).pool.Step(now, &f.Finished, out)
 }
 
+// undo takes back what a submission counted that was never sent.
+func (s *State) undo(now event.Time, f *message.Finish) {
+	v := s.service(now, f.Pool)
+	if f.Repeat {
+		v.repeats.remove(now, 1)
+		return
+	}
+	v.requests.remove(now, 1)
+	s.giveBack(now, f.Team, f.Quota)
+}
+
 // suspect leaves an endpoint alone for a while that could not be reached, longer
 // each time until it serves again.
 func (s *State) suspect(now event.Time, f *message.Finish, out *event.Effects) {
--- a/event/event.go
+++ b/event/event.go
@@ -83,6 +83,10 @@
 	// Patience is the longest that the request may be expected to wait; 0 is
 	// without a limit.
 	Patience Span
+	// Begun says that the caller has a part of its answer and waits for the rest.
+	Begun bool
+	// Returned says that the caller was refused before and asks again.
+	Returned bool
 	// Zone is where the request's entry is; empty if it does not matter.
 	Zone string
 	// Avoid has endpoints that must not be chosen: they had the request before.
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -102,6 +102,16 @@
 	decision   chan Decision
 }
 
+// resubmission returns the submission as it is for who decides from now on.
+func (w *waiter) resubmission(now event.Time) message.Submission {
+	m := w.submission
+	waited := now.Sub(w.arrived)
+	m.Ticket.Waited += waited
+	m.Ticket.Deadline -= waited
+	m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-waited)
+	return m
+}
+
 // The inputs of the loop.
 type (
 	submitted struct{ w *waiter }
@@ -383,7 +393,8 @@
 		a.alone.Adopt(now, a.config.Entry, *r, &a.effects)
 	}
 	for _, w := range a.waiting {
-		a.alone.Submit(now, a.config.Entry, &w.submission, &a.effects)
+		m := w.resubmission(now)
+		a.alone.Submit(now, a.config.Entry, &m, &a.effects)
 	}
 	a.log.Warn("decides without an owner", zap.Int("entries", entries), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
 }
--- a/gateway/agent_owner.go
+++ b/gateway/agent_owner.go
@@ -132,9 +132,7 @@
 	a.owned = true
 	a.alone = nil
 	for _, w := range a.waiting {
-		m := w.submission
-		m.Ticket.Waited = now.Sub(w.arrived)
-		a.batch.Submit = append(a.batch.Submit, m)
+		a.batch.Submit = append(a.batch.Submit, w.resubmission(now))
 	}
 	a.log.Info("owner found", zap.String("address", a.conn.Remote()), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
 }
--- /dev/null
+++ b/gateway/rig_test.go
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/admission"
+	"lynxramp.org/event"
+	"lynxramp.org/link"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+	"lynxramp.org/routing"
+)
+
+// The rig of this package's tests: endpoints that answer by a script, an owner that
+// grants by a script, and a gateway between them.
+
+var testNames = Names{
+	RequestID: "X-Request", Deadline: "X-Deadline", Tokens: "X-Tokens", Expect: "X-Expect", Team: "X-Team",
+	NotRun: "X-Not-Run", Signature: "X-Signature", LastEvent: "X-Last", KeyScheme: "Key",
+}
+
+// standIn is an endpoint that answers each connection's requests by a script.
+type standIn struct {
+	address string
+	mu      sync.Mutex
+	seen    []*http.Request
+	bodies  []string
+	closed  chan struct{} // gets a value when a caller closed during hold
+}
+
+// answer writes an answer to a request; false closes the connection.
+type answer func(w net.Conn, r *http.Request) bool
+
+func newStandIn(t *testing.T, script answer) *standIn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &standIn{address: l.Addr().String(), closed: make(chan struct{}, 10)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(c net.Conn, script answer) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.seen = append(s.seen, r)
+		s.bodies = append(s.bodies, string(body))
+		s.mu.Unlock()
+		if !script(c, r) {
+			return
+		}
+	}
+}
+
+func (s *standIn) runs() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+func head(r *http.Request, status int, more string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request: %s\r\nX-Signature: sig-%s\r\n%s", status, r.Header.Get("X-Request"), r.Header.Get("X-Expect"), more)
+}
+
+// whole answers with a body of a known length.
+func whole(status int, body string) answer {
+	return func(c net.Conn, r *http.Request) bool {
+		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head(r, status, ""), len(body), body)
+		return true
+	}
+}
+
+// notRun says that the request was not run.
+func notRun(c net.Conn, r *http.Request) bool {
+	fmt.Fprintf(c, "%sContent-Length: 0\r\n\r\n", head(r, 503, "X-Not-Run: 1\r\n"))
+	return true
+}
+
+// reset ends the connection without an answer.
+func reset(c net.Conn, _ *http.Request) bool {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+func event2(id int) string { return fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id) }
+
+// events streams events from the one after the caller's last, up to a number, and
+// ends well or in the middle of the next.
+func events(upTo int, broken bool) answer {
+	return func(c net.Conn, r *http.Request) bool {
+		from := 0
+		fmt.Sscan(r.Header.Get("X-Last"), &from)
+		fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head(r, 200, ""))
+		chunk := func(text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+		for id := from + 1; id <= upTo; id++ {
+			chunk(event2(id))
+		}
+		if broken {
+			chunk("id: 99\ndata: ha")
+			return reset(c, r)
+		}
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+}
+
+// rig is a gateway with an owner that grants each request to the next endpoint.
+type rig struct {
+	gateway *Gateway
+	agent   *Agent
+	server  *httptest.Server
+	owner   *scriptedOwner
+}
+
+// scriptedOwner is the other side of an agent's link.
+type scriptedOwner struct {
+	mu       sync.Mutex
+	grantTo  []registry.Endpoint
+	next     int
+	refuse   event.Reason
+	silent   bool // it answers nothing
+	finished []message.Finish
+	submits  []message.Submission
+	conn     *link.Conn[message.Envelope]
+	document []byte
+	version  uint64
+}
+
+func (o *scriptedOwner) serve(c *link.Conn[message.Envelope]) {
+	_ = c.Serve(func(m *message.Envelope) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.silent {
+			return
+		}
+		switch {
+		case m.Hello != nil:
+			o.conn = c
+			view := &message.View{Whole: true, Document: o.document, Version: o.version}
+			for _, e := range o.grantTo {
+				view.Endpoints = append(view.Endpoints, message.Endpoint{Endpoint: e})
+			}
+			c.Send(&message.Envelope{View: view})
+		case m.Ping != nil:
+			c.Send(&message.Envelope{Pong: &message.Pong{Sent: m.Ping.Sent, Version: o.version, Entries: 1}})
+		case m.Batch != nil:
+			o.decide(c, m.Batch)
+		}
+	})
+}
+
+func (o *scriptedOwner) decide(c *link.Conn[message.Envelope], b *message.Batch) {
+	o.finished = append(o.finished, b.Finish...)
+	d := &message.Decisions{}
+	for _, s := range b.Submit {
+		o.submits = append(o.submits, s)
+		if o.refuse != event.ReasonNone || o.next >= len(o.grantTo) {
+			d.Refusals = append(d.Refusals, event.Refused{ID: s.Ticket.ID, Reason: max(o.refuse, event.ReasonShed), RetryAfter: event.Second})
+			continue
+		}
+		e := o.grantTo[o.next]
+		o.next++
+		d.Grants = append(d.Grants, event.Granted{ID: s.Ticket.ID, Endpoint: event.EndpointID(e.ID), Address: e.Address})
+	}
+	c.Send(&message.Envelope{Decisions: d})
+}
+
+func testTable(version uint64, key string) *routing.Table {
+	route := func(name string, kind routing.Kind, resumable bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second,
+			Target: time.Second, Split: []routing.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2, Resumable: resumable,
+		}
+	}
+	t := &routing.Table{
+		Version: version,
+		Routes: []routing.Route{
+			route("once", routing.KindOnce, false), route("safe", routing.KindRepeatable, false),
+			route("stream", routing.KindStream, true), route("single", routing.KindStream, false),
+		},
+		Services: []routing.Service{{Name: "s"}},
+		Teams:    []routing.Team{{Name: "team", Keys: []string{key}}},
+		Limits:   routing.Limits{BodyBytes: 1000},
+	}
+	t.Index()
+	return t
+}
+
+// newRig starts a gateway in front of endpoints, which are granted in their order.
+func newRig(t *testing.T, endpoints ...*standIn) *rig {
+	t.Helper()
+	o := &scriptedOwner{document: []byte("1"), version: 1}
+	for i, s := range endpoints {
+		o.grantTo = append(o.grantTo, registry.Endpoint{ID: fmt.Sprintf("e%d", i+1), Service: "s", Address: s.address, Slots: 4})
+	}
+	l, err := link.Listen("127.0.0.1:0", o.serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := NewAgent(AgentConfig{
+		Entry: "entry", Life: 7, Control: []string{l.Addr().String()}, Fresh: 5 * event.Second,
+		Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second, RetryMin: 10},
+		Decode: func(data []byte) (*routing.Table, error) {
+			if string(data) == "2" {
+				return testTable(2, "other"), nil
+			}
+			return testTable(1, "key"), nil
+		},
+		Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go agent.Run(ctx)
+	g := New(Config{Agent: agent, Names: testNames, HeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Life: 7})
+	server := httptest.NewServer(g)
+	server.Config.ErrorLog = zap.NewStdLog(zap.NewNop())
+	t.Cleanup(func() {
+		server.Close()
+		cancel()
+		_ = l.Close()
+	})
+	waitFor(t, "the gateway is ready", g.Ready)
+	return &rig{gateway: g, agent: agent, server: server, owner: o}
+}
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("it did not come to pass that %s", what)
+}
+
+func (r *rig) request(method, path, body string) *http.Request {
+	q, err := http.NewRequest(method, r.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		panic(err) // the tests' paths are sound
+	}
+	q.Host = "h.example"
+	q.Header.Set("X-Request", "r-1")
+	q.Header.Set("X-Deadline", "2500")
+	q.Header.Set("X-Team", "forged")
+	q.Header.Set("Authorization", "Key key")
+	return q
+}
+
+// do sends a request and returns the status, the body, and whether it came whole.
+func (r *rig) do(t *testing.T, q *http.Request) (int, string, bool) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := client.Do(q)
+	if err != nil {
+		return 0, "", false
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(body), err == nil
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -66,6 +66,7 @@
 // attempt is one try at one endpoint, with what came of it.
 type attempt struct {
 	decision Decision
+	repeat   bool // it drew on the retry budget
 	outcome  outcome
 	err      error
 	first    time.Duration // to the answer's beginning
@@ -95,6 +96,7 @@
 			return
 		}
 		a := c.try(ctx, decision)
+		a.repeat = repeat
 		c.tell(a)
 		if a.outcome != outcomeDone && c.r.Context().Err() != nil {
 			c.gone()
@@ -253,7 +255,9 @@
 		Team: c.teamName(), Endpoint: a.decision.Endpoint,
 		Suspect: a.outcome == outcomeNotSent || (a.outcome == outcomeUnknown && a.first == 0),
 	}
-	if f.Void && a.outcome == outcomeNotSent {
+	if a.outcome == outcomeNotSent {
+		f.Unsent = true
+		f.Repeat = a.repeat
 		f.Quota = c.quota()
 	}
 	c.gateway.agent.Finish(f)
--- a/message/message.go
+++ b/message/message.go
@@ -132,7 +132,11 @@
 type Finish struct {
 	event.Finished
 	Team  string
-	Quota int // given back if the request has not run
+	Quota int // what the request counted against its team's quota
+	// Unsent says that not a byte left for the endpoint, and Repeat that the
+	// submission drew on the retry budget: what it counted is given back.
+	Unsent bool
+	Repeat bool
 	// Suspect says that the endpoint could not be reached or did not answer as
 	// itself.
 	Suspect  bool
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -307,3 +307,51 @@
 		}
 	}
 }
+
+// TestFullWorthGoesFirst: within a rank a stream that is resumed goes first, then what
+// can be in time at its first try, then what was refused before, and what is late.
+func TestFullWorthGoesFirst(t *testing.T) {
+	s := discovered(1, 1)
+	var out event.Effects
+	patient := func(change func(*event.Ticket)) func(*event.Ticket) {
+		return func(k *event.Ticket) {
+			k.Patience = 0
+			if change != nil {
+				change(k)
+			}
+		}
+	}
+	s.Step(0, call(0, nil), &out)
+	s.Step(0, call(1, patient(func(k *event.Ticket) { k.Target = 100 * event.Millisecond })), &out)
+	s.Step(0, call(2, patient(func(k *event.Ticket) { k.Returned = true })), &out)
+	s.Step(0, call(3, patient(nil)), &out)
+	s.Step(0, call(4, patient(func(k *event.Ticket) { k.Begun = true })), &out)
+	now := event.Time(200 * event.Millisecond)
+	s.Step(now, &event.Tick{}, &out)
+	want := []event.RequestID{"r4", "r3", "r1", "r2"}
+	running := event.RequestID("r0")
+	for i, id := range want {
+		out.Reset()
+		s.Step(now, &event.Finished{ID: running, Pool: pool}, &out)
+		if len(out.Grants) != 1 || out.Grants[0].ID != id {
+			t.Fatalf("grant %d is %+v, want %s", i, out.Grants, id)
+		}
+		running = id
+	}
+}
+
+// TestForecastCountsTimeNotRequests: a queue of short requests drains sooner than one
+// of as many long ones.
+func TestForecastCountsTimeNotRequests(t *testing.T) {
+	refused := func(tokens int) int {
+		s := discovered(1, 4)
+		var out event.Effects
+		for i := range 40 {
+			s.Step(0, call(i, func(k *event.Ticket) { k.OutputTokens = tokens }), &out)
+		}
+		return len(out.Refusals)
+	}
+	if short, long := refused(10), refused(400); short != 0 || long < 20 {
+		t.Errorf("%d of 40 short and %d of 40 long requests refused", short, long)
+	}
+}
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -22,6 +22,7 @@
 			s.refuse(now, k, event.ReasonShed, out)
 		}
 	case *event.Tick:
+		s.demoteLate(now)
 		var late []*ticket
 		for _, k := range s.queue.byID {
 			if s.isHopeless(now, k) {
@@ -35,6 +36,26 @@
 	}
 }
 
+// demoteLate puts requests behind the others of their rank that can't be in time any
+// more, even at the fastest endpoint.
+func (s *State) demoteLate(now event.Time) {
+	if !s.pool.Discovered || s.pool.LeastOutstanding || s.fastest == 0 {
+		return
+	}
+	var late []*ticket
+	for _, k := range s.queue.byID {
+		fill := float64(k.PromptTokens) / s.profile().PrefillRate / s.fastest
+		if k.standing == standingWhole && k.Target > 0 && (k.Target-now.Sub(k.arrived)).Seconds() < fill {
+			late = append(late, k)
+		}
+	}
+	for _, k := range late {
+		s.queue.remove(k)
+		k.standing = standingLess
+		s.queue.add(k)
+	}
+}
+
 // isHopeless reports whether a request is to be refused for its wait.
 func (s *State) isHopeless(now event.Time, k *ticket) bool {
 	if k.Patience == 0 || s.pool.LeastOutstanding {
@@ -66,10 +87,10 @@
 		drained := t.drain.perSecond(now)
 		all += drained
 		switch {
-		case t.rank > k.Rank:
+		case t.before(k.Rank, k.standing):
 			above += t.work
 			continue
-		case t.rank == k.Rank:
+		case t.rank == k.Rank && t.standing == k.standing:
 			beside = t.work
 		}
 		lower += drained
--- a/sched/place.go
+++ b/sched/place.go
@@ -79,7 +79,7 @@
 	s.book(k.ID, g)
 	s.refresh(now, e)
 	s.drain.add(now, 1)
-	s.queue.tier(k.Rank).drain.add(now, k.hold)
+	s.queue.tier(k.Rank, k.standing).drain.add(now, k.hold)
 	granted := g.effect(k.ID)
 	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Span(est.needed * float64(event.Second))}
 	out.Grants = append(out.Grants, granted)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -24,6 +24,7 @@
 	expected int        // output tokens, by what the service's answers had
 	class    *class     // of the rank that it came with
 	hold     float64    // seconds that it is expected to hold its place
+	standing standing
 }
 
 // avoids reports whether the ticket must not go to an endpoint.
@@ -59,10 +60,23 @@
 	return a.name < b.name
 }
 
-// tier is the part of the queue that belongs to one rank.
+// standing orders the requests of one rank; the smaller goes first.
+type standing uint8
+
+const (
+	// standingBegun: the caller has a part of its answer, and waits for the rest.
+	standingBegun standing = iota
+	// standingWhole: it can still be in time, at its first try.
+	standingWhole
+	// standingLess: it is late, or its caller was refused before.
+	standingLess
+)
+
+// tier is the part of the queue that belongs to one rank and standing.
 type tier struct {
-	rank  int
-	teams map[string]*team
+	rank     int
+	standing standing
+	teams    map[string]*team
 	// active has the teams with a waiting request, least served first.
 	active *btree.BTreeG[*team]
 	// floor is the service of the team last chosen. A team that was idle
@@ -89,10 +103,21 @@
 
 func (q *queue) len() int { return len(q.byID) }
 
-func (q *queue) tier(rank int) *tier {
-	i, ok := slices.BinarySearchFunc(q.tiers, rank, func(t *tier, rank int) int { return rank - t.rank })
-	if !ok {
-		t := &tier{rank: rank, teams: make(map[string]*team), active: btree.NewG(treeDegree, teamLess)}
+// before reports whether a tier goes before the one of a rank and standing.
+func (t *tier) before(rank int, standing standing) bool {
+	if t.rank != rank {
+		return t.rank > rank
+	}
+	return t.standing < standing
+}
+
+func (q *queue) tier(rank int, standing standing) *tier {
+	i := slices.IndexFunc(q.tiers, func(t *tier) bool { return !t.before(rank, standing) })
+	if i < 0 {
+		i = len(q.tiers)
+	}
+	if i == len(q.tiers) || q.tiers[i].rank != rank || q.tiers[i].standing != standing {
+		t := &tier{rank: rank, standing: standing, teams: make(map[string]*team), active: btree.NewG(treeDegree, teamLess)}
 		q.tiers = slices.Insert(q.tiers, i, t)
 	}
 	return q.tiers[i]
@@ -108,7 +133,7 @@
 }
 
 func (q *queue) add(k *ticket) {
-	t := q.tier(k.Rank)
+	t := q.tier(k.Rank, k.standing)
 	m := t.team(k.Team)
 	if m.waiting.Len() == 0 {
 		m.service = max(m.service, t.floor)
@@ -122,7 +147,7 @@
 }
 
 func (q *queue) remove(k *ticket) {
-	t := q.tier(k.Rank)
+	t := q.tier(k.Rank, k.standing)
 	m := t.team(k.Team)
 	m.waiting.Delete(k)
 	if m.waiting.Len() == 0 {
@@ -166,7 +191,7 @@
 // charge adds tokens to what the ticket's team was served. The ticket must be
 // out of the queue.
 func (q *queue) charge(k *ticket, tokens float64) {
-	t := q.tier(k.Rank)
+	t := q.tier(k.Rank, k.standing)
 	m := t.team(k.Team)
 	t.floor = max(t.floor, m.service)
 	waits := m.waiting.Len() > 0
--- a/sched/state.go
+++ b/sched/state.go
@@ -233,6 +233,7 @@
 	k.expected = s.length(k.Service).expect(k.OutputTokens)
 	k.class = s.classes.at(k.Rank)
 	k.hold = s.hold(k)
+	k.standing = s.standing(k)
 	if s.pool.Discovered {
 		k.Rank = s.promote(now, k)
 	}
@@ -243,6 +244,20 @@
 	s.queue.add(k)
 }
 
+// standing returns where among its rank a request waits.
+func (s *State) standing(k *ticket) standing {
+	switch {
+	case s.pool.LeastOutstanding:
+		return standingWhole
+	case k.Begun:
+		return standingBegun
+	case k.Returned:
+		return standingLess
+	default:
+		return standingWhole
+	}
+}
+
 // seeRank takes note of the highest tier that came lately.
 func (s *State) seeRank(now event.Time, rank int) {
 	if rank >= s.top || now.Sub(s.topSeen) >= topMemory {
