--- a/event/event.go
+++ b/event/event.go
@@ -127,8 +127,10 @@
 	Tokens int
 	// Failed is set when the endpoint did not serve the request to its end.
 	Failed bool
-	// Void is set when the request has not run there and will not.
-	Void bool
+	// Void is set when the request has not run there and will not, and Unused when it
+	// was not even offered.
+	Void   bool
+	Unused bool
 	// FirstAfter is the time from the hand-over to the answer's beginning; 0 if
 	// there was none.
 	FirstAfter Span
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -266,7 +266,7 @@
 		// It was granted in the meantime and is not used.
 		if r, runs := a.running[id]; runs {
 			a.finish(now, message.Finish{
-				Finished: event.Finished{ID: id, Pool: r.Ticket.Service, Void: true},
+				Finished: event.Finished{ID: id, Pool: r.Ticket.Service, Void: true, Unused: true},
 				Team:     r.Ticket.Team, Endpoint: r.Endpoint,
 			})
 		}
@@ -345,7 +345,7 @@
 	if !ok {
 		return
 	}
-	a.finish(now, message.Finish{Finished: event.Finished{ID: g.ID, Pool: e.Service, Void: true}, Endpoint: g.Endpoint})
+	a.finish(now, message.Finish{Finished: event.Finished{ID: g.ID, Pool: e.Service, Void: true, Unused: true}, Endpoint: g.Endpoint})
 }
 
 // flush sends what was gathered.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,6 +143,7 @@
 	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
 	defer c.writeRecord()
+	defer c.dropBody()
 	if !c.admit() {
 		return
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -323,3 +323,14 @@
 		t.Errorf("%d by a configuration that may be too old, want 503", status)
 	}
 }
+
+// TestRefusedStreamHoldsNoBody: a stream that comes too late was counted among the
+// bodies held for good.
+func TestRefusedStreamHoldsNoBody(t *testing.T) {
+	r := newRig(t, newStandIn(t, events(3, false)))
+	r.gateway.RefuseStreams()
+	if status, _, _ := r.do(t, r.request("POST", "/stream/x", "question")); status != 503 {
+		t.Errorf("status %d, want 503", status)
+	}
+	waitFor(t, "nothing is held", func() bool { return r.gateway.bytes.Load() == 0 })
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -84,7 +84,6 @@
 
 // run finds endpoints for the request until it has its answer or is given up.
 func (c *call) run() {
-	defer c.dropBody()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	unsent := 0
@@ -139,7 +138,7 @@
 	case d := <-answer:
 		c.gateway.meters.decided(asked, d.Alone)
 		if d.Granted && !c.stillAllowed() {
-			c.withdraw(m)
+			c.unused(d, repeat)
 			c.endNotRun(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
 			return d, false
 		}
@@ -242,6 +241,14 @@
 	}
 }
 
+// unused gives a grant back that the request does not use.
+func (c *call) unused(d Decision, repeat bool) {
+	c.gateway.agent.Finish(message.Finish{
+		Finished: event.Finished{ID: c.id, Pool: c.service, Void: true, Unused: true, Failed: true},
+		Team:     c.teamName(), Endpoint: d.Endpoint, Unsent: true, Repeat: repeat, Quota: c.quota(),
+	})
+}
+
 // tell tells who decides how an attempt ended.
 func (c *call) tell(a *attempt) {
 	failed := a.outcome != outcomeDone || a.err != nil
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -355,3 +355,19 @@
 		t.Errorf("%d of 40 short and %d of 40 long requests refused", short, long)
 	}
 }
+
+// TestUnusedGrantLeavesItsEndpointAsItIs: an endpoint that did not take a request is
+// left alone for a while, one that was not offered it is not.
+func TestUnusedGrantLeavesItsEndpointAsItIs(t *testing.T) {
+	for _, unused := range []bool{true, false} {
+		s := discovered(1, 1)
+		var out event.Effects
+		s.Step(0, call(1, nil), &out)
+		s.Step(0, &event.Finished{ID: "r1", Pool: pool, Void: true, Unused: unused}, &out)
+		out.Reset()
+		s.Step(0, call(2, nil), &out)
+		if got := len(out.Grants) == 1; got != unused {
+			t.Errorf("unused %v: granted again at once: %v", unused, got)
+		}
+	}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -294,7 +294,7 @@
 // for a while.
 func (s *State) finish(now event.Time, e *event.Finished) {
 	if g, ok := s.grants[e.ID]; ok {
-		if e.Void {
+		if e.Void && !e.Unused {
 			g.endpoint.leftUntil = now.Add(HoldOff)
 		}
 		if !e.Failed && !e.Void {
