--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -23,10 +23,10 @@
 	agentTick = 50 * time.Millisecond
 	pingEvery = 200 * event.Millisecond
 	// pongPatience is how long an owner may leave a ping without an answer.
-	pongPatience = 800 * event.Millisecond
+	pongPatience = 500 * event.Millisecond
 	// aloneAfter is how long an entry is without an owner before it decides by
 	// itself.
-	aloneAfter = 150 * event.Millisecond
+	aloneAfter = 100 * event.Millisecond
 	redialWait = 60 * event.Millisecond
 	// startPatience is how long requests wait in a process that has just started
 	// and knows no configuration yet.
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -111,11 +111,25 @@
 	if !ok {
 		return
 	}
-	if g.alone && s.pool.Discovered && b.After > 0 {
-		s.prefill.learn(float64(g.prompt)/g.endpoint.speed(), b.After.Seconds())
+	e := g.endpoint
+	if s.pool.Discovered {
+		s.learnReading(now, e, g, b.After)
 	}
-	g.endpoint.reading.remove(now, g)
-	s.refresh(now, g.endpoint)
+	e.reading.remove(now, g)
+	s.refresh(now, e)
+}
+
+// learnReading learns from an answer that has begun how fast prompts are read, in
+// general and at its endpoint now.
+func (s *State) learnReading(now event.Time, e *endpoint, g *grant, after event.Span) {
+	if g.alone && after > 0 {
+		s.prefill.learn(float64(g.prompt)/e.speed(), after.Seconds())
+	}
+	if g.fill < paceWork || s.prefill.rate() == 0 || e.reading.head() != g {
+		return
+	}
+	read := now.Sub(e.reading.since).Seconds() - s.prefill.fixed()
+	e.pace.learn(now, read*e.speed()/g.fill)
 }
 
 // isWorthWaiting reports whether a request would be late at the best endpoint that
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -27,6 +27,7 @@
 	// leftUntil is when it may be granted work again.
 	leftUntil event.Time
 	reading   reading
+	pace      pace // of reading
 	grants    map[event.RequestID]*grant
 	memory    memory
 	// measured is how much slower than the pool's profile the endpoint was lately;
--- a/sched/reading.go
+++ b/sched/reading.go
@@ -49,6 +49,14 @@
 	r.until = max(r.until, now).Add(fill)
 }
 
+// head returns the grant whose prompt is being read; nil if there is none.
+func (r *reading) head() *grant {
+	if len(r.pending) == 0 {
+		return nil
+	}
+	return r.pending[0]
+}
+
 // first returns the work of the prompt that is being read, in seconds at speed 1.
 func (r *reading) first() float64 {
 	if len(r.pending) == 0 {
@@ -57,6 +65,41 @@
 	return r.pending[0].fill
 }
 
+// Weights and bounds of an endpoint's pace.
+const (
+	paceWeight = 0.2
+	paceMin    = 0.4
+	paceMax    = 4.0
+	// paceWork is the least work of a sample, in seconds at speed 1: of a short prompt
+	// other times are the larger part.
+	paceWork = 0.02
+	// paceStale is how long a sample counts.
+	paceStale = 4 * event.Second
+)
+
+// pace is how much slower an endpoint reads prompts now than by its speed alone: its
+// other requests take their part. The zero value is as fast as by its speed.
+type pace struct {
+	value float64
+	at    event.Time
+}
+
+// get returns the pace at now.
+func (p *pace) get(now event.Time) float64 {
+	if p.value == 0 || now.Sub(p.at) > paceStale {
+		return 1
+	}
+	return p.value
+}
+
+// learn takes a sample.
+func (p *pace) learn(now event.Time, sample float64) {
+	sample = min(max(sample, paceMin), paceMax)
+	before := p.get(now)
+	p.value = before + paceWeight*(sample-before)
+	p.at = now
+}
+
 // How the rate of reading prompts is learned.
 const (
 	prefillSamples = 20   // needed before the rate is used
@@ -86,6 +129,16 @@
 	f.xy = f.xy*prefillKeep + tokens*seconds
 }
 
+// fixed returns the seconds that an answer takes beside its prompt; 0 while they are
+// not known.
+func (f *prefillFit) fixed() float64 {
+	rate := f.rate()
+	if rate == 0 {
+		return 0
+	}
+	return max(0, (f.y-f.x/rate)/f.weight)
+}
+
 // rate returns the prompt tokens a second at speed 1; 0 while it is not known.
 func (f *prefillFit) rate() float64 {
 	if f.samples < prefillSamples {
--- a/sched/view.go
+++ b/sched/view.go
@@ -13,6 +13,7 @@
 type view struct {
 	endpoint *endpoint
 	slowness float64 // 1 / speed
+	reading  float64 // slowness at reading prompts
 	// The prompts that it has to read first: firstWork seconds of the one that it
 	// reads since readSince, and moreWork of those behind it, both at speed 1.
 	firstWork, moreWork float64
@@ -30,7 +31,7 @@
 	s.places -= v.places
 	first := e.reading.first()
 	*v = view{
-		endpoint: e, slowness: 1 / e.speed(), zone: e.Zone,
+		endpoint: e, slowness: 1 / e.speed(), reading: e.pace.get(now) / e.speed(), zone: e.Zone,
 		firstWork: first, moreWork: e.reading.work - first, readSince: e.reading.since, readUntil: e.reading.until,
 	}
 	if e.Concurrency > 0 && e.serves(now) {
@@ -72,7 +73,7 @@
 
 // farCost is what an endpoint in another zone costs: as much as so many seconds of
 // waiting. It decides between endpoints that are about as good.
-const farCost = 0.04
+const farCost = 0.12
 
 func (s *State) price(now event.Time, k *ticket) price {
 	profile := s.profile()
@@ -116,7 +117,7 @@
 // its prompt, and how long it takes there.
 func (p *price) at(v *view, cached int) (cost float64, est estimate) {
 	work := p.fill - float64(cached)/p.rate
-	fill := work * v.slowness
+	fill := work * v.reading
 	total := fill + p.decode*v.slowness
 	begin := fill
 	if p.fill == 0 {
@@ -151,9 +152,9 @@
 
 // ahead returns how many seconds the endpoint reads other prompts first.
 func (v *view) ahead(now event.Time) float64 {
-	first := v.firstWork*v.slowness - now.Sub(v.readSince).Seconds()
+	first := v.firstWork*v.reading - now.Sub(v.readSince).Seconds()
 	planned := v.readUntil.Sub(now).Seconds()
-	return max(0, first) + v.moreWork*v.slowness + max(0, planned)
+	return max(0, first) + v.moreWork*v.reading + max(0, planned)
 }
 
 // choice is what choose finds for a request. Times are in seconds.
