--- a/cluster/server.go
+++ b/cluster/server.go
@@ -25,7 +25,7 @@
 
 // Times and bounds of a control box.
 const (
-	tickEvery  = 100 * time.Millisecond
+	tickEvery  = 50 * time.Millisecond
 	joinEvery  = 300 * time.Millisecond
 	inputDepth = 1024
 	// quietLeader is how long a voter may be without a leader before it asks to
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -15,9 +15,9 @@
 // Times of the group. ElectionMin is also the length of a leader's lease, less
 // LeaseMargin for clocks that run at unlike rates.
 const (
-	ElectionMin    = 600 * event.Millisecond
-	ElectionSpread = 400 * event.Millisecond
-	HeartbeatEvery = 200 * event.Millisecond
+	ElectionMin    = 400 * event.Millisecond
+	ElectionSpread = 250 * event.Millisecond
+	HeartbeatEvery = 120 * event.Millisecond
 	LeaseMargin    = 60 * event.Millisecond
 	// appendRetry is how long an append may be without a reply before it is
 	// sent again.
--- a/sched/reading_test.go
+++ b/sched/reading_test.go
@@ -99,3 +99,23 @@
 		t.Error("a request that is late everywhere does not take the place that is free")
 	}
 }
+
+// TestPaceOfReadingIsLearned: an endpoint that reads slower than its speed says is
+// expected to do so with the next prompts, for a while.
+func TestPaceOfReadingIsLearned(t *testing.T) {
+	var p pace
+	if p.get(0) != 1 {
+		t.Errorf("pace %v without a sample", p.get(0))
+	}
+	now := event.Time(0)
+	for range 30 {
+		now = now.Add(100 * event.Millisecond)
+		p.learn(now, 2)
+	}
+	if got := p.get(now); got < 1.9 || got > 2 {
+		t.Errorf("pace %v after samples of 2", got)
+	}
+	if got := p.get(now.Add(paceStale + event.Second)); got != 1 {
+		t.Errorf("pace %v, the samples are too old", got)
+	}
+}
