admission, sched, gateway: try an endpoint that failed with one request, on a new connection

Change: from its failure until it has served again an endpoint gets one request at a time, on a new connection: if it is dead, nothing was sent. A request that had a place does not queue anew.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -320,3 +320,27 @@
 		}
 	}
 }
+
+// TestFailedEndpointIsTriedByOneRequest: when its time is over, an endpoint that was
+// not reached is tried by one request, and by all again once that was served.
+func TestFailedEndpointIsTriedByOneRequest(t *testing.T) {
+	s := newTestState(0)
+	var out event.Effects
+	s.Submit(0, "entry", submission(1, 0, false), &out)
+	s.Finish(0, &message.Finish{Finished: event.Finished{ID: "1", Pool: "s", Void: true, Unused: true}, Endpoint: "e", Suspect: true}, &out)
+	now := event.Time(suspectTime + event.Millisecond)
+	s.Tick(now, &out)
+	out.Reset()
+	for id := 2; id <= 4; id++ {
+		s.Submit(now, "entry", submission(id, 0, false), &out)
+	}
+	if len(out.Grants) != 1 || !out.Grants[0].Fresh {
+		t.Fatalf("grants %+v, want one", out.Grants)
+	}
+	tried := out.Grants[0].ID
+	out.Reset()
+	s.Finish(now, &message.Finish{Finished: event.Finished{ID: tried, Pool: "s"}, Endpoint: "e"}, &out)
+	if len(out.Grants) != 2 {
+		t.Errorf("%d granted after it served again, want the other 2", len(out.Grants))
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -131,6 +131,7 @@
 		},
 		Address: k.Address,
 		Down:    k.Down || now < k.suspectUntil,
+		Unsure:  k.failures > 0,
 	}, out)
 }
 
@@ -229,12 +230,10 @@
 		k.failures = min(k.failures+1, 4)
 		k.suspectUntil = now.Add(suspectTime * event.Span(k.failures))
 		s.tell(now, k, out)
-	case !f.Failed && !f.Void:
+	case !f.Failed && !f.Void && k.failures > 0:
 		k.failures = 0
-		if now < k.suspectUntil {
-			k.suspectUntil = now
-			s.tell(now, k, out)
-		}
+		k.suspectUntil = now
+		s.tell(now, k, out)
 	}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -83,8 +83,9 @@
 	// Patience is the longest that the request may be expected to wait; 0 is
 	// without a limit.
 	Patience Span
-	// Begun says that the caller has a part of its answer and waits for the rest.
-	Begun bool
+	// Placed says that the request had a place before, which was of no use, or whose
+	// answer broke off: it does not queue anew.
+	Placed bool
 	// Returned says that the caller was refused before and asks again.
 	Returned bool
 	// Zone is where the request's entry is; empty if it does not matter.
@@ -154,8 +155,10 @@
 type EndpointSeen struct {
 	Endpoint Endpoint
 	Address  string // IP:port
-	// Down is set while it gives no sign of life.
-	Down bool
+	// Down is set while it gives no sign of life, and Unsure from when it failed until
+	// it has served again: it gets one request at a time.
+	Down   bool
+	Unsure bool
 }
 
 // EndpointGone says that an endpoint has ended for good.
@@ -281,7 +284,10 @@
 	Incarnation Incarnation
 	// Attempt is the ticket's.
 	Attempt int
-	Inputs  Inputs
+	// Fresh asks for a new connection: the endpoint failed lately, and on one that was
+	// kept the request's fate would be unknown if it is dead.
+	Fresh  bool
+	Inputs Inputs
 	// Attach, if set, is the dispatch whose answer there is to be fetched:
 	// nothing is offered.
 	Attach DispatchID
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -43,6 +43,8 @@
 	Address    string
 	Reason     event.Reason
 	RetryAfter event.Span
+	// Fresh asks for a new connection to the endpoint.
+	Fresh bool
 	// Alone says that the entry decided without an owner.
 	Alone bool
 	// Inputs are what decided.
@@ -324,7 +326,7 @@
 		if alone {
 			a.ledgerAlone.Note(now, &w.submission)
 		}
-		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Alone: alone, Inputs: g.Inputs}
+		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Fresh: g.Fresh, Alone: alone, Inputs: g.Inputs}
 	}
 	for _, r := range refusals {
 		w, ok := a.waiting[r.ID]
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,7 @@
 	deadline time.Time
 	attempts int // endpoints that the request was sent to
 	avoid    []event.EndpointID
+	placed   bool // it was granted an endpoint before
 	// mayHaveRun is set once an endpoint had the request and did not say that it has
 	// not run it.
 	mayHaveRun bool
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -94,6 +94,7 @@
 		if !ok {
 			return
 		}
+		c.placed = true
 		a := c.try(ctx, decision)
 		a.repeat = repeat
 		c.tell(a)
@@ -278,7 +279,7 @@
 func (c *call) try(ctx context.Context, d Decision) *attempt {
 	a := &attempt{decision: d, outcome: outcomeNotSent}
 	began := time.Now()
-	conn, err := c.gateway.upstream.get(ctx, d.Address, string(d.Endpoint))
+	conn, err := c.gateway.upstream.get(ctx, d.Address, string(d.Endpoint), d.Fresh)
 	if err != nil {
 		a.err = err
 		return a
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -58,15 +58,16 @@
 	reused bool
 }
 
-// get returns a connection that is kept, or a new one.
-func (u *upstream) get(ctx context.Context, address, endpoint string) (*upConn, error) {
+// get returns a connection that is kept, or a new one; fresh asks for the latter, and
+// drops those that are kept.
+func (u *upstream) get(ctx context.Context, address, endpoint string, fresh bool) (*upConn, error) {
 	key := address + " " + endpoint
 	for {
 		c := u.pop(key)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.until) && isQuiet(c.Conn) {
+		if !fresh && time.Now().Before(c.until) && isQuiet(c.Conn) {
 			c.reused = true
 			return c, nil
 		}
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -24,6 +24,7 @@
 	e.Endpoint = seen.Endpoint
 	e.report.Address = seen.Address
 	e.report.Down = seen.Down
+	e.unsure = seen.Unsure
 	e.reported = true
 	e.heard = always
 	if !ok {
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -325,7 +325,7 @@
 	s.Step(0, call(1, patient(func(k *event.Ticket) { k.Target = 100 * event.Millisecond })), &out)
 	s.Step(0, call(2, patient(func(k *event.Ticket) { k.Returned = true })), &out)
 	s.Step(0, call(3, patient(nil)), &out)
-	s.Step(0, call(4, patient(func(k *event.Ticket) { k.Begun = true })), &out)
+	s.Step(0, call(4, patient(func(k *event.Ticket) { k.Placed = true })), &out)
 	now := event.Time(200 * event.Millisecond)
 	s.Step(now, &event.Tick{}, &out)
 	want := []event.RequestID{"r4", "r3", "r1", "r2"}
@@ -371,3 +371,27 @@
 		}
 	}
 }
+
+// TestUnsureEndpointGetsOneRequestOnANewConnection: until an endpoint that failed has
+// served again, no more than one request is at stake there, and on a connection whose
+// failure tells that nothing was sent.
+func TestUnsureEndpointGetsOneRequestOnANewConnection(t *testing.T) {
+	s := discovered(1, 4)
+	seen := &event.EndpointSeen{
+		Endpoint: event.Endpoint{ID: "e0000", Concurrency: 4, Speed: 1}, Address: "10.0.0.1:80", Unsure: true,
+	}
+	var out event.Effects
+	s.Step(0, seen, &out)
+	for i := range 4 {
+		s.Step(0, call(i, nil), &out)
+	}
+	if len(out.Grants) != 1 || !out.Grants[0].Fresh {
+		t.Fatalf("grants %+v, want one that asks for a new connection", out.Grants)
+	}
+	out.Reset()
+	seen.Unsure = false
+	s.Step(0, seen, &out)
+	if len(out.Grants) != 3 || out.Grants[0].Fresh {
+		t.Errorf("grants %+v, want the other three", out.Grants)
+	}
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -23,6 +23,7 @@
 	heard    event.Time
 	listed   bool // as leaving, by the platform
 	reported bool
+	unsure   bool // it failed lately
 	inflight int
 	// leftUntil is when it may be granted work again.
 	leftUntil event.Time
@@ -62,6 +63,15 @@
 	return e.reported && !e.Leaving && !e.listed && now >= e.leftUntil && !e.report.Leaving && !e.report.Down && now.Sub(e.heard) <= ReportBound
 }
 
+// room returns how many requests the endpoint may have at once: one while it is not
+// known to serve again after a failure.
+func (e *endpoint) room() int {
+	if e.unsure {
+		return min(1, e.Concurrency)
+	}
+	return e.Concurrency
+}
+
 // speed is relative to the reference engine: measured, or else the nameplate's.
 func (e *endpoint) speed() float64 {
 	if e.measured > 0 {
--- a/sched/place.go
+++ b/sched/place.go
@@ -93,6 +93,7 @@
 		Address:     g.endpoint.report.Address,
 		Incarnation: g.life,
 		Attempt:     g.attempt,
+		Fresh:       g.endpoint.unsure,
 	}
 }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -64,8 +64,8 @@
 type standing uint8
 
 const (
-	// standingBegun: the caller has a part of its answer, and waits for the rest.
-	standingBegun standing = iota
+	// standingPlaced: it had a place before.
+	standingPlaced standing = iota
 	// standingWhole: it can still be in time, at its first try.
 	standingWhole
 	// standingLess: it is late, or its caller was refused before.
--- a/sched/state.go
+++ b/sched/state.go
@@ -249,8 +249,8 @@
 	switch {
 	case s.pool.LeastOutstanding:
 		return standingWhole
-	case k.Begun:
-		return standingBegun
+	case k.Placed:
+		return standingPlaced
 	case k.Returned:
 		return standingLess
 	default:
--- a/sched/view.go
+++ b/sched/view.go
@@ -35,7 +35,7 @@
 		firstWork: first, moreWork: e.reading.work - first, readSince: e.reading.since, readUntil: e.reading.until,
 	}
 	if e.Concurrency > 0 && e.serves(now) {
-		v.free = max(0, e.Concurrency-e.inflight)
+		v.free = max(0, e.room()-e.inflight)
 		v.places = e.Concurrency
 		s.places += v.places
 		if !s.pool.Discovered {
