admission, cluster, gateway: entries alone spend their share of what was left of a quota

The owner was lost twice while one tenant asked far more than its quota; an entry that had spent less than its share could then spend up to three seconds of its share's rate though the owner had given the whole quota to others.

Ruled out: quotas given back for unsent requests (none at that time).

Change: with each pong the owner tells what is left of the quotas that are more than half spent, and what comes free of them in each of the next five seconds; an entry alone spends its share of that.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -344,3 +344,61 @@
 		t.Errorf("%d granted after it served again, want the other 2", len(out.Grants))
 	}
 }
+
+// TestEntriesAloneSpendWhatWasLeft: one entry has spent a whole quota by the owner's
+// leave; when the owner is lost, the others must not spend their shares beside it. It
+// failed while each could save up three seconds of its share whatever was left.
+func TestEntriesAloneSpendWhatWasLeft(t *testing.T) {
+	const entries = 4
+	const limit = (8*1000 + 1000) * 1.1
+	owner := newTestState(0)
+	ledgers := make([]*State, entries)
+	for i := range ledgers {
+		ledgers[i] = newTestState(0)
+	}
+	type spending struct {
+		at     event.Time
+		amount int
+	}
+	var spent []spending
+	id := 0
+	submit := func(s *State, entry int, now event.Time) {
+		id++
+		m := submission(id, 50, false)
+		m.Ticket.Target = event.Millisecond // it does not wait for the quota
+		var out event.Effects
+		s.Submit(now, "entry", m, &out)
+		if len(out.Grants) == 1 {
+			ledgers[entry].Note(now, m)
+			spent = append(spent, spending{now, 50})
+		}
+	}
+	now := event.Time(0)
+	step := 10 * event.Millisecond
+	for ; now < event.Time(12*event.Second); now = now.Add(step) {
+		submit(owner, 0, now) // five times the rate
+	}
+	alone := make([]*State, entries)
+	for i := range alone {
+		alone[i] = newTestState(now)
+		alone[i].SetShare(1.0 / entries)
+		alone[i].Take(now, ledgers[i].Report(now), 8*event.Second)
+		alone[i].SetAllowances(owner.Tight(now), now)
+	}
+	for end := now.Add(event.Second); now < end; now = now.Add(step) {
+		for i := range alone {
+			submit(alone[i], i, now)
+		}
+	}
+	for i, from := range spent {
+		sum := 0
+		for _, s := range spent[i:] {
+			if s.at.Sub(from.at) < 8*event.Second {
+				sum += s.amount
+			}
+		}
+		if float64(sum) > limit {
+			t.Fatalf("%d in 8 s from %v, limit %v", sum, event.Span(from.at), limit)
+		}
+	}
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -8,16 +8,6 @@
 	"lynxramp.org/routing"
 )
 
-// bucket keeps the rate at which a team's quota is spent where only a share of it
-// may be spent.
-type bucket struct {
-	tokens float64
-	filled event.Time
-}
-
-// aloneSpan is how much of its share's rate may be saved up there.
-const aloneSpan = 3 * event.Second
-
 // ownerPart is the part of what quotas may be overrun by that an owner uses. The
 // rest is for entries that decide without one.
 const ownerPart = 0.75
@@ -53,25 +43,6 @@
 	return limit * s.share * (1 - s.reserve)
 }
 
-// take draws on a team's bucket. A request larger than the bucket may go when the
-// bucket is full, and leaves a debt.
-func (s *State) take(now event.Time, team *routing.Team, amount int) bool {
-	rate := team.Rate * s.share
-	most := rate * aloneSpan.Seconds()
-	b, ok := s.buckets[team.Name]
-	if !ok {
-		b = &bucket{tokens: most, filled: now}
-		s.buckets[team.Name] = b
-	}
-	b.tokens = min(most, b.tokens+rate*now.Sub(b.filled).Seconds())
-	b.filled = now
-	if b.tokens < min(float64(amount), most) {
-		return false
-	}
-	b.tokens -= float64(amount)
-	return true
-}
-
 func (s *State) giveBack(now event.Time, team string, amount int) {
 	if w, ok := s.spent[team]; ok && amount > 0 {
 		w.remove(now, amount)
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -29,7 +29,8 @@
 	expected int
 	began    event.Time
 	keepTime event.Span
-	assumed  float64 // part of the quotas that is taken as spent before
+	assumed  float64             // part of the quotas that is taken as spent before
+	tight    []message.Allowance // quotas, as of the last tick
 }
 
 // session is a connection of an entry.
@@ -127,6 +128,7 @@
 		}
 	}
 	o.admission.Tick(now, &o.effects)
+	o.tight = o.admission.Tight(now)
 }
 
 // count returns how many entries share the quotas, those that are away included:
@@ -280,7 +282,7 @@
 	o.entries[one.entry].pinged = now
 	o.admission.EntrySeen(now, one.entry, &o.effects)
 	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{Pong: &message.Pong{
-		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: o.count(now),
+		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: o.count(now), Tight: o.tight,
 	}}})
 }
 
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -90,9 +90,11 @@
 	waiting     map[event.RequestID]*waiter
 	running     map[event.RequestID]*message.Running
 	endpoints   map[event.EndpointID]message.Endpoint
-	ledger      *admission.State // what was spent here, for the next owner
-	ledgerAlone *admission.State // the part of it that no owner granted
-	alone       *admission.State // nil while there is an owner
+	ledger      *admission.State    // what was spent here, for the next owner
+	ledgerAlone *admission.State    // the part of it that no owner granted
+	alone       *admission.State    // nil while there is an owner
+	tight       []message.Allowance // quotas, as last told by an owner
+	tightAt     event.Time
 	batch       message.Batch
 	effects     event.Effects
 }
@@ -387,6 +389,7 @@
 	a.alone.SetTable(now, a.table.Load())
 	a.alone.SetShare(1 / float64(entries))
 	a.alone.Take(now, a.ledger.Report(now), a.config.Limits.QuotaWindow)
+	a.alone.SetAllowances(a.tight, a.tightAt)
 	for _, e := range a.endpoints {
 		e.Slots = max(1, (e.Slots+entries-1)/entries)
 		a.alone.SetEndpoint(now, e, &a.effects)
--- a/gateway/agent_owner.go
+++ b/gateway/agent_owner.go
@@ -117,6 +117,7 @@
 func (a *Agent) pong(now event.Time, p *message.Pong) {
 	a.ponged = now
 	a.pace.Store(int64(max(1, p.Entries)))
+	a.tight, a.tightAt = p.Tight, now
 	if !a.owned {
 		a.beginOwned(now)
 	}
--- a/message/message.go
+++ b/message/message.go
@@ -81,6 +81,16 @@
 	Sent    event.Time
 	Version uint64
 	Entries int // how many entries share quotas and budgets
+	// Tight has the quotas that are more than half spent.
+	Tight []Allowance
+}
+
+// Allowance is what is left of a team's quota, and what comes free of it in each of
+// the next seconds, as what was spent leaves the quota's window.
+type Allowance struct {
+	Name  string
+	Left  int
+	Freed []int
 }
 
 // Heard tells the leader which endpoints another box of the group has heard, with
