--- a/admission/state.go
+++ b/admission/state.go
@@ -127,7 +127,7 @@
 func (s *State) tell(now event.Time, k *known, out *event.Effects) {
 	s.service(now, k.Service).pool.Step(now, &event.EndpointSeen{
 		Endpoint: event.Endpoint{
-			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Leaving: k.Leaving, Zone: k.Zone,
+			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Leaving: k.Leaving, DataCentre: k.DataCentre,
 		},
 		Address: k.Address,
 		Down:    k.Down || now < k.suspectUntil,
--- a/event/event.go
+++ b/event/event.go
@@ -88,8 +88,8 @@
 	Placed bool
 	// Returned says that the caller was refused before and asks again.
 	Returned bool
-	// Zone is where the request's entry is; empty if it does not matter.
-	Zone string
+	// DataCentre is where the request's entry is; empty if it does not matter.
+	DataCentre string
 	// Avoid has endpoints that must not be chosen: they had the request before.
 	Avoid []EndpointID
 }
@@ -255,8 +255,8 @@
 	Speed float64
 	// Leaving endpoints get no new work.
 	Leaving bool
-	// Zone is where the endpoint is; empty if it does not matter.
-	Zone string
+	// DataCentre is where the endpoint is; empty if it does not matter.
+	DataCentre string
 }
 
 // Effects is what the world is asked to do, in the order of each slice. The
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -42,7 +42,7 @@
 		Log:     log,
 	})
 	g := gateway.New(gateway.Config{
-		Agent: agent, Names: d.Names, Log: log, Entry: f.ID, Zone: f.DataCentre, Life: one,
+		Agent: agent, Names: d.Names, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Life: one,
 		HeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldPart),
 	})
 	go agent.Run(run)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,11 +36,11 @@
 	Agent *Agent
 	Names Names
 	// HeldBytes bounds the request bodies that are held at once.
-	HeldBytes int64
-	Log       *zap.Logger
-	Entry     event.BoxID
-	Zone      string // where the entry is; empty if it does not matter
-	Life      uint64
+	HeldBytes  int64
+	Log        *zap.Logger
+	Entry      event.BoxID
+	DataCentre string // where the entry is; empty if it does not matter
+	Life       uint64
 }
 
 // Gateway serves callers. It is an http.Handler.
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -69,7 +69,7 @@
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
 			PromptTokens: prompt, OutputTokens: output, Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.patience(left),
-			Placed: c.placed, Returned: c.returned(), Avoid: c.avoid, Attempt: c.attempts, Zone: c.gateway.config.Zone,
+			Placed: c.placed, Returned: c.returned(), Avoid: c.avoid, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 		},
 		Quota: c.quota(), Repeat: repeat,
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -16,10 +16,10 @@
 
 // Endpoint is one incarnation of a replica of a service.
 type Endpoint struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Address string `json:"address"` // IP:port
-	Zone    string `json:"zone"`
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"` // IP:port
+	DataCentre string `json:"data_centre"`
 	// Slots is how many requests it handles at once.
 	Slots   int  `json:"slots"`
 	Leaving bool `json:"leaving,omitempty"`
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -17,7 +17,7 @@
 	var out event.Effects
 	for i := range endpoints {
 		s.Step(0, &event.EndpointSeen{Endpoint: event.Endpoint{
-			ID: event.EndpointID(fmt.Sprintf("e%04d", i)), Concurrency: slots, Speed: 1, Zone: fmt.Sprintf("z%d", i%4),
+			ID: event.EndpointID(fmt.Sprintf("e%04d", i)), Concurrency: slots, Speed: 1, DataCentre: fmt.Sprintf("z%d", i%4),
 		}, Address: "10.0.0.1:80"}, &out)
 	}
 	return s
@@ -38,13 +38,13 @@
 	s := discovered(8, 1)
 	for i := range 2 {
 		var out event.Effects
-		s.Step(0, call(i, func(k *event.Ticket) { k.Zone = "z2" }), &out)
+		s.Step(0, call(i, func(k *event.Ticket) { k.DataCentre = "z2" }), &out)
 		if len(out.Grants) != 1 || (out.Grants[0].Endpoint != "e0002" && out.Grants[0].Endpoint != "e0006") {
-			t.Errorf("grants %+v, want an endpoint of zone z2", out.Grants)
+			t.Errorf("grants %+v, want an endpoint of data centre z2", out.Grants)
 		}
 	}
 	var out event.Effects
-	s.Step(0, call(9, func(k *event.Ticket) { k.Zone = "z2" }), &out)
+	s.Step(0, call(9, func(k *event.Ticket) { k.DataCentre = "z2" }), &out)
 	if len(out.Grants) != 1 {
 		t.Error("with the near ones full a far one was not taken")
 	}
@@ -241,7 +241,7 @@
 				k.Patience = 0
 				k.Deadline = 3600 * event.Second
 				k.Team = fmt.Sprint("team", len(k.ID)%7)
-				k.Zone = "z1"
+				k.DataCentre = "z1"
 			}
 			var out event.Effects
 			for i := range 10*size.endpoints + size.waiting {
--- a/sched/view.go
+++ b/sched/view.go
@@ -22,7 +22,7 @@
 	free                int        // places for the highest tier; 0 if it does not serve
 	reserve             int        // of these, not for lower tiers
 	places              int        // in all; 0 if it does not serve
-	zone                string
+	dataCentre          string
 }
 
 // refresh makes an endpoint's view fit what is known of it at now.
@@ -31,7 +31,7 @@
 	s.places -= v.places
 	first := e.reading.first()
 	*v = view{
-		endpoint: e, slowness: 1 / e.speed(), reading: e.pace.get(now) / e.speed(), zone: e.Zone,
+		endpoint: e, slowness: 1 / e.speed(), reading: e.pace.get(now) / e.speed(), dataCentre: e.DataCentre,
 		firstWork: first, moreWork: e.reading.work - first, readSince: e.reading.since, readUntil: e.reading.until,
 	}
 	if e.Concurrency > 0 && e.serves(now) {
@@ -65,20 +65,20 @@
 	fill   float64
 	decode float64
 	// first says that left counts to the answer's beginning, not to its end.
-	first bool
-	rate  float64 // prompt tokens a second
-	end   float64 // until the answer's end is of no use
-	zone  string
+	first      bool
+	rate       float64 // prompt tokens a second
+	end        float64 // until the answer's end is of no use
+	dataCentre string
 }
 
-// farCost is what an endpoint in another zone costs: as much as so many seconds of
+// farCost is what an endpoint in another data centre costs: as much as so many seconds of
 // waiting. It decides between endpoints that are about as good.
 const farCost = 0.12
 
 func (s *State) price(now event.Time, k *ticket) price {
 	profile := s.profile()
 	left := k.deadline.Sub(now).Seconds()
-	p := price{now: now, left: left, end: left, weight: s.pool.PrefillWeight, rate: profile.PrefillRate, zone: k.Zone}
+	p := price{now: now, left: left, end: left, weight: s.pool.PrefillWeight, rate: profile.PrefillRate, dataCentre: k.DataCentre}
 	if k.Target > 0 {
 		p.left = (k.Target - now.Sub(k.arrived)).Seconds()
 		p.first = true
@@ -127,7 +127,7 @@
 	total += ahead
 	begin += ahead
 	cost = total * timeWeight
-	if p.zone != "" && v.zone != "" && p.zone != v.zone {
+	if p.dataCentre != "" && v.dataCentre != "" && p.dataCentre != v.dataCentre {
 		cost += farCost
 	}
 	if p.first {
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -73,7 +73,7 @@
 
 // The ways to place requests.
 const (
-	// PlacementForecast weighs measured speed, prompts and zones, and forecasts waits.
+	// PlacementForecast weighs measured speed, prompts and data centres, and forecasts waits.
 	PlacementForecast Placement = "forecast"
 	// PlacementLeastOutstanding is the baseline for comparisons.
 	PlacementLeastOutstanding Placement = "least_outstanding"
