--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,7 +21,12 @@
 
 // Bounds of what an entry holds.
 const (
-	maxHeld = 2000 // requests
+	maxHeld = 2000 // requests, where descriptors do not bound them first
+	// heldDescriptors is what a request takes of descriptors: its caller's connection
+	// and its endpoint's. spareDescriptors are for all else, connections that rest
+	// included.
+	heldDescriptors  = 2
+	spareDescriptors = 400
 	// retryUnready is what a caller is told who comes while the entry knows no
 	// configuration.
 	retryUnready = 1500 * event.Millisecond
@@ -36,11 +41,13 @@
 	Agent *Agent
 	Names Names
 	// HeldBytes bounds the request bodies that are held at once.
-	HeldBytes  int64
-	Log        *zap.Logger
-	Entry      event.BoxID
-	DataCentre string // where the entry is; empty if it does not matter
-	Life       uint64
+	HeldBytes int64
+	// Descriptors is how many the process may have; 0 does not bound what is held.
+	Descriptors int
+	Log         *zap.Logger
+	Entry       event.BoxID
+	DataCentre  string // where the entry is; empty if it does not matter
+	Life        uint64
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -49,6 +56,7 @@
 	agent    *Agent
 	log      *zap.Logger
 	upstream *upstream
+	mayHold  int64        // requests
 	held     atomic.Int64 // requests
 	streams  atomic.Int64 // of these
 	bytes    atomic.Int64 // of their bodies
@@ -62,12 +70,20 @@
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream()}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), mayHold: mayHold(c.Descriptors)}
 	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
 	return g
 }
 
+// mayHold returns how many requests may be held with so many descriptors.
+func mayHold(descriptors int) int64 {
+	if descriptors == 0 {
+		return maxHeld
+	}
+	return int64(min(maxHeld, max(1, (descriptors-spareDescriptors)/heldDescriptors)))
+}
+
 // Run drops connections that are not used until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
@@ -134,7 +150,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.held.Add(-1)
-	if g.held.Add(1) > maxHeld {
+	if g.held.Add(1) > g.mayHold {
 		refuse(w, http.StatusServiceUnavailable, retryFull, "too many requests are held")
 		return
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -334,3 +334,11 @@
 	}
 	waitFor(t, "nothing is held", func() bool { return r.gateway.bytes.Load() == 0 })
 }
+
+func TestDescriptorsBoundWhatIsHeld(t *testing.T) {
+	for descriptors, want := range map[int]int64{0: maxHeld, 100: 1, 1400: 500, 100000: maxHeld} {
+		if got := mayHold(descriptors); got != want {
+			t.Errorf("%d requests with %d descriptors, want %d", got, descriptors, want)
+		}
+	}
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -63,7 +63,6 @@
 		asked:    k.class.rank,
 		service:  k.Service,
 		output:   k.OutputTokens,
-		needed:   est.needed,
 		call:     k.OutputTokens == 0,
 		prompt:   k.PromptTokens - est.cached,
 		fill:     est.work,
--- a/sched/state.go
+++ b/sched/state.go
@@ -76,12 +76,10 @@
 	service  string
 	output   int // tokens asked for
 	life     event.Incarnation
-	// needed is how many seconds the answer's beginning was expected to take.
-	needed float64
-	call   bool    // without tokens
-	prompt int     // tokens to be read
-	fill   float64 // work of reading them, seconds at speed 1
-	alone  bool    // no other prompt was to be read before it
+	call     bool    // without tokens
+	prompt   int     // tokens to be read
+	fill     float64 // work of reading them, seconds at speed 1
+	alone    bool    // no other prompt was to be read before it
 }
 
 // State is the scheduler of one pool. It is not safe for concurrent use.
