--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -402,3 +402,20 @@
 		}
 	}
 }
+
+// TestRequestWaitsForItsQuotaOnce: one that is handed to another who decides does not
+// wait anew. On an incident a request had its 429 after 0.44 s of a target of 1.2.
+func TestRequestWaitsForItsQuotaOnce(t *testing.T) {
+	s := newTestState(0)
+	var out event.Effects
+	s.Submit(0, "entry", submission(1, 9500, false), &out)
+	near := event.Time(7900 * event.Millisecond)
+	out.Reset()
+	again := submission(2, 500, false)
+	again.Ticket.Waited = 300 * event.Millisecond
+	again.Ticket.Target = 900 * event.Millisecond
+	s.Submit(near, "entry", again, &out)
+	if len(out.Refusals) != 1 || out.Refusals[0].Reason != event.ReasonQuota {
+		t.Errorf("%+v, want it refused at once: it has waited a quarter of its target", out)
+	}
+}
--- a/admission/park.go
+++ b/admission/park.go
@@ -22,13 +22,14 @@
 // parkOrRefuse keeps a request that a quota has room for in a moment, and refuses
 // any other with the time when it has.
 func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
-	room := s.roomIn(now, m)
-	if room > m.Ticket.Target/parkPart {
+	// What it has waited already, perhaps for another who decided, counts.
+	patience := (m.Ticket.Target+m.Ticket.Waited)/parkPart - m.Ticket.Waited
+	if room := s.roomIn(now, m); room > patience {
 		s.refuseQuota(now, entry, m, out)
 		return
 	}
 	s.parked = append(s.parked, parked{
-		entry: entry, submission: *m, arrived: now, until: now.Add(m.Ticket.Target / parkPart),
+		entry: entry, submission: *m, arrived: now, until: now.Add(patience),
 	})
 }
 
