--- a/sched/doc.go
+++ b/sched/doc.go
@@ -16,6 +16,14 @@
 // shed while one of a lower tier waits, because the queue's two ends are the
 // ends of one order.
 //
+// Endpoints that tell of themselves (Pool.Discovered) have no slot beside them, and
+// their requests have a target for the answer's beginning. There, within a rank, go
+// first requests that had a place before, then those that can still be in time at
+// their first try, then the rest (standing). What would wait too long by the work
+// before it is refused early (forecast). The owner keeps books of the prompts that each
+// endpoint has yet to read (reading), which Begun events correct, and learns how fast
+// endpoints read and answer.
+//
 // The state is soft. A new owner starts empty: entries register again what they
 // hold, slots report what they run. Until that had time to happen (SettleTime)
 // it grants but sheds nothing.
