gateway: know who was refused before by what other callers of the route give

Cause: by reading. A request counted as refused before when it had less time left than its route allows; callers that always give less than that would have stood behind all others of their rank for good, on deployments where the two differ. Now it counts when others of its route lately had more. TestReturnedCallerHasLessTimeThanOthers holds the difference.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	agent    *Agent
 	log      *zap.Logger
 	upstream *upstream
+	longest  *longest
 	mayHold  int64        // requests
 	held     atomic.Int64 // requests
 	streams  atomic.Int64 // of these
@@ -70,7 +71,7 @@
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), mayHold: mayHold(c.Descriptors)}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors)}
 	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
 	return g
@@ -94,11 +95,25 @@
 			return
 		case <-ticker.C:
 			g.upstream.sweep()
+			g.forgetRoutes()
 			g.tellLeftOut()
 		}
 	}
 }
 
+// forgetRoutes forgets what was known of routes that are not in force any more.
+func (g *Gateway) forgetRoutes() {
+	table := g.agent.table.Load()
+	if table == nil {
+		return
+	}
+	names := make(map[string]bool, len(table.Routes))
+	for i := range table.Routes {
+		names[table.Routes[i].Name] = true
+	}
+	g.longest.keep(func(route string) bool { return names[route] })
+}
+
 // Ready reports whether new callers may come.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.agent.Table() != nil }
 
@@ -136,6 +151,7 @@
 	attempts int // endpoints that the request was sent to
 	avoid    []event.EndpointID
 	placed   bool // it was granted an endpoint before
+	returned bool // its caller was refused before
 	// mayHaveRun is set once an endpoint had the request and did not say that it has
 	// not run it.
 	mayHaveRun bool
@@ -198,6 +214,7 @@
 		if d := c.arrived.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(c.deadline) {
 			c.deadline = d
 		}
+		c.returned = g.longest.isShort(c.arrived, c.route.Name, c.deadline.Sub(c.arrived))
 	}
 	if !c.readBody() {
 		return false
--- /dev/null
+++ b/gateway/longest_test.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// TestReturnedCallerHasLessTimeThanOthers: what counts is what callers of a route give
+// their requests, not what the route allows: those who always give less would else
+// stand behind all others for good.
+func TestReturnedCallerHasLessTimeThanOthers(t *testing.T) {
+	l := newLongest()
+	at := time.Unix(100, 0)
+	for _, step := range []struct {
+		after time.Duration
+		route string
+		left  time.Duration
+		want  bool
+	}{
+		{0, "a", 5 * time.Second, false},
+		{1 * time.Second, "a", 3 * time.Second, true},
+		{1 * time.Second, "b", 3 * time.Second, false},
+		{2 * time.Second, "a", 4950 * time.Millisecond, false},
+		{11 * time.Second, "a", 3 * time.Second, true},  // the span before counts
+		{22 * time.Second, "a", 3 * time.Second, false}, // callers give less now
+		{23 * time.Second, "a", 2 * time.Second, true},
+	} {
+		if got := l.isShort(at.Add(step.after), step.route, step.left); got != step.want {
+			t.Errorf("after %v on %s with %v left: %v", step.after, step.route, step.left, got)
+		}
+	}
+	l.keep(func(route string) bool { return route == "b" })
+	if len(l.routes) != 1 {
+		t.Errorf("%d routes are kept, want 1", len(l.routes))
+	}
+}
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -69,22 +69,12 @@
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
 			PromptTokens: prompt, OutputTokens: output, Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.patience(left),
-			Placed: c.placed, Returned: c.returned(), Avoid: c.avoid, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
+			Placed: c.placed, Returned: c.returned, Avoid: c.avoid, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 		},
 		Quota: c.quota(), Repeat: repeat,
 	}
 }
 
-// returnedPart is the part of its route's time that a request has left at most when
-// its caller was refused before.
-const returnedPart = 0.98
-
-// returned reports whether the caller has asked before: it then has less time left
-// than its route allows.
-func (c *call) returned() bool {
-	return c.deadline.Sub(c.arrived) < time.Duration(returnedPart*float64(c.route.Timeout))
-}
-
 // Patience: how many times its target a request may be expected to wait, and the
 // least part of the time left that it must leave.
 const (
