--- a/box/control.go
+++ b/box/control.go
@@ -4,14 +4,11 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -20,6 +17,7 @@
 	"lynxramp.org/control"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/random"
 	"lynxramp.org/internal/wait"
 	"lynxramp.org/member"
 	"lynxramp.org/rpc"
@@ -60,12 +58,7 @@
 	if !s.Has(settings.RoleControl) {
 		return nil, nil
 	}
-	var random [8]byte
-	if _, err := rand.Read(random[:]); err != nil {
-		return nil, errors.Wrap(err, "random")
-	}
-	life := event.Incarnation(binary.BigEndian.Uint64(random[:]))
-	disk, identity, restored, err := store.Open(s.Data, s.ID, life)
+	disk, identity, restored, err := store.Open(s.Data, s.ID, event.Incarnation(random.Number()))
 	if err != nil {
 		return nil, err
 	}
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -5,8 +5,6 @@
 import (
 	"cmp"
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"slices"
 	"sync"
@@ -17,6 +15,7 @@
 
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/random"
 	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
@@ -73,7 +72,7 @@
 
 // Open opens a box's data folder and makes its server.
 func Open(c Config) (*Server, error) {
-	disk := event.Incarnation(randomNumber())
+	disk := event.Incarnation(random.Number())
 	founds := c.Found && slices.Contains(c.Seeds, c.Operators)
 	if founds {
 		disk = founderDisk
@@ -96,7 +95,7 @@
 		calls:    make(map[Token]chan Answer),
 		sessions: make(map[SessionID]*link.Conn[message.Envelope]),
 	}
-	c.Settings.Seed = randomNumber()
+	c.Settings.Seed = random.Number()
 	s.state, err = NewState(s.clock.Now(), identity.Member(), restored, c.Settings)
 	if err != nil {
 		return nil, err
@@ -117,12 +116,7 @@
 			ID: consensus.MakeID(event.BoxID(LinkAddress(seed, c.Link)), founderDisk), Address: seed,
 		})
 	}
-	slices.SortFunc(founders, func(a, b consensus.Member) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(founders, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
 	r := consensus.Restored{Snapshot: consensus.Snapshot{Index: 1, Members: consensus.Membership{Voters: founders}}}
 	if err := disk.Save(&consensus.Ready{Snapshot: &r.Snapshot}); err != nil {
 		return r, err
@@ -146,12 +140,6 @@
 	return net.JoinHostPort(host, port)
 }
 
-func randomNumber() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return binary.BigEndian.Uint64(b[:]) | 1
-}
-
 // Run serves until ctx ends, then hands the lead to another box.
 func (s *Server) Run(ctx context.Context) error {
 	listener, err := link.Listen(cmp.Or(s.config.LinkBind, s.config.Link), s.serveLink)
@@ -357,21 +345,28 @@
 	return Answer{Token: token, Status: StatusUnclear}
 }
 
-// PutDocument replicates a configuration that was found sound. When the answer
-// is StatusDone, it or a higher version is committed.
-func (s *Server) PutDocument(ctx context.Context, d Document) Answer {
-	return s.call(ctx, func(k Token) Event { return &DocumentSent{Token: k, Document: d} })
+// PutDocument replicates a configuration. When the answer is StatusDone, it or a
+// higher version is committed. One that is not sound goes nowhere: the error has all
+// findings.
+func (s *Server) PutDocument(ctx context.Context, data []byte) (Answer, error) {
+	table, err := s.config.Settings.Decode(data)
+	if err != nil {
+		return Answer{}, err
+	}
+	d := Document{Version: table.Version, Data: data}
+	return s.call(ctx, func(k Token) Event { return &DocumentSent{Token: k, Document: d} }), nil
 }
 
-// ReadDocument returns the newest configuration. Before it is passed on, Holds
-// must be asked.
+// ReadDocument returns the newest configuration. StatusDone is only answered while the
+// lease holds on which that rests, so the answer must be passed on at once.
 func (s *Server) ReadDocument(ctx context.Context) Answer {
-	return s.call(ctx, func(k Token) Event { return &DocumentRead{Token: k} })
+	a := s.call(ctx, func(k Token) Event { return &DocumentRead{Token: k} })
+	if a.Status == StatusDone && (s.clock.Now() >= a.Until || a.Document.Version == 0) {
+		return Answer{Token: a.Token, Status: StatusUnclear}
+	}
+	return a
 }
 
-// Holds reports whether an answer that rests on the lease still does.
-func (s *Server) Holds(a Answer) bool { return s.clock.Now() < a.Until }
-
 // TellEndpoint takes an endpoint's word on itself.
 func (s *Server) TellEndpoint(ctx context.Context, e registry.Endpoint) Answer {
 	return s.call(ctx, func(k Token) Event { return &EndpointTold{Token: k, Endpoint: e} })
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -45,7 +45,7 @@
 	logged   int    // bytes of commands since the last snapshot
 	owner    *owner // nil while this box does not own the pools
 	leader   consensus.ID
-	members  int
+	members  consensus.Membership // as last told in the log
 }
 
 // pending is a call that waits for its command to be committed.
@@ -353,8 +353,8 @@
 		out.note("leader", Field{"leader", string(id)}, Field{"term", uint64(s.node.Term())})
 	}
 	m := s.node.Members()
-	if n := len(m.Voters)*100 + len(m.Learners); n != s.members {
-		s.members = n
+	if !slices.Equal(m.Voters, s.members.Voters) || !slices.Equal(m.Learners, s.members.Learners) {
+		s.members = consensus.Membership{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
 		out.note("members", Field{"voters", ids(m.Voters)}, Field{"learners", ids(m.Learners)})
 	}
 }
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -13,6 +13,7 @@
 	"lynxramp.org/event"
 	"lynxramp.org/gateway"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/internal/random"
 	"lynxramp.org/settings"
 )
 
@@ -29,7 +30,7 @@
 )
 
 func runEntry(ctx context.Context, file string, f settings.Fleet, d Dialect, log *zap.Logger) error {
-	one := life()
+	one := random.Number()
 	run, end := context.WithCancel(context.Background())
 	defer end()
 	agent := gateway.NewAgent(gateway.AgentConfig{
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"os"
@@ -190,9 +188,3 @@
 	go func() { _ = s.Serve(l) }() // it ends when it is closed
 	return s, nil
 }
-
-func life() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return binary.BigEndian.Uint64(b[:])
-}
--- a/routing/table.go
+++ b/routing/table.go
@@ -50,7 +50,8 @@
 	Gap    time.Duration
 	Rank   int // the larger is served first
 	Split  []Share
-	// MaxAttempts is the most endpoints that one request may be sent to.
+	// MaxAttempts is the most endpoints that one request may be sent to; Index makes
+	// a 0 a 1.
 	MaxAttempts int
 	Public      bool
 	Resumable   bool
@@ -102,6 +103,7 @@
 	t.places = make(map[place]*Route, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
+		r.MaxAttempts = max(1, r.MaxAttempts)
 		t.places[place{strings.ToLower(r.Host), r.Prefix}] = r
 	}
 	t.keys = make(map[string]*Team)
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -15,12 +15,7 @@
 
 // seeEndpoint takes in an endpoint that tells of itself, or news of one.
 func (s *State) seeEndpoint(now event.Time, seen *event.EndpointSeen) {
-	e, ok := s.byID[seen.Endpoint.ID]
-	if !ok {
-		e = &endpoint{grants: make(map[event.RequestID]*grant)}
-		s.byID[seen.Endpoint.ID] = e
-		s.endpoints = append(s.endpoints, e)
-	}
+	e, ok := s.endpoint(seen.Endpoint.ID)
 	e.Endpoint = seen.Endpoint
 	e.report.Address = seen.Address
 	e.report.Down = seen.Down
@@ -136,10 +131,9 @@
 // isWorthWaiting reports whether a request would be late at the best endpoint that
 // has room, by the prompts to be read there first, but in time at another that comes
 // free soon.
-func (s *State) isWorthWaiting(now event.Time, k *ticket, c *choice) bool {
+func (s *State) isWorthWaiting(k *ticket, c *choice) bool {
 	if !s.pool.Discovered || k.Target == 0 || c.est.work == 0 || s.pool.LeastOutstanding {
 		return false
 	}
-	left := (k.Target - now.Sub(k.arrived)).Seconds()
-	return c.est.needed > left && c.est.work/s.fastest < left
+	return c.est.needed > c.left && c.est.work/s.fastest < c.left
 }
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -43,8 +43,9 @@
 		return
 	}
 	var late []*ticket
+	fastest := s.profile().PrefillRate * s.fastest
 	for _, k := range s.queue.byID {
-		fill := float64(k.PromptTokens) / s.profile().PrefillRate / s.fastest
+		fill := float64(k.PromptTokens) / fastest
 		if k.standing == standingWhole && k.Target > 0 && (k.Target-now.Sub(k.arrived)).Seconds() < fill {
 			late = append(late, k)
 		}
--- a/sched/place.go
+++ b/sched/place.go
@@ -32,7 +32,7 @@
 		case k.Target == 0 && c.fastest > c.left && s.length(k.Service).known():
 			// No endpoint can answer in time, whatever else waits.
 			s.refuse(now, k, event.ReasonDeadline, out)
-		case c.hold, s.isWorthWaiting(now, k, &c), k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
+		case c.hold, s.isWorthWaiting(k, &c), k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
 			s.queue.remove(k)
 			s.passed = append(s.passed, k)
 		default:
--- a/sched/state.go
+++ b/sched/state.go
@@ -185,17 +185,24 @@
 		}
 	}
 	for _, c := range p.Endpoints {
-		e, ok := s.byID[c.ID]
-		if !ok {
-			e = &endpoint{grants: make(map[event.RequestID]*grant)}
-			s.byID[c.ID] = e
-			s.endpoints = append(s.endpoints, e)
-		}
+		e, _ := s.endpoint(c.ID)
 		e.Endpoint = c
 	}
 	s.orderEndpoints(now)
 }
 
+// endpoint returns an endpoint by its name, and whether it was known. One that was not
+// has no view until orderEndpoints gives it one.
+func (s *State) endpoint(id event.EndpointID) (*endpoint, bool) {
+	e, ok := s.byID[id]
+	if !ok {
+		e = &endpoint{grants: make(map[event.RequestID]*grant)}
+		s.byID[id] = e
+		s.endpoints = append(s.endpoints, e)
+	}
+	return e, ok
+}
+
 // orderEndpoints gives each endpoint its view, in the order of their names.
 func (s *State) orderEndpoints(now event.Time) {
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
--- a/sched/view.go
+++ b/sched/view.go
@@ -36,7 +36,7 @@
 	}
 	if e.Concurrency > 0 && e.serves(now) {
 		v.free = max(0, e.room()-e.inflight)
-		v.places = e.Concurrency
+		v.places = e.room()
 		s.places += v.places
 		if !s.pool.Discovered {
 			v.reserve = e.Concurrency / reservePart
