admission, gateway: a quota and a retry budget count only what endpoints had

Cause: by reading. What a submission counted was given back in three ways, each for one end of it: refused at its arrival (here), never sent (told by the entry, with the amount), and not at all for one refused later, withdrawn while it waited, or whose entry connected again, which then counted twice. It was taken from what was counted last, so that later spending left the window early.

Change: the owner keeps what each submission counts, and when, until its request has run; whatever else ends it takes it back from where it was counted. Entries do not tell amounts any more (Finish.Team, Quota, Repeat are gone).

TestWhatNeverRanCountsNothing fails with the give-back after a later refusal left out, as before; TestWindowTakesBackWhereItCounted. TestUnsentSubmissionCountsNothing and TestWindowSumsTheLastSpan changed only in what they call.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -57,12 +57,32 @@
 		}
 	}
 	w.add(20*second, 5)
-	w.remove(20*second, 3)
+	w.remove(20*second, 20*second, 3)
 	if got := w.total(20 * second); got != 2 {
 		t.Errorf("total after taking back: %d, want 2", got)
 	}
 }
 
+// TestWindowTakesBackWhereItCounted: taken from what was counted last instead, the
+// later amount would leave the window with the earlier one.
+func TestWindowTakesBackWhereItCounted(t *testing.T) {
+	w := newWindow(8 * event.Second)
+	second := event.Time(event.Second)
+	w.add(1*second, 10)
+	w.add(5*second, 20)
+	w.remove(6*second, 1*second, 10)
+	for at, want := range map[event.Time]int{6 * second: 20, 10 * second: 20, 12*second + second/2: 20} {
+		v := *w
+		if got := v.total(at); got != want {
+			t.Errorf("total at %v: %d, want %d", event.Span(at), got, want)
+		}
+	}
+	w.remove(20*second, 5*second, 20)
+	if got := w.total(20 * second); got != 0 {
+		t.Errorf("total %d after taking back what counts no more, want 0", got)
+	}
+}
+
 func TestWindowNeverForgetsEarly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWindow(8 * event.Second)
@@ -290,12 +310,9 @@
 // TestUnsentSubmissionCountsNothing: what was never sent gives back its part of the
 // quota, or of the retry budget, and only that one.
 func TestUnsentSubmissionCountsNothing(t *testing.T) {
-	finish := func(s *State, repeat, unsent bool) {
+	finish := func(s *State, unsent bool) {
 		var out event.Effects
-		s.Finish(0, &message.Finish{
-			Finished: event.Finished{ID: "1", Pool: "s", Void: true}, Team: "t", Quota: 500, Endpoint: "e",
-			Unsent: unsent, Repeat: repeat,
-		}, &out)
+		s.Finish(0, &message.Finish{Finished: event.Finished{ID: "1", Pool: "s", Void: true}, Endpoint: "e", Unsent: unsent}, &out)
 	}
 	for name, c := range map[string]struct{ repeat, unsent bool }{
 		"first, not sent": {false, true}, "first, rejected": {false, false},
@@ -306,7 +323,7 @@
 		s.Submit(0, "entry", submission(9, 700, false), &out)
 		s.Submit(0, "entry", submission(1, 500, c.repeat), &out)
 		quota, repeats := s.window("t").total(0), s.service(0, "s").repeats.total(0)
-		finish(s, c.repeat, c.unsent)
+		finish(s, c.unsent)
 		gotQuota, gotRepeats := quota-s.window("t").total(0), repeats-s.service(0, "s").repeats.total(0)
 		wantQuota, wantRepeats := 0, 0
 		switch {
@@ -419,3 +436,46 @@
 		t.Errorf("%+v, want it refused at once: it has waited a quarter of its target", out)
 	}
 }
+
+// TestWhatNeverRanCountsNothing: a quota counts what endpoints had. A request that
+// waited and was refused, withdrawn, or whose entry went, gives back what it counted;
+// before, only one that was refused at its arrival did.
+func TestWhatNeverRanCountsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		waits bool
+		end   func(s *State, out *event.Effects)
+		want  int
+	}{
+		"refused when its time was over": {true, func(s *State, out *event.Effects) { s.Tick(event.Time(2*event.Second), out) }, 0},
+		"withdrawn while it waited": {true, func(s *State, out *event.Effects) {
+			s.Withdraw(0, "entry", message.Withdrawal{ID: "1", Service: "s"}, out)
+		}, 0},
+		"withdrawn before its grant was seen": {false, func(s *State, out *event.Effects) {
+			s.Withdraw(0, "entry", message.Withdrawal{ID: "1", Service: "s"}, out)
+		}, 0},
+		"its entry went while it waited": {true, func(s *State, out *event.Effects) { s.EntryGone(0, "entry", out) }, 0},
+		"its entry went while it ran":    {false, func(s *State, out *event.Effects) { s.EntryGone(0, "entry", out) }, 500},
+		"it has run": {false, func(s *State, out *event.Effects) {
+			s.Finish(0, &message.Finish{Finished: event.Finished{ID: "1", Pool: "s"}, Endpoint: "e"}, out)
+		}, 500},
+	} {
+		s := newTestState(0)
+		var out event.Effects
+		if c.waits {
+			s.SetEndpoint(0, message.Endpoint{
+				Endpoint: registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1 << 20, Sequence: 2}, Down: true,
+			}, &out)
+		}
+		s.Submit(0, "entry", submission(1, 500, false), &out)
+		if granted := len(out.Grants) == 1; granted == c.waits {
+			t.Fatalf("%s: granted %v", name, granted)
+		}
+		c.end(s, &out)
+		if got := s.window("t").total(event.Time(2 * event.Second)); got != c.want {
+			t.Errorf("%s: %d count, want %d", name, got, c.want)
+		}
+		if len(s.counted) != 0 {
+			t.Errorf("%s: %d submissions are kept", name, len(s.counted))
+		}
+	}
+}
--- /dev/null
+++ b/admission/counted.go
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+)
+
+// counted is what a submission counts: against its team's quota, or against the retry
+// budget of its service. It counts from when it is admitted until its request has run,
+// and is taken back when it turns out that no endpoint ever had the request.
+type counted struct {
+	entry   event.BoxID
+	team    string
+	service string
+	quota   int
+	repeat  bool
+	granted bool
+	at      event.Time
+}
+
+// count keeps what a submission counts from now on.
+func (s *State) count(now event.Time, entry event.BoxID, m *message.Submission) {
+	t := &m.Ticket
+	v := s.service(now, t.Service)
+	if m.Repeat {
+		v.repeats.add(now, 1)
+	} else {
+		v.requests.add(now, 1)
+	}
+	s.counted[t.ID] = &counted{
+		entry: entry, team: t.Team, service: t.Service, quota: m.Quota, repeat: m.Repeat, at: now,
+	}
+}
+
+// uncount takes back what a request counts that no endpoint had. That its caller asked
+// stays counted: the retry budget grows with what was asked.
+func (s *State) uncount(now event.Time, id event.RequestID) {
+	c, ok := s.counted[id]
+	if !ok {
+		return
+	}
+	delete(s.counted, id)
+	if c.repeat {
+		s.service(now, c.service).repeats.remove(now, c.at, 1)
+		return
+	}
+	s.giveBack(now, c.team, c.at, c.quota)
+}
+
+// unask also takes back that the caller asked: the request will be submitted again.
+func (s *State) unask(now event.Time, id event.RequestID) {
+	if c, ok := s.counted[id]; ok && !c.repeat {
+		s.service(now, c.service).requests.remove(now, c.at, 1)
+	}
+	s.uncount(now, id)
+}
+
+// step hands an event to a service's pool, and keeps the count of what comes of it.
+func (s *State) step(now event.Time, v *service, e event.Event, out *event.Effects) {
+	grants, refusals, dropped := len(out.Grants), len(out.Refusals), len(out.Dropped)
+	v.pool.Step(now, e, out)
+	for i := range out.Grants[grants:] {
+		if c, ok := s.counted[out.Grants[grants+i].ID]; ok {
+			c.granted = true
+		}
+	}
+	for i := range out.Refusals[refusals:] {
+		s.uncount(now, out.Refusals[refusals+i].ID)
+	}
+	for _, id := range out.Dropped[dropped:] {
+		s.uncount(now, id)
+	}
+}
+
+// forgetEntry takes back what an entry's waiting requests count. What it was granted
+// may have run.
+func (s *State) forgetEntry(now event.Time, entry event.BoxID) {
+	for id, c := range s.counted {
+		switch {
+		case c.entry != entry:
+		case c.granted:
+			delete(s.counted, id)
+		default:
+			s.uncount(now, id)
+		}
+	}
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -43,9 +43,10 @@
 	return limit * s.share * (1 - s.reserve)
 }
 
-func (s *State) giveBack(now event.Time, team string, amount int) {
+// giveBack takes back what was spent of a team's quota at a moment.
+func (s *State) giveBack(now event.Time, team string, at event.Time, amount int) {
 	if w, ok := s.spent[team]; ok && amount > 0 {
-		w.remove(now, amount)
+		w.remove(now, at, amount)
 		if b := s.buckets[team]; b != nil {
 			b.tokens += float64(amount)
 		}
--- a/admission/state.go
+++ b/admission/state.go
@@ -57,6 +57,7 @@
 	endpoints map[event.EndpointID]*known
 	buckets   map[string]*bucket // by team
 	parked    []parked           // in the order of their arrival
+	counted   map[event.RequestID]*counted
 }
 
 // known is an endpoint with what is believed of it beside its own words.
@@ -76,6 +77,7 @@
 		spent:     make(map[string]*window),
 		endpoints: make(map[event.EndpointID]*known),
 		buckets:   make(map[string]*bucket),
+		counted:   make(map[event.RequestID]*counted),
 	}
 }
 
@@ -125,7 +127,7 @@
 
 // tell hands what is believed of an endpoint to its pool.
 func (s *State) tell(now event.Time, k *known, out *event.Effects) {
-	s.service(now, k.Service).pool.Step(now, &event.EndpointSeen{
+	s.step(now, s.service(now, k.Service), &event.EndpointSeen{
 		Endpoint: event.Endpoint{
 			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Leaving: k.Leaving, DataCentre: k.DataCentre,
 		},
@@ -142,7 +144,7 @@
 		return
 	}
 	delete(s.endpoints, id)
-	s.service(now, k.Service).pool.Step(now, &event.EndpointGone{ID: id}, out)
+	s.step(now, s.service(now, k.Service), &event.EndpointGone{ID: id}, out)
 }
 
 // Submit registers a request of an entry.
@@ -154,30 +156,17 @@
 			out.Refusals = append(out.Refusals, event.Refused{Entry: entry, ID: t.ID, Reason: event.ReasonBudget, RetryAfter: budgetRetryAfter})
 			return
 		}
-		v.repeats.add(now, 1)
-	} else {
-		if !s.spend(now, t.Team, m.Quota) {
-			s.parkOrRefuse(now, entry, m, out)
-			return
-		}
+	} else if !s.spend(now, t.Team, m.Quota) {
+		s.parkOrRefuse(now, entry, m, out)
+		return
 	}
 	s.admit(now, entry, m, out)
 }
 
 // admit hands a request that may be spent on to its service.
 func (s *State) admit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
-	t := m.Ticket
-	v := s.service(now, t.Service)
-	if !m.Repeat {
-		v.requests.add(now, 1)
-	}
-	first := len(out.Refusals)
-	v.pool.Step(now, &event.Submitted{Entry: entry, Ticket: t}, out)
-	for _, r := range out.Refusals[first:] {
-		if r.ID == t.ID && !m.Repeat {
-			s.giveBack(now, t.Team, m.Quota)
-		}
-	}
+	s.count(now, entry, m)
+	s.step(now, s.service(now, m.Ticket.Service), &event.Submitted{Entry: entry, Ticket: m.Ticket}, out)
 }
 
 // mayRepeat reports whether a service may be sent one more request again.
@@ -192,32 +181,23 @@
 // Withdraw takes a request back that has not been granted.
 func (s *State) Withdraw(now event.Time, entry event.BoxID, w message.Withdrawal, out *event.Effects) {
 	s.parked = slices.DeleteFunc(s.parked, func(p parked) bool { return p.submission.Ticket.ID == w.ID })
-	s.service(now, w.Service).pool.Step(now, &event.Withdrawn{Entry: entry, ID: w.ID}, out)
+	s.uncount(now, w.ID)
+	s.step(now, s.service(now, w.Service), &event.Withdrawn{Entry: entry, ID: w.ID}, out)
 }
 
 // Begin takes note that a granted request's answer has begun.
 func (s *State) Begin(now event.Time, b *event.Begun, out *event.Effects) {
-	s.service(now, b.Pool).pool.Step(now, b, out)
+	s.step(now, s.service(now, b.Pool), b, out)
 }
 
 // Finish ends a request that was granted.
 func (s *State) Finish(now event.Time, f *message.Finish, out *event.Effects) {
 	if f.Unsent {
-		s.undo(now, f)
+		s.unask(now, f.ID)
 	}
+	delete(s.counted, f.ID)
 	s.suspect(now, f, out)
-	s.service(now, f.Pool).pool.Step(now, &f.Finished, out)
-}
-
-// undo takes back what a submission counted that was never sent.
-func (s *State) undo(now event.Time, f *message.Finish) {
-	v := s.service(now, f.Pool)
-	if f.Repeat {
-		v.repeats.remove(now, 1)
-		return
-	}
-	v.requests.remove(now, 1)
-	s.giveBack(now, f.Team, f.Quota)
+	s.step(now, s.service(now, f.Pool), &f.Finished, out)
 }
 
 // suspect leaves an endpoint alone for a while that could not be reached, longer
@@ -239,21 +219,22 @@
 
 // Adopt books a request that runs by the word of an entry.
 func (s *State) Adopt(now event.Time, entry event.BoxID, r message.Running, out *event.Effects) {
-	s.service(now, r.Ticket.Service).pool.Step(now, &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
+	s.step(now, s.service(now, r.Ticket.Service), &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
 }
 
 // EntrySeen takes note that an entry is alive.
 func (s *State) EntrySeen(now event.Time, entry event.BoxID, out *event.Effects) {
 	for _, v := range s.services {
-		v.pool.Step(now, &event.EntrySeen{Entry: entry}, out)
+		s.step(now, v, &event.EntrySeen{Entry: entry}, out)
 	}
 }
 
 // EntryGone forgets what an entry had here.
 func (s *State) EntryGone(now event.Time, entry event.BoxID, out *event.Effects) {
 	s.parked = slices.DeleteFunc(s.parked, func(p parked) bool { return p.entry == entry })
+	s.forgetEntry(now, entry)
 	for _, v := range s.services {
-		v.pool.Step(now, &event.EntryGone{Entry: entry}, out)
+		s.step(now, v, &event.EntryGone{Entry: entry}, out)
 	}
 }
 
@@ -267,6 +248,6 @@
 		}
 	}
 	for _, v := range s.services {
-		v.pool.Step(now, &event.Tick{}, out)
+		s.step(now, v, &event.Tick{}, out)
 	}
 }
--- a/admission/window.go
+++ b/admission/window.go
@@ -49,16 +49,17 @@
 	w.sum += amount
 }
 
-// remove takes an amount back, from what was counted last.
-func (w *window) remove(now event.Time, amount int) {
+// remove takes back an amount that was counted at a moment, if it still counts.
+func (w *window) remove(now, at event.Time, amount int) {
 	w.slide(now)
-	for back := range int64(len(w.bins)) {
-		slot := w.slot(w.newest - back)
-		part := min(amount, w.bins[slot])
-		w.bins[slot] -= part
-		w.sum -= part
-		amount -= part
+	number := int64(at) / int64(w.bin)
+	if number <= w.newest-int64(len(w.bins)) {
+		return
 	}
+	slot := w.slot(number)
+	part := min(amount, w.bins[slot])
+	w.bins[slot] -= part
+	w.sum -= part
 }
 
 // total returns the sum at now.
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -271,7 +271,7 @@
 		if r, runs := a.running[id]; runs {
 			a.finish(now, message.Finish{
 				Finished: event.Finished{ID: id, Pool: r.Ticket.Service, Void: true, Unused: true},
-				Team:     r.Ticket.Team, Endpoint: r.Endpoint,
+				Endpoint: r.Endpoint, Unsent: true,
 			})
 		}
 		return
@@ -349,7 +349,7 @@
 	if !ok {
 		return
 	}
-	a.finish(now, message.Finish{Finished: event.Finished{ID: g.ID, Pool: e.Service, Void: true, Unused: true}, Endpoint: g.Endpoint})
+	a.finish(now, message.Finish{Finished: event.Finished{ID: g.ID, Pool: e.Service, Void: true, Unused: true}, Endpoint: g.Endpoint, Unsent: true})
 }
 
 // flush sends what was gathered.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -66,7 +66,6 @@
 // attempt is one try at one endpoint, with what came of it.
 type attempt struct {
 	decision Decision
-	repeat   bool // it drew on the retry budget
 	outcome  outcome
 	err      error
 	first    time.Duration // to the answer's beginning
@@ -96,7 +95,6 @@
 		}
 		c.placed = true
 		a := c.try(ctx, decision)
-		a.repeat = repeat
 		c.tell(a)
 		if a.outcome != outcomeDone && c.r.Context().Err() != nil {
 			c.gone()
@@ -139,7 +137,7 @@
 	case d := <-answer:
 		c.gateway.meters.decided(asked, d.Alone)
 		if d.Granted && !c.stillAllowed() {
-			c.unused(d, repeat)
+			c.unused(d)
 			c.endNotRun(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
 			return d, false
 		}
@@ -243,10 +241,10 @@
 }
 
 // unused gives a grant back that the request does not use.
-func (c *call) unused(d Decision, repeat bool) {
+func (c *call) unused(d Decision) {
 	c.gateway.agent.Finish(message.Finish{
 		Finished: event.Finished{ID: c.id, Pool: c.service, Void: true, Unused: true, Failed: true},
-		Team:     c.teamName(), Endpoint: d.Endpoint, Unsent: true, Repeat: repeat, Quota: c.quota(),
+		Endpoint: d.Endpoint, Unsent: true,
 	})
 }
 
@@ -260,13 +258,9 @@
 			Void:       a.outcome == outcomeNotSent || a.outcome == outcomeNotRun,
 			FirstAfter: a.first, TokenGap: a.gap,
 		},
-		Team: c.teamName(), Endpoint: a.decision.Endpoint,
-		Suspect: a.outcome == outcomeNotSent || (a.outcome == outcomeUnknown && a.first == 0),
-	}
-	if a.outcome == outcomeNotSent {
-		f.Unsent = true
-		f.Repeat = a.repeat
-		f.Quota = c.quota()
+		Endpoint: a.decision.Endpoint,
+		Unsent:   a.outcome == outcomeNotSent,
+		Suspect:  a.outcome == outcomeNotSent || (a.outcome == outcomeUnknown && a.first == 0),
 	}
 	c.gateway.agent.Finish(f)
 	if a.outcome != outcomeDone {
--- a/message/message.go
+++ b/message/message.go
@@ -141,12 +141,8 @@
 // Finish ends a request that was granted.
 type Finish struct {
 	event.Finished
-	Team  string
-	Quota int // what the request counted against its team's quota
-	// Unsent says that not a byte left for the endpoint, and Repeat that the
-	// submission drew on the retry budget: what it counted is given back.
+	// Unsent says that not a byte left for the endpoint.
 	Unsent bool
-	Repeat bool
 	// Suspect says that the endpoint could not be reached or did not answer as
 	// itself.
 	Suspect  bool
