logx, gateway, cluster, message: mend what else reading showed

- A line written after the log's end (a goroutine that still runs when the process stops) panicked: "send on closed channel".
TestWritingAfterCloseIsLeftOut showed it.
- How long a side of a session may be silent stood in two packages, and the order of who acts first on it rested on two numbers: it is message.Silence now.
- The tokens of a request were read from its head three times on its path; the longest times of routes were kept in step with the configuration where an age does.

TestLinesComeWhole ends the writer by its new channel, the check is the same.

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -47,13 +47,10 @@
 	pinged  event.Time // when it was last heard
 }
 
-// quietEntry is how long an entry may be unheard before it is taken for away: it
-// may then decide alone.
-const quietEntry = 500 * event.Millisecond
-
-// isHere reports whether an entry asks this owner for its decisions.
+// isHere reports whether an entry asks this owner for its decisions: one that is silent
+// for longer may decide alone.
 func (e *entry) isHere(now event.Time) bool {
-	return e.session != 0 && now.Sub(e.pinged) < quietEntry
+	return e.session != 0 && now.Sub(e.pinged) < message.Silence
 }
 
 func newOwner(now event.Time, s *State) *owner {
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -22,8 +22,6 @@
 const (
 	agentTick = 50 * time.Millisecond
 	pingEvery = 200 * event.Millisecond
-	// pongPatience is how long an owner may leave a ping without an answer.
-	pongPatience = 500 * event.Millisecond
 	// aloneAfter is how long an entry is without an owner before it decides by
 	// itself.
 	aloneAfter = 100 * event.Millisecond
--- a/gateway/agent_owner.go
+++ b/gateway/agent_owner.go
@@ -18,7 +18,7 @@
 
 // keepOwner asks the owner whether it still is.
 func (a *Agent) keepOwner(now event.Time) {
-	if now.Sub(a.ponged) > pongPatience {
+	if now.Sub(a.ponged) > message.Silence {
 		a.lose(now, "owner does not answer", nil)
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,25 +95,12 @@
 			return
 		case <-ticker.C:
 			g.upstream.sweep()
-			g.forgetRoutes()
+			g.longest.sweep(time.Now())
 			g.tellLeftOut()
 		}
 	}
 }
 
-// forgetRoutes forgets what was known of routes that are not in force any more.
-func (g *Gateway) forgetRoutes() {
-	table := g.agent.table.Load()
-	if table == nil {
-		return
-	}
-	names := make(map[string]bool, len(table.Routes))
-	for i := range table.Routes {
-		names[table.Routes[i].Name] = true
-	}
-	g.longest.keep(func(route string) bool { return names[route] })
-}
-
 // Ready reports whether new callers may come.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.agent.Table() != nil }
 
@@ -146,6 +133,8 @@
 	id       event.RequestID // ours
 	callerID string
 	body     []byte
+	prompt   int // tokens
+	output   int // tokens that may be generated at the most
 	arrived  time.Time
 	deadline time.Time
 	attempts int // endpoints that the request was sent to
@@ -219,9 +208,9 @@
 	if !c.readBody() {
 		return false
 	}
-	prompt, output := c.tokens()
+	c.prompt, c.output = c.tokens()
 	c.note(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
-		zap.Int("rank", c.rank()), zap.Int("prompt_tokens", prompt), zap.Int("output_tokens", output),
+		zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.prompt), zap.Int("output_tokens", c.output),
 		zap.Duration("left", time.Until(c.deadline)), zap.Uint64("version", c.table.Version))
 	return true
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,8 +13,13 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"lynxramp.org/admission"
 	"lynxramp.org/event"
+	"lynxramp.org/link"
 	"lynxramp.org/message"
+	"lynxramp.org/registry"
 )
 
 func TestRequestReachesItsEndpointAsItIs(t *testing.T) {
@@ -342,3 +347,29 @@
 		}
 	}
 }
+
+// TestGrantThatNobodyTakesGivesBack: a caller that leaves between its grant and its
+// dispatch, and a grant that comes after its request was withdrawn, end as never sent.
+func TestGrantThatNobodyTakesGivesBack(t *testing.T) {
+	a := NewAgent(AgentConfig{Entry: "entry", Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second}, Log: zap.NewNop()})
+	a.conn, a.owned = &link.Conn[message.Envelope]{}, true
+	a.endpoints["e1"] = message.Endpoint{Endpoint: registry.Endpoint{ID: "e1", Service: "s"}}
+	granted := func(id event.RequestID) { a.decided(0, []event.Granted{{ID: id, Endpoint: "e1"}}, nil, false) }
+	submit := func(id event.RequestID) {
+		a.submit(0, &waiter{submission: message.Submission{Ticket: event.Ticket{ID: id, Service: "s"}}, decision: make(chan Decision, 1)})
+	}
+	submit("1")
+	granted("1")
+	a.withdraw(0, "1")
+	submit("2")
+	a.withdraw(0, "2")
+	granted("2")
+	if len(a.batch.Finish) != 2 || len(a.batch.Withdraw) != 1 {
+		t.Fatalf("%d ends and %d withdrawals, want 2 and 1", len(a.batch.Finish), len(a.batch.Withdraw))
+	}
+	for _, f := range a.batch.Finish {
+		if !f.Unsent || !f.Void || !f.Unused {
+			t.Errorf("%s ends as %+v", f.ID, f)
+		}
+	}
+}
--- a/gateway/longest.go
+++ b/gateway/longest.go
@@ -48,12 +48,12 @@
 	return float64(left) < returnedPart*float64(max(t.now, t.before))
 }
 
-// keep forgets the routes that are not among those named.
-func (l *longest) keep(named func(route string) bool) {
+// sweep forgets the routes that nobody asked for in the last two spans.
+func (l *longest) sweep(at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for route := range l.routes {
-		if !named(route) {
+	for route, t := range l.routes {
+		if at.Sub(t.since) > 2*longestSpan {
 			delete(l.routes, route)
 		}
 	}
--- a/gateway/longest_test.go
+++ b/gateway/longest_test.go
@@ -31,8 +31,8 @@
 			t.Errorf("after %v on %s with %v left: %v", step.after, step.route, step.left, got)
 		}
 	}
-	l.keep(func(route string) bool { return route == "b" })
-	if len(l.routes) != 1 {
-		t.Errorf("%d routes are kept, want 1", len(l.routes))
+	l.sweep(at.Add(24 * time.Second)) // nobody asked for b since the first second
+	if _, ok := l.routes["a"]; len(l.routes) != 1 || !ok {
+		t.Errorf("%d routes are kept, want a alone", len(l.routes))
 	}
 }
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -50,15 +50,15 @@
 	case !c.team.InTokens:
 		return 1
 	}
-	if prompt, output := c.tokens(); prompt+output > 0 {
-		return prompt + output
+	if c.prompt+c.output > 0 {
+		return c.prompt + c.output
 	}
 	return c.team.PlainTokens
 }
 
 // ticket describes the request to who decides.
 func (c *call) ticket(repeat bool) message.Submission {
-	prompt, output := c.tokens()
+	output := c.output
 	if hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint)); err == nil && hint > 0 {
 		output = min(output, hint)
 	}
@@ -67,7 +67,7 @@
 	return message.Submission{
 		Ticket: event.Ticket{
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
-			PromptTokens: prompt, OutputTokens: output, Deadline: left,
+			PromptTokens: c.prompt, OutputTokens: output, Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.patience(left),
 			Placed: c.placed, Returned: c.returned, Avoid: c.avoid, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 		},
--- a/internal/logx/async.go
+++ b/internal/logx/async.go
@@ -21,13 +21,14 @@
 // in time are left out and counted.
 type Async struct {
 	lines   chan []byte
+	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Uint64
 }
 
 // NewAsync returns a writer to w, whose lines a goroutine passes on until Close.
 func NewAsync(w io.Writer) *Async {
-	a := &Async{lines: make(chan []byte, asyncLines), done: make(chan struct{})}
+	a := &Async{lines: make(chan []byte, asyncLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go a.run(w)
 	return a
 }
@@ -49,49 +50,67 @@
 // Dropped returns how many lines were left out.
 func (a *Async) Dropped() uint64 { return a.dropped.Load() }
 
-// Close passes on what waits, for a short time. Nothing may be written after it.
+// Close passes on what waits, for a short time. What is written after it is left out. It
+// must be called once.
 func (a *Async) Close() {
-	close(a.lines)
+	close(a.closing)
 	select {
 	case <-a.done:
 	case <-time.After(gatherEvery):
 	}
 }
 
+// run writes the lines, gathered, until Close and what waits then.
 func (a *Async) run(w io.Writer) {
 	defer close(a.done)
 	var buffer []byte
-	for {
-		line, ok := <-a.lines
-		if !ok {
-			return
+	for open := true; open; {
+		buffer = buffer[:0]
+		select {
+		case line := <-a.lines:
+			buffer = append(buffer, line...)
+			open = a.gather(&buffer)
+		case <-a.closing:
+			open = false
+		}
+		if !open {
+			a.drain(&buffer)
+		}
+		if len(buffer) == 0 {
+			continue
 		}
-		buffer = append(buffer[:0], line...)
-		timer := time.NewTimer(gatherEvery)
-		ok = a.gather(&buffer, timer)
-		timer.Stop()
 		if _, err := w.Write(buffer); err != nil {
 			a.dropped.Add(1)
 		}
-		if !ok {
-			return
-		}
 	}
 }
 
-// gather adds lines to the buffer until it is full or the timer ends. It reports
-// false when there will be no more.
-func (a *Async) gather(buffer *[]byte, timer *time.Timer) bool {
+// gather adds lines to the buffer until it is full or a time is over. It reports false
+// when there will be no more.
+func (a *Async) gather(buffer *[]byte) bool {
+	timer := time.NewTimer(gatherEvery)
+	defer timer.Stop()
 	for len(*buffer) < gatherBytes {
 		select {
-		case line, ok := <-a.lines:
-			if !ok {
-				return false
-			}
+		case line := <-a.lines:
 			*buffer = append(*buffer, line...)
+		case <-a.closing:
+			return false
 		case <-timer.C:
 			return true
 		}
 	}
 	return true
 }
+
+// drain adds the lines that wait.
+func (a *Async) drain(buffer *[]byte) {
+	for {
+		select {
+		case line := <-a.lines:
+			*buffer = append(*buffer, line...)
+		default:
+			return
+		}
+	}
+}
--- a/internal/logx/async_test.go
+++ b/internal/logx/async_test.go
@@ -48,9 +48,27 @@
 		want += line
 		_, _ = a.Write([]byte(line))
 	}
-	close(a.lines)
+	close(a.closing)
 	<-a.done
 	if out.String() != want {
 		t.Errorf("got %q", out.String())
 	}
 }
+
+// TestWritingAfterCloseIsLeftOut: goroutines that still run when the process ends may
+// write; they panicked.
+func TestWritingAfterCloseIsLeftOut(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	_, _ = a.Write([]byte("before\n"))
+	a.Close()
+	for range 2 * asyncLines {
+		_, _ = a.Write([]byte("after\n"))
+	}
+	if got := out.String(); got != "before\n" {
+		t.Errorf("got %q", got)
+	}
+	if a.Dropped() == 0 {
+		t.Error("lines were left out and not counted")
+	}
+}
--- a/message/message.go
+++ b/message/message.go
@@ -11,6 +11,11 @@
 	"lynxramp.org/registry"
 )
 
+// Silence is how long one side of a session may leave the other without a word. After it
+// an owner takes an entry for away, and an entry its owner for lost. An entry then waits
+// a little more before it decides alone, so that the owner is first to act on it.
+const Silence = 500 * event.Millisecond
+
 // Envelope is one message; exactly one field is set.
 type Envelope struct {
 	Hello     *Hello
