cluster, admission: log what a new owner is told of quotas, and what it believes

The owner logs, once a second and only for quotas more than half spent, what it counts; and with each entry its life, age and what it told. No change of logic.

Ruled out: a metric by team, it would have 1,200 values.

--- a/admission/quota.go
+++ b/admission/quota.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// Spent returns what a team has spent and may spend here in a window, for the log.
+func (s *State) Spent(now event.Time, team string) (spent, limit int) {
+	in := s.quotaInputs(now, team)
+	return in.Spent, in.Limit
+}
+
 func (s *State) window(team string) *window {
 	w, ok := s.spent[team]
 	if !ok {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -31,8 +31,13 @@
 	keepTime event.Span
 	assumed  float64             // part of the quotas that is taken as spent before
 	tight    []message.Allowance // quotas, as of the last tick
+	toldAt   event.Time          // when the log was last told of tight quotas
 }
 
+// tellQuotasEvery is how often the log is told of the quotas that are more than half
+// spent.
+const tellQuotasEvery = event.Second
+
 // session is a connection of an entry.
 type session struct {
 	entry event.BoxID
@@ -126,6 +131,20 @@
 	}
 	o.admission.Tick(now, &o.effects)
 	o.tight = o.admission.Tight(now)
+	o.tellQuotas(now, out)
+}
+
+// tellQuotas tells the log what is believed of the quotas that are more than half spent.
+func (o *owner) tellQuotas(now event.Time, out *Effects) {
+	if len(o.tight) == 0 || now.Sub(o.toldAt) < tellQuotasEvery {
+		return
+	}
+	o.toldAt = now
+	for _, a := range o.tight {
+		spent, limit := o.admission.Spent(now, a.Name)
+		out.note("quota", Field{"team", a.Name}, Field{"spent", spent}, Field{"limit", limit}, Field{"left", a.Left},
+			Field{"entries", o.count(now)}, Field{"assumed_part", o.assumed}, Field{"owner_ms", now.Sub(o.began).Milliseconds()})
+	}
 }
 
 // count returns how many entries share the quotas, those that are away included:
@@ -233,6 +252,7 @@
 func (o *owner) begin(now event.Time, b *SessionBegan, s *State, out *Effects) {
 	name := b.Hello.Entry
 	e, ok := o.entries[name]
+	newLife := ok && e.life != b.Hello.Life
 	if !ok {
 		e = &entry{}
 		o.entries[name] = e
@@ -266,7 +286,18 @@
 	}
 	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
 	o.sendDocument(b.Session, one, s, out)
-	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)})
+	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
+		Field{"known", ok}, Field{"new_life", newLife}, Field{"age_ms", b.Hello.Age.Milliseconds()},
+		Field{"spent", total(b.Hello.Spent.Teams)}, Field{"spent_alone", total(b.Hello.SpentAlone.Teams)}, Field{"assumed_part", o.assumed})
+}
+
+// total sums spendings, for the log.
+func total(list []message.Spending) int {
+	sum := 0
+	for _, one := range list {
+		sum += one.Amount
+	}
+	return sum
 }
 
 // ping tells an entry that this box still owns the pools.
