gateway: the entry's side of the decisions as a reducer, OwnerClient

Cause: the agent mixed its decisions with goroutines, a clock and TCP connections, so no test could drive it through random interleavings. OwnerClient takes what happened with its time and returns what to send, dial and close; Agent is the loop around it. No change of what is decided; which control box is asked first now follows the process's life, which is random, instead of another draw.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -33,7 +33,7 @@
 	one := random.Number()
 	run, end := context.WithCancel(context.Background())
 	defer end()
-	agent := gateway.NewAgent(gateway.AgentConfig{
+	agent := gateway.NewAgent(gateway.ClientConfig{
 		Entry:   f.ID,
 		Life:    one,
 		Control: controlLinks(f),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,7 +106,7 @@
 
 // IdleTimeout returns how long a caller's connection may rest; 0 is without a limit.
 func (g *Gateway) IdleTimeout() time.Duration {
-	if t := g.agent.table.Load(); t != nil {
+	if t := g.agent.LastTable(); t != nil {
 		return t.Limits.IdleTimeout
 	}
 	return 0
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,7 +17,6 @@
 
 	"lynxramp.org/admission"
 	"lynxramp.org/event"
-	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
 )
@@ -351,8 +350,8 @@
 // TestGrantThatNobodyTakesGivesBack: a caller that leaves between its grant and its
 // dispatch, and a grant that comes after its request was withdrawn, end as never sent.
 func TestGrantThatNobodyTakesGivesBack(t *testing.T) {
-	a := NewAgent(AgentConfig{Entry: "entry", Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second}, Log: zap.NewNop()})
-	a.conn, a.owned = &link.Conn[message.Envelope]{}, true
+	a := NewOwnerClient(ClientConfig{Entry: "entry", Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second}, Log: zap.NewNop()})
+	a.link, a.owned = 1, true
 	a.endpoints["e1"] = message.Endpoint{Endpoint: registry.Endpoint{ID: "e1", Service: "s"}}
 	granted := func(id event.RequestID) { a.decided(0, []event.Granted{{ID: id, Endpoint: "e1"}}, nil, false) }
 	submit := func(id event.RequestID) {
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -18,7 +18,7 @@
 	set.NewGauge("lynxramp_gateway_held_bytes", func() float64 { return float64(g.bytes.Load()) })
 	set.NewGauge("lynxramp_gateway_ready", func() float64 { return float64(one(g.Ready())) })
 	set.NewGauge("lynxramp_gateway_configuration_version", func() float64 {
-		if t := g.agent.table.Load(); t != nil {
+		if t := g.agent.LastTable(); t != nil {
 			return float64(t.Version)
 		}
 		return 0
--- /dev/null
+++ b/gateway/owner_client.go
@@ -0,0 +1,337 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/admission"
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// Times of an owner client.
+const (
+	pingEvery = 200 * event.Millisecond
+	// aloneAfter is how long an entry is without an owner before it decides by
+	// itself.
+	aloneAfter = 100 * event.Millisecond
+	redialWait = 60 * event.Millisecond
+)
+
+// Decision is what became of a submission.
+type Decision struct {
+	Granted    bool
+	Endpoint   event.EndpointID
+	Address    string
+	Reason     event.Reason
+	RetryAfter event.Span
+	// Fresh asks for a new connection to the endpoint.
+	Fresh bool
+	// Alone says that the entry decided without an owner.
+	Alone bool
+	// Inputs are what decided.
+	Inputs event.Inputs
+}
+
+// ClientConfig says who an entry is and whom it asks.
+type ClientConfig struct {
+	Entry event.BoxID
+	Life  uint64
+	// Control has link addresses of control boxes, perhaps old ones.
+	Control []string
+	Limits  admission.Limits
+	// Fresh is how long the configuration counts after it was known to be the
+	// newest.
+	Fresh  event.Span
+	Decode func([]byte) (*routing.Table, error)
+	Log    *zap.Logger
+}
+
+// LinkID names a connection to a control box; 0 is none.
+type LinkID uint64
+
+// ClientEffects is what an OwnerClient asks the world to do, in the order of each list.
+type ClientEffects struct {
+	// Dial is the address of a control box to connect to; empty for none.
+	Dial   string
+	Sends  []LinkSend
+	Closes []LinkID
+}
+
+// LinkSend is a message for a connection.
+type LinkSend struct {
+	Link    LinkID
+	Message *message.Envelope
+}
+
+// OwnerClient is the entry's side of the decisions: it finds the owner, asks it, and
+// decides by itself while there is none. It is a reducer and not safe for concurrent
+// use, but for what is atomic.
+type OwnerClient struct {
+	config ClientConfig
+	log    *zap.Logger
+	table  atomic.Pointer[routing.Table]
+	fresh  atomic.Int64  // event.Time until which the table may be used
+	pace   atomic.Int64  // entries that share quotas
+	known  chan struct{} // closed when a configuration is in force for the first time
+
+	link        LinkID
+	address     string // of the control box behind link
+	owned       bool   // the other side of link said that it is the owner
+	dialing     bool
+	dialAt      event.Time
+	lostAt      event.Time
+	pinged      event.Time
+	ponged      event.Time
+	members     []string // known control boxes
+	hint        string   // the leader, as last told
+	nextTry     int
+	waiting     map[event.RequestID]*waiter
+	running     map[event.RequestID]*message.Running
+	endpoints   map[event.EndpointID]message.Endpoint
+	ledger      *admission.State    // what was spent here, for the next owner
+	ledgerAlone *admission.State    // the part of it that no owner granted
+	alone       *admission.State    // nil while there is an owner
+	tight       []message.Allowance // quotas, as last told by an owner
+	tightAt     event.Time
+	batch       message.Batch
+	effects     event.Effects
+	out         ClientEffects
+}
+
+// waiter is a request without a decision.
+type waiter struct {
+	submission message.Submission
+	arrived    event.Time
+	decision   chan<- Decision
+}
+
+// resubmission returns the submission as it is for who decides from now on.
+func (w *waiter) resubmission(now event.Time) message.Submission {
+	m := w.submission
+	waited := now.Sub(w.arrived)
+	m.Ticket.Waited += waited
+	m.Ticket.Deadline -= waited
+	m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-waited)
+	return m
+}
+
+// NewOwnerClient returns a client that knows no owner yet.
+func NewOwnerClient(c ClientConfig) *OwnerClient {
+	a := &OwnerClient{
+		config:      c,
+		log:         c.Log,
+		members:     slices.Clone(c.Control),
+		waiting:     make(map[event.RequestID]*waiter),
+		running:     make(map[event.RequestID]*message.Running),
+		endpoints:   make(map[event.EndpointID]message.Endpoint),
+		known:       make(chan struct{}),
+		ledger:      admission.New(c.Limits, c.Life),
+		ledgerAlone: admission.New(c.Limits, c.Life),
+		nextTry:     int(c.Life % uint64(len(c.Control)+1)),
+	}
+	a.pace.Store(1)
+	return a
+}
+
+// Table returns the configuration that requests are served by at now; nil while there
+// is none, or while it is not known to be the newest. Any goroutine may call it.
+func (a *OwnerClient) Table(now event.Time) *routing.Table {
+	if int64(now) >= a.fresh.Load() {
+		return nil
+	}
+	return a.table.Load()
+}
+
+// Take returns what the world is to do about all that happened since the last call.
+func (a *OwnerClient) Take() ClientEffects {
+	a.flush()
+	out := a.out
+	a.out = ClientEffects{}
+	return out
+}
+
+// Submit registers a request. Its decision goes to the channel, which must have room
+// for it.
+func (a *OwnerClient) Submit(now event.Time, m message.Submission, decision chan<- Decision) {
+	a.submit(now, &waiter{submission: m, arrived: now, decision: decision})
+	a.settle(now)
+}
+
+// Withdraw takes a request back whose decision is not awaited any more.
+func (a *OwnerClient) Withdraw(now event.Time, id event.RequestID) {
+	a.withdraw(now, id)
+	a.settle(now)
+}
+
+// Begin says that a granted request's answer has begun.
+func (a *OwnerClient) Begin(now event.Time, b event.Begun) {
+	a.begin(now, b)
+	a.settle(now)
+}
+
+// Finish says that a granted request does not use its endpoint any more.
+func (a *OwnerClient) Finish(now event.Time, f message.Finish) {
+	a.finish(now, f)
+	a.settle(now)
+}
+
+func (a *OwnerClient) submit(now event.Time, w *waiter) {
+	id := w.submission.Ticket.ID
+	a.waiting[id] = w
+	switch {
+	case a.owned:
+		a.batch.Submit = append(a.batch.Submit, w.submission)
+	case a.alone != nil:
+		a.alone.Submit(now, a.config.Entry, &w.submission, &a.effects)
+	}
+}
+
+func (a *OwnerClient) withdraw(now event.Time, id event.RequestID) {
+	w, ok := a.waiting[id]
+	if !ok {
+		// It was granted in the meantime and is not used.
+		if r, runs := a.running[id]; runs {
+			a.finish(now, message.Finish{
+				Finished: event.Finished{ID: id, Pool: r.Ticket.Service, Void: true, Unused: true},
+				Endpoint: r.Endpoint, Unsent: true,
+			})
+		}
+		return
+	}
+	delete(a.waiting, id)
+	withdrawal := message.Withdrawal{ID: id, Service: w.submission.Ticket.Service}
+	switch {
+	case a.owned:
+		a.batch.Withdraw = append(a.batch.Withdraw, withdrawal)
+	case a.alone != nil:
+		a.alone.Withdraw(now, a.config.Entry, withdrawal, &a.effects)
+	}
+}
+
+func (a *OwnerClient) begin(now event.Time, b event.Begun) {
+	if a.owned {
+		a.batch.Begun = append(a.batch.Begun, b)
+	}
+	if a.alone != nil {
+		a.alone.Begin(now, &b, &a.effects)
+	}
+}
+
+func (a *OwnerClient) finish(now event.Time, f message.Finish) {
+	delete(a.running, f.ID)
+	if a.link != 0 {
+		a.batch.Finish = append(a.batch.Finish, f)
+	}
+	if a.alone != nil {
+		a.alone.Finish(now, &f, &a.effects)
+	}
+}
+
+// settle hands on what was decided here alone.
+func (a *OwnerClient) settle(now event.Time) {
+	for len(a.effects.Grants)+len(a.effects.Refusals) > 0 {
+		grants, refusals := a.effects.Grants, a.effects.Refusals
+		a.effects = event.Effects{}
+		a.decided(now, grants, refusals, true)
+	}
+}
+
+// decided tells the waiting requests what was decided.
+func (a *OwnerClient) decided(now event.Time, grants []event.Granted, refusals []event.Refused, alone bool) {
+	for _, g := range grants {
+		w, ok := a.waiting[g.ID]
+		if !ok {
+			a.refuseGrant(now, g)
+			continue
+		}
+		delete(a.waiting, g.ID)
+		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint}
+		a.ledger.Note(now, &w.submission)
+		if alone {
+			a.ledgerAlone.Note(now, &w.submission)
+		}
+		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Fresh: g.Fresh, Alone: alone, Inputs: g.Inputs}
+	}
+	for _, r := range refusals {
+		w, ok := a.waiting[r.ID]
+		if !ok {
+			continue
+		}
+		delete(a.waiting, r.ID)
+		w.decision <- Decision{Reason: r.Reason, RetryAfter: r.RetryAfter, Alone: alone, Inputs: r.Inputs}
+	}
+}
+
+// refuseGrant gives back a grant that nobody waits for.
+func (a *OwnerClient) refuseGrant(now event.Time, g event.Granted) {
+	if _, ok := a.running[g.ID]; ok {
+		return
+	}
+	e, ok := a.endpoints[g.Endpoint]
+	if !ok {
+		return
+	}
+	a.finish(now, message.Finish{Finished: event.Finished{ID: g.ID, Pool: e.Service, Void: true, Unused: true}, Endpoint: g.Endpoint, Unsent: true})
+}
+
+func (a *OwnerClient) send(m *message.Envelope) {
+	a.out.Sends = append(a.out.Sends, LinkSend{a.link, m})
+}
+
+// flush sends what was gathered.
+func (a *OwnerClient) flush() {
+	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Begun)+len(a.batch.Finish) == 0 {
+		return
+	}
+	if a.link != 0 {
+		batch := a.batch
+		a.send(&message.Envelope{Batch: &batch})
+	}
+	a.batch = message.Batch{}
+}
+
+// Tick tells the client that time passed.
+func (a *OwnerClient) Tick(now event.Time) {
+	switch {
+	case a.link != 0:
+		a.keepOwner(now)
+	case !a.dialing && now >= a.dialAt:
+		a.dial()
+	}
+	if !a.owned && a.alone == nil && now.Sub(a.lostAt) > aloneAfter && a.table.Load() != nil {
+		a.goAlone(now)
+	}
+	if a.alone != nil {
+		a.alone.EntrySeen(now, a.config.Entry, &a.effects)
+		a.alone.Tick(now, &a.effects)
+	}
+	a.settle(now)
+}
+
+// goAlone begins to decide without an owner.
+func (a *OwnerClient) goAlone(now event.Time) {
+	entries := int(a.pace.Load())
+	a.alone = admission.New(a.config.Limits, a.config.Life)
+	a.alone.SetTable(now, a.table.Load())
+	a.alone.SetShare(1 / float64(entries))
+	a.alone.Take(now, a.ledger.Report(now), a.config.Limits.QuotaWindow)
+	a.alone.SetAllowances(a.tight, a.tightAt)
+	for _, e := range a.endpoints {
+		e.Slots = max(1, (e.Slots+entries-1)/entries)
+		a.alone.SetEndpoint(now, e, &a.effects)
+	}
+	for _, r := range a.running {
+		a.alone.Adopt(now, a.config.Entry, *r, &a.effects)
+	}
+	for _, w := range a.waiting {
+		m := w.resubmission(now)
+		a.alone.Submit(now, a.config.Entry, &m, &a.effects)
+	}
+	a.log.Warn("decides without an owner", zap.Int("entries", entries), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
+}
--- a/gateway/agent_owner.go
+++ b/gateway/owner_session.go
@@ -9,27 +9,26 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
-	"lynxramp.org/link"
 	"lynxramp.org/message"
 )
 
-// This file is the agent's way to the owner: finding it, keeping it, and what it
+// This file is a client's way to the owner: finding it, keeping it, and what it
 // tells of the deployment.
 
 // keepOwner asks the owner whether it still is.
-func (a *Agent) keepOwner(now event.Time) {
+func (a *OwnerClient) keepOwner(now event.Time) {
 	if now.Sub(a.ponged) > message.Silence {
 		a.lose(now, "owner does not answer", nil)
 		return
 	}
 	if now.Sub(a.pinged) >= pingEvery {
 		a.pinged = now
-		a.conn.Send(&message.Envelope{Ping: &message.Ping{Sent: now}})
+		a.send(&message.Envelope{Ping: &message.Ping{Sent: now}})
 	}
 }
 
-// know adds control boxes to those that are asked.
-func (a *Agent) know(control []string) {
+// Know adds control boxes to those that are asked.
+func (a *OwnerClient) Know(control []string) {
 	for _, address := range control {
 		if !slices.Contains(a.members, address) {
 			a.members = append(a.members, address)
@@ -38,7 +37,7 @@
 }
 
 // dial connects to the leader as last told, or to the next box that is known.
-func (a *Agent) dial() {
+func (a *OwnerClient) dial() {
 	address := a.hint
 	a.hint = ""
 	if address == "" {
@@ -46,19 +45,21 @@
 		a.nextTry++
 	}
 	a.dialing = true
-	go func() {
-		conn, err := link.Dial[message.Envelope](address)
-		a.input <- dialed{conn: conn, address: address, err: err}
-	}()
+	a.out.Dial = address
 }
 
-func (a *Agent) dialed(now event.Time, d dialed) {
+// DialFailed takes note that a control box was not reached.
+func (a *OwnerClient) DialFailed(now event.Time, address string, err error) {
 	a.dialing = false
 	a.dialAt = now.Add(redialWait)
-	if d.err != nil {
-		a.log.Debug("control box not reached", zap.String("address", d.address), logx.Err(d.err))
-		return
-	}
+	a.log.Debug("control box not reached", zap.String("address", address), logx.Err(err))
+}
+
+// Dialed begins a session on a new connection to a control box.
+func (a *OwnerClient) Dialed(now event.Time, link LinkID, address string) {
+	a.dialing = false
+	a.dialAt = now.Add(redialWait)
+	a.link, a.address = link, address
 	hello := &message.Hello{
 		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Age: event.Span(now),
 	}
@@ -67,23 +68,17 @@
 	for _, r := range a.running {
 		hello.Running = append(hello.Running, *r)
 	}
-	conn := d.conn
-	a.conn = conn
 	a.ponged, a.pinged = now, now
-	conn.Send(&message.Envelope{Hello: hello})
-	conn.Send(&message.Envelope{Ping: &message.Ping{Sent: now}})
-	go func() {
-		err := conn.Serve(func(m *message.Envelope) { a.input <- received{conn, m} })
-		a.input <- lost{conn, err}
-	}()
+	a.send(&message.Envelope{Hello: hello})
+	a.send(&message.Envelope{Ping: &message.Ping{Sent: now}})
 	a.batch = message.Batch{}
-	a.log.Debug("asks control box", zap.String("address", d.address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
+	a.log.Debug("asks control box", zap.String("address", address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
 }
 
 // lose gives up the connection to the owner.
-func (a *Agent) lose(now event.Time, why string, err error) {
-	a.conn.Close()
-	a.conn = nil
+func (a *OwnerClient) lose(now event.Time, why string, err error) {
+	a.out.Closes = append(a.out.Closes, a.link)
+	a.link = 0
 	level := zap.DebugLevel
 	if a.owned {
 		a.lostAt = now
@@ -95,10 +90,23 @@
 	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)))
 }
 
-func (a *Agent) receive(now event.Time, m *message.Envelope) {
+// Lost takes note that a connection has ended.
+func (a *OwnerClient) Lost(now event.Time, link LinkID, err error) {
+	if link == a.link {
+		a.lose(now, "connection ended", err)
+	}
+}
+
+// Received takes a message of a control box. What comes on a connection that was given
+// up counts for nothing.
+func (a *OwnerClient) Received(now event.Time, link LinkID, m *message.Envelope) {
+	if link != a.link {
+		return
+	}
+	defer a.settle(now)
 	switch {
 	case m.Redirect != nil:
-		a.know(m.Redirect.Members)
+		a.Know(m.Redirect.Members)
 		a.hint = m.Redirect.Leader
 		a.lose(now, "not the owner", nil)
 		if a.hint == "" {
@@ -114,7 +122,7 @@
 }
 
 // pong takes the owner's word that the configuration is the newest.
-func (a *Agent) pong(now event.Time, p *message.Pong) {
+func (a *OwnerClient) pong(now event.Time, p *message.Pong) {
 	a.ponged = now
 	a.pace.Store(int64(max(1, p.Entries)))
 	a.tight, a.tightAt = p.Tight, now
@@ -129,18 +137,18 @@
 }
 
 // beginOwned hands what waits to the owner that was found.
-func (a *Agent) beginOwned(now event.Time) {
+func (a *OwnerClient) beginOwned(now event.Time) {
 	a.owned = true
 	a.alone = nil
 	for _, w := range a.waiting {
 		a.batch.Submit = append(a.batch.Submit, w.resubmission(now))
 	}
-	a.log.Info("owner found", zap.String("address", a.conn.Remote()), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
+	a.log.Info("owner found", zap.String("address", a.address), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
 }
 
 // see takes news of the deployment.
-func (a *Agent) see(now event.Time, v *message.View) {
-	a.know(v.Members)
+func (a *OwnerClient) see(now event.Time, v *message.View) {
+	a.Know(v.Members)
 	if v.Whole {
 		clear(a.endpoints)
 	}
@@ -156,7 +164,7 @@
 }
 
 // put puts a configuration in force. An entry never goes back to an older one.
-func (a *Agent) put(now event.Time, v *message.View) {
+func (a *OwnerClient) put(now event.Time, v *message.View) {
 	if t := a.table.Load(); t != nil && t.Version >= v.Version {
 		return
 	}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -232,7 +232,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	agent := NewAgent(AgentConfig{
+	agent := NewAgent(ClientConfig{
 		Entry: "entry", Life: 7, Control: []string{l.Addr().String()}, Fresh: 5 * event.Second,
 		Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second, RetryMin: 10},
 		Decode: func(data []byte) (*routing.Table, error) {
