--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,7 @@
 	}
 	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
+	c.dropReserved()
 	defer c.writeRecord()
 	defer c.dropBody()
 	if !c.admit() {
@@ -180,6 +181,17 @@
 	c.run()
 }
 
+// dropReserved takes off what the system alone may tell endpoints, so that nothing that
+// copies the request's headers can pass it on. It counts names, never values.
+func (c *call) dropReserved() {
+	for _, name := range c.gateway.config.Names.Reserved {
+		if _, ok := c.r.Header[http.CanonicalHeaderKey(name)]; ok {
+			c.r.Header.Del(name)
+			c.gateway.meters.reserved(name).Inc()
+		}
+	}
+}
+
 // admit finds what the request is and reads it whole. It answers by itself what
 // cannot be served.
 func (c *call) admit() bool {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,54 @@
 	}
 }
 
+// TestCallersSteerNoEndpoint: the headers that are the system's own never reach an endpoint
+// as a caller sent them: not with calls, streams, repeats or resumed streams, not sent
+// twice, in another case, as a trailer, or named as one of the connection's.
+func TestCallersSteerNoEndpoint(t *testing.T) {
+	for name, c := range map[string]struct {
+		path      string
+		endpoints []answer
+	}{
+		"call":    {"/once/x", []answer{whole(200, "a")}},
+		"repeat":  {"/safe/x", []answer{reset, whole(200, "a")}},
+		"stream":  {"/stream/x", []answer{events(3, false)}},
+		"resumed": {"/stream/x", []answer{events(2, true), events(4, false)}},
+	} {
+		var endpoints []*standIn
+		for _, script := range c.endpoints {
+			endpoints = append(endpoints, newStandIn(t, script))
+		}
+		r := newRig(t, endpoints...)
+		q := r.request("POST", c.path, "question")
+		q.Header["x-hold"] = []string{"lease-1", "lease-2"}
+		q.Header.Set("X-Kv-From", "10.0.0.1:80/handle")
+		q.Header.Set("X-Expect", "another")
+		q.Header.Set("X-Other", "goes on")
+		q.Header.Set("Connection", "X-Kv-From")
+		q.Trailer = http.Header{"X-Hold": nil}
+		q.ContentLength = -1
+		q.Trailer.Set("X-Hold", "lease-3")
+		if status, _, _ := r.do(t, q); status != 200 {
+			t.Errorf("%s: status %d", name, status)
+		}
+		for i, e := range endpoints {
+			if e.runs() != 1 {
+				t.Fatalf("%s: endpoint %d had %d requests", name, i+1, e.runs())
+			}
+			h := e.seen[0].Header
+			if h["X-Hold"] != nil || h["X-Kv-From"] != nil || h.Get("X-Expect") != fmt.Sprintf("e%d", i+1) || len(e.seen[0].Trailer) > 0 {
+				t.Errorf("%s: endpoint %d got %v, trailer %v", name, i+1, h, e.seen[0].Trailer)
+			}
+			if h.Get("X-Other") != "goes on" {
+				t.Errorf("%s: endpoint %d lacks a caller's header: %v", name, i+1, h)
+			}
+		}
+		if got := r.gateway.meters.set.GetOrCreateCounter(`lynxramp_gateway_reserved_headers_total{header="X-Hold"}`).Get(); got != 1 {
+			t.Errorf("%s: %d requests are counted for X-Hold, want 1", name, got)
+		}
+	}
+}
+
 func TestOwnAnswers(t *testing.T) {
 	e := newStandIn(t, whole(200, "answer"))
 	r := newRig(t, e)
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -24,7 +24,11 @@
 		return 0
 	})
 	metrics.RegisterSet(set)
-	return meters{set: set}
+	m := meters{set: set}
+	for _, name := range g.config.Names.Reserved {
+		m.reserved(name).Set(0)
+	}
+	return m
 }
 
 func one(is bool) int {
@@ -44,6 +48,11 @@
 	m.set.GetOrCreateHistogram(`lynxramp_gateway_first_byte_seconds{rank="` + rank + `"}`).UpdateDuration(since)
 }
 
+// reserved counts the requests that carried a header of the system's own.
+func (m *meters) reserved(name string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_reserved_headers_total{header="` + name + `"}`)
+}
+
 // tried counts an attempt at an endpoint by how it ended.
 func (m *meters) tried(o outcome) {
 	m.set.GetOrCreateCounter(`lynxramp_gateway_attempts_total{outcome="` + o.String() + `"}`).Inc()
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -21,6 +21,9 @@
 	Signature string
 	// LastEvent is the last event of a stream that its reader has.
 	LastEvent string
+	// Reserved are the headers with which the system itself steers endpoints. What a
+	// caller sends under them never passes an entry.
+	Reserved []string
 	// KeyScheme stands before a key in the Authorization header.
 	KeyScheme string
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -31,6 +31,7 @@
 var testNames = Names{
 	RequestID: "X-Request", Deadline: "X-Deadline", Tokens: "X-Tokens", Expect: "X-Expect", Team: "X-Team",
 	NotRun: "X-Not-Run", Signature: "X-Signature", LastEvent: "X-Last", KeyScheme: "Key",
+	Reserved: []string{"X-Hold", "X-Kv-From"},
 }
 
 // standIn is an endpoint that answers each connection's requests by a script.
