--- /dev/null
+++ b/budget/bench_test.go
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+
+package budget
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"lynxramp.org/event"
+)
+
+// benchBook returns a book whose accounts are used at two fifths of their limits by all
+// entries.
+func benchBook(accounts, entries int) (*Book, event.Time) {
+	b := NewBook(0, testFresh)
+	for i := range accounts {
+		b.SetLimit(0, Team(fmt.Sprintf("team-%d", i)), Limit{Window: 8 * event.Second, Most: 1_600_000, Base: 1_600_000})
+	}
+	for i := range entries {
+		b.Greet(0, event.BoxID(fmt.Sprint(i)), 1, nil)
+	}
+	b.MakeRecord(0)
+	b.Committed()
+	now := event.Time(0)
+	for step := range 80 {
+		now = event.Time(step) * event.Time(100*event.Millisecond)
+		for i := range accounts {
+			if !b.Spend(now, event.BoxID(fmt.Sprint((step+i)%entries)), Team(fmt.Sprintf("team-%d", i)), 8000) {
+				b.MakeRecord(now)
+				b.Committed()
+			}
+		}
+	}
+	return b, now
+}
+
+var benchSizes = []struct{ accounts, entries int }{{5, 4}, {16, 22}, {40, 103}, {1200, 390}}
+
+// BenchmarkRecord measures a record and tells its size.
+func BenchmarkRecord(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d teams", size.accounts), func(b *testing.B) {
+			book, now := benchBook(size.accounts, size.entries)
+			var data []byte
+			for b.Loop() {
+				var err error
+				if data, err = json.Marshal(book.MakeRecord(now)); err != nil {
+					b.Fatal(err)
+				}
+				book.Committed()
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
+
+// BenchmarkLend measures what an answer to an entry's question costs.
+func BenchmarkLend(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d teams, %d entries", size.accounts, size.entries), func(b *testing.B) {
+			book, now := benchBook(size.accounts, size.entries)
+			sent := 0
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time200ms / event.Span(size.entries))
+				name := event.BoxID(fmt.Sprint(i % size.entries))
+				lent := book.Lend(now, name, size.entries)
+				sent += len(lent.Upto)
+				book.Hear(now, name, lent.Number, nil)
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "accounts/op")
+		})
+	}
+}
+
+// time200ms is the rhythm of entries' questions.
+const time200ms = 200 * event.Millisecond
+
+// BenchmarkSpend measures one request.
+func BenchmarkSpend(b *testing.B) {
+	book, now := benchBook(40, 103)
+	for i := 0; b.Loop(); i++ {
+		if !book.Spend(now, "7", "team/team-3", 1) {
+			book.MakeRecord(now)
+			book.Committed()
+			now = now.Add(event.Second)
+		}
+	}
+}
--- a/budget/book_test.go
+++ b/budget/book_test.go
@@ -225,3 +225,52 @@
 		t.Errorf("%d counts as lent, want %d", got, less.Upto[0].Upto)
 	}
 }
+
+// TestNothingIsLentBeforeARecord: an entry that greets a new owner may not use what the one
+// before lent it by the new one's leave to go on.
+func TestNothingIsLentBeforeARecord(t *testing.T) {
+	e := &Allowances{}
+	e.Take(Lent{Number: 3, Whole: true, Upto: []Holding{{Account: worldAccount, Upto: 100}}})
+	b := InheritBook(0, testFresh, Record{}, 0)
+	b.SetLimit(0, worldAccount, testLimit)
+	b.Greet(0, "a", 1, e.Greet())
+	e.Take(b.Lend(0, "a", 1))
+	if e.Spend(0, "a", worldAccount, 1) {
+		t.Error("spent by the leave of an owner without a Record")
+	}
+}
+
+// TestRecordTellsNoGreaterAge: what was spent counts with the next owner for a whole window
+// at least, wherever it lies in the parts of windows and Records.
+func TestRecordTellsNoGreaterAge(t *testing.T) {
+	for ms := 0; ms < 1200; ms += 7 {
+		spent := at(20*event.Second + event.Span(ms)*event.Millisecond)
+		b := newTestBook(spent)
+		b.Spend(spent, "a", worldAccount, 100)
+		for late := event.Span(0); late < 3*event.Second; late += 30 * event.Millisecond {
+			made := spent.Add(late)
+			next := InheritBook(made, testFresh, Record{Lines: []Line{{Account: worldAccount, Spent: b.accounts[worldAccount].parts(made)}}}, made)
+			next.SetLimit(made, worldAccount, testLimit)
+			last := spent.Add(testLimit.Window - event.Millisecond)
+			if got := next.accounts[worldAccount].spent.Total(last); got != 100 {
+				t.Fatalf("spent at %v, recorded %v later: %d of 100 count in the window's last moment", event.Span(spent), late, got)
+			}
+		}
+	}
+}
+
+// TestAnotherLifeHasLostWhatItWasLent: it counts as spent, and leaves the window as that.
+func TestAnotherLifeHasLostWhatItWasLent(t *testing.T) {
+	b := newTestBook(0)
+	b.Greet(0, "a", 1, nil)
+	lent := b.Lend(0, "a", 1).Upto[0].Upto
+	now := at(event.Second)
+	b.Greet(now, "a", 2, nil)
+	a := b.accounts[worldAccount]
+	if a.lent != 0 || a.spent.Total(now) != lent {
+		t.Errorf("%d lent and %d spent, want 0 and %d", a.lent, a.spent.Total(now), lent)
+	}
+	if later := now.Add(testLimit.Window + event.Second); a.total(later) != 0 {
+		t.Errorf("%d still count a window later", a.total(later))
+	}
+}
