engine/fake: tell requests apart that came without a name

Cause: the stand-in engine named a request that brought no name by the clock. Two within one tick had one name, and the second was given the first one's answer. TestWholePath asks such an engine what is right and failed twice: in test.sh beside the interleavings tests, and once beside load ('7093 bytes of 4828', the latter another request's length).

The change: a counter. Ruled out: a mixed answer of ours; the answer that was judged wrong had the right length, 47 events.

--- a/engine/fake/engine.go
+++ b/engine/fake/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxramp.org/engine"
@@ -59,6 +60,7 @@
 	faults  Faults
 	answers map[string]*answer
 	starts  map[string]int // how often each id was dispatched here
+	direct  atomic.Uint64  // requests that came without a name
 	wake    chan struct{}
 	lagged  engine.Load
 	laggedT time.Time
--- a/engine/fake/http.go
+++ b/engine/fake/http.go
@@ -82,7 +82,7 @@
 	}
 	id := r.Header.Get(engine.HeaderRequestID)
 	if id == "" {
-		id = "direct-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+		id = e.directID()
 	}
 	priority, _ := strconv.Atoi(r.Header.Get(engine.HeaderPriority)) // absent is 0
 	a := e.start(id, priority, request, chat)
@@ -90,6 +90,9 @@
 	e.stream(w, r, a, 0)
 }
 
+// directID names a request that came without a name.
+func (e *Engine) directID() string { return "direct-" + strconv.FormatUint(e.direct.Add(1), 36) }
+
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
 	a := e.find(chi.URLParam(r, "id"))
 	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
