--- a/admission/doc.go
+++ b/admission/doc.go
@@ -4,7 +4,7 @@
 // of teams, retry budgets of services, and, with package sched, which endpoint
 // runs a request and when.
 //
-// State is a reducer. The owner has one, over all entries. Each entry has another
-// for the time without an owner, which deals in a share of the quotas and budgets
-// so that all entries together stay within them.
+// State is a reducer. The owner has one, over all entries, and spends out of a Book of
+// package budget. Each entry has another for the time without an owner, which spends out
+// of the Allowances that an owner lent.
 package admission
--- a/budget/account.go
+++ b/budget/account.go
@@ -40,8 +40,8 @@
 	keepPart = 1.0 / 24
 )
 
-// leave is what a Record permits an account until the next one.
-type leave struct {
+// permit is what a Record permits an account until the next one.
+type permit struct {
 	recorded   bool // the Record names the account
 	mark, lent int
 	// spent has been spent since the Record was made. returned was lent before and has
@@ -53,14 +53,14 @@
 type account struct {
 	limit Limit
 	spent *Window
-	// lent is what entries hold and have not spent, by this owner's leave.
+	// lent is what entries hold of this owner and have not spent.
 	lent int
-	// inherited is what entries may still spend by an earlier owner's leave, until
+	// inherited is what entries may still spend of what earlier owners lent, until
 	// inheritedUntil.
 	inherited      int
 	inheritedUntil event.Time
-	committed      leave
-	pending        leave
+	committed      permit
+	pending        permit
 	wanted         int  // the largest amount that waits for a Record
 	use            rate // of all entries
 }
@@ -93,24 +93,24 @@
 	a.pending.spent += amount
 }
 
-// kept is what is left to lending when an owner spends.
-func (a *account) kept() int { return max(a.outstanding(), int(float64(a.limit.Most)*keepPart)) }
+// reserved is what an owner may not spend: what is lent, or the least that is kept for it.
+func (a *account) reserved() int { return max(a.outstanding(), int(float64(a.limit.Most)*keepPart)) }
 
 // free is what may be spent and lent without a Record.
 func (a *account) free() int { return int(float64(a.limit.Base) * freePart) }
 
-// maySpend reports whether a Record's leave covers an amount.
-func (a *account) maySpend(now event.Time, l *leave, amount int) bool {
-	if l.recorded {
-		return l.spent+amount <= l.mark
+// maySpend reports whether what a Record permits covers an amount.
+func (a *account) maySpend(now event.Time, p *permit, amount int) bool {
+	if p.recorded {
+		return p.spent+amount <= p.mark
 	}
 	return a.total(now)+amount <= a.free()
 }
 
-// mayLend returns how much more may be lent by a Record's leave.
-func (a *account) mayLend(now event.Time, l *leave) int {
-	if l.recorded {
-		return l.lent - l.returned - a.outstanding()
+// mayLend returns how much more a Record permits to lend.
+func (a *account) mayLend(now event.Time, p *permit) int {
+	if p.recorded {
+		return p.lent - p.returned - a.outstanding()
 	}
 	return a.free() - a.total(now)
 }
--- a/budget/allowances.go
+++ b/budget/allowances.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	h := s.held[name]
-	if h == nil || h.Spent+amount > h.Upto {
+	if h == nil || h.Spent+amount > h.UpTo {
 		return false
 	}
 	s.count(h, amount)
@@ -59,7 +59,7 @@
 // State returns what was spent of an account and up to where it may be, for the log.
 func (s *Allowances) State(_ event.Time, name Account) (spent, limit int) {
 	if h := s.held[name]; h != nil {
-		return h.Spent, h.Upto
+		return h.Spent, h.UpTo
 	}
 	return 0, 0
 }
@@ -71,16 +71,16 @@
 	}
 	if l.Whole {
 		for _, h := range s.held {
-			h.Upto = h.Spent
+			h.UpTo = h.Spent
 		}
 	}
-	for _, one := range l.Upto {
+	for _, one := range l.UpTo {
 		h, ok := s.held[one.Account]
 		if !ok {
 			h = &Holding{Account: one.Account}
 			s.held[one.Account] = h
 		}
-		h.Upto = one.Upto
+		h.UpTo = one.UpTo
 	}
 	s.number = l.Number
 }
--- a/budget/bench_test.go
+++ b/budget/bench_test.go
@@ -65,7 +65,7 @@
 				now = now.Add(time200ms / event.Span(size.entries))
 				name := event.BoxID(fmt.Sprint(i % size.entries))
 				lent := book.Lend(now, name, size.entries)
-				sent += len(lent.Upto)
+				sent += len(lent.UpTo)
 				book.Hear(now, name, lent.Number, nil)
 			}
 			b.ReportMetric(float64(sent)/float64(b.N), "accounts/op")
--- a/budget/book.go
+++ b/budget/book.go
@@ -70,7 +70,7 @@
 	if !ok || amount == 0 {
 		return true
 	}
-	if a.spent.Total(now)+a.kept()+amount > a.limit.Most {
+	if a.spent.Total(now)+a.reserved()+amount > a.limit.Most {
 		return false
 	}
 	if !b.isCovered(now, a, amount) {
@@ -108,7 +108,7 @@
 	if !ok {
 		return 0
 	}
-	return a.spent.Room(now, float64(a.limit.Most-a.kept()-amount))
+	return a.spent.Room(now, float64(a.limit.Most-a.reserved()-amount))
 }
 
 // State returns what counts as spent in an account and what may be, for the log.
@@ -117,7 +117,7 @@
 	if !ok {
 		return 0, 0
 	}
-	return a.spent.Total(now), a.limit.Most - a.kept()
+	return a.spent.Total(now), a.limit.Most - a.reserved()
 }
 
 // Tick takes for spent what can't be used any more by those it was lent to.
--- a/budget/book_test.go
+++ b/budget/book_test.go
@@ -193,10 +193,10 @@
 	b.Spend(0, "busy", worldAccount, 500)
 	lent := func(name event.BoxID) int {
 		l := b.Lend(0, name, 2)
-		if !l.Whole || len(l.Upto) != 1 {
+		if !l.Whole || len(l.UpTo) != 1 {
 			t.Fatalf("%s was lent %+v", name, l)
 		}
-		return l.Upto[0].Upto
+		return l.UpTo[0].UpTo
 	}
 	busy, idle := lent("busy"), lent("idle")
 	if busy < 3*idle || idle == 0 {
@@ -214,15 +214,15 @@
 	have := b.accounts[worldAccount].lent
 	spendAll(0, b)
 	less := b.Lend(0, "a", 1)
-	if len(less.Upto) != 1 || less.Upto[0].Upto >= first.Upto[0].Upto {
+	if len(less.UpTo) != 1 || less.UpTo[0].UpTo >= first.UpTo[0].UpTo {
 		t.Fatalf("lent %+v after %+v, want less", less, first)
 	}
 	if got := b.accounts[worldAccount].lent; got != have {
 		t.Errorf("%d counts as lent before the entry knows, want %d", got, have)
 	}
 	b.Hear(0, "a", less.Number, nil)
-	if got := b.accounts[worldAccount].lent; got != less.Upto[0].Upto {
-		t.Errorf("%d counts as lent, want %d", got, less.Upto[0].Upto)
+	if got := b.accounts[worldAccount].lent; got != less.UpTo[0].UpTo {
+		t.Errorf("%d counts as lent, want %d", got, less.UpTo[0].UpTo)
 	}
 }
 
@@ -230,7 +230,7 @@
 // before lent it by the new one's leave to go on.
 func TestNothingIsLentBeforeARecord(t *testing.T) {
 	e := &Allowances{}
-	e.Take(Lent{Number: 3, Whole: true, Upto: []Holding{{Account: worldAccount, Upto: 100}}})
+	e.Take(Lent{Number: 3, Whole: true, UpTo: []Holding{{Account: worldAccount, UpTo: 100}}})
 	b := InheritBook(0, testFresh, Record{}, 0)
 	b.SetLimit(0, worldAccount, testLimit)
 	b.Greet(0, "a", 1, e.Greet())
@@ -266,7 +266,7 @@
 func TestAnotherLifeHasLostWhatItWasLent(t *testing.T) {
 	b := newTestBook(0)
 	b.Greet(0, "a", 1, nil)
-	lent := b.Lend(0, "a", 1).Upto[0].Upto
+	lent := b.Lend(0, "a", 1).UpTo[0].UpTo
 	now := at(event.Second)
 	b.Greet(now, "a", 2, nil)
 	a := b.accounts[worldAccount]
--- a/budget/lend.go
+++ b/budget/lend.go
@@ -16,7 +16,7 @@
 type Holding struct {
 	Account Account
 	Spent   int
-	Upto    int
+	UpTo    int
 }
 
 // evenPart is the part of what is lent that all entries get alike; the rest goes by use.
@@ -28,7 +28,7 @@
 	credits map[Account]*credit
 	told    event.Time // when it was last lent something or told to go on
 	// number is that of the last message that lent something. While it is 0, what the
-	// entry spends is by an earlier owner's leave, which is inherited.
+	// entry spends is what an earlier owner lent, which is inherited.
 	number uint64
 	whole  bool // the next message must replace all that it holds
 }
@@ -130,7 +130,7 @@
 type Lent struct {
 	Number uint64
 	Whole  bool
-	Upto   []Holding
+	UpTo   []Holding
 }
 
 // Lend returns what an entry may spend without an owner from now on, one of some that are
@@ -138,17 +138,18 @@
 func (b *Book) Lend(now event.Time, entry event.BoxID, entries int) Lent {
 	h, ok := b.holders[entry]
 	if !ok || !b.isRecorded {
-		// What an earlier owner lent must not be used by this one's leave to go on.
+		// This answer lets the entry serve on. What an earlier owner lent must not be
+		// used any longer for that.
 		return Lent{Whole: true}
 	}
 	h.told = now
 	out := Lent{Whole: h.whole}
 	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
 		if one, ok := b.lend(now, h, name, entries); ok {
-			out.Upto = append(out.Upto, one)
+			out.UpTo = append(out.UpTo, one)
 		}
 	}
-	if out.Whole || len(out.Upto) > 0 {
+	if out.Whole || len(out.UpTo) > 0 {
 		h.number++
 		h.whole = false
 	}
@@ -175,7 +176,7 @@
 		b.change(name, c, func() { c.upto = max(c.upto, c.sent) })
 	}
 	b.change(name, c, func() { c.sent, c.number = c.spent+want, h.number+1 })
-	return Holding{Account: name, Upto: c.sent}, want > 0 || c.upto != c.sent
+	return Holding{Account: name, UpTo: c.sent}, want > 0 || c.upto != c.sent
 }
 
 // isNear reports whether a credit is not worth a message.
@@ -195,8 +196,8 @@
 	return int(most * part)
 }
 
-// lendMost is how much of an account is to be lent: what is left of it in part, and never
-// less than what is kept for it.
+// lendMost is how much of an account is to be lent: half of what is left, less what may be
+// spent before the next Record, and never less than what is kept for lending.
 func (a *account) lendMost(now event.Time) int {
 	most := float64(a.limit.Most)
 	left := most - float64(a.spent.Total(now)+a.inherited)
--- a/budget/record.go
+++ b/budget/record.go
@@ -35,8 +35,8 @@
 // look finds out whether accounts ask for a new Record.
 func (b *Book) look(now event.Time) {
 	for _, a := range b.accounts {
-		l := &a.committed
-		if (l.recorded && l.returned > l.lent/2) || (!l.recorded && a.isHigh(now)) {
+		p := &a.committed
+		if (p.recorded && p.returned > p.lent/2) || (!p.recorded && a.isHigh(now)) {
 			b.isDue = true
 		}
 	}
@@ -53,14 +53,14 @@
 	var r Record
 	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
 		a := b.accounts[name]
-		a.pending = leave{}
+		a.pending = permit{}
 		if !a.isHigh(now) && a.wanted == 0 {
 			continue
 		}
 		line := Line{Account: name, Spent: a.parts(now)}
 		line.Mark = max(int(float64(a.limit.Base)*markPart), markLeast, a.wanted)
 		line.Lent = max(a.outstanding(), a.lendMost(now))
-		a.pending = leave{recorded: true, mark: line.Mark, lent: line.Lent}
+		a.pending = permit{recorded: true, mark: line.Mark, lent: line.Lent}
 		a.wanted = 0
 		r.Lines = append(r.Lines, line)
 	}
@@ -89,7 +89,7 @@
 }
 
 // inherit takes over an account from the owners before: all that a Record says, and all
-// that may have been done since by its leave.
+// that it permits and that may have been done since.
 func (a *account) inherit(now event.Time, b *Book, line *Line) {
 	a.inheritedUntil = b.began.Add(b.fresh)
 	if line == nil {
--- a/cluster/doc.go
+++ b/cluster/doc.go
@@ -4,6 +4,10 @@
 // that keeps the configuration and the registry of endpoints, and, while it leads
 // and holds the lease, the owner that decides on all requests.
 //
+// Most of what the owner knows is soft: entries and endpoints tell it to the next one.
+// What was spent of quotas and retry budgets is not: records of it are in the log (package
+// budget).
+//
 // State is the reducer over all events; one goroutine (Server.run) owns it.
 // Others read the disk, the links and the operators' calls and only pass events.
 //
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -16,7 +16,7 @@
 const entryPatience = 4 * event.Second
 
 // owner is what the owner of the pools knows beside the replicated state. It is
-// soft: a new owner learns it from entries and endpoints.
+// soft, but for the book: a new owner learns it from entries and endpoints.
 type owner struct {
 	term      consensus.Term
 	admission *admission.State
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -363,17 +363,17 @@
 	}
 	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry", Life: 5}})
 	lent := s.ping(1, message.Ping{})
-	if len(lent.Upto) == 0 {
+	if len(lent.UpTo) == 0 {
 		t.Fatal("the entry was lent nothing")
 	}
-	held := lent.Upto[slices.IndexFunc(lent.Upto, func(h budget.Holding) bool { return h.Account == budget.Team("t") })]
+	held := lent.UpTo[slices.IndexFunc(lent.UpTo, func(h budget.Holding) bool { return h.Account == budget.Team("t") })]
 	s.ping(1, message.Ping{Has: lent.Number})
 	for range 20 {
 		spend(1, simQuota/40)
 	}
 	s.step(s.mustOwner(), &SessionEnded{Session: 1})
 	s.run(second)
-	held.Spent = held.Upto * 3 / 4
+	held.Spent = held.UpTo * 3 / 4
 	s.step(s.mustOwner(), &SessionBegan{Session: 2, Hello: message.Hello{Entry: "entry", Life: 5, Held: []budget.Holding{held}}})
 	for range 100 {
 		spend(2, simQuota/100)
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -3,10 +3,10 @@
 // Package gateway carries callers' requests to endpoints that it speaks to
 // directly, without a slot beside them.
 //
-// Agent is the entry's side of the decisions: it has the configuration and the
-// endpoints as the owner last told, asks the owner for a grant for each request,
-// and decides by itself, on a share of quotas and budgets, while no owner is in
-// reach. Gateway is the HTTP side: it holds a request from its arrival to its
+// OwnerClient is the entry's side of the decisions, a reducer: it has the configuration
+// and the endpoints as the owner last told, asks the owner for a grant for each request,
+// and decides by itself, on what it was lent of quotas and retry budgets, while no owner
+// is in reach. Agent runs it and its connections. Gateway is the HTTP side: it holds a request from its arrival to its
 // last byte.
 //
 // A request that may not be repeated is sent once. Only an endpoint's own word
