budget: a new owner lends at once

Cause: a record permitted to lend what was outstanding or what is to be lent, whichever was more. A new owner's outstanding is what earlier ones lent, which counts for 5 s, so that entries were lent nothing for that long and had nothing when the next owner was lost too.

The change: what is to be lent comes on top of what is inherited. The invariant stays: both count as spent for the next owner.

Ruled out: lending a larger part of what is free; it would count with each new owner.

Test: TestNewOwnerLendsAtOnce, failed before.

--- a/budget/book.go
+++ b/budget/book.go
@@ -2,7 +2,12 @@
 
 package budget
 
-import "lynxramp.org/event"
+import (
+	"maps"
+	"slices"
+
+	"lynxramp.org/event"
+)
 
 // lendMargin is how much longer than an entry may use what it was lent the owner takes it
 // for outstanding: steady clocks of boxes run at nearly the same rate.
@@ -136,8 +141,9 @@
 // High returns the accounts whose limits are more than half used, for the log.
 func (b *Book) High(now event.Time) []Usage {
 	var list []Usage
-	for name, a := range b.accounts {
-		if total := a.total(now); total > a.limit.Most/2 {
+	for _, name := range slices.Sorted(maps.Keys(b.accounts)) {
+		a := b.accounts[name]
+		if a.total(now) > a.limit.Most/2 {
 			list = append(list, Usage{name, a.spent.Total(now), a.lent, a.inherited, a.limit.Most})
 		}
 	}
--- a/budget/book_test.go
+++ b/budget/book_test.go
@@ -277,3 +277,16 @@
 		t.Errorf("%d still count a window later", a.total(later))
 	}
 }
+
+// TestNewOwnerLendsAtOnce: what earlier owners lent counts, and entries may be lent more
+// beside it where there is room. They were lent nothing for as long as that counted.
+func TestNewOwnerLendsAtOnce(t *testing.T) {
+	last := Record{Lines: []Line{{Account: worldAccount, Spent: []int{testMost / 4}, Mark: testMost / 16, Lent: testMost / 4}}}
+	b := InheritBook(0, testFresh, last, 0)
+	b.SetLimit(0, worldAccount, testLimit)
+	commit(0, b)
+	b.Greet(0, "a", 1, nil)
+	if l := b.Lend(0, "a", 1); len(l.UpTo) != 1 || l.UpTo[0].UpTo < int(testMost*keepPart) {
+		t.Errorf("lent %+v, want a part of what is left", l)
+	}
+}
--- a/budget/record.go
+++ b/budget/record.go
@@ -59,7 +59,7 @@
 		}
 		line := Line{Account: name, Spent: a.parts(now)}
 		line.Mark = max(int(float64(a.limit.Base)*markPart), markLeast, a.wanted)
-		line.Lent = max(a.outstanding(), a.lendMost(now))
+		line.Lent = a.inherited + max(a.lent, a.lendMost(now))
 		a.pending = permit{recorded: true, mark: line.Mark, lent: line.Lent}
 		a.wanted = 0
 		r.Lines = append(r.Lines, line)
