--- /dev/null
+++ b/cluster/fleet_harm_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"lynxramp.org/event"
+)
+
+// harm draws one trouble and begins it.
+func (f *fleetSim) harm() {
+	span := func(most int) event.Span { return event.Span(1+f.random.IntN(most)) * event.Millisecond }
+	box := f.order[f.random.IntN(len(f.order))]
+	if owner := f.owner(); owner != nil && f.random.IntN(2) == 0 {
+		box = owner.name
+	}
+	some := func(part float64, do func(e *fleetEntry)) {
+		for _, e := range f.entries {
+			if f.random.Float64() < part {
+				do(e)
+			}
+		}
+	}
+	part := f.random.Float64()
+	switch f.random.IntN(10) {
+	case 0: // a control box is killed
+		f.killBox(box, span(1500))
+	case 1: // all of them are
+		for _, name := range f.order {
+			f.killBox(name, span(800))
+		}
+	case 2: // a control box stands still
+		if b := f.boxes[box]; b.state != nil && len(f.frozen) == 0 {
+			f.frozen[box], b.state = b.state, nil
+			f.back[box] = f.now.Add(span(3000))
+		}
+	case 3: // a control box is cut off from the others, perhaps one way
+		until, oneWay := f.now.Add(span(3000)), f.random.IntN(2) == 0
+		f.cut = func(from, to string) bool { return f.now < until && (from == box || (to == box && !oneWay)) }
+	case 4: // a planned change of the owner
+		if b := f.boxes[box]; b.state != nil {
+			f.step(b, &StopAsked{})
+		}
+	case 5, 6: // entries are killed, and perhaps the owner with them
+		some(part, func(e *fleetEntry) { f.killEntry(e, span(700)) })
+		if f.random.IntN(2) == 0 {
+			f.killBox(box, span(1500))
+		}
+	case 7: // entries are cut off
+		some(part, func(e *fleetEntry) { e.cut = f.now.Add(span(6000)) })
+	case 8: // entries stand still
+		some(part, func(e *fleetEntry) { e.awake = f.now.Add(span(4000)) })
+	case 9: // connections are reset
+		some(part, f.dropLink)
+	}
+	if f.random.IntN(3) == 0 { // callers move, and come in other numbers
+		f.demand = fleetTeam.Rate * 6 * f.random.Float64()
+		some(1, func(e *fleetEntry) { e.weight = f.random.Float64() * f.random.Float64() })
+	}
+}
+
+func (f *fleetSim) killBox(name string, off event.Span) {
+	if f.boxes[name].state == nil {
+		return
+	}
+	f.stop(name)
+	f.back[name] = f.now.Add(off)
+}
--- /dev/null
+++ b/cluster/fleet_sim_test.go
@@ -0,0 +1,409 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/admission"
+	"lynxramp.org/event"
+	"lynxramp.org/gateway"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+	"lynxramp.org/routing"
+)
+
+// The simulation of this file puts entries, with their real reducers, beside the simulated
+// control boxes, and harms both. What it checks is what an endpoint sees: requests that
+// were sent and arrived.
+
+// fleetTick is how often an entry's loop ticks.
+const fleetTick = 50 * event.Millisecond
+
+// fleetLimits are the bounds of the simulated deployment.
+var fleetLimits = admission.Limits{
+	QuotaWindow: 8 * event.Second, QuotaOvershoot: 0.1, QuotaSlack: 10000,
+	RetryWindow: 10 * event.Second, RetryRatio: 0.2, RetryMin: 50,
+}
+
+// fleetTeam is the team whose quota is looked at, and fleetAllowed what it may have in a
+// window at the very most.
+var fleetTeam = routing.Team{Name: "t", Rate: 16000, Burst: 16000}
+
+const fleetAllowed = (16000*8+16000)*1.1 + 10000
+
+// fleetArrival is a request that an endpoint ran.
+type fleetArrival struct {
+	sent, arrived event.Time
+	amount        int
+	repeat        bool
+}
+
+// fleetMail is a message on its way between an entry and a control box.
+type fleetMail struct {
+	at event.Time
+	m  *message.Envelope
+}
+
+// fleetLink is a connection of an entry to a control box.
+type fleetLink struct {
+	id      gateway.LinkID
+	session SessionID
+	box     string
+	up      []fleetMail // to the control box
+	down    []fleetMail // to the entry
+	taken   int         // of sim.sends
+}
+
+// fleetCall is a request of a caller.
+type fleetCall struct {
+	id       event.RequestID
+	sent     event.Time
+	amount   int
+	repeat   bool
+	decision chan gateway.Decision
+	leaves   event.Time // when its caller leaves; 0 is never
+}
+
+// fleetEnd is when a request ends that runs.
+type fleetEnd struct {
+	at event.Time
+	f  message.Finish
+}
+
+// fleetEntry is one entry.
+type fleetEntry struct {
+	name   event.BoxID
+	origin event.Time // of its process' clock
+	client *gateway.OwnerClient
+	link   *fleetLink
+	calls  []*fleetCall
+	ends   []fleetEnd
+	dialAt event.Time // when the dial under way ends; 0 is none
+	dial   string
+	awake  event.Time // it stands still until then
+	off    event.Time // it does not run until then
+	cut    event.Time // it reaches no control box until then
+	weight float64    // its part of the callers
+}
+
+// fleetSim is a deployment.
+type fleetSim struct {
+	*sim
+	entries  []*fleetEntry
+	arrivals []fleetArrival
+	asked    []event.Time // when callers sent requests, but for repeats
+	lives    uint64
+	calls    int
+	sessions SessionID
+	sequence uint64
+	demand   float64 // tokens a second
+	back     map[string]event.Time
+	frozen   map[string]*State
+}
+
+func newFleetSim(t testing.TB, n int, seed uint64) *fleetSim {
+	f := &fleetSim{
+		sim: newSim(t, 3, 2), back: make(map[string]event.Time), frozen: make(map[string]*State),
+		demand: 3 * fleetTeam.Rate,
+	}
+	f.random = rand.New(rand.NewPCG(seed, uint64(n)))
+	f.settings = func(seed uint64) Settings {
+		s := simSettings(seed)
+		s.Limits = fleetLimits
+		s.Decode = decodeFleet
+		return s
+	}
+	for name := range f.boxes {
+		f.stop(name)
+		f.restart(name)
+	}
+	f.run(4 * event.Second)
+	f.put(f.mustOwner(), 1)
+	for i := range n {
+		e := &fleetEntry{name: event.BoxID(fmt.Sprintf("entry%d", i+1)), weight: f.random.Float64()}
+		f.entries = append(f.entries, e)
+		f.startEntry(e)
+	}
+	return f
+}
+
+func decodeFleet([]byte) (*routing.Table, error) {
+	t := &routing.Table{Version: 1, Services: []routing.Service{{Name: "s"}}, Teams: []routing.Team{fleetTeam}}
+	t.Index()
+	return t, nil
+}
+
+func (f *fleetSim) startEntry(e *fleetEntry) {
+	f.lives++
+	e.origin = f.now
+	e.client = gateway.NewOwnerClient(gateway.ClientConfig{
+		Entry: e.name, Life: f.lives, Control: slices.Clone(f.order), Limits: fleetLimits,
+		Fresh: 5 * event.Second, Decode: decodeFleet, Log: zap.NewNop(),
+	})
+	e.calls, e.ends, e.dialAt = nil, nil, 0
+}
+
+// killEntry ends an entry's process; what it has under way runs on at the endpoints.
+func (f *fleetSim) killEntry(e *fleetEntry, off event.Span) {
+	f.dropLink(e)
+	e.client = nil
+	e.off = f.now.Add(off)
+}
+
+// dropLink ends an entry's connection, on both sides.
+func (f *fleetSim) dropLink(e *fleetEntry) {
+	if e.link == nil {
+		return
+	}
+	l := e.link
+	e.link = nil
+	if e.client != nil {
+		e.client.Lost(e.now(f.now), l.id, nil)
+	}
+	if b := f.boxes[l.box]; b.state != nil {
+		f.step(b, &SessionEnded{Session: l.session})
+	}
+}
+
+// now is the time by an entry's own clock.
+func (e *fleetEntry) now(now event.Time) event.Time { return event.Time(now.Sub(e.origin)) }
+
+// runFleet lets time go on for all.
+func (f *fleetSim) runFleet(span event.Span) {
+	for end := f.now.Add(span); f.now < end; {
+		f.run(simStep)
+		f.comeBack()
+		if int64(f.now)%int64(event.Second) == 0 {
+			f.beat()
+		}
+		for _, e := range f.entries {
+			f.stepEntry(e)
+		}
+	}
+}
+
+// beat lets the endpoint tell of itself.
+func (f *fleetSim) beat() {
+	f.sequence++
+	for _, name := range f.order {
+		if b := f.boxes[name]; b.state != nil {
+			f.tell(b, registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1 << 20, Sequence: f.sequence})
+		}
+	}
+}
+
+// comeBack restarts and thaws control boxes whose time has come.
+func (f *fleetSim) comeBack() {
+	for _, name := range slices.Clone(f.order) {
+		at, ok := f.back[name]
+		if !ok || f.now < at {
+			continue
+		}
+		delete(f.back, name)
+		if state := f.frozen[name]; state != nil {
+			delete(f.frozen, name)
+			f.boxes[name].state = state
+			continue
+		}
+		f.restart(name)
+	}
+}
+
+func (f *fleetSim) stepEntry(e *fleetEntry) {
+	switch {
+	case e.client == nil && f.now >= e.off:
+		f.startEntry(e)
+	case e.client == nil || f.now < e.awake:
+		return
+	}
+	now := e.now(f.now)
+	f.deliver(e)
+	f.callersOf(e, now)
+	if int64(now)%int64(fleetTick) == 0 {
+		e.client.Tick(now)
+	}
+	f.connect(e, now)
+	f.carryOut(e)
+	f.takeDecisions(e, now)
+	f.carryOut(e)
+}
+
+// connect ends a dial that is under way.
+func (f *fleetSim) connect(e *fleetEntry, now event.Time) {
+	if e.dialAt == 0 || f.now < e.dialAt {
+		return
+	}
+	e.dialAt = 0
+	b := f.boxes[e.dial]
+	if b == nil || b.state == nil || f.now < e.cut {
+		e.client.DialFailed(now, e.dial, nil)
+		return
+	}
+	f.sessions++
+	e.link = &fleetLink{id: gateway.LinkID(f.sessions), session: f.sessions, box: e.dial}
+	e.client.Dialed(now, e.link.id, e.dial)
+}
+
+// carryOut does what an entry asks of the world.
+func (f *fleetSim) carryOut(e *fleetEntry) {
+	out := e.client.Take()
+	for _, s := range out.Sends {
+		if e.link != nil && s.Link == e.link.id {
+			e.link.up = append(e.link.up, fleetMail{f.delay(), s.Message})
+		}
+	}
+	for _, id := range out.Closes {
+		if e.link != nil && id == e.link.id {
+			l := e.link
+			e.link = nil
+			if b := f.boxes[l.box]; b.state != nil {
+				f.step(b, &SessionEnded{Session: l.session})
+			}
+		}
+	}
+	if out.Dial != "" {
+		e.dial, e.dialAt = out.Dial, f.now.Add(simStep)
+		if f.now < e.cut {
+			e.dialAt = f.now.Add(400 * event.Millisecond)
+		}
+	}
+}
+
+// delay draws how long a message takes: a moment, now and then much longer.
+func (f *fleetSim) delay() event.Time {
+	if f.random.IntN(200) == 0 {
+		return f.now.Add(event.Span(f.random.IntN(400)) * event.Millisecond)
+	}
+	return f.now
+}
+
+// deliver moves the mail of an entry's connection, in order, unless it is cut off.
+func (f *fleetSim) deliver(e *fleetEntry) {
+	if e.link == nil || f.now < e.cut {
+		return
+	}
+	l := e.link
+	b := f.boxes[l.box]
+	if b.state == nil && f.frozen[l.box] == nil {
+		f.dropLink(e)
+		return
+	}
+	for len(l.up) > 0 && l.up[0].at <= f.now && b.state != nil {
+		m := l.up[0].m
+		l.up = l.up[1:]
+		switch {
+		case m.Hello != nil:
+			f.step(b, &SessionBegan{Session: l.session, Hello: *m.Hello})
+		case m.Ping != nil:
+			f.step(b, &SessionPinged{Session: l.session, Ping: *m.Ping})
+		case m.Batch != nil:
+			f.step(b, &SessionTold{Session: l.session, Batch: m.Batch})
+		}
+	}
+	for _, m := range f.sends[l.session][l.taken:] {
+		l.down = append(l.down, fleetMail{f.delay(), m})
+		l.taken++
+	}
+	for len(l.down) > 0 && l.down[0].at <= f.now {
+		m := l.down[0].m
+		l.down = l.down[1:]
+		e.client.Received(e.now(f.now), l.id, m)
+	}
+	if f.closed[l.session] && len(l.down) == 0 && e.link == l {
+		f.dropLink(e)
+	}
+}
+
+// callersOf lets callers send to an entry, leave it, and have their answers.
+func (f *fleetSim) callersOf(e *fleetEntry, now event.Time) {
+	total := 0.0
+	for _, one := range f.entries {
+		total += one.weight
+	}
+	const mean = 1000
+	rate := f.demand / mean * e.weight / total * simStep.Seconds()
+	for ; rate > 0; rate-- {
+		if f.random.Float64() < rate && e.client.Table(now) != nil {
+			f.call(e, now, f.random.IntN(2*mean), false)
+			if f.random.IntN(3) == 0 {
+				f.call(e, now, 0, true) // its first attempt counted against the quota
+			}
+		}
+	}
+	for _, c := range e.calls {
+		if c.leaves != 0 && f.now >= c.leaves {
+			e.client.Withdraw(now, c.id)
+		}
+	}
+	e.calls = slices.DeleteFunc(e.calls, func(c *fleetCall) bool { return c.leaves != 0 && f.now >= c.leaves })
+	e.ends = slices.DeleteFunc(e.ends, func(end fleetEnd) bool {
+		if f.now < end.at {
+			return false
+		}
+		e.client.Finish(now, end.f)
+		return true
+	})
+}
+
+func (f *fleetSim) call(e *fleetEntry, now event.Time, amount int, repeat bool) {
+	f.calls++
+	c := &fleetCall{
+		id: event.RequestID(fmt.Sprintf("%s-%d", e.name, f.calls)), sent: f.now, amount: amount, repeat: repeat,
+		decision: make(chan gateway.Decision, 1),
+	}
+	if f.random.IntN(30) == 0 {
+		c.leaves = f.now.Add(event.Span(f.random.IntN(60)) * event.Millisecond)
+	}
+	if !repeat {
+		f.asked = append(f.asked, f.now)
+	}
+	e.calls = append(e.calls, c)
+	e.client.Submit(now, message.Submission{
+		Ticket: event.Ticket{
+			ID: c.id, Team: "t", Service: "s", Pool: "s", Deadline: 5 * event.Second, Target: event.Second, OutputTokens: 10,
+		},
+		Quota: amount, Repeat: repeat,
+	}, c.decision)
+}
+
+// takeDecisions lets requests that were granted arrive at the endpoint, some of them
+// late: their entry stood still between the grant and the dispatch.
+func (f *fleetSim) takeDecisions(e *fleetEntry, now event.Time) {
+	e.calls = slices.DeleteFunc(e.calls, func(c *fleetCall) bool {
+		select {
+		case d := <-c.decision:
+			if d.Granted {
+				f.dispatch(e, now, c)
+			}
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func (f *fleetSim) dispatch(e *fleetEntry, now event.Time, c *fleetCall) {
+	end := message.Finish{Finished: event.Finished{ID: c.id, Pool: "s"}, Endpoint: "e"}
+	if f.random.IntN(40) == 0 || e.client.Table(now) == nil {
+		end.Void, end.Unused, end.Unsent = true, true, true
+		e.client.Finish(now, end)
+		return
+	}
+	arrived := f.now
+	if f.random.IntN(50) == 0 {
+		arrived = arrived.Add(event.Span(f.random.IntN(3000)) * event.Millisecond)
+	}
+	if c.repeat && arrived.Sub(c.sent) > message.RepeatLife {
+		end.Void, end.Unused, end.Unsent = true, true, true
+		e.client.Finish(now, end)
+		return
+	}
+	f.arrivals = append(f.arrivals, fleetArrival{sent: c.sent, arrived: arrived, amount: c.amount, repeat: c.repeat})
+	e.ends = append(e.ends, fleetEnd{arrived.Add(event.Span(f.random.IntN(800)) * event.Millisecond), end})
+}
