admission: what waited for an owner awaits its first record

Cause: requests that entries hold while the owner changes come to the new one before its first record of budgets is committed, some 5 ms. Those that had waited longer than a fifth of their target were refused for their quota.

The change: while only a record is awaited, a request is kept for at least 150 ms.

Test: TestWaitingRequestsAwaitTheRecord, failed before.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -271,3 +271,27 @@
 		}
 	}
 }
+
+// TestWaitingRequestsAwaitTheRecord: requests that waited for an owner are handed to a new
+// one before its first record is committed. They are kept for that moment, however long
+// they have waited; they were refused for their quota.
+func TestWaitingRequestsAwaitTheRecord(t *testing.T) {
+	book := budget.NewBook(0, 5*event.Second)
+	s := New(testLimits, 1, book)
+	s.SetTable(0, testTable())
+	var out event.Effects
+	s.SetEndpoint(0, message.Endpoint{Endpoint: registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 9, Sequence: 1}}, &out)
+	waited := submission(1, 100, false)
+	waited.Ticket.Waited, waited.Ticket.Target = event.Second, 100*event.Millisecond
+	s.Submit(0, "entry", waited, &out)
+	s.Tick(event.Time(5*event.Millisecond), &out)
+	if len(out.Refusals) != 0 {
+		t.Fatalf("refused while the record is awaited: %+v", out.Refusals)
+	}
+	book.MakeRecord(event.Time(6 * event.Millisecond))
+	book.Committed()
+	s.Unpark(event.Time(6*event.Millisecond), &out)
+	if len(out.Grants) != 1 {
+		t.Errorf("not granted when the record is committed: %+v", out)
+	}
+}
--- a/admission/park.go
+++ b/admission/park.go
@@ -12,6 +12,11 @@
 // beyond that it is sent away at once.
 const parkPart = 5
 
+// recordPatience is how long a request waits at the least for a record of budgets that is to
+// be committed, however long it has waited before: some 5 ms as a rule, ten times that
+// where disks are slow.
+const recordPatience = 150 * event.Millisecond
+
 // parked is a request that waits for its team's quota to have room.
 type parked struct {
 	entry      event.BoxID
@@ -25,7 +30,10 @@
 func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	// What it has waited already, perhaps for another who decided, counts.
 	patience := (m.Ticket.Target+m.Ticket.Waited)/parkPart - m.Ticket.Waited
-	if room := s.roomIn(now, m); room > patience {
+	switch room := s.roomIn(now, m); {
+	case room == 0:
+		patience = max(patience, recordPatience)
+	case room > patience:
 		s.refuseQuota(now, entry, m, out)
 		return
 	}
