admission: do not leave the last endpoint of a service alone

Cause: an endpoint that did not answer a request in time gets no work for a second, then two, to four.

The change: an endpoint that was reached is not left alone while its service has no other that may be given work. One that can't be reached at all still is.

Ruled out: the configuration, in force on all entries; quotas and retry budgets, no refusal in the lines.

Test: TestLastEndpointIsNotLeftAlone, failed before.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -295,3 +295,31 @@
 		t.Errorf("not granted when the record is committed: %+v", out)
 	}
 }
+
+// TestLastEndpointIsNotLeftAlone: an endpoint that does not answer one request is left alone
+// for a while, but not the only one that its service has. On a hunted day the last of a
+// service hung two requests a second, and the service had nothing for 3 s.
+func TestLastEndpointIsNotLeftAlone(t *testing.T) {
+	fail := func(s *State) {
+		var out event.Effects
+		s.Submit(0, "entry", submission(1, 0, false), &out)
+		for _, g := range out.Grants {
+			s.Finish(0, &message.Finish{Finished: event.Finished{ID: g.ID, Pool: "s", Failed: true}, Endpoint: g.Endpoint, Suspect: true}, &out)
+		}
+	}
+	granted := func(s *State) int {
+		var out event.Effects
+		for id := 2; id <= 4; id++ {
+			s.Submit(event.Time(event.Millisecond), "entry", submission(id, 0, false), &out)
+		}
+		return len(out.Grants)
+	}
+	s := newTestState(0)
+	var out event.Effects
+	s.SetEndpoint(0, message.Endpoint{Endpoint: registry.Endpoint{ID: "leaving", Service: "s", Address: "10.0.0.2:80", Slots: 9, Sequence: 1, Leaving: true}}, &out)
+	s.SetEndpoint(0, message.Endpoint{Endpoint: registry.Endpoint{ID: "down", Service: "s", Address: "10.0.0.3:80", Slots: 9, Sequence: 1}, Down: true}, &out)
+	fail(s)
+	if got := granted(s); got != 3 {
+		t.Errorf("%d of 3 requests granted at the only endpoint after it failed once", got)
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -189,6 +189,8 @@
 	k, ok := s.endpoints[f.Endpoint]
 	switch {
 	case !ok:
+	case f.Suspect && !f.Void && !s.hasAnother(now, k):
+		// It was reached, and it is all that its service has: it may serve the next one.
 	case f.Suspect:
 		k.failures = min(k.failures+1, 4)
 		k.suspectUntil = now.Add(suspectTime * event.Span(k.failures))
@@ -200,6 +202,17 @@
 	}
 }
 
+// hasAnother reports whether the service of an endpoint has one more that may be given
+// work.
+func (s *State) hasAnother(now event.Time, k *known) bool {
+	for _, other := range s.endpoints {
+		if other != k && other.Service == k.Service && !other.Down && !other.Leaving && now >= other.suspectUntil {
+			return true
+		}
+	}
+	return false
+}
+
 // Adopt books a request that runs by the word of an entry.
 func (s *State) Adopt(now event.Time, entry event.BoxID, r message.Running, out *event.Effects) {
 	s.step(now, s.service(now, r.Ticket.Service), &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
