budget, gateway: what an owner was told of is not given back

Cause, by reading the whole change: an entry without an owner gave back what was never sent, also after it had told an owner that it was spent. Spent again before the next word, it counted from the first time on, and left the window early by up to the time between: a hole in the invariant.

The change: an entry gives back only what no owner was told of. Silence moves from message to gateway, its one user, with a comment that fits.

Ruled out: giving nothing back; an endpoint that can't be reached would cost up to four times a request's amount.

Test: TestWhatAnOwnerWasToldIsNotGivenBack, failed before; tests of budget, cluster, gateway and admission pass.

--- a/budget/allowances.go
+++ b/budget/allowances.go
@@ -19,6 +19,7 @@
 type Allowances struct {
 	held    map[Account]*Holding
 	changed map[Account]bool // spent since an owner was last told
+	told    map[Account]int  // Spent as an owner was last told
 	number  uint64           // of the last message that lent something
 }
 
@@ -43,13 +44,24 @@
 	s.changed[h.Account] = true
 }
 
-// GiveBack takes back what was spent and that no endpoint had.
+// GiveBack takes back what was spent and that no endpoint had, as far as no owner was told
+// of it: an owner has counted that at the time, and what is spent anew counts anew.
 func (s *Allowances) GiveBack(_ event.Time, name Account, _ event.Time, amount int) {
 	if h := s.held[name]; h != nil {
-		s.count(h, -amount)
+		h.Spent = max(s.told[name], h.Spent-amount)
 	}
 }
 
+// tell returns an account for an owner that is told of it now.
+func (s *Allowances) tell(name Account) Holding {
+	if s.told == nil {
+		s.told = make(map[Account]int)
+	}
+	h := *s.held[name]
+	s.told[name] = h.Spent
+	return h
+}
+
 // SetLimit does nothing: limits are the owner's matter.
 func (s *Allowances) SetLimit(event.Time, Account, Limit) {}
 
@@ -92,7 +104,7 @@
 	s.number = 0
 	var list []Holding
 	for _, name := range slices.Sorted(maps.Keys(s.held)) {
-		list = append(list, *s.held[name])
+		list = append(list, s.tell(name))
 	}
 	return list
 }
@@ -102,7 +114,7 @@
 func (s *Allowances) Changes() (uint64, []Holding) {
 	var list []Holding
 	for _, name := range slices.Sorted(maps.Keys(s.changed)) {
-		list = append(list, *s.held[name])
+		list = append(list, s.tell(name))
 	}
 	clear(s.changed)
 	return s.number, list
--- a/budget/book_test.go
+++ b/budget/book_test.go
@@ -290,3 +290,23 @@
 		t.Errorf("lent %+v, want a part of what is left", l)
 	}
 }
+
+// TestWhatAnOwnerWasToldIsNotGivenBack: an owner has counted it as spent when it was told. If
+// it were given back and spent again, the owner would count that for too early.
+func TestWhatAnOwnerWasToldIsNotGivenBack(t *testing.T) {
+	e := &Allowances{}
+	e.Take(Lent{Number: 1, Whole: true, UpTo: []Holding{{Account: worldAccount, UpTo: 300}}})
+	e.Spend(0, "", worldAccount, 100)
+	e.GiveBack(0, worldAccount, 0, 100)
+	if spent, _ := e.State(0, worldAccount); spent != 0 {
+		t.Errorf("%d spent after all was given back that no owner knew of", spent)
+	}
+	e.Spend(0, "", worldAccount, 100)
+	e.Greet()
+	e.Spend(0, "", worldAccount, 50)
+	e.GiveBack(0, worldAccount, 0, 100)
+	e.Spend(0, "", worldAccount, 100)
+	if held := e.Greet(); held[0].Spent != 200 {
+		t.Errorf("%d told as spent, want the 100 told before and the 100 spent since", held[0].Spent)
+	}
+}
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -24,6 +24,9 @@
 	// itself.
 	aloneAfter = 100 * event.Millisecond
 	redialWait = 60 * event.Millisecond
+	// ownerSilence is how long an owner may leave an entry without an answer before the
+	// entry takes it for lost: two of its questions and some.
+	ownerSilence = 500 * event.Millisecond
 )
 
 // Decision is what became of a submission.
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -17,7 +17,7 @@
 
 // keepOwner asks the owner whether it still is.
 func (a *OwnerClient) keepOwner(now event.Time) {
-	if now.Sub(a.ponged) > message.Silence {
+	if now.Sub(a.ponged) > ownerSilence {
 		a.lose(now, "owner does not answer", nil)
 		return
 	}
--- a/message/message.go
+++ b/message/message.go
@@ -12,11 +12,6 @@
 	"lynxramp.org/registry"
 )
 
-// Silence is how long one side of a session may leave the other without a word. After it
-// an owner takes an entry for away, and an entry its owner for lost. An entry then waits
-// a little more before it decides alone, so that the owner is first to act on it.
-const Silence = 500 * event.Millisecond
-
 // RepeatLife is how long after its submission a request that was sent before may be sent
 // again. An entry drops it after that, so that no repeat arrives later than the retry
 // budget counts it. It is below the time in which callers give a silent stream up.
