sched, registry, cluster: a fleet of 300 boxes and 3,000 endpoints keeps its owner

Cause: a new owner took up each endpoint by sorting all of them and refreshing all views, 0.24 s for 3,000 in one step; the lease is 0.34 s, and the loop that renews it stood still meanwhile, so it lapsed, all entries were sent away and came back, and the same began again. Each entry that came back, and each entry that went alone, did work of the same growth: a whole registry for each session (134 MB for 300), one message for each change of an endpoint and entry, the same sorting in goAlone. Endpoints that told of themselves during an election were turned away and tried all boxes in turn.

Change: an endpoint is taken up and dropped in constant time; the registry's changes have revisions and a session is told what came after the one that its entry knows, silent endpoints apart; news of endpoints go out once a tick; the log's messages pass all others in the loop; a lapse of the lease of up to 150 ms within a term ends no ownership, what is decided meanwhile is held back; a control box takes word of endpoints without news during an election. registry.State.Put told of a follower at an address wrongly once 4,096 ends were remembered; it returns the id now.

--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -294,7 +294,7 @@
 		f.dropLink(e)
 		return
 	}
-	for len(l.up) > 0 && l.up[0].at <= f.now && b.state != nil {
+	for len(l.up) > 0 && l.up[0].at <= f.now && b.state != nil && !f.isBusy(b) {
 		m := l.up[0].m
 		l.up = l.up[1:]
 		switch {
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"lynxramp.org/budget"
+	"lynxramp.org/consensus"
 	"lynxramp.org/registry"
 )
 
@@ -70,8 +71,8 @@
 	gone     []string
 }
 
-// apply carries out a command.
-func (m *machine) apply(command []byte) (change, error) {
+// apply carries out the command of an entry of the log.
+func (m *machine) apply(index consensus.Index, command []byte) (change, error) {
 	if len(command) == 0 {
 		return change{}, errors.New("empty command")
 	}
@@ -84,9 +85,9 @@
 		if err := json.Unmarshal(body, &e); err != nil {
 			return change{}, errors.Wrap(err, "endpoint")
 		}
-		return m.put(e), nil
+		return m.put(index, e), nil
 	case commandRemove:
-		m.registry.Remove(string(body))
+		m.registry.Remove(string(body), uint64(index))
 		return change{gone: []string{string(body)}}, nil
 	case commandSpending:
 		var r budget.Record
@@ -112,15 +113,13 @@
 	return change{document: true}, nil
 }
 
-func (m *machine) put(e registry.Endpoint) change {
+func (m *machine) put(index consensus.Index, e registry.Endpoint) change {
 	if !m.registry.Accepts(e) {
 		return change{}
 	}
-	before := len(m.registry.Gone)
-	m.registry.Put(e)
 	c := change{seen: []registry.Endpoint{e}}
-	if len(m.registry.Gone) > before {
-		c.gone = append(c.gone, m.registry.Gone[before:]...)
+	if followed := m.registry.Put(e, uint64(index)); followed != "" {
+		c.gone = append(c.gone, followed)
 	}
 	return c
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -3,6 +3,9 @@
 package cluster
 
 import (
+	"maps"
+	"slices"
+
 	"lynxramp.org/admission"
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
@@ -32,7 +35,10 @@
 	keepTime event.Span
 	book     *budget.Book
 	record   consensus.Index // of the last record of the book in the log
-	toldAt   event.Time      // when the log was last told of budgets
+	news     map[string]bool // endpoints, by id, of which the entries are not yet told
+	all      []message.Endpoint
+	allAt    uint64     // revision of all
+	toldAt   event.Time // when the log was last told of budgets
 }
 
 // tellBudgetsEvery is how often the log is told of the budgets that are more than half
@@ -62,6 +68,7 @@
 		down:     make(map[string]bool),
 		began:    now,
 		keepTime: s.settings.Fresh + s.settings.Limits.QuotaWindow,
+		news:     make(map[string]bool),
 	}
 	o.admission = admission.New(s.settings.Limits, s.settings.Seed, o.book)
 	if s.table != nil {
@@ -83,6 +90,15 @@
 	return budget.InheritBook(now, s.settings.Fresh, s.machine.spending, s.spendingAt)
 }
 
+// lapsePatience is how long the lease may lapse before an owner ends: some more than
+// consensus.HeartbeatEvery, after which a leader that was only slow has its next answers.
+const lapsePatience = 150 * event.Millisecond
+
+// remains reports whether an owner goes on, perhaps to decide again when the lease does.
+func (o *owner) remains(now event.Time, node *consensus.Node) bool {
+	return node.Leads() && !node.HandsOver() && o.term == node.Term() && now < node.LeaseEnd(now).Add(lapsePatience)
+}
+
 // end closes all sessions: the entries go to the next owner.
 func (o *owner) end(s *State, out *Effects) {
 	for id := range o.sessions {
@@ -161,6 +177,7 @@
 		}
 	}
 	o.admission.Tick(now, &o.effects)
+	o.tellNews(s, out)
 	o.tellBudgets(now, out)
 }
 
@@ -205,14 +222,32 @@
 	}
 	o.down[id] = down
 	out.note("endpoint silent", Field{"endpoint", id}, Field{"down", down}, Field{"heard_ms_ago", now.Sub(o.heard[id]).Milliseconds()})
-	o.show(now, e, s, out)
+	o.show(now, e)
 }
 
-// show hands news of an endpoint to the scheduler and to all entries.
-func (o *owner) show(now event.Time, e registry.Endpoint, s *State, out *Effects) {
-	seen := message.Endpoint{Endpoint: e, Down: o.down[e.ID]}
-	o.admission.SetEndpoint(now, seen, &o.effects)
-	o.sendAll(&message.Envelope{View: &message.View{Endpoints: []message.Endpoint{seen}}}, out)
+// show hands news of an endpoint to the scheduler, and with the next tick to all entries.
+func (o *owner) show(now event.Time, e registry.Endpoint) {
+	o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e, Down: o.down[e.ID]}, &o.effects)
+	o.news[e.ID] = true
+}
+
+// tellNews tells all entries what changed of endpoints since the last tick, in one message:
+// one for each change and entry, 900,000 while 3,000 endpoints come to 300 entries, would
+// take the owner seconds.
+func (o *owner) tellNews(s *State, out *Effects) {
+	if len(o.news) == 0 {
+		return
+	}
+	view := &message.View{Revision: s.machine.registry.Revision}
+	for _, id := range slices.Sorted(maps.Keys(o.news)) {
+		if e, ok := s.machine.registry.Endpoints[id]; ok {
+			view.Endpoints = append(view.Endpoints, message.Endpoint{Endpoint: e, Down: o.down[id]})
+		} else {
+			view.Gone = append(view.Gone, event.EndpointID(id))
+		}
+	}
+	clear(o.news)
+	o.sendAll(&message.Envelope{View: view}, out)
 }
 
 // applied takes what a command changed.
@@ -222,12 +257,12 @@
 		delete(o.down, id)
 		o.admission.RemoveEndpoint(now, event.EndpointID(id), &o.effects)
 		out.note("endpoint gone", Field{"endpoint", id})
-		o.sendAll(&message.Envelope{View: &message.View{Gone: []event.EndpointID{event.EndpointID(id)}}}, out)
+		o.news[id] = true
 	}
 	for _, e := range c.seen {
 		o.heard[e.ID] = now
 		out.note("endpoint", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
-		o.show(now, e, s, out)
+		o.show(now, e)
 	}
 	if c.document && s.table != nil {
 		o.admission.SetTable(now, s.table)
@@ -277,23 +312,62 @@
 	for _, r := range b.Hello.Running {
 		o.admission.Adopt(now, name, r, &o.effects)
 	}
-	view := &message.View{Whole: true, Members: s.memberLinks()}
-	for _, r := range s.machine.registry.List() {
-		view.Endpoints = append(view.Endpoints, message.Endpoint{Endpoint: r, Down: o.down[r.ID]})
-	}
-	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
+	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: o.firstView(b.Hello.Revision, s)}})
 	o.sendDocument(b.Session, one, s, out)
 	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
 		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)})
 }
 
-// ping tells an entry that this box still owns the pools.
+// firstView returns what a session begins with: what has changed of endpoints since the
+// revision that its entry knows, and which of them are silent. All of 3,000 endpoints for
+// each of 300 entries at once, as after a change of owner, would be 134 MB.
+func (o *owner) firstView(revision uint64, s *State) *message.View {
+	changed, gone, ok := s.machine.registry.Since(revision)
+	view := &message.View{Whole: !ok, Revision: s.machine.registry.Revision, Signs: true, Members: s.memberLinks()}
+	if ok {
+		view.Endpoints = endpoints(changed)
+	} else {
+		view.Endpoints = o.allEndpoints(s)
+	}
+	for _, id := range gone {
+		view.Gone = append(view.Gone, event.EndpointID(id))
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.down)) {
+		if o.down[id] {
+			view.Silent = append(view.Silent, event.EndpointID(id))
+		}
+	}
+	return view
+}
+
+// allEndpoints returns the whole registry, of which all sessions that begin at a revision
+// share one copy.
+func (o *owner) allEndpoints(s *State) []message.Endpoint {
+	if r := s.machine.registry.Revision; o.allAt != r || o.all == nil {
+		o.all, o.allAt = endpoints(s.machine.registry.List()), r
+	}
+	return o.all
+}
+
+func endpoints(list []registry.Endpoint) []message.Endpoint {
+	all := make([]message.Endpoint, len(list))
+	for i, e := range list {
+		all[i].Endpoint = e
+	}
+	return all
+}
+
+// ping tells an entry that this box still owns the pools. It has no answer while the lease
+// has lapsed; the entry asks again.
 func (o *owner) ping(now event.Time, p *SessionPinged, s *State, out *Effects) {
 	one, ok := o.sessions[p.Session]
-	if !ok || !s.owns(now) {
+	if !ok {
 		s.redirect(p.Session, out)
 		return
 	}
+	if !s.owns(now) {
+		return
+	}
 	o.book.Hear(now, one.entry, p.Ping.Has, p.Ping.Spent)
 	o.admission.EntrySeen(now, one.entry, &o.effects)
 	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{Pong: &message.Pong{
@@ -334,13 +408,13 @@
 	}
 }
 
-// decide sends the decisions that were made to their entries. A box whose lease
-// is over decides nothing.
+// decide sends the decisions that were made to their entries. While the lease has lapsed
+// they are held back: nobody else decides until this term is over, and with it this owner.
 func (o *owner) decide(now event.Time, s *State, out *Effects) {
-	defer o.effects.Reset()
 	if len(o.effects.Grants)+len(o.effects.Refusals) == 0 || !s.owns(now) {
 		return
 	}
+	defer o.effects.Reset()
 	byEntry := make(map[event.BoxID]*message.Decisions)
 	at := func(name event.BoxID) *message.Decisions {
 		d, ok := byEntry[name]
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -61,8 +61,11 @@
 	keeper *store.Keeper
 	peers  *peers
 	input  chan Event
-	meters meters
-	tokens atomic.Uint64
+	// log has the messages of the replicated log. They go before all else: a lease must not
+	// lapse, nor an election fail, because hundreds of entries speak at once.
+	logInput chan Event
+	meters   meters
+	tokens   atomic.Uint64
 
 	mu       sync.Mutex
 	calls    map[Token]chan Answer
@@ -91,6 +94,7 @@
 		log:      c.Log,
 		clock:    event.NewClock(),
 		input:    make(chan Event, inputDepth),
+		logInput: make(chan Event, inputDepth),
 		meters:   newMeters(),
 		calls:    make(map[Token]chan Answer),
 		sessions: make(map[SessionID]*link.Conn[message.Envelope]),
@@ -176,15 +180,12 @@
 	defer ticker.Stop()
 	var out Effects
 	for {
-		var e Event
-		select {
-		case <-ctx.Done():
+		e := s.nextOfLog(ticker)
+		if e == nil {
+			e = s.nextOfAny(ctx, ticker)
+		}
+		if e == nil {
 			return
-		case e = <-s.input:
-		case saved := <-s.keeper.Saved():
-			e = &Saved{Index: saved.Index, Term: saved.Term}
-		case <-ticker.C:
-			e = &Ticked{}
 		}
 		out.reset()
 		began := time.Now()
@@ -194,6 +195,36 @@
 	}
 }
 
+// nextOfLog returns an event that the replicated log waits for; nil if there is none.
+func (s *Server) nextOfLog(ticker *time.Ticker) Event {
+	select {
+	case e := <-s.logInput:
+		return e
+	case saved := <-s.keeper.Saved():
+		return &Saved{Index: saved.Index, Term: saved.Term}
+	case <-ticker.C:
+		return &Ticked{}
+	default:
+		return nil
+	}
+}
+
+// nextOfAny waits for an event of any kind; it returns nil when ctx has ended.
+func (s *Server) nextOfAny(ctx context.Context, ticker *time.Ticker) Event {
+	select {
+	case <-ctx.Done():
+		return nil
+	case e := <-s.logInput:
+		return e
+	case e := <-s.input:
+		return e
+	case saved := <-s.keeper.Saved():
+		return &Saved{Index: saved.Index, Term: saved.Term}
+	case <-ticker.C:
+		return &Ticked{}
+	}
+}
+
 func (s *Server) carryOut(out *Effects) {
 	for _, n := range out.Notes {
 		fields := make([]zap.Field, len(n.Fields))
@@ -244,7 +275,7 @@
 		case m.Batch != nil && id != 0:
 			s.input <- &SessionTold{Session: id, Batch: m.Batch}
 		case m.Consensus != nil && m.Consensus.Valid():
-			s.input <- &Received{Message: *m.Consensus}
+			s.logInput <- &Received{Message: *m.Consensus}
 		case m.Heard != nil:
 			s.input <- &EndpointsHeard{IDs: m.Heard.Endpoints}
 		case m.Join != nil:
--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
 
 	"lynxramp.org/admission"
 	"lynxramp.org/budget"
@@ -54,6 +55,8 @@
 	// stalled disks save nothing; what rests on it waits.
 	stalled bool
 	waiting []consensus.Ready
+	// busy is until when it works on events that it took: it takes none before.
+	busy event.Time
 }
 
 // sim runs control boxes in simulated time.
@@ -71,6 +74,9 @@
 	random   *rand.Rand
 	lives    int
 	settings func(seed uint64) Settings
+	// charge is how much simulated time an event's real time takes on a control box; 0 lets
+	// events take none.
+	charge float64
 }
 
 var simLimits = admission.Limits{QuotaWindow: 8 * event.Second, RetryWindow: 10 * event.Second, RetryRatio: 0.2, RetryMin: 20}
@@ -156,7 +162,9 @@
 		return
 	}
 	var out Effects
+	began := time.Now()
 	b.state.Step(s.now, e, &out)
+	b.busy = max(b.busy, s.now).Add(event.Span(s.charge * float64(time.Since(began))))
 	s.messages = append(s.messages, out.Ready.Early...)
 	b.waiting = append(b.waiting, out.Ready)
 	for _, a := range out.Answers {
@@ -200,10 +208,17 @@
 			if to == nil || to.disk.member.ID != m.To || s.cut(string(m.From.Box()), to.name) {
 				continue
 			}
+			if s.isBusy(to) {
+				s.messages = append(s.messages, m)
+				continue
+			}
 			s.step(to, &Received{Message: m})
 		}
 		for _, name := range s.order {
 			b := s.boxes[name]
+			if s.isBusy(b) {
+				continue
+			}
 			s.step(b, &Ticked{})
 			if b.state != nil && b.joins {
 				s.join(b)
@@ -212,6 +227,9 @@
 	}
 }
 
+// isBusy reports whether a box still works on events that it took before this step.
+func (s *sim) isBusy(b *simBox) bool { return s.charge > 0 && b.busy > s.now.Add(simStep) }
+
 // join does what Server.stayMember does.
 func (s *sim) join(b *simBox) {
 	node := b.state.Node()
--- /dev/null
+++ b/cluster/size_test.go
@@ -0,0 +1,271 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+)
+
+// The size that the tests of this file play.
+const (
+	manyEntries   = 300
+	manyEndpoints = 3000
+)
+
+// manyEndpoint is one of them, as it tells of itself for the nth time.
+func manyEndpoint(i int, n uint64) registry.Endpoint {
+	return registry.Endpoint{
+		ID: fmt.Sprintf("i-%08x", i*7919), Service: "s", Slots: 8, Sequence: n,
+		Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+	}
+}
+
+// registerMany lets all endpoints come.
+func registerMany(s *sim) {
+	for i := range manyEndpoints {
+		s.tell(s.mustOwner(), manyEndpoint(i, 1))
+		if i%50 == 49 {
+			s.run(simStep)
+		}
+	}
+	s.run(200 * event.Millisecond)
+}
+
+// TestNewOwnerIsReadyWithinItsLease: what a box does in one step when it comes to own the
+// pools must end long before its lease does, whatever the number of endpoints: the loop
+// that renews the lease stands still meanwhile. The best of some runs counts, for machines
+// that do other work too.
+func TestNewOwnerIsReadyWithinItsLease(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(2 * second)
+	registerMany(s)
+	state := s.mustOwner().state
+	best := time.Hour
+	for range 5 {
+		began := time.Now()
+		newOwner(s.now, state)
+		best = min(best, time.Since(began))
+	}
+	if most := time.Duration(consensus.ElectionMin / 8); best > most {
+		t.Errorf("a new owner takes up %d endpoints in %v, want %v at the most", manyEndpoints, best, most)
+	}
+}
+
+// manySim is a deployment of many entries and endpoints, in which the work of control boxes
+// takes time.
+type manySim struct {
+	*fleetSim
+	beats uint64
+}
+
+func newManySim(t *testing.T) *manySim {
+	f := &manySim{fleetSim: newFleetSim(t, manyEntries, 1)}
+	registerMany(f.sim)
+	f.beats = 1
+	f.charge = 2
+	f.play(3 * second)
+	return f
+}
+
+// play lets time go on; each endpoint tells of itself once a second, at any box that is up.
+func (f *manySim) play(span event.Span) {
+	for end := f.now.Add(span); f.now < end; {
+		f.runFleet(simStep)
+		const beatsPerStep = manyEndpoints * int(simStep) / int(event.Second)
+		for range beatsPerStep {
+			f.beats++
+			b := f.boxes[f.order[f.random.IntN(len(f.order))]]
+			if b.state != nil && !f.isBusy(b) {
+				f.tell(b, manyEndpoint(int(f.beats)%manyEndpoints, f.beats))
+			}
+		}
+	}
+}
+
+// owned returns how many entries have an owner.
+func (f *manySim) owned() int {
+	n := 0
+	for _, e := range f.entries {
+		if e.link != nil && e.client.Owned() {
+			n++
+		}
+	}
+	return n
+}
+
+// TestOwnerChangesAtSize: after the owner's end there is another, and keeps the pools, and
+// nearly all entries are back with it within a second of its election.
+func TestOwnerChangesAtSize(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a large deployment")
+	}
+	f := newManySim(t)
+	old := f.mustOwner()
+	f.stop(old.name)
+	f.play(consensus.ElectionMin + consensus.ElectionSpread + event.Second)
+	if got := f.owned(); got < manyEntries*95/100 {
+		t.Errorf("%d of %d entries have an owner a second after an election", got, manyEntries)
+	}
+	term := f.mustOwner().state.Node().Term()
+	f.play(2 * second)
+	if got := f.mustOwner().state.Node().Term(); got != term {
+		t.Errorf("term %d became %d with nothing wrong", term, got)
+	}
+	if got := f.owned(); got < manyEntries*95/100 {
+		t.Errorf("%d of %d entries have an owner later", got, manyEntries)
+	}
+}
+
+// firstView is what a session was told first.
+func firstView(t *testing.T, s *sim, id SessionID) *message.View {
+	t.Helper()
+	if len(s.sends[id]) == 0 || s.sends[id][0].View == nil {
+		t.Fatalf("session %d was told %+v first, want a view", id, s.sends[id])
+	}
+	return s.sends[id][0].View
+}
+
+// TestSessionIsToldWhatChanged: an entry that knows the registry up to a revision is told
+// what came after it, by any owner; one that knows nothing is told all.
+func TestSessionIsToldWhatChanged(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	for i := range 40 {
+		s.tell(s.mustOwner(), manyEndpoint(i, 1))
+	}
+	s.run(second)
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	all := firstView(t, s, 1)
+	if !all.Whole || len(all.Endpoints) != 40 || all.Revision == 0 {
+		t.Errorf("an entry that knows nothing was told %d endpoints, whole %v", len(all.Endpoints), all.Whole)
+	}
+	s.tell(s.mustOwner(), manyEndpoint(40, 1))
+	s.token++
+	s.step(s.mustOwner(), &EndpointLeft{Token: s.token, ID: manyEndpoint(7, 1).ID})
+	s.run(second)
+	s.stop(s.mustOwner().name)
+	s.run(6 * second) // all fall silent
+	s.step(s.mustOwner(), &SessionBegan{Session: 2, Hello: message.Hello{Entry: "entry", Revision: all.Revision}})
+	some := firstView(t, s, 2)
+	if some.Whole || len(some.Endpoints) != 1 || some.Endpoints[0].ID != manyEndpoint(40, 1).ID || len(some.Gone) != 1 {
+		t.Errorf("an entry that knows 40 endpoints was told %+v, want one more and one gone", some)
+	}
+	if !some.Signs || len(some.Silent) != 40 {
+		t.Errorf("%d endpoints are told to be silent, want 40", len(some.Silent))
+	}
+}
+
+// TestNewsOfATickGoTogether: entries are told at once of all endpoints that came within a
+// tick, not of each by itself.
+func TestNewsOfATickGoTogether(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(2 * second)
+	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	before := len(s.sends[1])
+	registerMany(s)
+	told := 0
+	for _, m := range s.sends[1][before:] {
+		told += len(m.View.Endpoints)
+	}
+	if told != manyEndpoints {
+		t.Errorf("the entry was told of %d endpoints, want %d", told, manyEndpoints)
+	}
+	if got, most := len(s.sends[1])-before, manyEndpoints/50+10; got > most {
+		t.Errorf("%d messages told it, want %d at the most", got, most)
+	}
+}
+
+// cutReplies lets the others' answers to the owner be lost: its lease ends, and nobody
+// misses it.
+func cutReplies(s *sim) (owner *simBox) {
+	owner = s.mustOwner()
+	s.cut = func(_, to string) bool { return to == owner.name }
+	return owner
+}
+
+// TestShortLapseKeepsTheSessions: an owner whose lease lapses for a moment decides nothing
+// meanwhile, and goes on with the entries that it has.
+func TestShortLapseKeepsTheSessions(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	s.tell(s.mustOwner(), manyEndpoint(1, 1))
+	s.run(second)
+	owner := cutReplies(s)
+	s.step(owner, &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	for owner.state.owns(s.now) {
+		s.run(simStep)
+	}
+	s.step(owner, &SessionTold{Session: 1, Batch: submit("a")})
+	s.step(owner, &SessionPinged{Session: 1})
+	for _, m := range s.sends[1] {
+		if m.Decisions != nil || m.Pong != nil {
+			t.Errorf("an owner without a lease told %+v", m)
+		}
+	}
+	s.cut = func(string, string) bool { return false }
+	s.run(300 * event.Millisecond)
+	if s.mustOwner() != owner || s.closed[1] {
+		t.Errorf("the sessions were closed (%v) for a short lapse", s.closed[1])
+	}
+	if got := s.grants(1); len(got) != 1 {
+		t.Errorf("grants %+v, want the one that was decided meanwhile", got)
+	}
+}
+
+// TestLongLapseEndsTheSessions: the entries of an owner that stays without a lease are sent
+// away before they would find out.
+func TestLongLapseEndsTheSessions(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	owner := cutReplies(s)
+	s.step(owner, &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.run(consensus.ElectionMin - consensus.LeaseMargin + lapsePatience + 50*event.Millisecond)
+	if !s.closed[1] {
+		t.Error("the session of an owner whose lease is over goes on")
+	}
+}
+
+// TestElectionTurnsNoEndpointAway: a box takes the word of an endpoint that has no news
+// while an election goes on, and the next owner hears of it. A box that is without a leader
+// for longer takes none.
+func TestElectionTurnsNoEndpointAway(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	e := manyEndpoint(1, 1)
+	s.tell(s.mustOwner(), e)
+	s.run(second)
+	old := s.mustOwner().name
+	other := s.boxes[s.order[0]]
+	if other.name == old {
+		other = s.boxes[s.order[1]]
+	}
+	s.stop(old)
+	s.run(500 * event.Millisecond)
+	for e.Sequence = 2; e.Sequence < 20; e.Sequence++ {
+		if a := s.answers[s.tell(other, e)]; a.Status != StatusDone {
+			t.Fatalf("%v after the leader's end an endpoint was turned away: %+v", 500*event.Millisecond, a)
+		}
+		s.run(400 * event.Millisecond)
+	}
+	if owner := s.mustOwner(); owner.state.owner.down[e.ID] {
+		t.Error("the next owner takes an endpoint for down that told of itself")
+	}
+	for _, name := range s.order {
+		if name != other.name {
+			s.stop(name)
+		}
+	}
+	s.run(leaderless + second)
+	if a := s.answers[s.tell(other, e)]; a.Status != StatusElsewhere {
+		t.Errorf("a box without a leader for long answered %+v", a)
+	}
+}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"maps"
 	"slices"
 
 	"lynxramp.org/admission"
@@ -133,7 +134,7 @@
 		})
 	case *EndpointTold:
 		known := !s.machine.registry.Accepts(e.Endpoint) || !s.machine.registry.Changes(e.Endpoint)
-		if known && s.hearsLeader(now) {
+		if known && s.heardLeaderLately(now) {
 			// It has no news: the leader need only know that it lives.
 			s.heard[e.Endpoint.ID] = true
 			out.Answers = append(out.Answers, Answer{Token: e.Token, Status: StatusDone, Here: true})
@@ -141,7 +142,7 @@
 		}
 		s.propose(now, e.Token, encodeEndpoint(e.Endpoint), known, out)
 	case *EndpointLeft:
-		s.propose(now, e.Token, encodeRemove(e.ID), slices.Contains(s.machine.registry.Gone, e.ID), out)
+		s.propose(now, e.Token, encodeRemove(e.ID), s.machine.registry.IsGone(e.ID), out)
 	case *CallGone:
 		for i, p := range s.pending {
 			if p.token == e.Token {
@@ -176,18 +177,27 @@
 	return leader != "" && leader != s.node.ID() && now.Sub(s.node.HeardLeader()) < consensus.ElectionMin
 }
 
-// tellHeard tells the leader which endpoints were heard here.
+// leaderless is how long a box goes on taking word of endpoints without news while it hears
+// no leader: an election takes 0.4 to 0.65 s, and each endpoint that is turned away tries
+// all boxes in turn. It is below the time after which an owner takes an endpoint for down.
+const leaderless = 2 * event.Second
+
+// heardLeaderLately reports whether another box leads, or did a moment ago.
+func (s *State) heardLeaderLately(now event.Time) bool {
+	return s.node.Leader() != s.node.ID() && now.Sub(s.node.HeardLeader()) < leaderless
+}
+
+// tellHeard tells the leader which endpoints were heard here, once there is one.
 func (s *State) tellHeard(now event.Time, out *Effects) {
-	if len(s.heard) == 0 {
-		return
-	}
-	if s.hearsLeader(now) {
+	switch {
+	case len(s.heard) == 0:
+	case s.hearsLeader(now):
 		out.Leader = s.node.Leader()
-		for id := range s.heard {
-			out.Heard = append(out.Heard, id)
-		}
+		out.Heard = slices.Sorted(maps.Keys(s.heard))
+		clear(s.heard)
+	case !s.heardLeaderLately(now):
+		clear(s.heard)
 	}
-	clear(s.heard)
 }
 
 // elsewhere answers a call that this box can't serve.
@@ -253,7 +263,7 @@
 
 func (s *State) applyEntry(now event.Time, entry consensus.Entry, out *Effects) {
 	if entry.Kind == consensus.EntryCommand {
-		s.applyCommand(now, entry.Data, out)
+		s.applyCommand(now, entry, out)
 	}
 	if s.owner != nil && entry.Term == s.owner.term {
 		s.owner.recorded(now, entry.Index, s, out)
@@ -270,9 +280,9 @@
 	out.Answers = append(out.Answers, Answer{Token: p.token, Status: status})
 }
 
-func (s *State) applyCommand(now event.Time, command []byte, out *Effects) {
-	s.logged += len(command)
-	c, err := s.machine.apply(command)
+func (s *State) applyCommand(now event.Time, entry consensus.Entry, out *Effects) {
+	s.logged += len(entry.Data)
+	c, err := s.machine.apply(entry.Index, entry.Data)
 	if err != nil {
 		// A command that no version of this program can read does nothing, on
 		// every box alike.
@@ -303,11 +313,14 @@
 	s.table = table
 }
 
-// settleOwnership begins to own when this box has come to lead, and ends when it
-// may not be the leader any more.
+// settleOwnership begins to own when this box has come to lead, and ends when it leads no
+// more. A short lapse of the lease within a term is no end: a quorum that answers again in
+// this term has followed nobody else since. To end and begin anew at each lapse would send
+// all entries away and back, and the work of that would let the lease lapse again: with
+// 3,000 endpoints before 300 entries, 29 times in 9 s.
 func (s *State) settleOwnership(now event.Time, out *Effects) {
 	owns := s.owns(now)
-	if s.owner != nil && (!owns || s.owner.term != s.node.Term()) {
+	if s.owner != nil && !s.owner.remains(now, s.node) {
 		s.owner.end(s, out)
 		s.owner = nil
 		out.note("owns the pools no more", Field{"term", uint64(s.node.Term())})
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"lynxramp.org/budget"
+	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
@@ -316,13 +317,13 @@
 
 func TestMachineSurvivesItsSnapshot(t *testing.T) {
 	var m machine
-	for _, command := range [][]byte{
+	for i, command := range [][]byte{
 		encodeDocument(Document{Version: 4, Data: []byte(`{"version": 4}`)}),
 		encodeEndpoint(registry.Endpoint{ID: "a", Service: "s", Address: "10.0.0.1:80", Sequence: 2}),
 		encodeEndpoint(registry.Endpoint{ID: "b", Service: "s", Address: "10.0.0.2:80", Sequence: 2}),
 		encodeRemove("b"),
 	} {
-		if _, err := m.apply(command); err != nil {
+		if _, err := m.apply(consensus.Index(i+1), command); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -334,7 +335,7 @@
 		t.Errorf("restored %+v", again)
 	}
 	for _, bad := range [][]byte{nil, {99}, {commandDocument, 1}, append([]byte{commandEndpoint}, '{')} {
-		if _, err := again.apply(bad); err == nil {
+		if _, err := again.apply(9, bad); err == nil {
 			t.Errorf("command %v was applied", bad)
 		}
 	}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -176,6 +176,9 @@
 	return n.Leads() && n.transfer == "" && now < n.leaseEnd(now)
 }
 
+// HandsOver reports whether this member is handing its lead to another.
+func (n *Node) HandsOver() bool { return n.transfer != "" }
+
 // LeaseEnd returns when the lease of a leader is over, as far as is known at now.
 func (n *Node) LeaseEnd(now event.Time) event.Time { return n.leaseEnd(now) }
 
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -100,6 +100,7 @@
 	waiting   map[event.RequestID]*waiter
 	running   map[event.RequestID]*message.Running
 	endpoints map[event.EndpointID]message.Endpoint
+	revision  uint64            // of the registry, as endpoints has it
 	lent      budget.Allowances // what may be spent without an owner
 	alone     *admission.State  // nil while there is an owner
 	batch     message.Batch
@@ -149,6 +150,9 @@
 	return a.table.Load()
 }
 
+// Owned reports whether an owner decides for this entry.
+func (a *OwnerClient) Owned() bool { return a.owned }
+
 // Take returns what the world is to do about all that happened since the last call.
 func (a *OwnerClient) Take() ClientEffects {
 	a.flush()
@@ -323,7 +327,8 @@
 	entries := int(a.pace.Load())
 	a.alone = admission.New(a.config.Limits, a.config.Life, &a.lent)
 	a.alone.SetTable(now, a.table.Load())
-	for _, e := range a.endpoints {
+	for _, id := range slices.Sorted(maps.Keys(a.endpoints)) {
+		e := a.endpoints[id]
 		e.Slots = max(1, (e.Slots+entries-1)/entries)
 		a.alone.SetEndpoint(now, e, &a.effects)
 	}
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -63,6 +63,7 @@
 	a.link, a.address = link, address
 	hello := &message.Hello{
 		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Held: a.lent.Greet(),
+		Revision: a.revision,
 	}
 	for _, r := range a.running {
 		hello.Running = append(hello.Running, *r)
@@ -157,11 +158,34 @@
 	for _, id := range v.Gone {
 		delete(a.endpoints, id)
 	}
+	a.revision = max(a.revision, v.Revision)
+	if v.Whole {
+		a.revision = v.Revision // of another log, perhaps
+	}
+	if v.Signs {
+		a.seeSigns(v.Silent)
+	}
 	if len(v.Document) > 0 {
 		a.put(now, v)
 	}
 }
 
+// seeSigns takes which endpoints give signs of life: all but those that are silent.
+func (a *OwnerClient) seeSigns(silent []event.EndpointID) {
+	for id, e := range a.endpoints {
+		if e.Down {
+			e.Down = false
+			a.endpoints[id] = e
+		}
+	}
+	for _, id := range silent {
+		if e, ok := a.endpoints[id]; ok {
+			e.Down = true
+			a.endpoints[id] = e
+		}
+	}
+}
+
 // put puts a configuration in force. An entry never goes back to an older one.
 func (a *OwnerClient) put(now event.Time, v *message.View) {
 	if t := a.table.Load(); t != nil && t.Version >= v.Version {
--- a/message/message.go
+++ b/message/message.go
@@ -43,6 +43,8 @@
 	Running []Running
 	// Entries is how many entries share endpoints, as last told by an owner.
 	Entries int
+	// Revision is that of the newest change of the registry that the entry was told.
+	Revision uint64
 }
 
 // Running is a request that runs by the word of an entry.
@@ -89,7 +91,13 @@
 	Whole     bool
 	Endpoints []Endpoint
 	Gone      []event.EndpointID
-	Members   []string
+	// Revision is that of the registry with these changes; 0 in a View that has none.
+	Revision uint64
+	// Signs says that all endpoints give signs of life but those in Silent. An owner begins
+	// a session with it: what an earlier one believed counts no more.
+	Signs   bool
+	Silent  []event.EndpointID
+	Members []string
 }
 
 // Endpoint is an endpoint and whether it gives signs of life.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -4,6 +4,11 @@
 // themselves. State is replicated: it holds what must outlive an owner (who is
 // there, who is leaving, who is gone). That an endpoint is alive is soft state
 // of the owner, not kept here.
+//
+// Each change has a revision, the index of the log's entry that made it. Whoever has seen
+// a revision is told only of the changes since (State.Since): the state itself grows with
+// the endpoints, and hundreds of entries ask for it at the same moment when the owner
+// changes.
 package registry
 
 import (
@@ -32,12 +37,56 @@
 	Endpoints map[string]Endpoint `json:"endpoints"`
 	// Gone has the ids of endpoints that said that they ended, oldest first.
 	Gone []string `json:"gone"`
+	// Revision is that of the newest change; 0 is none.
+	Revision uint64 `json:"revision,omitempty"`
+	// Changed has the revision of each endpoint's last change, and GoneAt that of each end
+	// in Gone.
+	Changed map[string]uint64 `json:"changed,omitempty"`
+	GoneAt  []uint64          `json:"gone_at,omitempty"`
+	// Forgotten is the revision up to which ends may be missing in Gone.
+	Forgotten uint64 `json:"forgotten,omitempty"`
+
+	// What follows is derived; index makes it.
+	byAddress map[string]string
+	isGone    map[string]struct{}
+}
+
+// index makes what is derived, for a State that is new or was read from a snapshot.
+func (s *State) index() {
+	if s.byAddress != nil {
+		return
+	}
+	if s.Endpoints == nil {
+		s.Endpoints = make(map[string]Endpoint)
+	}
+	if s.Changed == nil {
+		s.Changed = make(map[string]uint64)
+	}
+	for len(s.GoneAt) < len(s.Gone) {
+		s.GoneAt = append([]uint64{0}, s.GoneAt...) // of a snapshot without revisions
+	}
+	s.byAddress = make(map[string]string, len(s.Endpoints))
+	for id, e := range s.Endpoints {
+		s.byAddress[e.Address] = id
+	}
+	s.isGone = make(map[string]struct{}, len(s.Gone))
+	for _, id := range s.Gone {
+		s.isGone[id] = struct{}{}
+	}
+}
+
+// IsGone reports whether an endpoint said that it ended, or was followed by another at its
+// address.
+func (s *State) IsGone(id string) bool {
+	s.index()
+	_, gone := s.isGone[id]
+	return gone
 }
 
 // Accepts reports whether a message is news: not of an endpoint that is gone
 // and not older than what is known.
 func (s *State) Accepts(e Endpoint) bool {
-	if slices.Contains(s.Gone, e.ID) {
+	if s.IsGone(e.ID) {
 		return false
 	}
 	known, ok := s.Endpoints[e.ID]
@@ -51,40 +100,88 @@
 	return !ok || known != e
 }
 
-// Put takes an endpoint's word on itself. Another endpoint at the same address
-// is gone: an address has one incarnation at a time.
-func (s *State) Put(e Endpoint) {
+// Put takes an endpoint's word on itself, which the log has at a revision. Another endpoint
+// at the same address is gone, and its id returned: an address has one incarnation at a
+// time.
+func (s *State) Put(e Endpoint, revision uint64) (followed string) {
 	if !s.Accepts(e) {
-		return
+		return ""
 	}
-	if s.Endpoints == nil {
-		s.Endpoints = make(map[string]Endpoint)
+	if other, ok := s.byAddress[e.Address]; ok && other != e.ID {
+		followed = other
+		s.Remove(other, revision)
 	}
-	for id, other := range s.Endpoints {
-		if id != e.ID && other.Address == e.Address {
-			s.Remove(id)
-		}
+	if known, ok := s.Endpoints[e.ID]; ok {
+		s.freeAddress(known)
 	}
 	s.Endpoints[e.ID] = e
+	s.byAddress[e.Address] = e.ID
+	s.Changed[e.ID] = revision
+	s.Revision = max(s.Revision, revision)
+	return followed
+}
+
+// freeAddress takes note that an endpoint does not have its address any more.
+func (s *State) freeAddress(e Endpoint) {
+	if s.byAddress[e.Address] == e.ID {
+		delete(s.byAddress, e.Address)
+	}
 }
 
-// Remove takes note that an endpoint is gone for good.
-func (s *State) Remove(id string) {
+// Remove takes note that an endpoint is gone for good, which the log has at a revision.
+func (s *State) Remove(id string, revision uint64) {
+	s.index()
+	s.freeAddress(s.Endpoints[id])
 	delete(s.Endpoints, id)
-	if slices.Contains(s.Gone, id) {
+	delete(s.Changed, id)
+	if s.IsGone(id) {
 		return
 	}
+	s.isGone[id] = struct{}{}
 	s.Gone = append(s.Gone, id)
-	if len(s.Gone) > maxGone {
-		s.Gone = slices.Delete(s.Gone, 0, len(s.Gone)-maxGone)
+	s.GoneAt = append(s.GoneAt, revision)
+	s.Revision = max(s.Revision, revision)
+	s.forgetGone()
+}
+
+// forgetGone drops the oldest ends beyond the bound.
+func (s *State) forgetGone() {
+	over := len(s.Gone) - maxGone
+	if over <= 0 {
+		return
 	}
+	for _, id := range s.Gone[:over] {
+		delete(s.isGone, id)
+	}
+	s.Forgotten = s.GoneAt[over-1]
+	s.Gone = slices.Delete(s.Gone, 0, over)
+	s.GoneAt = slices.Delete(s.GoneAt, 0, over)
 }
 
 // List returns the endpoints by id.
-func (s *State) List() []Endpoint {
-	list := make([]Endpoint, 0, len(s.Endpoints))
-	for _, e := range s.Endpoints {
-		list = append(list, e)
+func (s *State) List() []Endpoint { return s.changedAfter(0) }
+
+// Since returns what changed after a revision: endpoints by id, and the ids of those that
+// are gone. It is false where that is not known; then List has all that is there.
+func (s *State) Since(revision uint64) (changed []Endpoint, gone []string, ok bool) {
+	if revision == 0 || revision < s.Forgotten || revision > s.Revision {
+		return nil, nil, false
+	}
+	s.index()
+	for i := len(s.Gone) - 1; i >= 0 && s.GoneAt[i] > revision; i-- {
+		gone = append(gone, s.Gone[i])
+	}
+	return s.changedAfter(revision), gone, true
+}
+
+// changedAfter returns the endpoints that changed after a revision, by id; all that are
+// there after none.
+func (s *State) changedAfter(revision uint64) []Endpoint {
+	var list []Endpoint
+	for id, e := range s.Endpoints {
+		if revision == 0 || s.Changed[id] > revision {
+			list = append(list, e)
+		}
 	}
 	slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return list
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -2,12 +2,19 @@
 
 package registry
 
-import "testing"
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
 
 func TestLateWordIsNoNews(t *testing.T) {
 	var s State
-	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 4, Leaving: true})
-	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 3})
+	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 4, Leaving: true}, 1)
+	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 3}, 2)
 	if !s.Endpoints["a"].Leaving {
 		t.Error("a late message took back that the endpoint is leaving")
 	}
@@ -15,9 +22,9 @@
 
 func TestGoneStaysGone(t *testing.T) {
 	var s State
-	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 1})
-	s.Remove("a")
-	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 9})
+	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 1}, 3)
+	s.Remove("a", 9)
+	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 9}, 4)
 	if len(s.Endpoints) != 0 {
 		t.Error("an endpoint that had ended came back")
 	}
@@ -25,8 +32,8 @@
 
 func TestAddressHasOneEndpoint(t *testing.T) {
 	var s State
-	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 1})
-	s.Put(Endpoint{ID: "b", Address: "10.0.0.1:80", Sequence: 1})
+	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 1}, 5)
+	s.Put(Endpoint{ID: "b", Address: "10.0.0.1:80", Sequence: 1}, 6)
 	if _, ok := s.Endpoints["a"]; ok || len(s.Endpoints) != 1 {
 		t.Errorf("two endpoints at one address: %v", s.Endpoints)
 	}
@@ -35,9 +42,85 @@
 func TestGoneIsBounded(t *testing.T) {
 	var s State
 	for i := range 3 * maxGone {
-		s.Remove(string(rune('a'+i%26)) + string(rune(i)))
+		s.Remove(string(rune('a'+i%26))+string(rune(i)), uint64(i+1))
 	}
 	if len(s.Gone) != maxGone {
 		t.Errorf("%d endpoints that are gone are remembered, want %d", len(s.Gone), maxGone)
 	}
 }
+
+// TestSinceTellsEachChangeOnce follows a registry through random changes: who applies what
+// it is told since the revision that it has seen knows what is there.
+func TestSinceTellsEachChangeOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var s State
+	seen := make(map[string]Endpoint)
+	var revision uint64
+	for step := uint64(1); step < 20000; step++ {
+		id := fmt.Sprintf("e%d", random.IntN(12000))
+		if random.IntN(3) == 0 {
+			s.Remove(id, step)
+		} else {
+			s.Put(Endpoint{ID: id, Address: fmt.Sprint("10.0.0.1:", random.IntN(300)), Sequence: step}, step)
+		}
+		if random.IntN(40) != 0 {
+			continue
+		}
+		changed, gone, ok := s.Since(revision)
+		if !ok {
+			clear(seen)
+			changed = s.List()
+		}
+		for _, id := range gone {
+			delete(seen, id)
+		}
+		for _, e := range changed {
+			seen[e.ID] = e
+		}
+		revision = s.Revision
+		if diff := cmp.Diff(s.Endpoints, seen); diff != "" {
+			t.Fatalf("step %d: %s", step, diff)
+		}
+	}
+}
+
+// TestSinceAsksForAllWhereItDoesNotKnow: of a revision whose later ends are forgotten, and
+// of one that is ahead of this log.
+func TestSinceAsksForAllWhereItDoesNotKnow(t *testing.T) {
+	var s State
+	for i := range uint64(2 * maxGone) {
+		s.Remove(fmt.Sprint(i), i+1)
+	}
+	for _, revision := range []uint64{0, 1, maxGone - 1, 2*maxGone + 1} {
+		if _, _, ok := s.Since(revision); ok {
+			t.Errorf("changes since revision %d are told, though some may be missing", revision)
+		}
+	}
+	if _, gone, ok := s.Since(2*maxGone - 3); !ok || len(gone) != 3 {
+		t.Errorf("%d ends since the revision before the last three, %v", len(gone), ok)
+	}
+}
+
+// TestSnapshotKeepsRevisions: a State that was read from a snapshot goes on as the one that
+// was written.
+func TestSnapshotKeepsRevisions(t *testing.T) {
+	var s, again State
+	s.Put(Endpoint{ID: "a", Address: "10.0.0.1:80", Sequence: 1}, 3)
+	s.Put(Endpoint{ID: "b", Address: "10.0.0.2:80", Sequence: 1}, 4)
+	s.Remove("b", 7)
+	data, err := json.Marshal(&s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(data, &again); err != nil {
+		t.Fatal(err)
+	}
+	changed, gone, ok := again.Since(3)
+	if !ok || len(changed) != 0 || len(gone) != 1 || gone[0] != "b" {
+		t.Errorf("since revision 3: %v, %v, %v; want that b is gone", changed, gone, ok)
+	}
+	again.Put(Endpoint{ID: "c", Address: "10.0.0.1:80", Sequence: 1}, 9)
+	if !again.IsGone("a") {
+		t.Error("an endpoint at the address of a new one is still there")
+	}
+}
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"lynxramp.org/event"
 )
@@ -15,17 +14,13 @@
 
 // seeEndpoint takes in an endpoint that tells of itself, or news of one.
 func (s *State) seeEndpoint(now event.Time, seen *event.EndpointSeen) {
-	e, ok := s.endpoint(seen.Endpoint.ID)
+	e := s.endpoint(seen.Endpoint.ID)
 	e.Endpoint = seen.Endpoint
 	e.report.Address = seen.Address
 	e.report.Down = seen.Down
 	e.unsure = seen.Unsure
 	e.reported = true
 	e.heard = always
-	if !ok {
-		s.orderEndpoints(now)
-		return
-	}
 	s.refresh(now, e)
 	if e.Concurrency > 0 && e.serves(now) {
 		s.fastest = max(s.fastest, e.speed())
@@ -47,9 +42,8 @@
 	for mark := range e.memory.old {
 		s.prefix.forget(mark, e)
 	}
-	delete(s.byID, id)
-	s.endpoints = slices.DeleteFunc(s.endpoints, func(other *endpoint) bool { return other == e })
-	s.orderEndpoints(now)
+	s.dropEndpoint(e)
+	s.findFastest(now)
 }
 
 // adopt books a request that runs already.
--- a/sched/state.go
+++ b/sched/state.go
@@ -185,30 +185,43 @@
 		}
 	}
 	for _, c := range p.Endpoints {
-		e, _ := s.endpoint(c.ID)
-		e.Endpoint = c
+		s.endpoint(c.ID).Endpoint = c
 	}
 	s.orderEndpoints(now)
 }
 
-// endpoint returns an endpoint by its name, and whether it was known. One that was not
-// has no view until orderEndpoints gives it one.
-func (s *State) endpoint(id event.EndpointID) (*endpoint, bool) {
+// endpoint returns an endpoint by its name. One that was not known gets the last view, in
+// constant time: an owner that begins must take up thousands within its lease. 3,000 take
+// 2 ms this way and 240 ms where each is sorted into its place (best of five, one core).
+func (s *State) endpoint(id event.EndpointID) *endpoint {
 	e, ok := s.byID[id]
 	if !ok {
-		e = &endpoint{grants: make(map[event.RequestID]*grant)}
+		e = &endpoint{grants: make(map[event.RequestID]*grant), index: len(s.endpoints)}
 		s.byID[id] = e
 		s.endpoints = append(s.endpoints, e)
+		s.views = append(s.views, view{})
 	}
-	return e, ok
+	return e
 }
 
-// orderEndpoints gives each endpoint its view, in the order of their names.
+// dropEndpoint takes an endpoint away; the last one takes its place among the views.
+func (s *State) dropEndpoint(e *endpoint) {
+	s.places -= s.views[e.index].places
+	last := len(s.endpoints) - 1
+	s.endpoints[e.index] = s.endpoints[last]
+	s.endpoints[e.index].index = e.index
+	s.views[e.index] = s.views[last]
+	s.endpoints[last] = nil
+	s.endpoints, s.views = s.endpoints[:last], s.views[:last]
+	delete(s.byID, e.ID)
+}
+
+// orderEndpoints puts the views in the order of the endpoints' names.
 func (s *State) orderEndpoints(now event.Time) {
 	slices.SortFunc(s.endpoints, func(a, b *endpoint) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
-	s.views = make([]view, len(s.endpoints))
+	clear(s.views)
 	s.places = 0
 	for i, e := range s.endpoints {
 		e.index = i
@@ -414,6 +427,7 @@
 	for _, e := range s.endpoints {
 		list = append(list, EndpointStatus{ID: e.ID, Running: e.inflight, Serves: e.serves(now) && e.Concurrency > 0})
 	}
+	slices.SortFunc(list, func(a, b EndpointStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return list
 }
 
--- a/sched/view.go
+++ b/sched/view.go
@@ -47,9 +47,16 @@
 // refreshAll makes all views fit. Time alone can change whether an endpoint
 // serves, so it is done at each tick.
 func (s *State) refreshAll(now event.Time) {
-	s.fastest = 0
 	for _, e := range s.endpoints {
 		s.refresh(now, e)
+	}
+	s.findFastest(now)
+}
+
+// findFastest finds the speed of the fastest endpoint that serves.
+func (s *State) findFastest(now event.Time) {
+	s.fastest = 0
+	for _, e := range s.endpoints {
 		if e.Concurrency > 0 && e.serves(now) {
 			s.fastest = max(s.fastest, e.speed())
 		}
