cluster, message: the registry goes out packed, entries that come during an election are kept

Cause: after all processes were killed at 298 boxes, serving began 5.5 s later (1.0 s at 101): each entry was sent 3,000 endpoints of its own encoding, 330 kB over a link of 10 Mbit/s, 900,000 endpoints to encode for the owner; and entries tried box after box, ten times a second each, while the boxes held an election.

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -36,8 +36,8 @@
 	book     *budget.Book
 	record   consensus.Index // of the last record of the book in the log
 	news     map[string]bool // endpoints, by id, of which the entries are not yet told
-	all      []message.Endpoint
-	allAt    uint64     // revision of all
+	all      message.Packed  // the registry at the revision allAt
+	allAt    uint64
 	toldAt   event.Time // when the log was last told of budgets
 }
 
@@ -239,14 +239,18 @@
 		return
 	}
 	view := &message.View{Revision: s.machine.registry.Revision}
+	var seen []message.Endpoint
 	for _, id := range slices.Sorted(maps.Keys(o.news)) {
 		if e, ok := s.machine.registry.Endpoints[id]; ok {
-			view.Endpoints = append(view.Endpoints, message.Endpoint{Endpoint: e, Down: o.down[id]})
+			seen = append(seen, message.Endpoint{Endpoint: e, Down: o.down[id]})
 		} else {
 			view.Gone = append(view.Gone, event.EndpointID(id))
 		}
 	}
 	clear(o.news)
+	if len(seen) > 0 {
+		view.Endpoints = message.Pack(seen)
+	}
 	o.sendAll(&message.Envelope{View: view}, out)
 }
 
@@ -320,14 +324,15 @@
 
 // firstView returns what a session begins with: what has changed of endpoints since the
 // revision that its entry knows, and which of them are silent. All of 3,000 endpoints for
-// each of 300 entries at once, as after a change of owner, would be 134 MB.
+// each of 300 entries at once, as after a change of owner, would be 134 MB in memory.
 func (o *owner) firstView(revision uint64, s *State) *message.View {
 	changed, gone, ok := s.machine.registry.Since(revision)
 	view := &message.View{Whole: !ok, Revision: s.machine.registry.Revision, Signs: true, Members: s.memberLinks()}
-	if ok {
-		view.Endpoints = endpoints(changed)
-	} else {
+	switch {
+	case !ok:
 		view.Endpoints = o.allEndpoints(s)
+	case len(changed) > 0:
+		view.Endpoints = message.Pack(endpoints(changed))
 	}
 	for _, id := range gone {
 		view.Gone = append(view.Gone, event.EndpointID(id))
@@ -340,11 +345,11 @@
 	return view
 }
 
-// allEndpoints returns the whole registry, of which all sessions that begin at a revision
-// share one copy.
-func (o *owner) allEndpoints(s *State) []message.Endpoint {
+// allEndpoints returns the whole registry, packed once for all sessions that begin at a
+// revision.
+func (o *owner) allEndpoints(s *State) message.Packed {
 	if r := s.machine.registry.Revision; o.allAt != r || o.all == nil {
-		o.all, o.allAt = endpoints(s.machine.registry.List()), r
+		o.all, o.allAt = message.Pack(endpoints(s.machine.registry.List())), r
 	}
 	return o.all
 }
--- a/cluster/size_test.go
+++ b/cluster/size_test.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// unpack returns the endpoints of a view.
+func unpack(t *testing.T, v *message.View) []message.Endpoint {
+	t.Helper()
+	list, err := v.Endpoints.Unpack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
 // firstView is what a session was told first.
 func firstView(t *testing.T, s *sim, id SessionID) *message.View {
 	t.Helper()
@@ -144,8 +154,8 @@
 	s.run(second)
 	s.step(s.mustOwner(), &SessionBegan{Session: 1, Hello: message.Hello{Entry: "entry"}})
 	all := firstView(t, s, 1)
-	if !all.Whole || len(all.Endpoints) != 40 || all.Revision == 0 {
-		t.Errorf("an entry that knows nothing was told %d endpoints, whole %v", len(all.Endpoints), all.Whole)
+	if list := unpack(t, all); !all.Whole || len(list) != 40 || all.Revision == 0 {
+		t.Errorf("an entry that knows nothing was told %d endpoints, whole %v", len(list), all.Whole)
 	}
 	s.tell(s.mustOwner(), manyEndpoint(40, 1))
 	s.token++
@@ -155,8 +165,8 @@
 	s.run(6 * second) // all fall silent
 	s.step(s.mustOwner(), &SessionBegan{Session: 2, Hello: message.Hello{Entry: "entry", Revision: all.Revision}})
 	some := firstView(t, s, 2)
-	if some.Whole || len(some.Endpoints) != 1 || some.Endpoints[0].ID != manyEndpoint(40, 1).ID || len(some.Gone) != 1 {
-		t.Errorf("an entry that knows 40 endpoints was told %+v, want one more and one gone", some)
+	if list := unpack(t, some); some.Whole || len(list) != 1 || list[0].ID != manyEndpoint(40, 1).ID || len(some.Gone) != 1 {
+		t.Errorf("an entry that knows 40 endpoints was told %+v and %v, want one more and one gone", list, some.Gone)
 	}
 	if !some.Signs || len(some.Silent) != 40 {
 		t.Errorf("%d endpoints are told to be silent, want 40", len(some.Silent))
@@ -173,7 +183,7 @@
 	registerMany(s)
 	told := 0
 	for _, m := range s.sends[1][before:] {
-		told += len(m.View.Endpoints)
+		told += len(unpack(t, m.View))
 	}
 	if told != manyEndpoints {
 		t.Errorf("the entry was told of %d endpoints, want %d", told, manyEndpoints)
@@ -269,3 +279,54 @@
 		t.Errorf("a box without a leader for long answered %+v", a)
 	}
 }
+
+// TestEntryThatComesDuringAnElectionIsKept: it is taken up by the box that it came to when
+// that one comes to own the pools, or sent on to the one that does, and to any other when
+// there is none for long.
+func TestEntryThatComesDuringAnElectionIsKept(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.stop(s.mustOwner().name)
+	leaderless := func() (list []string) {
+		for _, name := range s.order {
+			if state := s.boxes[name].state; state != nil && state.node.Leader() == "" {
+				list = append(list, name)
+			}
+		}
+		return list
+	}
+	for len(leaderless()) == 0 {
+		s.run(simStep)
+	}
+	sessions := make(map[string]SessionID)
+	for i, name := range leaderless() {
+		id := SessionID(i + 1)
+		sessions[name] = id
+		s.step(s.boxes[name], &SessionBegan{Session: id, Hello: message.Hello{Entry: event.BoxID(name)}})
+		s.step(s.boxes[name], &SessionPinged{Session: id})
+	}
+	s.run(earlyPatience - simStep)
+	owner := s.mustOwner()
+	for name, id := range sessions {
+		sent := s.sends[id]
+		switch {
+		case name == owner.name:
+			if len(sent) < 2 || sent[0].View == nil || sent[len(sent)-1].Pong == nil {
+				t.Errorf("the owner told the entry that came early %+v, want a view and an answer to its question", sent)
+			}
+		case len(sent) == 0 || sent[0].Redirect == nil || sent[0].Redirect.Leader != owner.name:
+			t.Errorf("%s told the entry that came early %+v, want that %s leads", name, sent, owner.name)
+		}
+	}
+	for _, name := range s.order {
+		if name != owner.name {
+			s.stop(name)
+		}
+	}
+	s.run(2 * second)
+	s.step(owner, &SessionBegan{Session: 50, Hello: message.Hello{Entry: "late"}})
+	s.run(earlyPatience + 2*simStep)
+	if !s.closed[50] {
+		t.Error("an entry is kept for long by a box that knows no leader")
+	}
+}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -47,10 +47,25 @@
 	// spendingAt is when the machine's record of budgets came to be known here.
 	spendingAt event.Time
 	owner      *owner // nil while this box does not own the pools
-	leader     consensus.ID
-	members    consensus.Membership // as last told in the log
+	// early are sessions of entries that came while no leader was known.
+	early   map[SessionID]*earlySession
+	leader  consensus.ID
+	members consensus.Membership // as last told in the log
 }
 
+// earlySession is what an entry said that came while no leader was known. It is kept for a
+// while until one is: hundreds of entries that are sent away try box after box, ten times a
+// second each, while the same boxes hold an election.
+type earlySession struct {
+	came   event.Time
+	began  *SessionBegan
+	pinged *SessionPinged
+}
+
+// earlyPatience is how long an entry is kept that came while no leader was known: most of
+// an election, and not so long that an entry loses much at a box that is cut off.
+const earlyPatience = 250 * event.Millisecond
+
 // pending is a call that waits for its command to be committed.
 type pending struct {
 	token Token
@@ -64,6 +79,7 @@
 		node:     consensus.New(now, id, r, settings.Seed),
 		pending:  make(map[consensus.Index]pending),
 		heard:    make(map[string]bool),
+		early:    make(map[SessionID]*earlySession),
 		compact:  r.Snapshot.Index,
 	}
 	s.node.SetLimits(settings.Members)
@@ -93,9 +109,10 @@
 	if s.owner != nil {
 		s.owner.step(now, e, s, out)
 	} else {
-		s.refuseSession(e, out)
+		s.stepSession(now, e, out)
 	}
 	s.settle(now, out)
+	s.sendEarlyOn(now, out)
 	s.tellLeader(out)
 }
 
@@ -327,7 +344,8 @@
 	}
 	if owns && s.owner == nil {
 		s.owner = newOwner(now, s)
-		out.note("owns the pools", Field{"term", uint64(s.node.Term())})
+		out.note("owns the pools", Field{"term", uint64(s.node.Term())}, Field{"waiting_entries", len(s.early)})
+		s.takeEarly(now, out)
 	}
 	if !s.node.Leads() {
 		s.failPending(out)
@@ -342,20 +360,52 @@
 	}
 }
 
-// refuseSession sends entries on when this box is not the owner.
-func (s *State) refuseSession(e Event, out *Effects) {
-	var session SessionID
+// stepSession takes what entries say while this box is not the owner: it sends them on to
+// the leader, and keeps those that come while there is none.
+func (s *State) stepSession(now event.Time, e Event, out *Effects) {
 	switch e := e.(type) {
 	case *SessionBegan:
-		session = e.Session
+		if s.node.Leader() == "" || s.node.Leader() == s.node.ID() {
+			s.early[e.Session] = &earlySession{came: now, began: e}
+			return
+		}
+		s.redirect(e.Session, out)
 	case *SessionPinged:
-		session = e.Session
+		if one, ok := s.early[e.Session]; ok {
+			one.pinged = e
+			return
+		}
+		s.redirect(e.Session, out)
 	case *SessionTold:
-		session = e.Session
-	default:
-		return
+		s.redirect(e.Session, out)
+	case *SessionEnded:
+		delete(s.early, e.Session)
+	}
+}
+
+// takeEarly begins the sessions that came before this box owned the pools.
+func (s *State) takeEarly(now event.Time, out *Effects) {
+	for _, id := range slices.Sorted(maps.Keys(s.early)) {
+		one := s.early[id]
+		s.owner.step(now, one.began, s, out)
+		if one.pinged != nil {
+			s.owner.step(now, one.pinged, s, out)
+		}
+	}
+	clear(s.early)
+}
+
+// sendEarlyOn sends the entries that came early to the leader that is known now, and those
+// that have waited for one long enough to any other box.
+func (s *State) sendEarlyOn(now event.Time, out *Effects) {
+	leader := s.node.Leader()
+	known := leader != "" && leader != s.node.ID()
+	for _, id := range slices.Sorted(maps.Keys(s.early)) {
+		if known || now.Sub(s.early[id].came) > earlyPatience {
+			delete(s.early, id)
+			s.redirect(id, out)
+		}
 	}
-	s.redirect(session, out)
 }
 
 func (s *State) redirect(session SessionID, out *Effects) {
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -149,10 +149,18 @@
 // see takes news of the deployment.
 func (a *OwnerClient) see(now event.Time, v *message.View) {
 	a.Know(v.Members)
+	endpoints, err := v.Endpoints.Unpack()
+	if err != nil {
+		// The rest of the view is of no use without them: the next session asks for all.
+		a.log.Error("endpoints not read", logx.Err(err))
+		a.revision = 0
+		a.lose(now, "endpoints not read", err)
+		return
+	}
 	if v.Whole {
 		clear(a.endpoints)
 	}
-	for _, e := range v.Endpoints {
+	for _, e := range endpoints {
 		a.endpoints[event.EndpointID(e.ID)] = e
 	}
 	for _, id := range v.Gone {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -173,9 +173,11 @@
 		case m.Hello != nil:
 			o.conn = c
 			view := &message.View{Whole: true, Document: o.document, Version: o.version}
+			var endpoints []message.Endpoint
 			for _, e := range o.grantTo {
-				view.Endpoints = append(view.Endpoints, message.Endpoint{Endpoint: e})
+				endpoints = append(endpoints, message.Endpoint{Endpoint: e})
 			}
+			view.Endpoints = message.Pack(endpoints)
 			c.Send(&message.Envelope{View: view})
 		case m.Ping != nil:
 			c.Send(&message.Envelope{Pong: &message.Pong{Sent: m.Ping.Sent, Version: o.version, Entries: 1}})
--- a/message/message.go
+++ b/message/message.go
@@ -89,7 +89,7 @@
 	Version  uint64
 	// Whole says that Endpoints replaces all that was known.
 	Whole     bool
-	Endpoints []Endpoint
+	Endpoints Packed
 	Gone      []event.EndpointID
 	// Revision is that of the registry with these changes; 0 in a View that has none.
 	Revision uint64
--- /dev/null
+++ b/message/pack_test.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: MIT
+
+package message
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lynxramp.org/registry"
+)
+
+func list(n int) []Endpoint {
+	var all []Endpoint
+	for i := range n {
+		all = append(all, Endpoint{Down: i%7 == 0, Endpoint: registry.Endpoint{
+			ID: fmt.Sprintf("i-%08x", i*2654435761), Service: fmt.Sprint("s", i%2), Slots: 8, Sequence: uint64(i),
+			Address: fmt.Sprintf("10.%d.64.%d:%d", i%6, i%250, 8000+i%700), DataCentre: fmt.Sprint("hall-", i%6),
+		}})
+	}
+	return all
+}
+
+func TestPackedComesBack(t *testing.T) {
+	for _, n := range []int{1, 40, 3000} {
+		got, err := Pack(list(n)).Unpack()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(list(n), got); diff != "" {
+			t.Errorf("%d endpoints: %s", n, diff)
+		}
+	}
+	if got, err := Packed(nil).Unpack(); err != nil || len(got) != 0 {
+		t.Errorf("nothing came back as %v, %v", got, err)
+	}
+}
+
+func TestDamagedIsNotRead(t *testing.T) {
+	for _, data := range []Packed{{1}, []byte("nonsense"), Pack(list(40))[:60]} {
+		if got, err := data.Unpack(); err == nil {
+			t.Errorf("%d bytes were read as %v", len(data), got)
+		}
+	}
+}
+
+// BenchmarkPack measures what a list costs who sends it and who reads it.
+func BenchmarkPack(b *testing.B) {
+	all := list(3000)
+	packed := Pack(all)
+	b.Run("pack", func(b *testing.B) {
+		for range b.N {
+			packed = Pack(all)
+		}
+		b.ReportMetric(float64(len(packed)), "bytes")
+	})
+	b.Run("unpack", func(b *testing.B) {
+		for range b.N {
+			if _, err := packed.Unpack(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
