--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,7 +140,9 @@
 	attempts int // endpoints that the request was sent to
 	avoid    []event.EndpointID
 	placed   bool // it was granted an endpoint before
-	returned bool // its caller was refused before
+	// askedAgo is how long before its arrival its caller first asked, and was refused: 0 at a
+	// first try, as far as is known.
+	askedAgo time.Duration
 	// mayHaveRun is set once an endpoint had the request and did not say that it has
 	// not run it.
 	mayHaveRun bool
@@ -149,6 +151,7 @@
 	// Of a stream that has begun:
 	begun     bool
 	lastEvent string
+	eventAt   time.Time // when the caller was sent the last one
 	events    int
 }
 
@@ -215,7 +218,7 @@
 		if d := c.arrived.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(c.deadline) {
 			c.deadline = d
 		}
-		c.returned = g.longest.isShort(c.arrived, c.route.Name, c.deadline.Sub(c.arrived))
+		c.askedAgo = g.longest.missing(c.arrived, c.route.Name, c.deadline.Sub(c.arrived))
 	}
 	if !c.readBody() {
 		return false
