--- a/admission/park.go
+++ b/admission/park.go
@@ -6,86 +6,72 @@
 	"lynxramp.org/budget"
 	"lynxramp.org/event"
 	"lynxramp.org/message"
-	"lynxramp.org/worth"
 )
 
+// parkPart is the part of its target that a request may wait for its team's quota;
+// beyond that it is sent away at once.
+const parkPart = 5
+
+// recordPatience is how long a request waits at the least for a record of budgets that is to
+// be committed, however long it has waited before: some 5 ms as a rule, ten times that
+// where disks are slow.
+const recordPatience = 150 * event.Millisecond
+
 // parked is a request that waits for its team's quota to have room.
 type parked struct {
 	entry      event.BoxID
 	submission message.Submission
 	arrived    event.Time
+	until      event.Time
 }
 
-// age brings what the request's submission says of time up to now.
-func (p *parked) age(now event.Time) {
-	waited := now.Sub(p.arrived)
-	p.submission.Ticket.Waited += waited
-	p.submission.Ticket.Deadline -= waited
-	p.arrived = now
-}
-
-// againUnknown is the chance taken for a caller beyond its team's quota to be served when it
-// asks again: what others of its team ask meanwhile is not known.
-const againUnknown = 0.5
-
-// parkOrRefuse keeps a request for which its team's quota is expected to have room while
-// that is worth more to its caller than to be told now, and refuses any other with the time
-// when it may have.
+// parkOrRefuse keeps a request that a quota has room for in a moment, and refuses
+// any other with the time when it has.
 func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
-	p := parked{entry: entry, submission: *m, arrived: now}
-	ahead := 0
-	for i := range s.parked {
-		if s.parked[i].submission.Ticket.Team == m.Ticket.Team {
-			ahead += s.parked[i].submission.Quota
-		}
-	}
-	if s.judgeParked(now, &p, ahead, out) {
-		s.parked = append(s.parked, p)
+	// What it has waited already, perhaps for another who decided, counts.
+	patience := (m.Ticket.Target+m.Ticket.Waited)/parkPart - m.Ticket.Waited
+	switch room := s.roomIn(now, m); {
+	case room == 0:
+		patience = max(patience, recordPatience)
+	case room > patience:
+		s.refuseQuota(now, entry, m, out)
+		return
 	}
+	s.parked = append(s.parked, parked{
+		entry: entry, submission: *m, arrived: now, until: now.Add(patience),
+	})
 }
 
-// judgeParked reports whether a request waits on for its quota, behind others of its team
-// that wait for so much, and refuses it otherwise.
-func (s *State) judgeParked(now event.Time, p *parked, ahead int, out *event.Effects) bool {
-	t := &p.submission.Ticket
-	wait := s.roomIn(now, t.Team, ahead+p.submission.Quota)
-	w := worth.Weigh(worth.Case{
-		Waited: t.Waited, Target: t.Target, Left: t.Deadline, Wait: wait, Asked: t.Asked, Again: againUnknown,
-	})
-	if !w.IsRefused() || t.MayHaveRun {
-		return true
-	}
-	spread := event.Span(s.random.Float64() * retrySpread * float64(wait))
-	inputs := s.quotaInputs(now, t.Team)
-	inputs.Wait, inputs.Waited, inputs.InTime, inputs.Any, inputs.Keep, inputs.Refuse = wait, t.Waited, w.InTime, w.Any, w.Keep, w.Refuse
+func (s *State) refuseQuota(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	out.Refusals = append(out.Refusals, event.Refused{
-		Entry: p.entry, ID: t.ID, Reason: event.ReasonQuota, RetryAfter: max(quotaRetryLeast, wait+spread), Inputs: inputs,
+		Entry: entry, ID: m.Ticket.ID, Reason: event.ReasonQuota, RetryAfter: max(quotaRetryLeast, s.roomIn(now, m)),
+		Inputs: s.quotaInputs(now, m.Ticket.Team),
 	})
-	return false
 }
 
-// roomIn returns how long it takes until a team's quota has room for an amount.
-func (s *State) roomIn(now event.Time, team string, amount int) event.Span {
-	if s.quotaOf(team) == nil {
+// roomIn returns how long it takes until a team's quota has room for a request.
+func (s *State) roomIn(now event.Time, m *message.Submission) event.Span {
+	if s.quotaOf(m.Ticket.Team) == nil {
 		return 0
 	}
-	return s.budget.Room(now, budget.Team(team), amount)
+	return s.budget.Room(now, budget.Team(m.Ticket.Team), m.Quota)
 }
 
-// Unpark tries the requests that wait for a quota, oldest first, and judges those that wait
-// on.
+// Unpark tries the requests that wait for a quota, oldest first.
 func (s *State) Unpark(now event.Time, out *event.Effects) {
 	waiting := s.parked
 	s.parked = nil
-	ahead := make(map[string]int) // of those that wait on, by team
 	for _, p := range waiting {
-		p.age(now)
-		team := p.submission.Ticket.Team
+		m := p.submission
 		switch {
-		case s.spend(now, p.entry, team, p.submission.Quota):
-			s.admit(now, p.entry, &p.submission, out)
-		case s.judgeParked(now, &p, ahead[team], out):
-			ahead[team] += p.submission.Quota
+		case s.spend(now, p.entry, m.Ticket.Team, m.Quota):
+			m.Ticket.Waited += now.Sub(p.arrived)
+			m.Ticket.Deadline -= now.Sub(p.arrived)
+			m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-now.Sub(p.arrived))
+			s.admit(now, p.entry, &m, out)
+		case now >= p.until:
+			s.refuseQuota(now, p.entry, &m, out)
+		default:
 			s.parked = append(s.parked, p)
 		}
 	}
--- a/admission/state.go
+++ b/admission/state.go
@@ -3,7 +3,6 @@
 package admission
 
 import (
-	"math/rand/v2"
 	"slices"
 
 	"lynxramp.org/budget"
@@ -17,9 +16,6 @@
 const (
 	quotaRetryLeast  = 200 * event.Millisecond
 	budgetRetryAfter = 500 * event.Millisecond
-	// retrySpread is by how much of itself a time to come back may be longer, so that those
-	// who are refused together do not come back together.
-	retrySpread = 0.5
 )
 
 // maxWaiting bounds the queue of a service.
@@ -53,7 +49,6 @@
 type State struct {
 	limits    Limits
 	seed      uint64
-	random    *rand.Rand
 	table     *routing.Table
 	budget    Budget
 	services  map[string]*service
@@ -74,7 +69,6 @@
 	return &State{
 		limits:    limits,
 		seed:      seed,
-		random:    rand.New(rand.NewPCG(seed, 1)),
 		budget:    b,
 		services:  make(map[string]*service),
 		endpoints: make(map[event.EndpointID]*known),
--- a/budget/allowances.go
+++ b/budget/allowances.go
@@ -10,7 +10,8 @@
 )
 
 // ownerSoon is how long it takes until an entry that decides alone has an owner again, as
-// a rule: elections were measured at 0.35 to 0.65 s.
+// a rule: elections were measured at 0.35 to 0.65 s. It is what callers are told whose
+// budget was not lent.
 const ownerSoon = 700 * event.Millisecond
 
 // Allowances is what an entry may spend without an owner: what owners lent to it. It is a
@@ -20,12 +21,8 @@
 	changed map[Account]bool // spent since an owner was last told
 	told    map[Account]int  // Spent as an owner was last told
 	number  uint64           // of the last message that lent something
-	lost    event.Time       // when there was last an owner
 }
 
-// GoAlone says when there was last an owner, for who begins to decide without one.
-func (s *Allowances) GoAlone(lost event.Time) { s.lost = lost }
-
 // Spend counts an amount and reports whether it was lent.
 func (s *Allowances) Spend(_ event.Time, _ event.BoxID, name Account, amount int) bool {
 	if amount == 0 {
@@ -68,12 +65,8 @@
 // SetLimit does nothing: limits are the owner's matter.
 func (s *Allowances) SetLimit(event.Time, Account, Limit) {}
 
-// Room returns when there may be an owner again that has room: soon, or, when that time is
-// over, in as long again as it has taken already.
-func (s *Allowances) Room(now event.Time, _ Account, _ int) event.Span {
-	gone := now.Sub(s.lost)
-	return max(ownerSoon-gone, gone)
-}
+// Room returns when there may be an owner again that has room.
+func (s *Allowances) Room(event.Time, Account, int) event.Span { return ownerSoon }
 
 // State returns what was spent of an account and up to where it may be, for the log.
 func (s *Allowances) State(_ event.Time, name Account) (spent, limit int) {
--- a/event/event.go
+++ b/event/event.go
@@ -71,24 +71,23 @@
 	NoRepeat bool
 	// Attempt counts the earlier offers of the request, all of them void.
 	Attempt int
-	// Waited is how long ago the caller first asked, as of the submission, as far as is
-	// known: an earlier try of its that was refused counts.
+	// Waited is how long the request has waited, from its arrival at the entry.
 	Waited Span
 	// Key binds the request to at most one run, together with its team; empty
 	// for none. Digest tells requests of one key apart.
 	Key    string
 	Digest uint64
-	// Target is within which time from its caller's first asking on the answer is to
-	// begin; 0 means that only the deadline counts.
+	// Target is the time left until the answer's beginning is no longer useful in
+	// full; 0 means that only the deadline counts.
 	Target Span
-	// MayHaveRun says that an endpoint had the request before and may have run it: it is
-	// not refused for its wait.
-	MayHaveRun bool
+	// Patience is the longest that the request may be expected to wait; 0 is
+	// without a limit.
+	Patience Span
 	// Placed says that the request had a place before, which was of no use, or whose
 	// answer broke off: it does not queue anew.
 	Placed bool
-	// Asked says that the caller was refused before and asks again.
-	Asked bool
+	// Returned says that the caller was refused before and asks again.
+	Returned bool
 	// DataCentre is where the request's entry is; empty if it does not matter.
 	DataCentre string
 	// Avoid has endpoints that must not be chosen: they had the request before.
@@ -311,11 +310,6 @@
 	Running int  // requests at the endpoint, itself included
 	Spent   int  // of the team's quota in its window
 	Limit   int  // that it may spend
-	// Waited is how long ago the caller first asked. InTime and Any are the chances of an
-	// answer in time and of any, Keep and Refuse what it was worth to the caller to wait on
-	// and to be refused, in parts of what an answer in time is worth.
-	Waited                    Span
-	InTime, Any, Keep, Refuse float64
 }
 
 // Reason says why a request is given up.
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -183,21 +183,10 @@
 	}
 	text := fmt.Sprintf("; refused for %v", refused.Fields["reason"])
 	if limit, ok := refused.Fields["limit"].(float64); ok && limit > 0 {
-		return text + fmt.Sprintf(": %v of %v spent", refused.Fields["spent"], refused.Fields["limit"]) + weighed(refused)
+		return text + fmt.Sprintf(": %v of %v spent", refused.Fields["spent"], refused.Fields["limit"])
 	}
 	if ahead, ok := refused.Fields["ahead"].(float64); ok && ahead > 0 {
-		return text + fmt.Sprintf(": %v ahead, %v s expected", refused.Fields["ahead"], refused.Fields["expected_wait"]) + weighed(refused)
+		return text + fmt.Sprintf(": %v ahead, %v s expected", refused.Fields["ahead"], refused.Fields["expected_wait"])
 	}
 	return text
 }
-
-// weighed tells what it was worth to the caller to wait on and to be refused.
-func weighed(refused *Line) string {
-	keep, ok := refused.Fields["worth_of_waiting"].(float64)
-	refuse, _ := refused.Fields["worth_of_refusal"].(float64)
-	if !ok || keep == refuse {
-		return ""
-	}
-	return fmt.Sprintf(", asked %v s ago, chance to be served %.2f, in time %.2f: waiting was worth %.2f to its caller, a refusal %.2f",
-		refused.Fields["asked_ago"], refused.Fields["chance_served"], refused.Fields["chance_in_time"], keep, refuse)
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -140,9 +140,7 @@
 	attempts int // endpoints that the request was sent to
 	avoid    []event.EndpointID
 	placed   bool // it was granted an endpoint before
-	// askedAgo is how long before its arrival its caller first asked, and was refused: 0 at a
-	// first try, as far as is known.
-	askedAgo time.Duration
+	returned bool // its caller was refused before
 	// mayHaveRun is set once an endpoint had the request and did not say that it has
 	// not run it.
 	mayHaveRun bool
@@ -151,7 +149,6 @@
 	// Of a stream that has begun:
 	begun     bool
 	lastEvent string
-	eventAt   time.Time // when the caller was sent the last one
 	events    int
 }
 
@@ -218,7 +215,7 @@
 		if d := c.arrived.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(c.deadline) {
 			c.deadline = d
 		}
-		c.askedAgo = g.longest.missing(c.arrived, c.route.Name, c.deadline.Sub(c.arrived))
+		c.returned = g.longest.isShort(c.arrived, c.route.Name, c.deadline.Sub(c.arrived))
 	}
 	if !c.readBody() {
 		return false
--- a/gateway/longest.go
+++ b/gateway/longest.go
@@ -10,9 +10,9 @@
 const (
 	// longestSpan is how long a route's longest time counts, at least.
 	longestSpan = 10 * time.Second
-	// firstPart is the part of its route's longest time that a request has left at least
-	// whose caller asks for the first time.
-	firstPart = 0.98
+	// returnedPart is the part of its route's longest time that a request has left at
+	// most when its caller was refused before.
+	returnedPart = 0.98
 )
 
 // longest knows, for each route, the most time that callers lately gave a request.
@@ -31,11 +31,9 @@
 
 func newLongest() *longest { return &longest{routes: make(map[string]*longestTime)} }
 
-// missing takes note of a request that has so much time left, and returns how much more
-// others of its route lately had: that long ago its caller first asked. It is 0 where the
-// difference is small. A caller that gives each of its requests less time than others do is
-// taken for one that asks again, which matters while its service is overloaded.
-func (l *longest) missing(at time.Time, route string, left time.Duration) time.Duration {
+// isShort takes note of a request that has so much time left, and reports whether
+// others of its route lately had more.
+func (l *longest) isShort(at time.Time, route string, left time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t, ok := l.routes[route]
@@ -47,11 +45,7 @@
 		t.now, t.before, t.since = 0, t.now, at
 	}
 	t.now = max(t.now, left)
-	most := max(t.now, t.before)
-	if float64(left) >= firstPart*float64(most) {
-		return 0
-	}
-	return most - left
+	return float64(left) < returnedPart*float64(max(t.now, t.before))
 }
 
 // sweep forgets the routes that nobody asked for in the last two spans.
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -121,6 +121,7 @@
 	waited := now.Sub(w.arrived)
 	m.Ticket.Waited += waited
 	m.Ticket.Deadline -= waited
+	m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-waited)
 	return m
 }
 
@@ -324,7 +325,6 @@
 // goAlone begins to decide without an owner.
 func (a *OwnerClient) goAlone(now event.Time) {
 	entries := int(a.pace.Load())
-	a.lent.GoAlone(a.lostAt)
 	a.alone = admission.New(a.config.Limits, a.config.Life, &a.lent)
 	a.alone.SetTable(now, a.table.Load())
 	for _, id := range slices.Sorted(maps.Keys(a.endpoints)) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -152,9 +152,7 @@
 			return d, true
 		}
 		c.note(stepRefused, zap.Stringer("reason", d.Reason), zap.Bool("alone", d.Alone), zap.Duration("retry_after", d.RetryAfter),
-			zap.Int("ahead", d.Inputs.Ahead), zap.Duration("expected_wait", d.Inputs.Wait), zap.Duration("asked_ago", d.Inputs.Waited),
-			zap.Float64("chance_in_time", d.Inputs.InTime), zap.Float64("chance_served", d.Inputs.Any),
-			zap.Float64("worth_of_waiting", d.Inputs.Keep), zap.Float64("worth_of_refusal", d.Inputs.Refuse),
+			zap.Int("ahead", d.Inputs.Ahead), zap.Duration("expected_wait", d.Inputs.Wait),
 			zap.Int("spent", d.Inputs.Spent), zap.Int("limit", d.Inputs.Limit))
 		if last != nil && last.outcome != outcomeNotSent {
 			c.giveUp(last)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -100,7 +100,6 @@
 		return
 	}
 	c.begun = true
-	c.eventAt = time.Now()
 	c.record.failed = c.record.failed || c.isLate(time.Now())
 	copyHeader(c.w.Header(), x.response.Header)
 	c.w.WriteHeader(x.response.StatusCode)
@@ -113,7 +112,6 @@
 		return false
 	}
 	c.events++
-	c.eventAt = time.Now()
 	if id != "" {
 		c.lastEvent = id
 	}
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -12,21 +12,6 @@
 	"lynxramp.org/sched"
 )
 
-// callerStays returns how long the caller stays for an answer, or for its next event: to its
-// deadline, or less where it gives up streams that are quiet for long. To hold a request for
-// longer is of no use to anyone.
-func (c *call) callerStays() time.Duration {
-	left := time.Until(c.deadline)
-	if c.route.Quiet == 0 {
-		return left
-	}
-	last := c.arrived
-	if c.begun {
-		last = c.eventAt
-	}
-	return min(left, c.route.Quiet-time.Since(last))
-}
-
 // rank is the request's place among others; the larger goes first. A team's rank
 // comes before that of the route.
 func (c *call) rank() int {
@@ -77,19 +62,35 @@
 	if hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint)); err == nil && hint > 0 {
 		output = min(output, hint)
 	}
-	left := c.callerStays()
-	waited := c.askedAgo + time.Since(c.arrived)
-	target := c.route.Target
-	if target == 0 {
-		target = left + waited // any answer before the deadline is in time
-	}
+	left := time.Until(c.deadline)
+	target := c.route.Target - time.Since(c.arrived)
 	return message.Submission{
 		Ticket: event.Ticket{
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
-			PromptTokens: c.prompt, OutputTokens: output, Deadline: left, Target: target, Waited: waited,
-			Placed: c.placed, MayHaveRun: c.mayHaveRun, Asked: c.askedAgo > 0, Avoid: c.avoid, Attempt: c.attempts,
-			DataCentre: c.gateway.config.DataCentre,
+			PromptTokens: c.prompt, OutputTokens: output, Deadline: left,
+			Target: max(target, event.Millisecond), Patience: c.patience(left),
+			Placed: c.placed, Returned: c.returned, Avoid: c.avoid, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 		},
 		Quota: c.quota(), Repeat: repeat,
 	}
 }
+
+// Patience: how many times its target a request may be expected to wait, and the
+// least part of the time left that it must leave.
+const (
+	patienceTargets = 0.9
+	patienceLeft    = 0.5
+)
+
+// patience returns the longest that the request may be expected to wait. One that an
+// endpoint had before is not sent away for its wait.
+func (c *call) patience(left event.Span) event.Span {
+	if c.mayHaveRun {
+		return 0
+	}
+	patience := event.Span(float64(left) * patienceLeft)
+	if c.route.Target > 0 {
+		patience = min(patience, event.Span(float64(c.route.Target)*patienceTargets))
+	}
+	return max(patience, event.Millisecond)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -48,11 +48,8 @@
 	// useful in full; Gap the longest pause between events that still is.
 	Target time.Duration
 	Gap    time.Duration
-	// Quiet is how long callers of a stream stay without an event, its first one included;
-	// 0 is to their deadline.
-	Quiet time.Duration
-	Rank  int // the larger is served first
-	Split []Share
+	Rank   int // the larger is served first
+	Split  []Share
 	// MaxAttempts is the most endpoints that one request may be sent to; Index makes
 	// a 0 a 1.
 	MaxAttempts int
--- a/sched/class.go
+++ b/sched/class.go
@@ -34,41 +34,13 @@
 	f.at = now
 }
 
-// usualMemory is the time over which the usual work of a pool is averaged: several times as
-// long as the bursts of seconds that it is to outlast.
-const usualMemory = 30 * event.Second
-
-// usualRate averages how much work a second goes to a pool. It must be told when the pool
-// had its first request; before that the zero value knows of none.
-type usualRate struct {
-	began event.Time
-	value float64
-	at    event.Time
-}
-
-func (u *usualRate) add(now event.Time, amount float64) {
-	u.value = u.value*math.Exp(-now.Sub(u.at).Seconds()/usualMemory.Seconds()) + amount
-	u.at = now
-}
-
-// perSecond returns the mean over usualMemory, or over the shorter time since the pool's
-// first request.
-func (u *usualRate) perSecond(now event.Time) float64 {
-	memory := usualMemory.Seconds()
-	value := u.value * math.Exp(-now.Sub(u.at).Seconds()/memory)
-	known := memory * (1 - math.Exp(-max(1, now.Sub(u.began).Seconds())/memory))
-	return value / known
-}
-
 // class is what is known of the requests of one rank.
 type class struct {
 	rank    int
 	asked   fading
 	refused fading
-	// askedAgain and refusedAgain are of those whose callers were refused before.
-	askedAgain, refusedAgain fading
-	work                     float64 // mean seconds at speed 1
-	held                     holding // of places
+	work    float64 // mean seconds at speed 1
+	held    holding // of places
 }
 
 // classes are by rank.
@@ -92,12 +64,6 @@
 	return 1 - min(1, c.refused.get(now)/asked)
 }
 
-// servedAgain returns the chance of those to be served whose callers were refused before,
-// one in two while next to nothing is known of them.
-func (c *class) servedAgain(now event.Time) float64 {
-	return 1 - (c.refusedAgain.get(now)+1)/(c.askedAgain.get(now)+2)
-}
-
 // above returns the next higher rank of the same tier of teams that asked lately.
 func (c classes) above(now event.Time, rank int) (int, bool) {
 	found, ok := 0, false
--- a/sched/place.go
+++ b/sched/place.go
@@ -2,10 +2,7 @@
 
 package sched
 
-import (
-	"lynxramp.org/event"
-	"lynxramp.org/worth"
-)
+import "lynxramp.org/event"
 
 // expire gives up what has run out of time.
 func (s *State) expire(now event.Time, out *event.Effects) {
@@ -24,9 +21,6 @@
 	}
 	passes := min(maxPassed, max(1, passedLooks/len(s.views)))
 	for k := s.queue.first(); k != nil && len(s.passed) < passes; k = s.queue.first() {
-		if k.standing == standingLate && float64(s.free) <= lateRoom*float64(s.places) {
-			break // so are all behind it
-		}
 		c := s.choose(now, k)
 		switch {
 		case c.room == nil && len(k.Avoid) > 0:
@@ -48,10 +42,6 @@
 	s.unpass()
 }
 
-// lateRoom is the part of the places that stays free of late requests, for those that come
-// and can be in time: one that has no choice of endpoints waits behind others' prompts.
-const lateRoom = 1.0 / 3
-
 // unpass puts back what was passed over.
 func (s *State) unpass() {
 	for _, k := range s.passed {
@@ -88,10 +78,7 @@
 	s.book(k.ID, g)
 	s.refresh(now, e)
 	s.drain.add(now, 1)
-	t := s.queue.tier(k.Rank, k.standing)
-	t.drain.add(now, k.hold)
-	t.front, t.went = k.place, true
-	s.usual.add(now, k.hold)
+	s.queue.tier(k.Rank, k.standing).drain.add(now, k.hold)
 	granted := g.effect(k.ID)
 	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Span(est.needed * float64(event.Second))}
 	out.Grants = append(out.Grants, granted)
@@ -121,41 +108,25 @@
 }
 
 func (s *State) refuse(now event.Time, k *ticket, why event.Reason, out *event.Effects) {
-	before, ahead := s.queue.workAhead(now, k)
-	s.refuseWorth(now, k, why, worth.Weigh(s.weighed(now, k, before, ahead)), out)
-}
-
-// refuseWorth refuses a request with what was weighed.
-func (s *State) refuseWorth(now event.Time, k *ticket, why event.Reason, w worth.Weighing, out *event.Effects) {
-	before, ahead := s.queue.workAhead(now, k)
-	wait := s.expectedWait(now, k, before, ahead)
 	s.queue.remove(k)
 	k.class.refused.add(now, 1)
-	if k.Asked {
-		k.class.refusedAgain.add(now, 1)
-	}
 	s.refused[Group{Team: k.Team, Rank: k.Rank, Reason: why}]++
 	out.Refusals = append(out.Refusals, event.Refused{
 		Entry:      k.entry,
 		ID:         k.ID,
 		Reason:     why,
 		RetryAfter: s.retryAfter(now),
-		Inputs: event.Inputs{
-			Ahead: s.queue.len(), Wait: wait, Waited: k.age(now), InTime: w.InTime, Any: w.Any, Keep: w.Keep, Refuse: w.Refuse,
-		},
+		Inputs:     event.Inputs{Ahead: s.queue.len(), Wait: s.expectedWait(now, k)},
 	})
 }
 
-// retrySpread is by how much of itself a time to come back may be longer, so that those
-// who are refused together do not come back together.
-const retrySpread = 0.5
-
-// retryAfter is when the overload is expected to be over and what waits to have drained.
+// retryAfter is the time the queue needs to drain, spread by up to a quarter
+// so that those refused together do not come back together.
 func (s *State) retryAfter(now event.Time) event.Span {
 	wait := MinRetryAfter
 	if rate := s.drain.perSecond(now); rate > 0 {
-		wait = s.overload.age(now) + event.Span(float64(s.queue.len())/rate*float64(event.Second))
+		wait = event.Span(float64(s.queue.len()) / rate * float64(event.Second))
 	}
-	wait += event.Span(s.random.Float64() * retrySpread * float64(wait))
+	wait += event.Span(s.random.Float64() / 4 * float64(wait))
 	return min(max(wait, MinRetryAfter), MaxRetryAfter)
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -46,9 +46,6 @@
 	return a.number < b.number
 }
 
-// age returns how long ago the request's caller first asked.
-func (k *ticket) age(now event.Time) event.Span { return now.Sub(k.arrived) + k.Waited }
-
 // team is the part of a tier's queue that belongs to one team.
 type team struct {
 	name    string
@@ -69,11 +66,10 @@
 const (
 	// standingPlaced: it had a place before.
 	standingPlaced standing = iota
-	// standingWhole: it can still be in time.
+	// standingWhole: it can still be in time, at its first try.
 	standingWhole
-	// standingLate: it will be late. It goes when nobody waits that can be in time and
-	// places are left over: one that it has earlier makes another late as well.
-	standingLate
+	// standingLess: it is late, or its caller was refused before.
+	standingLess
 )
 
 // tier is the part of the queue that belongs to one rank and standing.
@@ -89,9 +85,6 @@
 	size  int
 	work  float64   // seconds that its requests will hold places
 	drain drainRate // of that work
-	// front is the place of the request that had an endpoint last, if one went.
-	front event.Time
-	went  bool
 }
 
 // queue has all that waits in a pool, in one order.
@@ -110,13 +103,12 @@
 
 func (q *queue) len() int { return len(q.byID) }
 
-// before reports whether a tier goes before the one of a rank and standing: by its standing,
-// then by its rank.
+// before reports whether a tier goes before the one of a rank and standing.
 func (t *tier) before(rank int, standing standing) bool {
-	if t.standing != standing {
-		return t.standing < standing
+	if t.rank != rank {
+		return t.rank > rank
 	}
-	return t.rank > rank
+	return t.standing < standing
 }
 
 func (q *queue) tier(rank int, standing standing) *tier {
--- a/sched/state.go
+++ b/sched/state.go
@@ -99,13 +99,10 @@
 	prefill   prefillFit
 	fastest   float64 // speed of the fastest that serves, 0 if none does
 	places    int     // of all that serve
-	free      int     // of these
 	prefix    prefixIndex
 	lengths   map[string]*answerLength // by service
 	refused   map[Group]int            // since this owner began
 	classes   classes
-	overload  overload
-	usual     usualRate       // of work that is granted, in seconds a second
 	leaving   map[string]bool // IP numbers, by the platform's list
 	top       int             // the highest rank that came lately
 	topSeen   event.Time      // when it came
@@ -210,7 +207,6 @@
 // dropEndpoint takes an endpoint away; the last one takes its place among the views.
 func (s *State) dropEndpoint(e *endpoint) {
 	s.places -= s.views[e.index].places
-	s.free -= s.views[e.index].free
 	last := len(s.endpoints) - 1
 	s.endpoints[e.index] = s.endpoints[last]
 	s.endpoints[e.index].index = e.index
@@ -226,7 +222,7 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 	clear(s.views)
-	s.places, s.free = 0, 0
+	s.places = 0
 	for i, e := range s.endpoints {
 		e.index = i
 	}
@@ -244,9 +240,6 @@
 		return
 	}
 	s.arrivals++
-	if s.arrivals == 1 {
-		s.usual.began = now
-	}
 	s.seeRank(now, e.Ticket.Rank)
 	k := &ticket{
 		Ticket:   e.Ticket,
@@ -257,9 +250,6 @@
 	}
 	k.expected = s.length(k.Service).expect(k.OutputTokens)
 	k.class = s.classes.at(k.Rank)
-	if k.Asked {
-		k.class.askedAgain.add(now, 1)
-	}
 	k.hold = s.hold(k)
 	k.standing = s.standing(k)
 	if s.pool.Discovered {
@@ -279,6 +269,8 @@
 		return standingWhole
 	case k.Placed:
 		return standingPlaced
+	case k.Returned:
+		return standingLess
 	default:
 		return standingWhole
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -29,7 +29,6 @@
 func (s *State) refresh(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
 	s.places -= v.places
-	s.free -= v.free
 	first := e.reading.first()
 	*v = view{
 		endpoint: e, slowness: 1 / e.speed(), reading: e.pace.get(now) / e.speed(), dataCentre: e.DataCentre,
@@ -39,7 +38,6 @@
 		v.free = max(0, e.room()-e.inflight)
 		v.places = e.room()
 		s.places += v.places
-		s.free += v.free
 		if !s.pool.Discovered {
 			v.reserve = e.Concurrency / reservePart
 		}
@@ -89,7 +87,7 @@
 	left := k.deadline.Sub(now).Seconds()
 	p := price{now: now, left: left, end: left, weight: s.pool.PrefillWeight, rate: profile.PrefillRate, dataCentre: k.DataCentre}
 	if k.Target > 0 {
-		p.left = (k.Target - k.age(now)).Seconds()
+		p.left = (k.Target - now.Sub(k.arrived)).Seconds()
 		p.first = true
 	}
 	if p.weight == 0 {
