registry, cluster: an endpoint whose address a late word took comes back

Cause: a word of an endpoint that had crashed, delayed by a cut, was taken for a new one if it was the first that the group heard of it. It followed the endpoint that had come to its address meanwhile, which was gone for the rest of its life though it told of itself each second; requests went to an id that nobody answers to.

Change: the registry tells who ended from who was followed (State.Followed).

Ruled out: a late word of an endpoint that was known before; it was refused already.

--- a/cluster/state.go
+++ b/cluster/state.go
@@ -150,7 +150,8 @@
 			Token: e.Token, Status: StatusDone, Document: s.machine.document, Until: s.node.LeaseEnd(now),
 		})
 	case *EndpointTold:
-		known := !s.machine.registry.Accepts(e.Endpoint) || !s.machine.registry.Changes(e.Endpoint)
+		known := !s.machine.registry.Accepts(e.Endpoint) || !s.machine.registry.Changes(e.Endpoint) ||
+			(s.owner != nil && s.owner.hearsOther(now, e.Endpoint, s))
 		if known && s.heardLeaderLately(now) {
 			// It has no news: the leader need only know that it lives.
 			s.heard[e.Endpoint.ID] = true
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -35,8 +35,13 @@
 // State is the set of endpoints. The zero value is empty and ready.
 type State struct {
 	Endpoints map[string]Endpoint `json:"endpoints"`
-	// Gone has the ids of endpoints that said that they ended, oldest first.
+	// Gone has the ids of endpoints that said that they ended, and of those that another one
+	// followed at their address, oldest first.
 	Gone []string `json:"gone"`
+	// Followed has the last sequence of those of Gone that did not say that they ended. One
+	// may have been followed by a word that was long on its way, of an endpoint that was at
+	// its address before: it comes back when it tells of itself again.
+	Followed map[string]uint64 `json:"followed,omitempty"`
 	// Revision is that of the newest change; 0 is none.
 	Revision uint64 `json:"revision,omitempty"`
 	// Changed has the revision of each endpoint's last change, and GoneAt that of each end
@@ -62,6 +67,9 @@
 	if s.Changed == nil {
 		s.Changed = make(map[string]uint64)
 	}
+	if s.Followed == nil {
+		s.Followed = make(map[string]uint64)
+	}
 	for len(s.GoneAt) < len(s.Gone) {
 		s.GoneAt = append([]uint64{0}, s.GoneAt...) // of a snapshot without revisions
 	}
@@ -83,16 +91,28 @@
 	return gone
 }
 
-// Accepts reports whether a message is news: not of an endpoint that is gone
-// and not older than what is known.
+// Accepts reports whether a message is news: not of an endpoint that has ended and not
+// older than what is known.
 func (s *State) Accepts(e Endpoint) bool {
 	if s.IsGone(e.ID) {
-		return false
+		last, followed := s.Followed[e.ID]
+		return followed && e.Sequence > last
 	}
 	known, ok := s.Endpoints[e.ID]
 	return !ok || e.Sequence > known.Sequence
 }
 
+// Contests returns the endpoint that is at an address from which a message comes of one
+// that it followed; empty if there is none. One of them is dead: who hears both decides
+// whether the message counts.
+func (s *State) Contests(e Endpoint) string {
+	s.index()
+	if _, followed := s.Followed[e.ID]; !followed {
+		return ""
+	}
+	return s.byAddress[e.Address]
+}
+
 // Changes reports whether a message changes more than the sequence.
 func (s *State) Changes(e Endpoint) bool {
 	known, ok := s.Endpoints[e.ID]
@@ -109,8 +129,11 @@
 	}
 	if other, ok := s.byAddress[e.Address]; ok && other != e.ID {
 		followed = other
+		last := s.Endpoints[other].Sequence
 		s.Remove(other, revision)
+		s.Followed[other] = last
 	}
+	s.comeBack(e.ID)
 	if known, ok := s.Endpoints[e.ID]; ok {
 		s.freeAddress(known)
 	}
@@ -121,6 +144,19 @@
 	return followed
 }
 
+// comeBack takes an endpoint from those that are gone.
+func (s *State) comeBack(id string) {
+	if _, followed := s.Followed[id]; !followed {
+		return
+	}
+	delete(s.Followed, id)
+	delete(s.isGone, id)
+	if i := slices.Index(s.Gone, id); i >= 0 {
+		s.Gone = slices.Delete(s.Gone, i, i+1)
+		s.GoneAt = slices.Delete(s.GoneAt, i, i+1)
+	}
+}
+
 // freeAddress takes note that an endpoint does not have its address any more.
 func (s *State) freeAddress(e Endpoint) {
 	if s.byAddress[e.Address] == e.ID {
@@ -134,6 +170,7 @@
 	s.freeAddress(s.Endpoints[id])
 	delete(s.Endpoints, id)
 	delete(s.Changed, id)
+	delete(s.Followed, id)
 	if s.IsGone(id) {
 		return
 	}
@@ -152,6 +189,7 @@
 	}
 	for _, id := range s.Gone[:over] {
 		delete(s.isGone, id)
+		delete(s.Followed, id)
 	}
 	s.Forgotten = s.GoneAt[over-1]
 	s.Gone = slices.Delete(s.Gone, 0, over)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -39,12 +39,40 @@
 	}
 }
 
+// TestFollowedComesBack: an endpoint whose address a late word of another took comes back
+// when it tells of itself anew, and is not told to be gone then. One that said that it ended
+// does not, nor does a word from before.
+func TestFollowedComesBack(t *testing.T) {
+	var s State
+	s.Put(Endpoint{ID: "new", Address: "10.0.0.1:80", Sequence: 7}, 1)
+	s.Put(Endpoint{ID: "old", Address: "10.0.0.1:80", Sequence: 1}, 2)
+	if !s.IsGone("new") || s.Accepts(Endpoint{ID: "new", Address: "10.0.0.1:80", Sequence: 7}) {
+		t.Error("a word from before was taken")
+	}
+	again := Endpoint{ID: "new", Address: "10.0.0.1:80", Sequence: 8}
+	if other := s.Contests(again); other != "old" || !s.Accepts(again) {
+		t.Errorf("contests %q, accepted %v", other, s.Accepts(again))
+	}
+	s.Put(again, 3)
+	_, there := s.Endpoints["new"]
+	if !there || s.IsGone("new") || !s.IsGone("old") {
+		t.Errorf("%v, gone %v", s.Endpoints, s.Gone)
+	}
+	if changed, gone, ok := s.Since(1); !ok || len(changed) != 1 || len(gone) != 1 || gone[0] != "old" {
+		t.Errorf("since its first word: %v, %v, %v", changed, gone, ok)
+	}
+	s.Remove("old", 4)
+	if s.Accepts(Endpoint{ID: "old", Address: "10.0.0.1:80", Sequence: 99}) {
+		t.Error("an endpoint that ended came back")
+	}
+}
+
 func TestGoneIsBounded(t *testing.T) {
 	var s State
 	for i := range 3 * maxGone {
 		s.Remove(string(rune('a'+i%26))+string(rune(i)), uint64(i+1))
 	}
-	if len(s.Gone) != maxGone {
+	if len(s.Gone) != maxGone || len(s.isGone) != maxGone || len(s.GoneAt) != maxGone {
 		t.Errorf("%d endpoints that are gone are remembered, want %d", len(s.Gone), maxGone)
 	}
 }
