link, gateway, fleet: probe connections that have fallen silent

Cause: a connection that falls silent for good, without a reset, while nothing that was sent on it awaits an acknowledgement, was only found out by the system's own keep-alive, after more than two minutes: a request that waits there for its answer, or a caller that is gone.

Change: all connections that are dialled or accepted are probed after a second without a packet, and end after 3 s without an answer (link.Probing). Links between boxes had a time-out of 2.5 s for what they read before; that stays.

Ruled out: a time-out of ours on answers: an endpoint that reads a long prompt is as silent as a dead one.

Measured: TestBothSidesProbeASilentConnection reads the options back on both sides (the system's defaults of 15 s, 15 s and 9 probes before). That a probe ends such a connection is the system's work and was not tested: it needs packets to be lost.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"lynxramp.org/event"
 	"lynxramp.org/gateway"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/link"
 	"lynxramp.org/routing"
 	"lynxramp.org/settings"
 )
@@ -181,7 +182,8 @@
 }
 
 func serve(address string, s *http.Server) (*http.Server, error) {
-	l, err := net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAliveConfig: link.Probing}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -73,7 +73,7 @@
 		}
 		_ = c.Close() // it is of no use any more
 	}
-	dialer := net.Dialer{Timeout: connectTimeout}
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: link.Probing}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
--- a/link/conn.go
+++ b/link/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/gob"
 	"net"
 	"sync"
@@ -31,6 +32,12 @@
 	tcpUserTimeout = 18
 )
 
+// Probing finds connections that have fallen silent for good, without a reset, while nothing
+// that was sent on them awaits an acknowledgement: a peer that answers no probe for 3 s after
+// a second without a packet ends the connection. The system's own default is minutes, in
+// which a request on such a connection waits for an answer that can't come.
+var Probing = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
 // ErrClosed says that a connection was closed on this side.
 var ErrClosed = errors.New("the link is closed")
 
@@ -47,7 +54,8 @@
 
 // Dial connects to an address (IP:port).
 func Dial[M any](address string) (*Conn[M], error) {
-	raw, err := net.DialTimeout("tcp", address, dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: Probing}
+	raw, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "link")
 	}
@@ -153,7 +161,8 @@
 // Listen accepts connections at an address and calls serve for each, on a
 // goroutine of its own, until the listener is closed.
 func Listen[M any](address string, serve func(*Conn[M])) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	config := net.ListenConfig{KeepAliveConfig: Probing}
+	l, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "link")
 	}
--- a/link/conn_test.go
+++ b/link/conn_test.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -110,3 +111,46 @@
 	}
 	wait.Wait() // the link was closed: it could not hold so much
 }
+
+// probing reads a connection's own keep-alive settings, in seconds and probes.
+func probing(t *testing.T, c net.Conn) (idle, interval, count int) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	get := func(fd uintptr, option int) int {
+		v, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+		if err != nil {
+			t.Error(err)
+		}
+		return v
+	}
+	if err := raw.Control(func(fd uintptr) {
+		idle, interval, count = get(fd, syscall.TCP_KEEPIDLE), get(fd, syscall.TCP_KEEPINTVL), get(fd, syscall.TCP_KEEPCNT)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return idle, interval, count
+}
+
+// TestBothSidesProbeASilentConnection: whoever waits on a connection that has fallen silent
+// must find out by itself, the side that dialled as well as the other.
+func TestBothSidesProbeASilentConnection(t *testing.T) {
+	accepted := make(chan net.Conn, 1)
+	l, err := Listen("127.0.0.1:0", func(c *Conn[note]) { accepted <- c.raw })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := Dial[note](l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for side, one := range map[string]net.Conn{"dialled": c.raw, "accepted": <-accepted} {
+		if idle, interval, count := probing(t, one); idle != 1 || interval != 1 || count != 3 {
+			t.Errorf("%s: after %d s, each %d s, %d times; want 1, 1 and 3", side, idle, interval, count)
+		}
+	}
+}
