--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -3,7 +3,6 @@
 package cluster
 
 import (
-	"maps"
 	"slices"
 
 	"lynxramp.org/admission"
@@ -239,35 +238,6 @@
 	o.show(now, e)
 }
 
-// show hands news of an endpoint to the scheduler, and with the next tick to all entries.
-func (o *owner) show(now event.Time, e registry.Endpoint) {
-	o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e, Down: o.down[e.ID]}, &o.effects)
-	o.news[e.ID] = true
-}
-
-// tellNews tells all entries what changed of endpoints since the last tick, in one message:
-// one for each change and entry, 900,000 while 3,000 endpoints come to 300 entries, would
-// take the owner seconds.
-func (o *owner) tellNews(s *State, out *Effects) {
-	if len(o.news) == 0 {
-		return
-	}
-	view := &message.View{Revision: s.machine.registry.Revision}
-	var seen []message.Endpoint
-	for _, id := range slices.Sorted(maps.Keys(o.news)) {
-		if e, ok := s.machine.registry.Endpoints[id]; ok {
-			seen = append(seen, message.Endpoint{Endpoint: e, Down: o.down[id]})
-		} else {
-			view.Gone = append(view.Gone, event.EndpointID(id))
-		}
-	}
-	clear(o.news)
-	if len(seen) > 0 {
-		view.Endpoints = message.Pack(seen)
-	}
-	o.sendAll(&message.Envelope{View: view}, out)
-}
-
 // applied takes what a command changed.
 func (o *owner) applied(now event.Time, c change, s *State, out *Effects) {
 	for _, id := range c.gone {
@@ -323,7 +293,9 @@
 	}
 	e.session = b.Session
 	e.life = b.Hello.Life
-	// What it had here is as it now says.
+	// What it had here is as it now says; what was decided during a lapse goes for nothing.
+	o.effects.Grants = slices.DeleteFunc(o.effects.Grants, func(g event.Granted) bool { return g.Entry == name })
+	o.effects.Refusals = slices.DeleteFunc(o.effects.Refusals, func(r event.Refused) bool { return r.Entry == name })
 	o.admission.EntryGone(now, name, &o.effects)
 	one := &session{entry: name}
 	o.sessions[b.Session] = one
@@ -336,46 +308,6 @@
 		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)})
 }
 
-// firstView returns what a session begins with: what has changed of endpoints since the
-// revision that its entry knows, and which of them are silent. All of 3,000 endpoints for
-// each of 300 entries at once, as after a change of owner, would be 134 MB in memory.
-func (o *owner) firstView(revision uint64, s *State) *message.View {
-	changed, gone, ok := s.machine.registry.Since(revision)
-	view := &message.View{Whole: !ok, Revision: s.machine.registry.Revision, Signs: true, Members: s.memberLinks()}
-	switch {
-	case !ok:
-		view.Endpoints = o.allEndpoints(s)
-	case len(changed) > 0:
-		view.Endpoints = message.Pack(endpoints(changed))
-	}
-	for _, id := range gone {
-		view.Gone = append(view.Gone, event.EndpointID(id))
-	}
-	for _, id := range slices.Sorted(maps.Keys(o.down)) {
-		if o.down[id] {
-			view.Silent = append(view.Silent, event.EndpointID(id))
-		}
-	}
-	return view
-}
-
-// allEndpoints returns the whole registry, packed once for all sessions that begin at a
-// revision.
-func (o *owner) allEndpoints(s *State) message.Packed {
-	if r := s.machine.registry.Revision; o.allAt != r || o.all == nil {
-		o.all, o.allAt = message.Pack(endpoints(s.machine.registry.List())), r
-	}
-	return o.all
-}
-
-func endpoints(list []registry.Endpoint) []message.Endpoint {
-	all := make([]message.Endpoint, len(list))
-	for i, e := range list {
-		all[i].Endpoint = e
-	}
-	return all
-}
-
 // ping tells an entry that this box still owns the pools. It has no answer while the lease
 // has lapsed; the entry asks again.
 func (o *owner) ping(now event.Time, p *SessionPinged, s *State, out *Effects) {
@@ -430,10 +362,13 @@
 // decide sends the decisions that were made to their entries. While the lease has lapsed
 // they are held back: nobody else decides until this term is over, and with it this owner.
 func (o *owner) decide(now event.Time, s *State, out *Effects) {
-	if len(o.effects.Grants)+len(o.effects.Refusals) == 0 || !s.owns(now) {
+	if !s.owns(now) {
 		return
 	}
 	defer o.effects.Reset()
+	if len(o.effects.Grants)+len(o.effects.Refusals) == 0 {
+		return
+	}
 	byEntry := make(map[event.BoxID]*message.Decisions)
 	at := func(name event.BoxID) *message.Decisions {
 		d, ok := byEntry[name]
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -61,7 +61,7 @@
 	keeper *store.Keeper
 	peers  *peers
 	input  chan Event
-	// log has the messages of the replicated log. They go before all else: a lease must not
+	// logInput has the messages of the replicated log. They go before all else: a lease must not
 	// lapse, nor an election fail, because hundreds of entries speak at once.
 	logInput chan Event
 	meters   meters
