budget, gateway: a new owner takes back what entries hold of earlier owners

Cause: a new owner withheld all that earlier ones may have lent, up to a quarter of a quota, for as long as an entry may be out of touch (5 s), though nearly all entries were back with it within half a second and held next to nothing.

Change: what an entry says at its first session that it holds is taken from what is inherited when the entry has the owner's first message, which replaces it. An entry that was out of touch for longer than it may use what it was lent says that it holds nothing: its owner has counted that as spent.

Ruled out: to take back at the greeting (the entry may spend on until it has the message).

--- a/budget/allowances.go
+++ b/budget/allowances.go
@@ -97,6 +97,14 @@
 	s.number = l.Number
 }
 
+// Drop gives up what was lent and is not spent: it may not be used any more, and owners count
+// it as spent.
+func (s *Allowances) Drop() {
+	for _, h := range s.held {
+		h.UpTo = min(h.UpTo, h.Spent)
+	}
+}
+
 // Greet returns all that is held, for an owner that a session begins with. Number is of no
 // use to it.
 func (s *Allowances) Greet() []Holding {
--- a/budget/book_test.go
+++ b/budget/book_test.go
@@ -310,3 +310,51 @@
 		t.Errorf("%d told as spent, want the 100 told before and the 100 spent since", held[0].Spent)
 	}
 }
+
+// TestWhatEntriesGiveBackIsFree: a new owner withholds what earlier ones lent until the
+// entries that hold it have its first word, and no longer. What an entry spent of it, and what
+// one holds that is not heard, stays withheld.
+func TestWhatEntriesGiveBackIsFree(t *testing.T) {
+	last := Record{Lines: []Line{{Account: worldAccount, Spent: []int{0}, Mark: 0, Lent: testMost / 4}}}
+	b := InheritBook(0, testFresh, last, 0)
+	b.SetLimit(0, worldAccount, testLimit)
+	commit(0, b)
+	inherited := func() int { return b.accounts[worldAccount].inherited }
+	held := []Holding{{Account: worldAccount, Spent: 100, UpTo: 100 + testMost/10}}
+	b.Greet(0, "one", 1, held)
+	first := b.Lend(0, "one", 2)
+	if got := inherited(); got != testMost/4 || !first.Whole {
+		t.Fatalf("%d withheld before the entry has the new owner's word, want %d", got, testMost/4)
+	}
+	spent := testMost / 40 // on its way
+	b.Hear(0, "one", 0, []Holding{{Account: worldAccount, Spent: 100 + spent, UpTo: 100 + testMost/10}})
+	if got := inherited(); got != testMost/4 {
+		t.Errorf("%d withheld when the entry has spent on without that word, want %d", got, testMost/4)
+	}
+	want := testMost/4 - (testMost/10 - spent)
+	for range 2 { // the same word again gives nothing more
+		b.Hear(0, "one", first.Number, nil)
+		if got := inherited(); got != want {
+			t.Errorf("%d withheld when it has the word, want %d", got, want)
+		}
+	}
+	b.Greet(0, "one", 1, held)
+	b.Hear(0, "one", b.Lend(0, "one", 2).Number, nil)
+	if got := inherited(); got != want {
+		t.Errorf("%d withheld after it came a second time, want %d", got, want)
+	}
+}
+
+// TestDroppedIsNotHeld: what an entry gave up is neither spent nor told as held.
+func TestDroppedIsNotHeld(t *testing.T) {
+	var s Allowances
+	s.Take(Lent{Number: 1, UpTo: []Holding{{Account: worldAccount, UpTo: 50}}})
+	s.Spend(0, "e", worldAccount, 20)
+	s.Drop()
+	if s.Spend(0, "e", worldAccount, 1) {
+		t.Error("spent what was given up")
+	}
+	if held := s.Greet(); len(held) != 1 || held[0].UpTo != held[0].Spent {
+		t.Errorf("held %+v, want nothing left", held)
+	}
+}
--- a/budget/lend.go
+++ b/budget/lend.go
@@ -31,6 +31,10 @@
 	// entry spends is what an earlier owner lent, which is inherited.
 	number uint64
 	whole  bool // the next message must replace all that it holds
+	// old is what it said at its first session that it holds of earlier owners and has not
+	// spent. It is part of what is inherited until the entry has the first message, which
+	// takes it back.
+	old map[Account]int
 }
 
 // credit is what an entry may spend of an account.
@@ -63,11 +67,12 @@
 		b.settle(now, h)
 	}
 	if !ok || h.life != life {
-		h = &holder{life: life, credits: make(map[Account]*credit), told: now}
+		h = &holder{life: life, credits: make(map[Account]*credit), told: now, old: make(map[Account]int)}
 		b.holders[entry] = h
 		for _, one := range held {
 			c := h.credit(one.Account)
 			c.spent, c.upto, c.sent = one.Spent, one.Spent, one.Spent
+			h.old[one.Account] = max(0, one.UpTo-one.Spent)
 		}
 	}
 	h.whole = true
@@ -82,6 +87,9 @@
 		return
 	}
 	b.hear(now, h, held)
+	if has > 0 && h.number > 0 {
+		b.takeBack(h)
+	}
 	for name, c := range h.credits {
 		if c.sent != c.upto && has >= c.number {
 			b.change(name, c, func() { c.upto = c.sent })
@@ -94,12 +102,27 @@
 		c := h.credit(one.Account)
 		more := one.Spent - c.spent
 		b.change(one.Account, c, func() { c.spent = one.Spent })
+		h.old[one.Account] = max(0, h.old[one.Account]-max(0, more))
 		if a := b.accounts[one.Account]; a != nil && more > 0 && h.number > 0 {
 			a.takeForSpent(now, more)
 		}
 	}
 }
 
+// takeBack takes from what is inherited what an entry holds of earlier owners: it has the
+// message that replaces it. All that is inherited was a bound on the sum of what entries hold,
+// so what one gave back can be spent by no other. Without it a team whose requests grow after
+// a change of owner has a quarter of its quota withheld for as long as an entry may be out of
+// touch, 5 s on the deployments that were measured.
+func (b *Book) takeBack(h *holder) {
+	for name, left := range h.old {
+		if a := b.accounts[name]; a != nil {
+			a.inherited = max(0, a.inherited-left)
+		}
+	}
+	clear(h.old)
+}
+
 // change changes a credit and keeps the account's sum of what is lent.
 func (b *Book) change(name Account, c *credit, do func()) {
 	before := c.left()
--- a/budget/property_test.go
+++ b/budget/property_test.go
@@ -152,6 +152,9 @@
 	}
 	sent := w.now
 	if !e.here {
+		if w.now >= e.fresh {
+			e.lent.Drop()
+		}
 		held := e.lent.Greet()
 		if w.random.IntN(3) == 0 { // it spends on until it has the owner's word
 			w.spendAlone(e)
--- /dev/null
+++ b/gateway/owner_client_test.go
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"testing"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/budget"
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// TestOutOfTouchEntryHoldsNothing: an entry that comes back to an owner within the time in
+// which it may use what it was lent says that it holds it; one that comes later holds
+// nothing. Its owner has counted it as spent by then, and a new one must not take it for
+// given back.
+func TestOutOfTouchEntryHoldsNothing(t *testing.T) {
+	const fresh = 5 * event.Second
+	account := budget.Team("t")
+	for away, want := range map[event.Span]int{fresh - event.Second: 70, fresh + event.Millisecond: 0} {
+		a := NewOwnerClient(ClientConfig{
+			Entry: "entry", Control: []string{"box"}, Fresh: fresh, Log: zap.NewNop(),
+			Decode: func([]byte) (*routing.Table, error) {
+				table := &routing.Table{Version: 1}
+				table.Index()
+				return table, nil
+			},
+		})
+		a.Dialed(0, 1, "box")
+		a.Received(0, 1, &message.Envelope{View: &message.View{Document: []byte("v1"), Version: 1}})
+		lent := budget.Lent{Number: 1, UpTo: []budget.Holding{{Account: account, UpTo: 70}}}
+		a.Received(0, 1, &message.Envelope{Pong: &message.Pong{Version: 1, Lent: lent}})
+		a.Lost(0, 1, nil)
+		a.Take()
+		a.Dialed(event.Time(away), 2, "box")
+		held := a.Take().Sends[0].Message.Hello.Held
+		if len(held) != 1 || held[0].UpTo-held[0].Spent != want {
+			t.Errorf("after %v it holds %+v, want %d left", away, held, want)
+		}
+	}
+}
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -61,6 +61,10 @@
 	a.dialing = false
 	a.dialAt = now.Add(redialWait)
 	a.link, a.address = link, address
+	if int64(now) >= a.fresh.Load() {
+		// It was out of touch for longer than it may use what it was lent.
+		a.lent.Drop()
+	}
 	hello := &message.Hello{
 		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Held: a.lent.Greet(),
 		Revision: a.revision,
