--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -40,8 +40,8 @@
 	toldAt   event.Time // when the log was last told of budgets
 }
 
-// contestBeats is how many times its own rhythm an endpoint must be silent before another
-// at its address takes its place that was there before: two beats, and what they vary.
+// contestBeats is how many times its own rhythm an endpoint must be silent before the one
+// whose address it took has it back: two beats, and what they vary.
 const contestBeats = 2.5
 
 // tellBudgetsEvery is how often the log is told of the budgets that are more than half
@@ -205,11 +205,10 @@
 	return max(1, o.expected, len(o.entries))
 }
 
-// hearsOther reports whether a message is of an endpoint that another one followed at its
-// address, which was heard since: then it was long on its way, or its sender is dead.
-// Where the other is silent the message counts, and puts right what a late one did: without
-// it an endpoint whose address was taken by a late word of a dead one had no requests for
-// the rest of its life.
+// hearsOther reports whether a message comes from an endpoint whose address another one took
+// that is heard: the message was long on its way, and its sender is dead. Where the other is
+// silent the message counts. An endpoint whose address was taken by a late message of a dead
+// one would else get no requests for the rest of its life.
 func (o *owner) hearsOther(now event.Time, e registry.Endpoint, s *State) bool {
 	other := s.machine.registry.Contests(e)
 	return other != "" && other != e.ID && now.Sub(o.heard[other]) < event.Span(contestBeats*float64(s.settings.BeatEvery))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -38,9 +38,9 @@
 	// Gone has the ids of endpoints that said that they ended, and of those that another one
 	// followed at their address, oldest first.
 	Gone []string `json:"gone"`
-	// Followed has the last sequence of those of Gone that did not say that they ended. One
-	// may have been followed by a word that was long on its way, of an endpoint that was at
-	// its address before: it comes back when it tells of itself again.
+	// Followed has the last sequence of those in Gone whose address another endpoint took. If
+	// that one's message was long on its way, and its sender dead, the one that was followed
+	// comes back when it tells of itself again.
 	Followed map[string]uint64 `json:"followed,omitempty"`
 	// Revision is that of the newest change; 0 is none.
 	Revision uint64 `json:"revision,omitempty"`
@@ -102,9 +102,9 @@
 	return !ok || e.Sequence > known.Sequence
 }
 
-// Contests returns the endpoint that is at an address from which a message comes of one
-// that it followed; empty if there is none. One of them is dead: who hears both decides
-// whether the message counts.
+// Contests returns the endpoint that took the address of one that tells of itself again;
+// empty if there is none. One of the two is dead: whoever hears both decides whether the
+// message counts.
 func (s *State) Contests(e Endpoint) string {
 	s.index()
 	if _, followed := s.Followed[e.ID]; !followed {
