cluster: tests of configurations that grow, which fail

Simulated entries get a link of 10 Mbit/s, on which messages take as long as their encoded bytes, and 0.144 of a core, by which the processor time that they use is stretched.

On the code as it is: three changes of 1,400 routes each, followed at once by a small one: from 2,820 routes on 6 of 6 entries are behind 2.5 s after the acknowledgement, and 15 s after a start of all processes. 14,000 routes, and 14,000 teams, in one change: 3 of 3 behind. 14,000 keys of one team pass (300 kB). Connections of 0.3 s: nothing comes through.

--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -57,7 +57,8 @@
 	box     string
 	up      []fleetMail // to the control box
 	down    []fleetMail // to the entry
-	taken   int         // of sim.sends
+	size    *wireSize
+	taken   int // of sim.sends
 }
 
 // fleetCall is a request of a caller.
@@ -90,6 +91,11 @@
 	off    event.Time // it does not run until then
 	cut    event.Time // it reaches no control box until then
 	weight float64    // its part of the callers
+	// pace is the width of the entry's link, in bytes a second, and share the part of a core that
+	// its process has; 0 lets messages and work take no time.
+	pace, share float64
+	busy        event.Time // it works until then on what it took
+	linkFree    event.Time // when what is on its link has arrived
 }
 
 // fleetSim is a deployment.
@@ -105,18 +111,24 @@
 	demand   float64 // tokens a second
 	back     map[string]event.Time
 	frozen   map[string]*State
+	decode   func([]byte) (*routing.Table, error)
 }
 
 func newFleetSim(t testing.TB, n int, seed uint64) *fleetSim {
+	return newFleetSimOf(t, n, seed, decodeFleet)
+}
+
+// newFleetSimOf returns a deployment whose configurations are read by decode.
+func newFleetSimOf(t testing.TB, n int, seed uint64, decode func([]byte) (*routing.Table, error)) *fleetSim {
 	f := &fleetSim{
 		sim: newSim(t, 3, 2), back: make(map[string]event.Time), frozen: make(map[string]*State),
-		demand: 3 * fleetTeam.Rate,
+		demand: 3 * fleetTeam.Rate, decode: decode,
 	}
 	f.random = rand.New(rand.NewPCG(seed, uint64(n)))
 	f.settings = func(seed uint64) Settings {
 		s := simSettings(seed)
 		s.Limits = fleetLimits
-		s.Decode = decodeFleet
+		s.Decode = decode
 		return s
 	}
 	for name := range f.boxes {
@@ -144,7 +156,7 @@
 	e.origin = f.now
 	e.client = gateway.NewOwnerClient(gateway.ClientConfig{
 		Entry: e.name, Life: f.lives, Control: slices.Clone(f.order), Limits: fleetLimits,
-		Fresh: 5 * event.Second, Decode: decodeFleet, Log: zap.NewNop(),
+		Fresh: 5 * event.Second, Decode: f.decode, Log: zap.NewNop(),
 	})
 	e.calls, e.ends, e.dialAt = nil, nil, 0
 }
@@ -219,7 +231,7 @@
 	switch {
 	case e.client == nil && f.now >= e.off:
 		f.startEntry(e)
-	case e.client == nil || f.now < e.awake:
+	case e.client == nil || f.now < e.awake || e.busy > f.now.Add(simStep):
 		return
 	}
 	now := e.now(f.now)
@@ -246,7 +258,8 @@
 		return
 	}
 	f.sessions++
-	e.link = &fleetLink{id: gateway.LinkID(f.sessions), session: f.sessions, box: e.dial}
+	e.link = &fleetLink{id: gateway.LinkID(f.sessions), session: f.sessions, box: e.dial, size: newWireSize()}
+	e.linkFree = f.now // what was on the way of a connection before is lost
 	e.client.Dialed(now, e.link.id, e.dial)
 }
 
@@ -307,13 +320,13 @@
 		}
 	}
 	for _, m := range f.sends[l.session][l.taken:] {
-		l.down = append(l.down, fleetMail{f.delay(), m})
+		l.down = append(l.down, fleetMail{max(f.delay(), e.arrives(f.now, l, m)), m})
 		l.taken++
 	}
-	for len(l.down) > 0 && l.down[0].at <= f.now {
+	for len(l.down) > 0 && l.down[0].at <= f.now && e.busy <= f.now.Add(simStep) {
 		m := l.down[0].m
 		l.down = l.down[1:]
-		e.client.Received(e.now(f.now), l.id, m)
+		e.work(f.now, func() { e.client.Received(e.now(f.now), l.id, m) })
 	}
 	if f.closed[l.session] && len(l.down) == 0 && e.link == l {
 		f.dropLink(e)
