link: count the bytes of a connection

Cause: an entry that loses its owner in the middle of a large message can't say how much of it had come: its log has the silence only, and a transfer that is always cut at the same place looks like an owner that says nothing.

Change: Conn.Received and Conn.Sent, in bytes, counted at the socket: a part of a message counts too. Both may be read by any goroutine, after the end as well.

Ruled out: counting whole messages (a message that never gets whole would count 0).

Measured: go test ./link ./gateway ./fleet ./platform green.

--- a/link/conn.go
+++ b/link/conn.go
@@ -44,6 +44,7 @@
 // Conn is a connection that carries messages of type M both ways.
 type Conn[M any] struct {
 	raw   net.Conn
+	flow  flow
 	queue chan *M
 	once  sync.Once
 	done  chan struct{}
@@ -64,7 +65,7 @@
 
 func newConn[M any](raw net.Conn) *Conn[M] {
 	SetUserTimeout(raw, userTimeout)
-	return &Conn[M]{raw: raw, queue: make(chan *M, queueDepth), done: make(chan struct{})}
+	return &Conn[M]{raw: raw, flow: flow{raw: raw}, queue: make(chan *M, queueDepth), done: make(chan struct{})}
 }
 
 // SetUserTimeout bounds how long, in milliseconds, sent bytes may stay
@@ -87,6 +88,14 @@
 // Remote returns the peer's address.
 func (c *Conn[M]) Remote() string { return c.raw.RemoteAddr().String() }
 
+// Received returns how many bytes have come on the connection. Any goroutine may call it,
+// also after the connection's end.
+func (c *Conn[M]) Received() int64 { return c.flow.received.Load() }
+
+// Sent returns how many bytes the system has taken from the connection's writer; the peer
+// need not have them. Any goroutine may call it, also after the connection's end.
+func (c *Conn[M]) Sent() int64 { return c.flow.sent.Load() }
+
 // Send queues a message. It never waits; a peer that takes nothing for long
 // loses the connection. The message must not be changed afterwards.
 func (c *Conn[M]) Send(m *M) {
@@ -111,7 +120,7 @@
 func (c *Conn[M]) Serve(receive func(*M)) error {
 	go c.write()
 	defer c.Close()
-	in := gob.NewDecoder(bufio.NewReaderSize(c.raw, bufferBytes))
+	in := gob.NewDecoder(bufio.NewReaderSize(&c.flow, bufferBytes))
 	for {
 		if err := c.raw.SetReadDeadline(time.Now().Add(silence)); err != nil {
 			return errors.Wrap(err, "link")
@@ -130,7 +139,7 @@
 // leave together.
 func (c *Conn[M]) write() {
 	defer c.Close()
-	buffer := bufio.NewWriterSize(c.raw, bufferBytes)
+	buffer := bufio.NewWriterSize(&c.flow, bufferBytes)
 	out := gob.NewEncoder(buffer)
 	timer := time.NewTimer(keepalive)
 	defer timer.Stop()
