hashtree, cluster, gateway, message: the configuration comes to entries in blocks

Cause: the owner sent each entry the whole document on the connection that carries its signs of life. From 625 kB on (0.5 s of 10 Mbit/s) an entry gave the owner up before the document was there, and the next connection began with its first byte. The class: a transfer that grows with the deployment, has to end within a fixed time, and keeps nothing when it does not.

Change: the configuration is a tree of nodes named by their content (package hashtree). The owner tells the version and the root; an entry asks for the nodes that it lacks, at most 32 kB at a time (halved when a connection is lost with nodes on their way), and keeps what came over lost connections, changes of owner and newer versions. Whatever the size, the owner's other messages wait for 26 ms. Documents are decoded beside the loop of a control box; a box that has no table yet does not take the pools up, since it would know no quota.

Ruled out: compressing the document (moves the size from which it never ends), a longer patience with the owner (the same, and slower to leave a dead one), differences between versions (an entry that starts anew has none, and needs the whole in one piece).

A change of one route of 14,000 costs an entry at most 8 nodes.

--- /dev/null
+++ b/cluster/config.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/hashtree"
+	"lynxramp.org/routing"
+)
+
+// This file is what a control box makes of the configuration's document. It is decoded beside the
+// loop: a document of 14,000 routes takes 0.1 s, and what the loop does in one step must end long
+// before a lease does.
+
+// config is the newest configuration that is decoded.
+type config struct {
+	version uint64
+	table   *routing.Table
+	tree    *hashtree.Tree
+	asked   uint64 // version that was last given to be decoded
+	answers uint64 // version of the last answer, sound or not
+}
+
+// askDecode gives the newest document to be decoded, once.
+func (s *State) askDecode(out *Effects) {
+	d := s.machine.document
+	if d.Version <= s.config.asked {
+		return
+	}
+	s.config.asked = d.Version
+	out.Decode = d
+}
+
+// knowsTable reports whether this box can decide: without the configuration it would know no quota.
+func (s *State) knowsTable() bool { return s.machine.document.Version == 0 || s.config.answers > 0 }
+
+// takeDecoded takes a configuration that was decoded.
+func (s *State) takeDecoded(now event.Time, d *Decoded, out *Effects) {
+	s.config.answers = max(s.config.answers, d.Version)
+	if d.Err != nil {
+		// It was sound when it was proposed: another version of this program wrote it.
+		out.note("configuration not read", Field{"version", d.Version}, Field{"error", d.Err.Error()})
+		return
+	}
+	if d.Version <= s.config.version {
+		return
+	}
+	s.config.version, s.config.table, s.config.tree = d.Version, d.Table, d.Tree
+	out.note("configuration decoded", Field{"version", d.Version}, Field{"routes", len(d.Table.Routes)},
+		Field{"nodes", d.Tree.Len()}, Field{"bytes", d.Tree.Bytes()})
+	if s.owner != nil {
+		s.owner.takeConfig(now, s, out)
+	}
+}
+
+// node returns a node of the newest tree.
+func (c *config) node(sum hashtree.Sum) (hashtree.Packed, bool) {
+	if c.tree == nil {
+		return nil, false
+	}
+	return c.tree.Node(sum)
+}
--- a/cluster/early.go
+++ b/cluster/early.go
@@ -42,6 +42,8 @@
 		s.redirect(e.Session, out)
 	case *SessionTold:
 		s.redirect(e.Session, out)
+	case *SessionWanted:
+		s.redirect(e.Session, out)
 	case *SessionEnded:
 		delete(s.early, e.Session)
 	}
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -5,8 +5,10 @@
 import (
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/hashtree"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
+	"lynxramp.org/routing"
 )
 
 // SessionID names a connection of an entry.
@@ -69,6 +71,18 @@
 	}
 	// SessionEnded says that an entry's connection is gone.
 	SessionEnded struct{ Session SessionID }
+	// SessionWanted brings an entry's question for nodes of the configuration.
+	SessionWanted struct {
+		Session SessionID
+		Want    *message.Want
+	}
+	// Decoded brings a document that Effects asked to decode.
+	Decoded struct {
+		Version uint64
+		Table   *routing.Table
+		Tree    *hashtree.Tree
+		Err     error
+	}
 	// StopAsked says that the process is to end.
 	StopAsked struct{}
 )
@@ -87,6 +101,8 @@
 func (*SessionPinged) isEvent()  {}
 func (*SessionTold) isEvent()    {}
 func (*SessionEnded) isEvent()   {}
+func (*SessionWanted) isEvent()  {}
+func (*Decoded) isEvent()        {}
 func (*StopAsked) isEvent()      {}
 
 // Status says how a call ended.
@@ -129,6 +145,9 @@
 	// Heard are endpoints of which Leader is to be told that they live.
 	Heard  []string
 	Leader consensus.ID
+	// Decode is a document that is to be decoded beside the loop; a Decoded answers. A later one
+	// may take the place of one that is not begun. Version 0 is none.
+	Decode Document
 	Notes  []Note
 }
 
@@ -154,5 +173,6 @@
 	e.Sends = e.Sends[:0]
 	e.Closes = e.Closes[:0]
 	e.Heard = nil
+	e.Decode = Document{}
 	e.Notes = e.Notes[:0]
 }
--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -156,7 +156,7 @@
 	e.origin = f.now
 	e.client = gateway.NewOwnerClient(gateway.ClientConfig{
 		Entry: e.name, Life: f.lives, Control: slices.Clone(f.order), Limits: fleetLimits,
-		Fresh: 5 * event.Second, Decode: f.decode, Log: zap.NewNop(),
+		Fresh: 5 * event.Second, Log: zap.NewNop(),
 	})
 	e.calls, e.ends, e.dialAt = nil, nil, 0
 }
@@ -317,6 +317,8 @@
 			f.step(b, &SessionPinged{Session: l.session, Ping: *m.Ping})
 		case m.Batch != nil:
 			f.step(b, &SessionTold{Session: l.session, Batch: m.Batch})
+		case m.Want != nil:
+			f.step(b, &SessionWanted{Session: l.session, Want: m.Want})
 		}
 	}
 	for _, m := range f.sends[l.session][l.taken:] {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -51,7 +51,7 @@
 // session is a connection of an entry.
 type session struct {
 	entry event.BoxID
-	sent  uint64 // version of the configuration that it was sent
+	told  uint64 // version of the configuration that it was told of
 }
 
 // entry is what is known of an entry over its connections.
@@ -74,8 +74,8 @@
 		news:     make(map[string]bool),
 	}
 	o.admission = admission.New(s.settings.Limits, s.settings.Seed, o.book)
-	if s.table != nil {
-		o.admission.SetTable(now, s.table)
+	if s.config.table != nil {
+		o.admission.SetTable(now, s.config.table)
 	}
 	for _, e := range s.machine.registry.List() {
 		o.heard[e.ID] = now
@@ -126,6 +126,8 @@
 		o.ping(now, e, s, out)
 	case *SessionTold:
 		o.told(now, e, s, out)
+	case *SessionWanted:
+		o.wanted(e, s, out)
 	case *SessionEnded:
 		o.ended(now, e.Session)
 	}
@@ -251,11 +253,13 @@
 		out.note("endpoint", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
 		o.show(now, e)
 	}
-	if c.document && s.table != nil {
-		o.admission.SetTable(now, s.table)
-		for id, one := range o.sessions {
-			o.sendDocument(id, one, s, out)
-		}
+}
+
+// takeConfig takes a new configuration and tells all entries of it.
+func (o *owner) takeConfig(now event.Time, s *State, out *Effects) {
+	o.admission.SetTable(now, s.config.table)
+	for id, one := range o.sessions {
+		o.tellConfig(id, one, s, out)
 	}
 }
 
@@ -265,16 +269,37 @@
 	}
 }
 
-func (o *owner) sendDocument(id SessionID, one *session, s *State, out *Effects) {
-	if one.sent == s.machine.document.Version {
+// tellConfig tells an entry which configuration is the newest. The entry asks for what it lacks of
+// it, a little at a time: a document sent whole held up the owner's signs of life for longer than
+// entries wait for them, and began anew with each connection.
+func (o *owner) tellConfig(id SessionID, one *session, s *State, out *Effects) {
+	if s.config.tree == nil || one.told == s.config.version {
 		return
 	}
-	one.sent = s.machine.document.Version
+	one.told = s.config.version
 	out.Sends = append(out.Sends, Send{id, &message.Envelope{View: &message.View{
-		Document: s.machine.document.Data, Version: one.sent,
+		Version: one.told, Root: s.config.tree.Root(),
 	}}})
 }
 
+// wanted gives an entry nodes of the configuration.
+func (o *owner) wanted(w *SessionWanted, s *State, out *Effects) {
+	if _, ok := o.sessions[w.Session]; !ok {
+		s.redirect(w.Session, out)
+		return
+	}
+	nodes := &message.Nodes{}
+	for _, sum := range w.Want.Sums {
+		packed, ok := s.config.node(sum)
+		if !ok {
+			nodes.Unknown = append(nodes.Unknown, sum)
+			continue
+		}
+		nodes.List = append(nodes.List, message.Node{Sum: sum, Packed: packed})
+	}
+	out.Sends = append(out.Sends, Send{w.Session, &message.Envelope{Nodes: nodes}})
+}
+
 // begin takes an entry in: what it says is running, and what it spent.
 func (o *owner) begin(now event.Time, b *SessionBegan, s *State, out *Effects) {
 	name := b.Hello.Entry
@@ -302,7 +327,7 @@
 		o.admission.Adopt(now, name, r, &o.effects)
 	}
 	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: o.firstView(b.Hello.Revision, s)}})
-	o.sendDocument(b.Session, one, s, out)
+	o.tellConfig(b.Session, one, s, out)
 	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
 		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)})
 }
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -64,6 +64,7 @@
 	// logInput has the messages of the replicated log. They go before all else: a lease must not
 	// lapse, nor an election fail, because hundreds of entries speak at once.
 	logInput chan Event
+	decoder  *decoder
 	meters   meters
 	tokens   atomic.Uint64
 
@@ -95,6 +96,7 @@
 		clock:    event.NewClock(),
 		input:    make(chan Event, inputDepth),
 		logInput: make(chan Event, inputDepth),
+		decoder:  newDecoder(c.Settings.Decode),
 		meters:   newMeters(),
 		calls:    make(map[Token]chan Answer),
 		sessions: make(map[SessionID]*link.Conn[message.Envelope]),
@@ -159,6 +161,7 @@
 		}
 	}()
 	go s.stayMember(keep)
+	go s.decoder.run(keep, s.input)
 	go s.loop(keep)
 	<-ctx.Done()
 	s.log.Info("control box stops: hands the lead over")
@@ -237,6 +240,9 @@
 		s.keeper.Keep(*r)
 		out.Ready = consensus.Ready{}
 	}
+	if out.Decode.Version > 0 {
+		s.decoder.give(out.Decode)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, send := range out.Sends {
@@ -274,6 +280,8 @@
 			s.input <- &SessionPinged{Session: id, Ping: *m.Ping}
 		case m.Batch != nil && id != 0:
 			s.input <- &SessionTold{Session: id, Batch: m.Batch}
+		case m.Want != nil && id != 0:
+			s.input <- &SessionWanted{Session: id, Want: m.Want}
 		case m.Consensus != nil && m.Consensus.Valid():
 			s.logInput <- &Received{Message: *m.Consensus}
 		case m.Heard != nil:
@@ -380,7 +388,7 @@
 // higher version is committed. One that is not sound goes nowhere: the error has all
 // findings.
 func (s *Server) PutDocument(ctx context.Context, data []byte) (Answer, error) {
-	table, err := s.config.Settings.Decode(data)
+	table, err := s.decoder.decode(data)
 	if err != nil {
 		return Answer{}, err
 	}
--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -13,6 +13,7 @@
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/hashtree"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
 	"lynxramp.org/routing"
@@ -51,10 +52,14 @@
 	name  string
 	disk  *simDisk
 	state *State // nil while it is off
-	joins bool   // it asks to join while it has no vote or hears no leader
+	tree  *hashtree.Tree
+	joins bool // it asks to join while it has no vote or hears no leader
 	// stalled disks save nothing; what rests on it waits.
 	stalled bool
 	waiting []consensus.Ready
+	// decoding is a document that is decoded beside the loop, until decoded.
+	decoding Decoded
+	decoded  event.Time
 	// busy is until when it works on events that it took: it takes none before.
 	busy event.Time
 }
@@ -152,6 +157,7 @@
 func (s *sim) stop(name string) {
 	s.boxes[name].state = nil
 	s.boxes[name].waiting = nil
+	s.boxes[name].decoding = Decoded{}
 }
 
 func (s *sim) restart(name string) { s.start(s.boxes[name]) }
@@ -179,9 +185,35 @@
 	for _, id := range out.Closes {
 		s.closed[id] = true
 	}
+	s.decode(b, out.Decode)
 	s.saveAll(b)
 }
 
+// decode does what Server's decoder does: the loop goes on meanwhile.
+func (s *sim) decode(b *simBox, d Document) {
+	if d.Version == 0 {
+		return
+	}
+	began := time.Now()
+	b.decoding = Decoded{Version: d.Version}
+	if b.decoding.Table, b.decoding.Err = s.settings(0).Decode(d.Data); b.decoding.Err == nil {
+		b.tree = hashtree.Build(b.decoding.Table, b.tree)
+		b.decoding.Tree = b.tree
+	}
+	b.decoded = max(b.decoded, s.now).Add(event.Span(s.charge * float64(time.Since(began))))
+	s.finishDecoding(b)
+}
+
+// finishDecoding hands over what was decoded when its time has come.
+func (s *sim) finishDecoding(b *simBox) {
+	if b.state == nil || b.decoding.Version == 0 || b.decoded > s.now {
+		return
+	}
+	e := b.decoding
+	b.decoding = Decoded{}
+	s.step(b, &e)
+}
+
 func (s *sim) saveAll(b *simBox) {
 	if b.stalled {
 		return
@@ -219,6 +251,7 @@
 			if s.isBusy(b) {
 				continue
 			}
+			s.finishDecoding(b)
 			s.step(b, &Ticked{})
 			if b.state != nil && b.joins {
 				s.join(b)
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -30,7 +30,8 @@
 	// Fresh is how long an entry serves without an owner.
 	Fresh event.Span
 	Seed  uint64
-	// Decode reads a configuration that was found sound before.
+	// Decode reads a configuration and checks it. It takes long for a large one, and is called
+	// beside the loop.
 	Decode func([]byte) (*routing.Table, error)
 }
 
@@ -39,7 +40,7 @@
 	settings Settings
 	node     *consensus.Node
 	machine  machine
-	table    *routing.Table
+	config   config
 	pending  map[consensus.Index]pending
 	heard    map[string]bool // endpoints that the leader is not yet told of
 	compact  consensus.Index
@@ -74,7 +75,6 @@
 		return nil, err
 	}
 	s.spendingAt = now
-	s.decode()
 	return s, nil
 }
 
@@ -91,6 +91,9 @@
 		return
 	}
 	s.stepNode(now, e, out)
+	if d, ok := e.(*Decoded); ok {
+		s.takeDecoded(now, d, out)
+	}
 	s.settle(now, out)
 	s.stepCalls(now, e, out)
 	if s.owner != nil {
@@ -100,6 +103,7 @@
 	}
 	s.settle(now, out)
 	s.sendEarlyOn(now, out)
+	s.askDecode(out)
 	s.tellLeader(out)
 }
 
@@ -248,7 +252,6 @@
 			panic(err) // it was checked when it was taken
 		}
 		s.spendingAt = now
-		s.decode()
 	}
 	for len(out.Ready.Committed) > 0 {
 		committed := out.Ready.Committed
@@ -298,26 +301,13 @@
 		s.spendingAt = now
 	}
 	if c.document {
-		s.decode()
-		out.note("configuration applied", Field{"version", s.machine.document.Version})
+		out.note("configuration applied", Field{"version", s.machine.document.Version}, Field{"bytes", len(s.machine.document.Data)})
 	}
 	if s.owner != nil {
 		s.owner.applied(now, c, s, out)
 	}
 }
 
-// decode makes the table of the document.
-func (s *State) decode() {
-	if s.machine.document.Version == 0 {
-		return
-	}
-	table, err := s.settings.Decode(s.machine.document.Data)
-	if err != nil {
-		return // it was read before it was proposed
-	}
-	s.table = table
-}
-
 // settleOwnership begins to own when this box has come to lead, and ends when it leads no
 // more. A short lapse of the lease within a term is no end: a quorum that answers again in
 // this term has followed nobody else since. To end and begin anew at each lapse would send
@@ -329,7 +319,7 @@
 		s.owner = nil
 		out.note("owns the pools no more", Field{"term", uint64(s.node.Term())})
 	}
-	if owns && s.owner == nil {
+	if owns && s.owner == nil && s.knowsTable() {
 		s.owner = newOwner(now, s)
 		out.note("owns the pools", Field{"term", uint64(s.node.Term())}, Field{"waiting_entries", len(s.early)})
 		s.takeEarly(now, out)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -335,8 +335,7 @@
 	e := newStandIn(t, whole(200, "answer"))
 	r := newRig(t, e)
 	r.owner.mu.Lock()
-	r.owner.version = 2
-	r.owner.conn.Send(&message.Envelope{View: &message.View{Document: []byte("2"), Version: 2}})
+	r.owner.put(testTable(2, "other"))
 	r.owner.mu.Unlock()
 	waitFor(t, "the new configuration is in force", func() bool { return r.agent.Table().Version == 2 })
 	if status, _, _ := r.do(t, r.request("POST", "/once/x", "q")); status != 401 || e.runs() != 0 {
@@ -347,9 +346,8 @@
 func TestOlderConfigurationIsNeverInForce(t *testing.T) {
 	r := newRig(t, newStandIn(t, whole(200, "answer")))
 	r.owner.mu.Lock()
-	r.owner.version = 2
-	r.owner.conn.Send(&message.Envelope{View: &message.View{Document: []byte("2"), Version: 2}})
-	r.owner.conn.Send(&message.Envelope{View: &message.View{Document: []byte("1"), Version: 1}})
+	r.owner.put(testTable(2, "other"))
+	r.owner.put(testTable(1, "key"))
 	r.owner.mu.Unlock()
 	waitFor(t, "the new configuration is in force", func() bool { return r.agent.Table().Version == 2 })
 	time.Sleep(50 * time.Millisecond) // the older one has been read by then
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -53,9 +53,8 @@
 	Limits  admission.Limits
 	// Fresh is how long the configuration counts after it was known to be the
 	// newest.
-	Fresh  event.Span
-	Decode func([]byte) (*routing.Table, error)
-	Log    *zap.Logger
+	Fresh event.Span
+	Log   *zap.Logger
 }
 
 // LinkID names a connection to a control box; 0 is none.
@@ -103,7 +102,8 @@
 	endpoints map[event.EndpointID]message.Endpoint
 	revision  uint64            // of the registry, as endpoints has it
 	lent      budget.Allowances // what may be spent without an owner
-	alone     *admission.State  // nil while there is an owner
+	fetch     configFetch
+	alone     *admission.State // nil while there is an owner
 	batch     message.Batch
 	effects   event.Effects
 	out       ClientEffects
@@ -137,6 +137,7 @@
 		endpoints: make(map[event.EndpointID]message.Endpoint),
 		known:     make(chan struct{}),
 		nextTry:   int(c.Life % uint64(len(c.Control)+1)),
+		fetch:     configFetch{window: windowMost},
 	}
 	a.pace.Store(1)
 	return a
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -84,6 +84,7 @@
 func (a *OwnerClient) lose(now event.Time, why string, err error) {
 	a.out.Closes = append(a.out.Closes, a.link)
 	a.link = 0
+	a.fetch.linkLost()
 	level := zap.DebugLevel
 	if a.owned {
 		a.lostAt = now
@@ -136,6 +137,8 @@
 		}
 	case m.View != nil:
 		a.see(now, m.View)
+	case m.Nodes != nil:
+		a.takeNodes(now, m.Nodes)
 	case m.Pong != nil:
 		a.pong(now, m.Pong)
 	case m.Decisions != nil:
@@ -195,8 +198,8 @@
 	if v.Signs {
 		a.seeSigns(v.Silent)
 	}
-	if len(v.Document) > 0 {
-		a.put(now, v)
+	if v.Version > 0 {
+		a.aim(now, v)
 	}
 }
 
@@ -215,17 +218,3 @@
 		}
 	}
 }
-
-// put puts a configuration in force. An entry never goes back to an older one.
-func (a *OwnerClient) put(now event.Time, v *message.View) {
-	if t := a.table.Load(); t != nil && t.Version >= v.Version {
-		return
-	}
-	table, err := a.config.Decode(v.Document)
-	if err != nil {
-		a.log.Error("configuration not read", zap.Uint64("version", v.Version), logx.Err(err))
-		return
-	}
-	a.table.Store(table)
-	a.log.Info("configuration in force", zap.Uint64("version", v.Version), zap.Int("routes", len(table.Routes)))
-}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -19,6 +19,7 @@
 
 	"lynxramp.org/admission"
 	"lynxramp.org/event"
+	"lynxramp.org/hashtree"
 	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
@@ -158,8 +159,34 @@
 	finished []message.Finish
 	submits  []message.Submission
 	conn     *link.Conn[message.Envelope]
-	document []byte
 	version  uint64
+	trees    map[uint64]*hashtree.Tree
+}
+
+// put lets the owner tell of a configuration.
+func (o *scriptedOwner) put(table *routing.Table) {
+	if o.trees == nil {
+		o.trees = make(map[uint64]*hashtree.Tree)
+	}
+	o.trees[table.Version] = hashtree.Build(table, nil)
+	o.version = max(o.version, table.Version)
+	if o.conn != nil {
+		o.conn.Send(&message.Envelope{View: &message.View{Version: table.Version, Root: o.trees[table.Version].Root()}})
+	}
+}
+
+// give answers a question for nodes, of whatever version.
+func (o *scriptedOwner) give(c *link.Conn[message.Envelope], w *message.Want) {
+	nodes := &message.Nodes{}
+	for _, sum := range w.Sums {
+		for _, tree := range o.trees {
+			if packed, ok := tree.Node(sum); ok {
+				nodes.List = append(nodes.List, message.Node{Sum: sum, Packed: packed})
+				break
+			}
+		}
+	}
+	c.Send(&message.Envelope{Nodes: nodes})
 }
 
 func (o *scriptedOwner) serve(c *link.Conn[message.Envelope]) {
@@ -172,7 +199,7 @@
 		switch {
 		case m.Hello != nil:
 			o.conn = c
-			view := &message.View{Whole: true, Document: o.document, Version: o.version}
+			view := &message.View{Whole: true, Version: o.version, Root: o.trees[o.version].Root()}
 			var endpoints []message.Endpoint
 			for _, e := range o.grantTo {
 				endpoints = append(endpoints, message.Endpoint{Endpoint: e})
@@ -181,6 +208,8 @@
 			c.Send(&message.Envelope{View: view})
 		case m.Ping != nil:
 			c.Send(&message.Envelope{Pong: &message.Pong{Sent: m.Ping.Sent, Version: o.version, Entries: 1}})
+		case m.Want != nil:
+			o.give(c, m.Want)
 		case m.Batch != nil:
 			o.decide(c, m.Batch)
 		}
@@ -227,7 +256,8 @@
 // newRig starts a gateway in front of endpoints, which are granted in their order.
 func newRig(t *testing.T, endpoints ...*standIn) *rig {
 	t.Helper()
-	o := &scriptedOwner{document: []byte("1"), version: 1}
+	o := &scriptedOwner{}
+	o.put(testTable(1, "key"))
 	for i, s := range endpoints {
 		o.grantTo = append(o.grantTo, registry.Endpoint{ID: fmt.Sprintf("e%d", i+1), Service: "s", Address: s.address, Slots: 4})
 	}
@@ -238,13 +268,7 @@
 	agent := NewAgent(ClientConfig{
 		Entry: "entry", Life: 7, Control: []string{l.Addr().String()}, Fresh: 5 * event.Second,
 		Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second, RetryMin: 10},
-		Decode: func(data []byte) (*routing.Table, error) {
-			if string(data) == "2" {
-				return testTable(2, "other"), nil
-			}
-			return testTable(1, "key"), nil
-		},
-		Log: zap.NewNop(),
+		Log:    zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go agent.Run(ctx)
--- a/hashtree/fetch.go
+++ b/hashtree/fetch.go
@@ -74,6 +74,12 @@
 // Version returns the version that is gathered.
 func (f *Fetch) Version() uint64 { return f.version }
 
+// IsAsked reports whether a node was asked for and has not come.
+func (f *Fetch) IsAsked(sum Sum) bool {
+	_, ok := f.asked[sum]
+	return ok
+}
+
 // Waiting returns how many bytes were asked for and have not come.
 func (f *Fetch) Waiting() int { return f.waiting }
 
--- a/hashtree/node.go
+++ b/hashtree/node.go
@@ -43,6 +43,18 @@
 	return errors.Wrap(err, "sum")
 }
 
+// MarshalBinary implements encoding.BinaryMarshaler.
+func (s Sum) MarshalBinary() ([]byte, error) { return s[:], nil }
+
+// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+func (s *Sum) UnmarshalBinary(data []byte) error {
+	if len(data) != sumBytes {
+		return errors.Errorf("a sum of %d bytes", len(data))
+	}
+	copy(s[:], data)
+	return nil
+}
+
 // Packed is a node, encoded and compressed.
 type Packed []byte
 
--- a/message/message.go
+++ b/message/message.go
@@ -9,6 +9,7 @@
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/hashtree"
 	"lynxramp.org/registry"
 )
 
@@ -29,6 +30,8 @@
 	View      *View
 	Batch     *Batch
 	Decisions *Decisions
+	Want      *Want
+	Nodes     *Nodes
 }
 
 // Hello begins a connection. An entry sends it with what a new owner must know
@@ -83,10 +86,12 @@
 // nothing new about them.
 type Heard struct{ Endpoints []string }
 
-// View brings news of the deployment. Document is empty when it has not changed.
+// View brings news of the deployment.
 type View struct {
-	Document []byte
-	Version  uint64
+	// Version is that of the newest configuration, and Root the root of its tree, whose nodes the
+	// owner gives who asks (Want). 0 in a View that says nothing of it.
+	Version uint64
+	Root    hashtree.Sum
 	// Whole says that Endpoints replaces all that was known.
 	Whole     bool
 	Endpoints Packed
@@ -106,6 +111,22 @@
 	Down bool
 }
 
+// Want asks the owner for nodes of the configuration's tree.
+type Want struct{ Sums []hashtree.Sum }
+
+// Nodes answers a Want. Unknown are those that the owner does not have: they are of another version
+// than its newest.
+type Nodes struct {
+	List    []Node
+	Unknown []hashtree.Sum
+}
+
+// Node is one node.
+type Node struct {
+	Sum    hashtree.Sum
+	Packed hashtree.Packed
+}
+
 // Batch is what an entry tells the owner, in this order.
 type Batch struct {
 	Submit   []Submission
