--- a/link/flow_test.go
+++ b/link/flow_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -35,6 +36,11 @@
 	for end := time.Now().Add(time.Second); c.Received() < int64(len(part)) && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
+	// A write is counted when it has returned: when the rest of the message is read too.
+	go func() { _, _ = io.Copy(io.Discard, reader) }()
+	for end := time.Now().Add(time.Second); c.Sent() < size && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	_ = far.Close()
 	<-ended
 	if c.Sent() < size || c.Sent() > size+1000 {
