--- a/cluster/growth_sim_test.go
+++ b/cluster/growth_sim_test.go
@@ -96,7 +96,7 @@
 	acked event.Time // when the newest configuration was acknowledged
 }
 
-func newGrowthSim(t *testing.T, entries int) *growthSim {
+func newGrowthSim(t testing.TB, entries int) *growthSim {
 	g := &growthSim{fleetSim: newFleetSimOf(t, entries, 1, decodeTable)}
 	for _, e := range g.entries {
 		e.pace, e.share = smallPace, smallShare
--- a/cluster/growth_test.go
+++ b/cluster/growth_test.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"fmt"
 	"testing"
 
 	"lynxramp.org/event"
@@ -70,3 +71,24 @@
 	}
 	t.Errorf("%d entries don't serve by the change %v after its acknowledgement", g.behind(), g.now.Sub(g.acked))
 }
+
+// BenchmarkGrowth tells how long after its acknowledgement one change that adds routes is in force
+// at all entries, in simulated milliseconds: with the link of an entry alone, with its processor alone, and
+// with both.
+func BenchmarkGrowth(b *testing.B) {
+	for _, routes := range []int{1400, 4200, 14000, 28000, 56000} {
+		for name, size := range map[string][2]float64{"both": {smallPace, smallShare}, "link": {smallPace, 0}, "processor": {0, smallShare}} {
+			b.Run(fmt.Sprintf("%d/%s", routes, name), func(b *testing.B) {
+				for range b.N {
+					g := newGrowthSim(b, 3)
+					for _, e := range g.entries {
+						e.pace, e.share = size[0], size[1]
+					}
+					g.change(func(*routing.Table) { g.addRoutes(routes) })
+					g.mustBeInForce(60 * event.Second)
+					b.ReportMetric(float64(g.now.Sub(g.acked).Milliseconds()), "ms")
+				}
+			})
+		}
+	}
+}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -23,6 +23,8 @@
 		}
 		return 0
 	})
+	set.NewGauge("lynxramp_gateway_configuration_told_version", func() float64 { return float64(g.agent.client.told.Load()) })
+	set.NewGauge("lynxramp_gateway_configuration_bytes", func() float64 { return float64(g.agent.client.nodes.Load()) })
 	metrics.RegisterSet(set)
 	m := meters{set: set}
 	for _, name := range g.config.Names.Reserved {
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -83,6 +83,8 @@
 	table  atomic.Pointer[routing.Table]
 	fresh  atomic.Int64  // event.Time until which the table may be used
 	pace   atomic.Int64  // entries that share endpoints
+	told   atomic.Uint64 // the newest version that an owner told of
+	nodes  atomic.Int64  // bytes of configurations' nodes that came
 	known  chan struct{} // closed when a configuration is in force for the first time
 
 	link      LinkID
--- a/gateway/owner_config.go
+++ b/gateway/owner_config.go
@@ -50,6 +50,7 @@
 		return
 	}
 	a.fetch.offered = true
+	a.told.Store(v.Version)
 	if v.Version > a.fetch.Version() {
 		a.fetch.began = now
 	}
@@ -86,6 +87,7 @@
 			a.lose(now, "node not read", err)
 			return
 		}
+		a.nodes.Add(int64(len(n.Packed)))
 	}
 	if len(m.List) > 0 {
 		a.fetch.window = min(windowMost, a.fetch.window+windowStep)
