link: deadlines for the next byte, not for a message

Cause: the deadlines of reading and writing, 2.5 s, were set once a message. A message that takes longer (3.1 MB at 1.25 MB/s) ended the connection, the next began it anew: growth made it stuck, and the peer's signs of life were lost with it.

Change: package link's flow sets a deadline for each read, and goes on with a write as long as bytes are taken in a time of patience; a stalled peer is found as before, a writer's at most half a second later.

Ruled out: a deadline by the size of the message (it needs a least rate, and a stall is then found later the larger the message is).

--- a/link/conn.go
+++ b/link/conn.go
@@ -18,7 +18,7 @@
 const (
 	// queueDepth is how many messages may wait for the writer.
 	queueDepth = 4096
-	// silence is how long a peer may say nothing, or take nothing.
+	// silence is how long no byte may come from a peer, or be taken by it.
 	silence = 2500 * time.Millisecond
 	// keepalive is how long a writer says nothing; then it sends an empty message,
 	// which readers pass over.
@@ -65,7 +65,7 @@
 
 func newConn[M any](raw net.Conn) *Conn[M] {
 	SetUserTimeout(raw, userTimeout)
-	return &Conn[M]{raw: raw, flow: flow{raw: raw}, queue: make(chan *M, queueDepth), done: make(chan struct{})}
+	return &Conn[M]{raw: raw, flow: flow{raw: raw, patience: silence}, queue: make(chan *M, queueDepth), done: make(chan struct{})}
 }
 
 // SetUserTimeout bounds how long, in milliseconds, sent bytes may stay
@@ -122,9 +122,6 @@
 	defer c.Close()
 	in := gob.NewDecoder(bufio.NewReaderSize(&c.flow, bufferBytes))
 	for {
-		if err := c.raw.SetReadDeadline(time.Now().Add(silence)); err != nil {
-			return errors.Wrap(err, "link")
-		}
 		f := new(frame[M])
 		if err := in.Decode(f); err != nil {
 			return errors.Wrap(err, "link")
@@ -152,9 +149,6 @@
 		case <-timer.C:
 		}
 		timer.Reset(keepalive)
-		if err := c.raw.SetWriteDeadline(time.Now().Add(silence)); err != nil {
-			return
-		}
 		if err := out.Encode(frame[M]{m}); err != nil {
 			return
 		}
