link: bounds by bytes, and ends that say why

Cause: 4096 messages of any size might wait for a peer, a message might have 8 GB by gob's own bound, the reason that a writer had for the end of a connection was lost (the reader's "use of closed connection" came back instead), and gob's encoder keeps a buffer of its longest message for the connection's life.

Change: a message may have 64 MB (a store's record), and 64 MB may wait before another is taken, by the size that a Sized message tells (others count 100 bytes). What is beyond ends the connection, and Serve returns ErrTooLong or ErrBehind: its first reason, whichever side of the connection had it. A length that a peer announces is checked before memory is taken. The encoder is replaced after a message over 64 kB; types' definitions are written once, so the wire format stays.

Ruled out: dropping what is too long and keeping the connection (the caller takes it for sent); encoding in Send, for an exact size (it puts the work on the caller's goroutine). The decoder needs no mend: it takes a buffer for each message and drops it with the next, a keep-alive at the latest.

While such a message is on its way its writer holds it encoded, as before: 3.2 MB a connection.

--- a/link/conn.go
+++ b/link/conn.go
@@ -8,6 +8,7 @@
 	"encoding/gob"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,8 +17,10 @@
 
 // Bounds of a connection.
 const (
-	// queueDepth is how many messages may wait for the writer.
+	// queueDepth is how many messages may wait for the writer, and queueBytes how much
+	// may wait before another is taken.
 	queueDepth = 4096
+	queueBytes = MaxMessage
 	// silence is how long no byte may come from a peer, or be taken by it.
 	silence = 2500 * time.Millisecond
 	// keepalive is how long a writer says nothing; then it sends an empty message,
@@ -32,6 +35,10 @@
 	tcpUserTimeout = 18
 )
 
+// MaxMessage is the most that one message may have, in bytes: a configuration of the size that
+// operators may send, 32 MB, with what else is in force. It is that of a store's record.
+const MaxMessage = 64 << 20
+
 // Probing finds connections that have fallen silent for good, without a reset, while nothing
 // that was sent on them awaits an acknowledgement: a peer that answers no probe for 3 s after
 // a second without a packet ends the connection. The system's own default is minutes, in
@@ -41,13 +48,34 @@
 // ErrClosed says that a connection was closed on this side.
 var ErrClosed = errors.New("the link is closed")
 
+// ErrBehind says that more waits for the peer than a connection holds.
+var ErrBehind = errors.New("the peer takes too little")
+
+// Sized is a message that knows about how long it is, in bytes, when it is sent. It is asked
+// once a connection, so it must be cheap; parts of fixed size needn't be counted. Others
+// count as a hundred bytes, and only the number of those that wait is bounded.
+type Sized interface{ Size() int }
+
+// unsized is what a message counts that isn't Sized, in bytes.
+const unsized = 100
+
 // Conn is a connection that carries messages of type M both ways.
 type Conn[M any] struct {
-	raw   net.Conn
-	flow  flow
-	queue chan *M
-	once  sync.Once
-	done  chan struct{}
+	raw     net.Conn
+	flow    flow
+	queue   chan queued[M]
+	waiting atomic.Int64 // bytes in the queue
+	once    sync.Once
+	done    chan struct{}
+	reason  error // of the end, before done is closed
+
+	maxMessage, maxWaiting int64 // bytes
+}
+
+// queued is a message that waits for the writer.
+type queued[M any] struct {
+	message *M
+	size    int64 // bytes
 }
 
 // frame is what goes over the wire: a message, or nothing.
@@ -65,7 +93,11 @@
 
 func newConn[M any](raw net.Conn) *Conn[M] {
 	SetUserTimeout(raw, userTimeout)
-	return &Conn[M]{raw: raw, flow: flow{raw: raw, patience: silence}, queue: make(chan *M, queueDepth), done: make(chan struct{})}
+	return &Conn[M]{
+		raw: raw, flow: flow{raw: raw, patience: silence},
+		queue: make(chan queued[M], queueDepth), done: make(chan struct{}),
+		maxMessage: MaxMessage, maxWaiting: queueBytes,
+	}
 }
 
 // SetUserTimeout bounds how long, in milliseconds, sent bytes may stay
@@ -96,35 +128,64 @@
 // need not have them. Any goroutine may call it, also after the connection's end.
 func (c *Conn[M]) Sent() int64 { return c.flow.sent.Load() }
 
-// Send queues a message. It never waits; a peer that takes nothing for long
-// loses the connection. The message must not be changed afterwards.
+// Send queues a message. It never waits; a peer for which too much waits loses the
+// connection, as does one for which a message is too long: Serve returns ErrBehind or
+// ErrTooLong. The message must not be changed afterwards.
 func (c *Conn[M]) Send(m *M) {
+	size := sizeOf(m)
+	if size > c.maxMessage {
+		c.end(errors.Wrapf(ErrTooLong, "%d bytes to send, %d taken", size, c.maxMessage))
+		return
+	}
+	// What waits before it counts, not the message: a long one may leave when little waits.
+	if waits := c.waiting.Add(size) - size; waits > c.maxWaiting {
+		c.end(errors.Wrapf(ErrBehind, "%d bytes wait", waits))
+		return
+	}
 	select {
 	case <-c.done:
-	case c.queue <- m:
+	case c.queue <- queued[M]{m, size}:
 	default:
-		c.Close()
+		c.end(errors.Wrapf(ErrBehind, "%d messages wait", queueDepth))
 	}
 }
 
+// sizeOf returns about how many bytes a message has.
+func sizeOf[M any](m *M) int64 {
+	if s, ok := any(m).(Sized); ok {
+		return int64(s.Size())
+	}
+	return unsized
+}
+
 // Close ends the connection. It may be called more than once.
-func (c *Conn[M]) Close() {
+func (c *Conn[M]) Close() { c.end(ErrClosed) }
+
+// end ends the connection, once, for a reason.
+func (c *Conn[M]) end(reason error) {
 	c.once.Do(func() {
+		c.reason = reason
 		close(c.done)
 		_ = c.raw.Close() // nothing is left to be done about it
 	})
 }
 
 // Serve writes what is sent and calls receive for each message that comes, on
-// the calling goroutine, until the connection ends. It returns why.
+// the calling goroutine, until the connection ends. It returns why: the first reason, of
+// this side's writer too.
 func (c *Conn[M]) Serve(receive func(*M)) error {
 	go c.write()
-	defer c.Close()
-	in := gob.NewDecoder(bufio.NewReaderSize(&c.flow, bufferBytes))
+	c.end(c.read(receive))
+	return errors.Wrap(c.reason, "link")
+}
+
+// read calls receive for what comes until the connection ends, and returns why.
+func (c *Conn[M]) read(receive func(*M)) error {
+	in := gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(&c.flow, bufferBytes), limit: c.maxMessage})
 	for {
 		f := new(frame[M])
 		if err := in.Decode(f); err != nil {
-			return errors.Wrap(err, "link")
+			return err
 		}
 		if f.Message != nil {
 			receive(f.Message)
@@ -135,27 +196,26 @@
 // write sends the queue until the connection ends. Messages that wait together
 // leave together.
 func (c *Conn[M]) write() {
-	defer c.Close()
 	buffer := bufio.NewWriterSize(&c.flow, bufferBytes)
-	out := gob.NewEncoder(buffer)
+	out := newEncoder(buffer, c.maxMessage)
 	timer := time.NewTimer(keepalive)
 	defer timer.Stop()
 	for {
-		var m *M
+		var next queued[M]
 		select {
 		case <-c.done:
 			return
-		case m = <-c.queue:
+		case next = <-c.queue:
 		case <-timer.C:
 		}
 		timer.Reset(keepalive)
-		if err := out.Encode(frame[M]{m}); err != nil {
-			return
-		}
-		if len(c.queue) > 0 {
-			continue
+		err := out.encode(frame[M]{next.message})
+		c.waiting.Add(-next.size)
+		if err == nil && len(c.queue) == 0 {
+			err = buffer.Flush()
 		}
-		if err := buffer.Flush(); err != nil {
+		if err != nil {
+			c.end(err)
 			return
 		}
 	}
