gateway: a body may take its time as long as its bytes come

Cause: a body had 10 s for the whole. An entry's link of 10 Mbit/s carries 12 MB in that time, for all its callers together: with growth whole bodies were refused as not sent (400, which callers don't send again) though their bytes came. What had come of a body wasn't counted among what is held until it was whole.

Change: 10 s is for the next byte, and the whole has the request's own deadline, after which the answer is 503 and says that it has not run (400 is for a stall). Bytes are counted as they come.

Ruled out: a time by the body's length (callers share the link, chunks tell no length).

Failed first, with the time-out for the whole: TestSlowBodyArrives (in chunks and with its length: 400, no run), TestBodiesCountWhileTheyCome. TestBodyThatDoesNotComeIsEnded holds the other side.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -6,14 +6,26 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// bodyTime is how long a caller may take to send a body.
-const bodyTime = 10 * time.Second
+// bodySilence is how long no byte of a body may come. How long the whole may take is up to
+// the request's own deadline: many callers share an entry's link.
+const bodySilence = 10 * time.Second
 
 // defaultBody is the most that a body may have where the configuration says
-// nothing.
-const defaultBody = 4 << 20
+// nothing, and firstBody what is taken for one before its bytes are there, in bytes.
+const (
+	defaultBody = 4 << 20
+	firstBody   = 4 << 10
+)
+
+// Reasons to read no more of a body.
+var (
+	errBodyLong = errors.New("the body is too long")
+	errBodyFull = errors.New("too much is held")
+)
 
 // readBody reads the request's body whole: only a whole request may leave for an
 // endpoint. It answers by itself what is too long or does not come.
@@ -23,32 +35,57 @@
 		limit = defaultBody
 	}
 	if c.r.ContentLength > limit {
-		c.end(http.StatusRequestEntityTooLarge, 0, "the body is too long")
+		c.end(http.StatusRequestEntityTooLarge, 0, errBodyLong.Error())
 		return false
 	}
 	if c.r.ContentLength == 0 {
 		return true
 	}
-	// A connection that can't have a deadline is bounded by the caller's.
 	control := http.NewResponseController(c.w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
-	data, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	err := c.takeBody(control, limit)
 	_ = control.SetReadDeadline(time.Time{})
-	if err != nil {
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, errBodyLong):
+		c.end(http.StatusRequestEntityTooLarge, 0, err.Error())
+	case errors.Is(err, errBodyFull):
+		c.end(http.StatusServiceUnavailable, retryFull, err.Error())
+	case !time.Now().Before(c.deadline):
+		c.end(http.StatusServiceUnavailable, retryRejected, "the body did not come in time")
+	default:
 		c.end(http.StatusBadRequest, 0, "the body was not sent whole")
-		return false
 	}
-	if int64(len(data)) > limit {
-		c.end(http.StatusRequestEntityTooLarge, 0, "the body is too long")
-		return false
-	}
-	if c.gateway.bytes.Add(int64(len(data))) > c.gateway.config.HeldBytes {
-		c.gateway.bytes.Add(-int64(len(data)))
-		c.end(http.StatusServiceUnavailable, retryFull, "too much is held")
-		return false
+	return false
+}
+
+// takeBody reads the body as long as its bytes come. They count as held from their coming.
+func (c *call) takeBody(control *http.ResponseController, limit int64) error {
+	c.body = make([]byte, 0, firstBody)
+	for {
+		until := time.Now().Add(c.gateway.bodySilence)
+		if c.deadline.Before(until) {
+			until = c.deadline
+		}
+		// A connection that can't have a deadline is bounded by the caller's.
+		_ = control.SetReadDeadline(until)
+		if len(c.body) == cap(c.body) {
+			c.body = append(c.body, 0)[:len(c.body)]
+		}
+		n, err := c.r.Body.Read(c.body[len(c.body):cap(c.body)])
+		c.body = c.body[:len(c.body)+n]
+		held := c.gateway.bytes.Add(int64(n))
+		switch {
+		case int64(len(c.body)) > limit:
+			return errBodyLong
+		case held > c.gateway.config.HeldBytes:
+			return errBodyFull
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return errors.Wrap(err, "body")
+		}
 	}
-	c.body = data
-	return true
 }
 
 // dropBody forgets the body when it is not needed any more.
--- /dev/null
+++ b/gateway/body_test.go
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// trickle is a body that comes in pieces of ten bytes, each after a pause.
+type trickle struct {
+	pieces int
+	pause  time.Duration
+	stall  time.Duration // before the last piece
+}
+
+const trickled = "ten bytes "
+
+// Read implements io.Reader.
+func (b *trickle) Read(p []byte) (int, error) {
+	if b.pieces == 0 {
+		return 0, io.EOF
+	}
+	if b.pieces--; b.pieces == 0 {
+		time.Sleep(b.stall)
+	}
+	time.Sleep(b.pause)
+	return copy(p, trickled), nil
+}
+
+// sendBody sends a request whose body trickles in, in chunks or with its length.
+func (r *rig) sendBody(t *testing.T, body *trickle, chunked bool, deadline string) (status int, took time.Duration) {
+	t.Helper()
+	size := int64(body.pieces * len(trickled))
+	q := r.request(http.MethodPost, "/safe/x", "")
+	q.Header.Set("X-Deadline", deadline)
+	q.Body = io.NopCloser(body)
+	q.ContentLength = size
+	if chunked {
+		q.ContentLength = -1
+	}
+	began := time.Now()
+	status, _, _ = r.do(t, q)
+	return status, time.Since(began)
+}
+
+// TestSlowBodyArrives: many callers share an entry's link of 10 Mbit/s, and bodies that took
+// longer than a time-out for the whole were refused as not sent, though their bytes came.
+func TestSlowBodyArrives(t *testing.T) {
+	for name, chunked := range map[string]bool{"in chunks": true, "with its length": false} {
+		t.Run(name, func(t *testing.T) {
+			e := newStandIn(t, whole(200, "answer"))
+			r := newRig(t, e)
+			r.gateway.bodySilence = 300 * time.Millisecond
+			status, _ := r.sendBody(t, &trickle{pieces: 12, pause: 100 * time.Millisecond}, chunked, "2500")
+			if status != http.StatusOK || e.runs() != 1 {
+				t.Fatalf("status %d and %d runs, want 200 and 1", status, e.runs())
+			}
+			if want := strings.Repeat(trickled, 12); e.bodies[0] != want {
+				t.Errorf("the endpoint got %q, want %q", e.bodies[0], want)
+			}
+			waitFor(t, "nothing is held", func() bool { return r.gateway.bytes.Load() == 0 })
+		})
+	}
+}
+
+// TestBodyThatDoesNotComeIsEnded: by a pause in it, and by the request's own deadline however
+// steadily it comes; nothing of it reaches an endpoint.
+func TestBodyThatDoesNotComeIsEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     trickle
+		deadline string
+		want     int
+	}{
+		"it stalls":             {trickle{pieces: 4, pause: 10 * time.Millisecond, stall: 2 * time.Second}, "2500", http.StatusBadRequest},
+		"it comes for too long": {trickle{pieces: 40, pause: 50 * time.Millisecond}, "400", http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newStandIn(t, whole(200, "answer"))
+			r := newRig(t, e)
+			r.gateway.bodySilence = 400 * time.Millisecond
+			status, took := r.sendBody(t, &c.body, true, c.deadline)
+			if status != c.want || e.runs() != 0 {
+				t.Errorf("status %d and %d runs, want %d and none", status, e.runs(), c.want)
+			}
+			if took > time.Second {
+				t.Errorf("it took %v", took)
+			}
+			waitFor(t, "nothing is held", func() bool { return r.gateway.bytes.Load() == 0 })
+		})
+	}
+}
+
+// TestBodiesCountWhileTheyCome: only whole bodies were counted, so that callers who sent
+// slowly could make an entry hold far more than its bound.
+func TestBodiesCountWhileTheyCome(t *testing.T) {
+	e := newStandIn(t, whole(200, "answer"))
+	r := newRig(t, e)
+	r.gateway.config.HeldBytes = 100
+	go r.sendBody(t, &trickle{pieces: 8, pause: time.Millisecond, stall: time.Second}, true, "2500")
+	waitFor(t, "what has come is held", func() bool { return r.gateway.bytes.Load() == 70 })
+	if status, _ := r.sendBody(t, &trickle{pieces: 4}, true, "2500"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d beyond the bound, want 503", status)
+	}
+	waitFor(t, "nothing is held", func() bool { return r.gateway.bytes.Load() == 0 })
+	if e.runs() != 1 {
+		t.Errorf("%d runs, want the first only", e.runs())
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,17 +61,19 @@
 	held     atomic.Int64 // requests
 	streams  atomic.Int64 // of these
 	bytes    atomic.Int64 // of their bodies
-	count    atomic.Uint64
-	stopping atomic.Bool
-	closing  atomic.Bool // streams are not taken any more
-	meters   meters
+	// bodySilence is how long no byte of a body may come.
+	bodySilence time.Duration
+	count       atomic.Uint64
+	stopping    atomic.Bool
+	closing     atomic.Bool // streams are not taken any more
+	meters      meters
 
 	failedBudget, wellBudget *logx.Budget
 }
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors)}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence}
 	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
 	return g
