--- a/cluster/bulk_sim_test.go
+++ b/cluster/bulk_sim_test.go
@@ -210,6 +210,7 @@
 			if int64(s.now)%int64(slowTick) == int64(i)*int64(slowStep) {
 				s.step(b, &Ticked{})
 			}
+			s.finishDecoding(b)
 			if b.state != nil && b.joins {
 				s.join(b)
 			}
@@ -351,7 +352,7 @@
 			t.Fatal("the large configuration was not acknowledged")
 		}
 	}
-	for i := range 2 * compactEntries { // so that the log is compacted
+	for i := range 2 * compactBytes / entryBytes { // so that the log is compacted
 		s.tell(s.mustOwner(), manyEndpoint(i, 1))
 		s.run(slowStep)
 	}
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -3,7 +3,6 @@
 package cluster
 
 import (
-	"encoding/binary"
 	"encoding/json"
 
 	"github.com/pkg/errors"
@@ -13,15 +12,10 @@
 	"lynxramp.org/registry"
 )
 
-// Document is a configuration as its operator sent it.
-type Document struct {
-	Version uint64
-	Data    []byte
-}
-
 // machine is the replicated state: what the log's commands make.
 type machine struct {
 	document Document
+	upload   upload
 	registry registry.State
 	// spending is the newest record of the budgets.
 	spending budget.Record
@@ -29,22 +23,12 @@
 
 // The first byte of a command says what it is.
 const (
-	commandDocument byte = iota + 1
+	commandPart byte = iota + 1
 	commandEndpoint
 	commandRemove
 	commandSpending
 )
 
-// versionBytes is the length of a version before a document.
-const versionBytes = 8
-
-func encodeDocument(d Document) []byte {
-	data := make([]byte, 0, 1+versionBytes+len(d.Data))
-	data = append(data, commandDocument)
-	data = binary.BigEndian.AppendUint64(data, d.Version)
-	return append(data, d.Data...)
-}
-
 func encodeEndpoint(e registry.Endpoint) []byte {
 	data, err := json.Marshal(e)
 	if err != nil {
@@ -78,8 +62,8 @@
 	}
 	body := command[1:]
 	switch command[0] {
-	case commandDocument:
-		return m.applyDocument(body)
+	case commandPart:
+		return m.applyPart(body)
 	case commandEndpoint:
 		var e registry.Endpoint
 		if err := json.Unmarshal(body, &e); err != nil {
@@ -101,18 +85,6 @@
 	}
 }
 
-func (m *machine) applyDocument(body []byte) (change, error) {
-	if len(body) < versionBytes {
-		return change{}, errors.New("document without a version")
-	}
-	version := binary.BigEndian.Uint64(body)
-	if version <= m.document.Version {
-		return change{}, nil
-	}
-	m.document = Document{Version: version, Data: body[versionBytes:]}
-	return change{document: true}, nil
-}
-
 func (m *machine) put(index consensus.Index, e registry.Endpoint) change {
 	if !m.registry.Accepts(e) {
 		return change{}
@@ -123,34 +95,3 @@
 	}
 	return c
 }
-
-// saved is the machine as a snapshot has it.
-type saved struct {
-	Version  uint64         `json:"version"`
-	Data     []byte         `json:"data"`
-	Registry registry.State `json:"registry"`
-	Spending budget.Record  `json:"spending"`
-}
-
-func (m *machine) snapshot() []byte {
-	data, err := json.Marshal(saved{Version: m.document.Version, Data: m.document.Data, Registry: m.registry, Spending: m.spending})
-	if err != nil {
-		panic(err) // texts and numbers always encode
-	}
-	return data
-}
-
-func (m *machine) restore(data []byte) error {
-	*m = machine{}
-	if len(data) == 0 {
-		return nil
-	}
-	var s saved
-	if err := json.Unmarshal(data, &s); err != nil {
-		return errors.Wrap(err, "snapshot")
-	}
-	m.document = Document{Version: s.Version, Data: s.Data}
-	m.registry = s.Registry
-	m.spending = s.Spending
-	return nil
-}
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -393,6 +393,7 @@
 		return Answer{}, err
 	}
 	d := Document{Version: table.Version, Data: data}
+	d.pack()
 	return s.call(ctx, func(k Token) Event { return &DocumentSent{Token: k, Document: d} }), nil
 }
 
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -15,8 +15,14 @@
 
 // Bounds of the log and of endpoints' silence.
 const (
-	compactEntries = 512
-	compactBytes   = 4 << 20
+	// compactBytes is the least that is logged between snapshots, in bytes, and compactGrowth how
+	// many times the last snapshot: making one, and writing and sending it, must stay a part of
+	// the work that the log itself makes.
+	compactBytes  = 4 << 20
+	compactGrowth = 2
+	// entryBytes is what an entry counts besides its command, so that a log of small entries
+	// has a snapshot after 512 of them.
+	entryBytes = compactBytes / 512
 	// downBeats is how many times its own rhythm an endpoint may be silent before
 	// it is taken for down.
 	downBeats = 4
@@ -43,8 +49,10 @@
 	config   config
 	pending  map[consensus.Index]pending
 	heard    map[string]bool // endpoints that the leader is not yet told of
-	compact  consensus.Index
-	logged   int // bytes of commands since the last snapshot
+	uploads  uploads
+	compact  consensus.Index // of the last snapshot
+	// snapshotBytes is the length of the last snapshot, logged what was logged since.
+	snapshotBytes, logged int
 	// spendingAt is when the machine's record of budgets came to be known here.
 	spendingAt event.Time
 	owner      *owner // nil while this box does not own the pools
@@ -69,6 +77,8 @@
 		heard:    make(map[string]bool),
 		early:    make(map[SessionID]*earlySession),
 		compact:  r.Snapshot.Index,
+
+		snapshotBytes: len(r.Snapshot.Data),
 	}
 	s.node.SetLimits(settings.Members)
 	if err := s.machine.restore(r.Snapshot.Data); err != nil {
@@ -131,7 +141,7 @@
 func (s *State) stepCalls(now event.Time, e Event, out *Effects) {
 	switch e := e.(type) {
 	case *DocumentSent:
-		s.propose(now, e.Token, encodeDocument(e.Document), e.Document.Version <= s.machine.document.Version, out)
+		s.sendDocument(now, e, out)
 	case *DocumentRead:
 		if !s.owns(now) {
 			s.elsewhere(e.Token, out)
@@ -153,6 +163,7 @@
 	case *EndpointLeft:
 		s.propose(now, e.Token, encodeRemove(e.ID), s.machine.registry.IsGone(e.ID), out)
 	case *CallGone:
+		s.uploads.forget(e.Token)
 		for i, p := range s.pending {
 			if p.token == e.Token {
 				delete(s.pending, i)
@@ -246,8 +257,7 @@
 // settle applies what was committed and takes up or lays down the ownership.
 func (s *State) settle(now event.Time, out *Effects) {
 	if snap := out.Ready.Snapshot; snap != nil && snap.Index > s.compact {
-		s.compact = snap.Index
-		s.logged = 0
+		s.compacted(snap.Index, snap.Data)
 		if err := s.machine.restore(snap.Data); err != nil {
 			panic(err) // it was checked when it was taken
 		}
@@ -258,24 +268,40 @@
 		out.Ready.Committed = nil
 		for _, entry := range committed {
 			s.applyEntry(now, entry, out)
+			s.compactAt(entry.Index, out)
 		}
 	}
 	s.settleOwnership(now, out)
-	applied := s.node.Applied()
-	if applied >= s.compact+compactEntries || (s.logged > compactBytes && applied > s.compact) {
-		s.compact = applied
-		s.logged = 0
-		s.node.Compact(applied, s.machine.snapshot(), &out.Ready)
+	s.logNext(now, out)
+}
+
+// compactAt takes a snapshot at the entry that was just applied, if one is due. It is due at the
+// same entries on all boxes, whatever they apply together: see consensus.Node.Compact.
+func (s *State) compactAt(index consensus.Index, out *Effects) {
+	if s.logged < max(compactBytes, compactGrowth*s.snapshotBytes) {
+		return
 	}
+	data := s.machine.snapshot()
+	s.compacted(index, data)
+	s.node.Compact(index, data, &out.Ready)
+}
+
+// compacted takes note of the newest snapshot.
+func (s *State) compacted(index consensus.Index, data []byte) {
+	s.compact = index
+	s.snapshotBytes = len(data)
+	s.logged = 0
 }
 
 func (s *State) applyEntry(now event.Time, entry consensus.Entry, out *Effects) {
+	s.logged += entryBytes + len(entry.Data)
 	if entry.Kind == consensus.EntryCommand {
 		s.applyCommand(now, entry, out)
 	}
 	if s.owner != nil && entry.Term == s.owner.term {
 		s.owner.recorded(now, entry.Index, s, out)
 	}
+	s.uploaded(entry, out)
 	p, ok := s.pending[entry.Index]
 	if !ok {
 		return
@@ -289,7 +315,6 @@
 }
 
 func (s *State) applyCommand(now event.Time, entry consensus.Entry, out *Effects) {
-	s.logged += len(entry.Data)
 	c, err := s.machine.apply(entry.Index, entry.Data)
 	if err != nil {
 		// A command that no version of this program can read does nothing, on
@@ -331,6 +356,7 @@
 
 // failPending answers the calls whose commands may or may not be committed.
 func (s *State) failPending(out *Effects) {
+	s.uploads.fail(out)
 	for index, p := range s.pending {
 		out.Answers = append(out.Answers, Answer{Token: p.token, Status: StatusUnclear})
 		delete(s.pending, index)
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -315,10 +315,16 @@
 	}
 }
 
+// firstPart is the command that brings the first part of a document.
+func firstPart(d Document) []byte {
+	d.pack()
+	return d.packed.encodePart(0)
+}
+
 func TestMachineSurvivesItsSnapshot(t *testing.T) {
 	var m machine
 	for i, command := range [][]byte{
-		encodeDocument(Document{Version: 4, Data: []byte(`{"version": 4}`)}),
+		firstPart(Document{Version: 4, Data: []byte(`{"version": 4}`)}),
 		encodeEndpoint(registry.Endpoint{ID: "a", Service: "s", Address: "10.0.0.1:80", Sequence: 2}),
 		encodeEndpoint(registry.Endpoint{ID: "b", Service: "s", Address: "10.0.0.2:80", Sequence: 2}),
 		encodeRemove("b"),
@@ -334,7 +340,7 @@
 	if string(again.document.Data) != `{"version": 4}` || len(again.registry.Endpoints) != 1 || len(again.registry.Gone) != 1 {
 		t.Errorf("restored %+v", again)
 	}
-	for _, bad := range [][]byte{nil, {99}, {commandDocument, 1}, append([]byte{commandEndpoint}, '{')} {
+	for _, bad := range [][]byte{nil, {99}, {commandPart, 1}, append([]byte{commandEndpoint}, '{')} {
 		if _, err := again.apply(9, bad); err == nil {
 			t.Errorf("command %v was applied", bad)
 		}
