--- a/store/keeper.go
+++ b/store/keeper.go
@@ -10,8 +10,13 @@
 	"lynxramp.org/consensus"
 )
 
-// keepDepth is how many saves may wait for the disk.
-const keepDepth = 1024
+const (
+	// keepDepth is how many saves may wait for the disk.
+	keepDepth = 1024
+	// gatherBytes is about how much is saved together: a slow disk of 4 MB/s takes a quarter of a
+	// second for it, after which what it holds counts.
+	gatherBytes = 1 << 20
+)
 
 // Saved says that the log is on disk up to an entry.
 type Saved struct {
@@ -101,10 +106,11 @@
 	k.saved <- e
 }
 
-// gather adds what else waits to r, so that one sync serves all of it. A
+// gather adds what else waits to r, so that one sync serves all of it, up to a size. A
 // snapshot is saved by itself.
 func (k *Keeper) gather(r consensus.Ready) consensus.Ready {
-	for r.Snapshot == nil {
+	size := bytesOf(r.Entries)
+	for r.Snapshot == nil && size < gatherBytes {
 		select {
 		case next := <-k.queue:
 			if next.HardState != nil {
@@ -116,6 +122,7 @@
 			} else {
 				r.Entries = append(r.Entries, next.Entries...)
 			}
+			size += bytesOf(next.Entries)
 			r.Messages = append(r.Messages, next.Messages...)
 		default:
 			return r
@@ -123,3 +130,12 @@
 	}
 	return r
 }
+
+// bytesOf returns the bytes of the entries' data.
+func bytesOf(entries []consensus.Entry) int {
+	sum := 0
+	for _, e := range entries {
+		sum += len(e.Data)
+	}
+	return sum
+}
--- a/store/load.go
+++ b/store/load.go
@@ -3,7 +3,6 @@
 package store
 
 import (
-	"encoding/json"
 	"os"
 	"path/filepath"
 
@@ -65,23 +64,6 @@
 	return false
 }
 
-func (s *Store) loadSnapshot(n consensus.Index) (consensus.Snapshot, error) {
-	var snap consensus.Snapshot
-	name := numbered(snapshotPrefix, n)
-	data, err := os.ReadFile(filepath.Join(s.dir, name))
-	if err != nil {
-		return snap, errors.Wrap(err, "snapshot")
-	}
-	content, length, err := readRecord(data)
-	if err != nil || length != len(data) || len(content) == 0 || content[0] != recordSnapshot {
-		return snap, errors.Wrap(ErrDamaged, name)
-	}
-	if err := json.Unmarshal(content[1:], &snap); err != nil || snap.Index != n {
-		return snap, errors.Wrap(ErrDamaged, name)
-	}
-	return snap, nil
-}
-
 // parseLog reads a log's records into r, whose snapshot is set, and returns the
 // length of its sound part. What follows that is a torn end: damage with a
 // sound record behind it is an error.
--- a/store/record.go
+++ b/store/record.go
@@ -29,6 +29,7 @@
 	recordHardState byte = iota + 1
 	recordEntry
 	recordSnapshot
+	recordPiece // of a snapshot
 )
 
 // ErrDamaged says that a file does not hold what was written to it.
--- a/store/store.go
+++ b/store/store.go
@@ -5,8 +5,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"iter"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -122,17 +124,18 @@
 	if err != nil {
 		return errors.Wrap(err, "identity")
 	}
-	return s.replaceFile(identityFile, data)
+	return s.replaceFile(identityFile, slices.Values([][]byte{data}))
 }
 
-// replaceFile puts a file in place, whole and synced, or leaves the old one.
-func (s *Store) replaceFile(name string, data []byte) error {
+// replaceFile puts a file in place, whole and synced, or leaves the old one. The file has all
+// pieces, one after the other.
+func (s *Store) replaceFile(name string, pieces iter.Seq[[]byte]) error {
 	path := filepath.Join(s.dir, name)
 	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Wrap(err, name)
 	}
-	_, err = f.Write(data)
+	err = writeAll(f, pieces)
 	if err == nil {
 		err = f.Sync()
 	}
@@ -148,6 +151,15 @@
 	return s.syncDir()
 }
 
+func writeAll(f *os.File, pieces iter.Seq[[]byte]) error {
+	for p := range pieces {
+		if _, err := f.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Store) syncDir() error {
 	d, err := os.Open(s.dir)
 	if err != nil {
@@ -216,17 +228,16 @@
 
 // saveSnapshot starts a new log behind a new snapshot and drops the old ones.
 func (s *Store) saveSnapshot(snap *consensus.Snapshot, entries []consensus.Entry) error {
-	data, err := json.Marshal(snap)
+	records, err := snapshotRecords(snap)
 	if err != nil {
-		return errors.Wrap(err, "snapshot")
+		return err
 	}
 	// The log comes first: a snapshot without its log would look like one whose
 	// entries were lost.
 	if err := s.startLog(snap.Index, entries); err != nil {
 		return err
 	}
-	content := append([]byte{recordSnapshot}, data...)
-	if err := s.replaceFile(numbered(snapshotPrefix, snap.Index), appendRecord(nil, content)); err != nil {
+	if err := s.replaceFile(numbered(snapshotPrefix, snap.Index), records); err != nil {
 		return err
 	}
 	return s.dropBefore(snap.Index)
@@ -239,7 +250,7 @@
 		buf = appendEntry(buf, e)
 	}
 	name := numbered(logPrefix, after)
-	if err := s.replaceFile(name, buf); err != nil {
+	if err := s.replaceFile(name, slices.Values([][]byte{buf})); err != nil {
 		return err
 	}
 	return s.openLog(name, int64(len(buf)))
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -163,3 +164,111 @@
 		}
 	})
 }
+
+// TestLargeSnapshotIsReadBack: a snapshot of more than a record holds was written and could not
+// be read, so that its box did not start any more.
+func TestLargeSnapshotIsReadBack(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	snap := consensus.Snapshot{Index: 4, Term: 1, Data: bytes.Repeat([]byte("a large state. "), maxRecord/15+1)}
+	save(t, s, consensus.Ready{Snapshot: &snap, Entries: entries(5, 6, 1)})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, r := open(t, dir)
+	if !bytes.Equal(r.Snapshot.Data, snap.Data) || len(r.Entries) != 2 {
+		t.Errorf("read %d bytes and %d entries, want %d and 2", len(r.Snapshot.Data), len(r.Entries), len(snap.Data))
+	}
+}
+
+// TestTornSnapshot: a snapshot file that ends early or has a piece too many or damaged is not
+// taken for a whole one.
+func TestTornSnapshot(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	snap := consensus.Snapshot{Index: 4, Term: 1, Data: bytes.Repeat([]byte("s"), 3*snapshotPiece+5)}
+	save(t, s, consensus.Ready{Snapshot: &snap})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, numbered(snapshotPrefix, 4))
+	whole, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	piece := appendRecord(nil, append([]byte{recordPiece}, 's'))
+	lastPiece := len(whole) - headerBytes - 1 - 5
+	for name, bad := range map[string][]byte{
+		"empty":           {},
+		"header only":     whole[:bytes.Index(whole[4:], magic)+4],
+		"a byte short":    whole[:len(whole)-1],
+		"a piece short":   whole[:lastPiece],
+		"a piece more":    append(bytes.Clone(whole), piece...),
+		"a damaged piece": append(append(bytes.Clone(whole[:lastPiece-9]), 'x'), whole[lastPiece-8:]...),
+	} {
+		if err := os.WriteFile(file, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := Open(dir, "box", 7); !errors.Is(err, ErrDamaged) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	if err := os.WriteFile(file, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, r := open(t, dir); !bytes.Equal(r.Snapshot.Data, snap.Data) {
+		t.Error("the whole file was not read")
+	}
+}
+
+// TestCrashWhileSnapshotIsSaved stops anywhere between the files that a snapshot is saved in: what
+// was promised before is there.
+func TestCrashWhileSnapshotIsSaved(t *testing.T) {
+	dir, want := filled(t)
+	s, _ := open(t, dir)
+	old, err := os.ReadFile(filepath.Join(dir, numbered(snapshotPrefix, 4)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	oldLog, err := os.ReadFile(logFile(t, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	snap := consensus.Snapshot{Index: 10, Term: 3, Members: want.Snapshot.Members, Data: []byte("more state")}
+	save(t, s, consensus.Ready{Snapshot: &snap, Entries: entries(11, 12, 3)})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	snapFile := filepath.Join(dir, numbered(snapshotPrefix, 10))
+	whole, err := os.ReadFile(snapFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	after := consensus.Restored{HardState: want.HardState, Snapshot: snap, Entries: entries(11, 12, 3)}
+	write := func(name string, data []byte) {
+		if err := os.WriteFile(name, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	check := func(when string, want consensus.Restored) {
+		t.Helper()
+		s, got := open(t, dir)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", when, diff)
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	check("all saved", after)
+	write(filepath.Join(dir, numbered(snapshotPrefix, 4)), old)
+	write(logFile(t, dir), oldLog)
+	check("old files not dropped", after)
+	if err := os.Remove(snapFile); err != nil {
+		t.Fatal(err)
+	}
+	for cut := range whole {
+		write(snapFile+tempSuffix, whole[:cut])
+	}
+	check("the new log there, the new snapshot not in place", want)
+}
