--- a/cluster/bulk_sim_test.go
+++ b/cluster/bulk_sim_test.go
@@ -263,15 +263,6 @@
 	}
 }
 
-// wantDocument checks what a box has, byte for byte.
-func (s *slowSim) wantDocument(name string, want Document) {
-	s.t.Helper()
-	got := s.boxes[name].state.Document()
-	if got.Version != want.Version || !bytes.Equal(got.Data, want.Data) {
-		s.t.Errorf("%s has version %d of %d bytes, want version %d of %d bytes", name, got.Version, len(got.Data), want.Version, len(want.Data))
-	}
-}
-
 // TestLargeConfigurationOverThinLinks: a configuration of 14,000 routes stayed unacknowledged and
 // cost the leader its lease again and again: it was one entry, sent whole in front of the
 // heartbeats, and once more every 120 ms while its reply was late. It must be acknowledged
@@ -379,8 +370,9 @@
 	s.wantDocument(lost, s.mustOwner().state.Document())
 }
 
-// logBound is what the log of a box may take in memory, in bytes, when its state is 1 MB.
-const logBound = 16 << 20
+// logBound is what the log of a box may take in memory, in bytes, when its state is 1 MB: twice the
+// least between two snapshots, and a configuration that is not committed.
+const logBound = 2*compactBytes + 2<<20
 
 // TestLogStaysWithinItsBound: 60 changes of 1 MB within 6 s stayed in memory, as the log kept 256
 // entries of any size and as all that was not yet replicated piled up in it.
@@ -388,22 +380,15 @@
 	s := newSlowSim(t, 3, 0)
 	s.run(4 * second)
 	most := 0
-	var last Document
 	var tokens []Token
 	for version := range uint64(60) {
-		last = noiseDocument(version+1, 1<<20)
 		s.token++
 		tokens = append(tokens, s.token)
-		s.step(s.mustOwner(), &DocumentSent{Token: s.token, Document: last})
+		s.step(s.mustOwner(), &DocumentSent{Token: s.token, Document: noiseDocument(version+1, 1<<20)})
 		s.run(100 * event.Millisecond)
-		for _, name := range s.order {
-			most = max(most, s.boxes[name].state.Node().LogBytes())
-		}
-	}
-	t.Logf("the log took %d bytes at the most", most)
-	if most > logBound {
-		t.Errorf("the log took %d bytes, want %d at the most", most, logBound)
+		most = max(most, s.logBytes())
 	}
+	s.wantLogWithin(most)
 	s.run(20 * second)
 	for i, token := range tokens {
 		if s.answers[token].Status != StatusDone {
@@ -411,6 +396,37 @@
 		}
 	}
 	for _, name := range s.order {
-		s.wantDocument(name, last)
+		s.wantDocument(name, noiseDocument(60, 1<<20))
+	}
+}
+
+// TestLogOfCommittedChangesStaysWithinItsBound: the same where each change is committed before the
+// next one comes.
+func TestLogOfCommittedChangesStaysWithinItsBound(t *testing.T) {
+	s := newSlowSim(t, 3, 0)
+	s.run(4 * second)
+	most := 0
+	for version := range uint64(60) {
+		for o := s.operator(noiseDocument(version+1, 1<<20)); !o.done(); s.run(slowStep) {
+			most = max(most, s.logBytes())
+		}
+	}
+	s.wantLogWithin(most)
+}
+
+// logBytes returns what the longest log takes in memory.
+func (s *slowSim) logBytes() int {
+	most := 0
+	for _, name := range s.order {
+		most = max(most, s.boxes[name].state.Node().LogBytes())
+	}
+	return most
+}
+
+func (s *slowSim) wantLogWithin(most int) {
+	s.t.Helper()
+	s.t.Logf("the log took %d bytes at the most", most)
+	if most > logBound {
+		s.t.Errorf("the log took %d bytes, want %d at the most", most, logBound)
 	}
 }
--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -79,6 +79,8 @@
 	random   *rand.Rand
 	lives    int
 	settings func(seed uint64) Settings
+	// compactLeast is that of the boxes' states, if it is not 0.
+	compactLeast int
 	// charge is how much simulated time an event's real time takes on a control box; 0 lets
 	// events take none.
 	charge float64
@@ -151,6 +153,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if s.compactLeast > 0 {
+		state.compactLeast = s.compactLeast
+	}
 	b.state = state
 }
 
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -53,6 +53,8 @@
 	compact  consensus.Index // of the last snapshot
 	// snapshotBytes is the length of the last snapshot, logged what was logged since.
 	snapshotBytes, logged int
+	// compactLeast is compactBytes, but for tests.
+	compactLeast int
 	// spendingAt is when the machine's record of budgets came to be known here.
 	spendingAt event.Time
 	owner      *owner // nil while this box does not own the pools
@@ -79,6 +81,7 @@
 		compact:  r.Snapshot.Index,
 
 		snapshotBytes: len(r.Snapshot.Data),
+		compactLeast:  compactBytes,
 	}
 	s.node.SetLimits(settings.Members)
 	if err := s.machine.restore(r.Snapshot.Data); err != nil {
@@ -278,7 +281,7 @@
 // compactAt takes a snapshot at the entry that was just applied, if one is due. It is due at the
 // same entries on all boxes, whatever they apply together: see consensus.Node.Compact.
 func (s *State) compactAt(index consensus.Index, out *Effects) {
-	if s.logged < max(compactBytes, compactGrowth*s.snapshotBytes) {
+	if s.logged < max(s.compactLeast, compactGrowth*s.snapshotBytes) {
 		return
 	}
 	data := s.machine.snapshot()
--- /dev/null
+++ b/cluster/upload_property_test.go
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lynxramp.org/event"
+)
+
+// chaos is a group to which configurations are sent while anything happens to it.
+type chaos struct {
+	*sim
+	down    *simBox // at most one box is stopped at a time
+	wiped   bool    // a box lost its disk; only one does
+	cutOff  string  // a box that no message reaches or leaves
+	loss    int     // of 100 messages
+	sent    map[uint64]Document
+	calls   map[Token]uint64 // versions by call
+	applied map[*State]uint64
+}
+
+func newChaos(t *rapid.T, tb testing.TB) *chaos {
+	c := &chaos{sim: newSim(tb, 3, 0), sent: make(map[uint64]Document), calls: make(map[Token]uint64), applied: make(map[*State]uint64)}
+	seed := rapid.Uint64().Draw(t, "seed")
+	c.compactLeast = 1 // a snapshot is due after twice the last one's size
+	for _, name := range c.order {
+		c.boxes[name].state.compactLeast = 1
+	}
+	c.random = rand.New(rand.NewPCG(seed, 3))
+	c.cut = func(from, to string) bool {
+		return from == c.cutOff || to == c.cutOff || c.random.IntN(100) < c.loss
+	}
+	return c
+}
+
+// send sends a configuration of some parts, a new one or an earlier one again, to any box.
+func (c *chaos) send() {
+	version := uint64(len(c.sent))
+	if version == 0 || c.random.IntN(3) == 0 {
+		version++
+		size := []int{0, 1, partBytes - 1, partBytes, partBytes + 1, 9 * partBytes}[c.random.IntN(6)]
+		c.sent[version] = noiseDocument(version, size)
+	} else {
+		version -= uint64(c.random.IntN(2)) * uint64(c.random.IntN(int(version)))
+	}
+	b := c.boxes[c.order[c.random.IntN(len(c.order))]]
+	c.token++
+	c.calls[c.token] = version
+	c.step(b, &DocumentSent{Token: c.token, Document: c.sent[version]})
+}
+
+// happen lets one thing happen.
+func (c *chaos) happen() {
+	switch n := c.random.IntN(100); {
+	case n < 10:
+		c.send()
+	case n < 20:
+		c.change()
+	case n < 43 && c.down == nil:
+		c.down = c.boxes[c.order[c.random.IntN(len(c.order))]]
+		if owner := c.owner(); owner != nil && n < 42 {
+			c.down = owner
+		}
+		c.stop(c.down.name)
+	case n < 50 && c.down != nil:
+		c.restart(c.down.name)
+		c.down = nil
+	case n < 51 && c.down != nil && !c.wiped:
+		c.wiped = true
+		c.addEmpty(c.down.name)
+		c.down = nil
+	case n < 53:
+		c.cutOff = c.order[c.random.IntN(len(c.order))]
+	case n < 60:
+		c.cutOff = ""
+	case n < 62:
+		b := c.boxes[c.order[c.random.IntN(len(c.order))]]
+		b.stalled = true
+	case n < 70:
+		c.endStalls()
+	}
+	c.random.Shuffle(len(c.messages), func(i, j int) { c.messages[i], c.messages[j] = c.messages[j], c.messages[i] })
+	if n := len(c.messages); n > 0 && c.random.IntN(4) == 0 {
+		c.messages = append(c.messages, c.messages[c.random.IntN(n)])
+	}
+	c.run(simStep * event.Span(1+c.random.IntN(5)))
+	c.check()
+}
+
+// change lets some endpoints change, so that there are snapshots.
+func (c *chaos) change() {
+	owner := c.owner()
+	for i := 0; owner != nil && i < 4; i++ {
+		e := manyEndpoint(i, uint64(c.token)+1)
+		e.Slots = 1 + int(c.token)
+		c.tell(owner, e)
+	}
+}
+
+// partly returns how many boxes have a part of a configuration.
+func (c *chaos) partly() int {
+	n := 0
+	for _, name := range c.order {
+		if state := c.boxes[name].state; state != nil && state.machine.upload.data != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *chaos) endStalls() {
+	for _, name := range c.order {
+		b := c.boxes[name]
+		b.stalled = false
+		if b.state != nil {
+			c.saveAll(b)
+		}
+	}
+}
+
+// check fails the test if a box has a configuration that nobody sent, or goes back.
+func (c *chaos) check() {
+	for _, name := range c.order {
+		state := c.boxes[name].state
+		if state == nil {
+			continue
+		}
+		d := state.Document()
+		if d.Version < c.applied[state] {
+			c.t.Fatalf("%s went from version %d back to %d", name, c.applied[state], d.Version)
+		}
+		c.applied[state] = d.Version
+		if want := c.sent[d.Version]; d.Version > 0 && !bytes.Equal(d.Data, want.Data) {
+			c.t.Fatalf("%s has %d bytes in version %d, %d were sent", name, len(d.Data), d.Version, len(want.Data))
+		}
+	}
+}
+
+// acknowledged returns the highest version of which a call was acknowledged.
+func (c *chaos) acknowledged() uint64 {
+	highest := uint64(0)
+	for token, version := range c.calls {
+		if c.answers[token].Status == StatusDone {
+			highest = max(highest, version)
+		}
+	}
+	return highest
+}
+
+// TestConfigurationsArriveWhole sends configurations of one and more parts while messages are lost,
+// doubled and reordered, boxes end and come back, one loses its disk, disks stall and snapshots are
+// taken. No box has ever anything but what was sent, what was acknowledged is never lost, and
+// the last one sent is in force everywhere once all is well.
+func TestConfigurationsArriveWhole(t *testing.T) {
+	snapshots, documents, partly := 0, 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newChaos(rt, t)
+		c.run(2 * second)
+		c.loss = rapid.SampledFrom([]int{0, 5, 20}).Draw(rt, "loss")
+		for range rapid.IntRange(50, 200).Draw(rt, "steps") {
+			c.happen()
+			partly += c.partly()
+		}
+		c.loss, c.cutOff = 0, ""
+		if c.down != nil {
+			c.restart(c.down.name)
+		}
+		c.endStalls()
+		c.run(6 * second)
+		acknowledged := c.acknowledged()
+		if got := c.mustOwner().state.Document().Version; got < acknowledged {
+			rt.Fatalf("version %d is in force, %d was acknowledged", got, acknowledged)
+		}
+		last := uint64(len(c.sent)) + 1
+		c.sent[last] = noiseDocument(last, 3*partBytes)
+		c.step(c.mustOwner(), &DocumentSent{Token: 1 << 40, Document: c.sent[last]})
+		c.run(2 * second)
+		c.check()
+		for _, name := range c.order {
+			state := c.boxes[name].state
+			if got := state.Document().Version; got != last {
+				rt.Fatalf("%s has version %d, want %d", name, got, last)
+			}
+			if state.machine.upload.data != nil {
+				rt.Fatalf("%s keeps a part of version %d", name, state.machine.upload.key.Version)
+			}
+			snapshots += int(min(1, state.compact/2))
+			documents += len(c.sent)
+		}
+	})
+	t.Logf("%d boxes took a snapshot, they were sent %d configurations and had a part of one %d times", snapshots, documents, partly)
+	if snapshots == 0 || partly == 0 {
+		t.Errorf("%d boxes took a snapshot, and had a part of a configuration %d times", snapshots, partly)
+	}
+}
--- /dev/null
+++ b/cluster/upload_test.go
@@ -0,0 +1,229 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"bytes"
+	"testing"
+
+	"lynxramp.org/consensus"
+	"lynxramp.org/registry"
+)
+
+// TestResentConfigurationIsLoggedOnce: an operator sends again each second what is not
+// acknowledged. Each call put the whole configuration into the log once more, 3 MB a second.
+func TestResentConfigurationIsLoggedOnce(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(2 * second)
+	owner := s.mustOwner()
+	d := noiseDocument(1, 1<<20)
+	before := owner.state.Node().LogBytes()
+	const calls = 5
+	for i := range Token(calls) {
+		s.step(owner, &DocumentSent{Token: 100 + i, Document: d})
+	}
+	if got, most := owner.state.Node().LogBytes()-before, 11*len(d.Data)/10; got > most {
+		t.Errorf("%d calls took %d bytes of the log, want %d at the most", calls, got, most)
+	}
+	s.run(second)
+	for i := range Token(calls) {
+		if a := s.answers[100+i]; a.Status != StatusDone {
+			t.Errorf("call %d was answered with %+v", i, a)
+		}
+	}
+	s.wantDocument(owner.name, d)
+}
+
+// wantDocument checks what a box has, byte for byte.
+func (s *sim) wantDocument(name string, want Document) {
+	s.t.Helper()
+	got := s.boxes[name].state.Document()
+	if got.Version != want.Version || !bytes.Equal(got.Data, want.Data) {
+		s.t.Errorf("%s has version %d of %d bytes, want version %d of %d bytes", name, got.Version, len(got.Data), want.Version, len(want.Data))
+	}
+}
+
+// TestNewestConfigurationFollowsTheOneUnderWay: of those that come while one is being replicated
+// only the newest goes into the log, and answers the calls of all. A call whose caller is gone
+// holds nothing up.
+func TestNewestConfigurationFollowsTheOneUnderWay(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(2 * second)
+	owner := s.mustOwner()
+	versions := []uint64{2, 5, 3, 9, 1, 7}
+	for i, v := range versions {
+		s.step(owner, &DocumentSent{Token: 100 + Token(i), Document: noiseDocument(v, 1<<20)})
+	}
+	s.step(owner, &CallGone{Token: 101})
+	if got, most := owner.state.Node().LogBytes(), 11<<20/10; got > most {
+		t.Errorf("the log took %d bytes, want %d at the most", got, most)
+	}
+	s.run(3 * second)
+	for i, v := range versions {
+		a, answered := s.answers[100+Token(i)]
+		if gone := v == 5; gone == answered || (answered && a.Status != StatusDone) {
+			t.Errorf("the call of version %d was answered with %+v, %v", v, a, answered)
+		}
+	}
+	s.wantDocument(owner.name, noiseDocument(9, 1<<20))
+}
+
+// TestCallsEndWithTheirLeader: the calls that wait on a leader are told when it leads no more.
+func TestCallsEndWithTheirLeader(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(2 * second)
+	old := s.mustOwner()
+	s.cut = func(from, to string) bool { return from == old.name || to == old.name }
+	s.step(old, &DocumentSent{Token: 100, Document: noiseDocument(1, 1<<20)})
+	s.step(old, &DocumentSent{Token: 101, Document: noiseDocument(2, 1<<20)})
+	s.run(3 * second)
+	for token := Token(100); token <= 101; token++ {
+		if a := s.answers[token]; a.Status != StatusUnclear {
+			t.Errorf("call %d was answered with %+v", token, a)
+		}
+	}
+	s.cut = func(string, string) bool { return false }
+	next := s.mustOwner()
+	s.step(next, &DocumentSent{Token: 102, Document: noiseDocument(3, 1<<20)})
+	s.run(2 * second)
+	for _, name := range s.order {
+		s.wantDocument(name, noiseDocument(3, 1<<20))
+	}
+}
+
+// parts returns the commands of a document.
+func parts(d Document) [][]byte {
+	d.pack()
+	var list [][]byte
+	for i := range d.packed.parts {
+		list = append(list, d.packed.encodePart(i))
+	}
+	return list
+}
+
+// apply carries out commands, which must be readable.
+func apply(t *testing.T, m *machine, commands ...[]byte) {
+	t.Helper()
+	for i, c := range commands {
+		if _, err := m.apply(consensus.Index(i+1), c); err != nil {
+			t.Fatalf("command %d: %v", i, err)
+		}
+	}
+}
+
+func wantInForce(t *testing.T, m *machine, want Document) {
+	t.Helper()
+	if m.document.Version != want.Version || !bytes.Equal(m.document.Data, want.Data) {
+		t.Errorf("version %d of %d bytes is in force, want %d of %d", m.document.Version, len(m.document.Data), want.Version, len(want.Data))
+	}
+	if m.upload.data != nil {
+		t.Errorf("a part of version %d is kept", m.upload.key.Version)
+	}
+}
+
+// TestDocumentsOfAllSizes are read back as they were sent.
+func TestDocumentsOfAllSizes(t *testing.T) {
+	var m machine
+	for i, size := range []int{0, 1, partBytes - 1, partBytes, partBytes + 1, 3 * partBytes, 1 << 20} {
+		d := noiseDocument(uint64(i+1), size)
+		apply(t, &m, parts(d)...)
+		wantInForce(t, &m, d)
+		d = Document{Version: d.Version, Data: bytes.Repeat([]byte("{}\n"), size/3)}
+		var other machine
+		apply(t, &other, parts(d)...)
+		wantInForce(t, &other, d)
+	}
+}
+
+// TestPartsOfOtherDocuments: parts that are given up, that come twice, out of turn or too late
+// change nothing of a document that comes whole.
+func TestPartsOfOtherDocuments(t *testing.T) {
+	a, b := noiseDocument(3, 4*partBytes), noiseDocument(4, 4*partBytes)
+	sameVersion := noiseDocument(4, 4*partBytes)
+	sameVersion.Data[0]++
+	pa, pb, ps := parts(a), parts(b), parts(sameVersion)
+	var m machine
+	apply(t, &m, pa[0], pa[1], ps[0], ps[1], pb[2], pb[0], pb[0], pb[2], pb[1], ps[1], pb[1], pb[2], pa[2])
+	if m.document.Version != 0 || m.upload.key.Sum != parseKey(pb[0][1:]).Sum || len(m.upload.parts) != 3 {
+		t.Fatalf("%d parts of version %d, want 3 of 4", len(m.upload.parts), m.upload.key.Version)
+	}
+	apply(t, &m, pb[3])
+	wantInForce(t, &m, b)
+	apply(t, &m, pa...)
+	apply(t, &m, ps...)
+	wantInForce(t, &m, b)
+}
+
+// TestDamagedPartIsNotApplied: what its sum does not confirm does not come in force.
+func TestDamagedPartIsNotApplied(t *testing.T) {
+	var m machine
+	list := parts(noiseDocument(1, 2*partBytes))
+	for name, bad := range map[string][]byte{
+		"short":     list[1][:partHeader],
+		"cut":       list[1][:len(list[1])-5],
+		"exchanged": append(bytes.Clone(list[1][:1+partHeader]), list[0][1+partHeader:]...),
+		"too long":  append(bytes.Clone(list[1][:1+partHeader]), compress(make([]byte, partBytes+1))...),
+	} {
+		apply(t, &m, list[0])
+		if _, err := m.apply(9, bad); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+		if m.document.Version != 0 {
+			t.Errorf("%s: came in force", name)
+		}
+		m = machine{}
+	}
+	huge := noiseDocument(1, 5)
+	huge.pack()
+	huge.packed.key.Size = maxDocument + 1
+	if _, err := m.apply(9, huge.packed.encodePart(0)); err == nil {
+		t.Error("a document of more than the bound was begun")
+	}
+}
+
+// TestSnapshotHasPartsUnderWay: a machine that was restored goes on with a document of which it
+// had a part, and takes the very bytes that another one takes.
+func TestSnapshotHasPartsUnderWay(t *testing.T) {
+	first, second := noiseDocument(1, partBytes+7), noiseDocument(2, 3*partBytes)
+	list := parts(second)
+	var m, again machine
+	apply(t, &m, parts(first)...)
+	apply(t, &m, list[0], list[1], encodeEndpoint(registry.Endpoint{ID: "a", Service: "s", Address: "10.0.0.1:80", Sequence: 2}))
+	if err := again.restore(m.snapshot()); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(m.snapshot(), again.snapshot()) {
+		t.Error("equal machines have unequal snapshots")
+	}
+	for _, one := range []*machine{&m, &again} {
+		apply(t, one, list[2])
+		wantInForce(t, one, second)
+	}
+	if got, most := len(m.snapshot()), len(second.Data)*11/10; got > most {
+		t.Errorf("the snapshot has %d bytes, want %d at the most", got, most)
+	}
+}
+
+// FuzzRestore reads anything as a snapshot.
+func FuzzRestore(f *testing.F) {
+	var m machine
+	list := parts(noiseDocument(2, 2*partBytes))
+	for _, c := range append(parts(noiseDocument(1, 9)), list[0]) {
+		if _, err := m.apply(1, c); err != nil {
+			f.Fatal(err)
+		}
+	}
+	whole := m.snapshot()
+	f.Add(whole)
+	f.Add(whole[:len(whole)/2])
+	f.Add([]byte{snapshotFormat})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var one, two machine
+		if one.restore(data) != nil {
+			return
+		}
+		if err := two.restore(one.snapshot()); err != nil || !bytes.Equal(one.snapshot(), two.snapshot()) {
+			t.Errorf("a snapshot of what was read is not read: %v", err)
+		}
+	})
+}
