consensus: where logs part is found in a question a term, without entries

Cause: a member with parts that were never committed was asked for one index after the other, each time with up to a message of entries that it refused.

Change: it passes over all entries of the term at which the logs differ, and nothing is sent to it until it agrees.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -63,8 +63,9 @@
 	out.Early = append(out.Early, m)
 }
 
-// fill makes m the next message of a member. It reports whether it brings anything; if not,
-// it is a heartbeat, which asks whether all that was sent has come.
+// fill makes m the next message of a member. It reports whether it brings anything, or asks from
+// where on the member's log is another; if not, it is a heartbeat, which asks whether all that
+// was sent has come.
 func (n *Node) fill(p *progress, m *Message) bool {
 	before, ok := n.log.term(p.next - 1)
 	if !ok && p.snapshot == nil {
@@ -78,6 +79,9 @@
 	if p.isInFlight() || n.unsaved(p) >= n.bounds.unsaved {
 		return false
 	}
+	if p.probing {
+		return true // the question alone
+	}
 	m.Entries = n.log.part(p.next, maxEntries, n.bounds.message)
 	p.next += Index(len(m.Entries))
 	return len(m.Entries) > 0
@@ -97,7 +101,7 @@
 		m.Index, m.LogTerm = n.log.base, n.log.baseTerm
 	}
 	if t, ok := n.log.term(m.Index); !ok || t != m.LogTerm {
-		n.receipt(m, Message{Index: min(n.log.last(), m.Index-1)}, out)
+		n.receipt(m, Message{Index: n.beforeConflict(m.Index)}, out)
 		return
 	}
 	last := m.Index + Index(len(m.Entries))
@@ -114,6 +118,22 @@
 	n.acknowledge(m, last, 0, len(m.Entries) > 0, out)
 }
 
+// beforeConflict returns where the log may be the leader's, which is not at index i. All entries of
+// the term at i are passed over: one question a term, not one an entry.
+func (n *Node) beforeConflict(i Index) Index {
+	if i > n.log.last() {
+		return n.log.last()
+	}
+	term, _ := n.log.term(i)
+	for i > n.log.base && i > n.commit {
+		if t, ok := n.log.term(i); !ok || t != term {
+			break
+		}
+		i--
+	}
+	return i
+}
+
 // agree takes note that the log is the leader's up to an entry.
 func (n *Node) agree(last Index) {
 	if n.agreedTerm != n.hard.Term {
@@ -172,8 +192,11 @@
 	switch {
 	case m.Kind == KindSnapshotReply && p.snapshot != nil && p.sum == m.Sum && isNews:
 		p.place(m.Offset, n.snapshot)
-	case m.Kind == KindAppendReply && !m.Granted && isNews:
-		p.next = max(p.match+1, min(p.next-1, m.Index+1))
+	case m.Kind == KindAppendReply && isNews:
+		p.probing = !m.Granted
+		if p.probing {
+			p.next = max(p.match+1, min(p.next-1, m.Index+1))
+		}
 	}
 	if m.Granted {
 		p.match = max(p.match, m.Index)
--- a/consensus/transfer.go
+++ b/consensus/transfer.go
@@ -21,6 +21,9 @@
 	// answered is the sending time of the newest message that was answered.
 	answered event.Time
 	heard    bool
+	// probing says that it is not known from where on the member's log is another: nothing is
+	// sent that it may refuse.
+	probing bool
 	// snapshot is what is sent in pieces, with its checksum, up to offset; nil if none is. It
 	// is kept while newer ones are taken, as what was sent of it would be lost.
 	snapshot *Snapshot
