--- /dev/null
+++ b/cluster/bulk_bench_test.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"testing"
+
+	"lynxramp.org/consensus"
+)
+
+// largeMachine has a configuration of many routes and many endpoints.
+func largeMachine(b *testing.B, d Document) *machine {
+	m := &machine{}
+	commands := parts(d)
+	for i := range manyEndpoints {
+		commands = append(commands, encodeEndpoint(manyEndpoint(i, 1)))
+	}
+	for i, c := range commands {
+		if _, err := m.apply(consensus.Index(i+1), c); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return m
+}
+
+// BenchmarkSnapshot takes a snapshot, which the loop does now and then.
+func BenchmarkSnapshot(b *testing.B) {
+	m := largeMachine(b, routesDocument(1, manyRoutes))
+	for b.Loop() {
+		b.SetBytes(int64(len(m.snapshot())))
+	}
+}
+
+// BenchmarkRestore takes a leader's snapshot over, which the loop does once.
+func BenchmarkRestore(b *testing.B) {
+	data := largeMachine(b, routesDocument(1, manyRoutes)).snapshot()
+	for b.Loop() {
+		var m machine
+		if err := m.restore(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkPack compresses a configuration, beside the loop.
+func BenchmarkPack(b *testing.B) {
+	d := routesDocument(1, manyRoutes)
+	for b.Loop() {
+		d.packed = nil
+		d.pack()
+	}
+}
+
+// BenchmarkApplyPart applies a part of a configuration, each of which is a command by itself.
+func BenchmarkApplyPart(b *testing.B) {
+	list := parts(routesDocument(1, manyRoutes))
+	b.ResetTimer()
+	for n := 0; n < b.N; {
+		var m machine
+		for i := 0; i < len(list) && n < b.N; i, n = i+1, n+1 {
+			if _, err := m.apply(1, list[i]); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cluster/server_test.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+)
+
+// freePort returns a port that is free on the loopback addresses.
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return port
+}
+
+// startServers starts a group of control boxes, each on a loopback address of its own.
+func startServers(t *testing.T, count int) []*Server {
+	t.Helper()
+	port := freePort(t)
+	var seeds []string
+	for i := range count {
+		seeds = append(seeds, fmt.Sprintf("127.0.77.%d:1", i+1))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(handOver)
+	})
+	var list []*Server
+	for _, operators := range seeds {
+		s, err := Open(Config{
+			Link: LinkAddress(operators, "127.0.0.1:"+port), Operators: operators, Seeds: seeds, Found: true,
+			Data: t.TempDir(), Settings: simSettings(0), Log: zap.NewNop(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, s)
+		go func() { _ = s.Run(ctx) }() // it ends with the test
+	}
+	return list
+}
+
+// look returns what a box has, and the term that it is in.
+func (s *Server) look() (Document, consensus.Term) {
+	var d Document
+	var term consensus.Term
+	done := make(chan struct{})
+	s.input <- inspect(func(_ event.Time, state *State) {
+		d, term = state.Document(), state.Node().Term()
+		close(done)
+	})
+	<-done
+	return d, term
+}
+
+// TestServersTakeALargeConfiguration goes through real connections and disks: 14,000 routes are
+// acknowledged, read back as they were sent and known to all boxes, in the term in which they
+// were sent.
+func TestServersTakeALargeConfiguration(t *testing.T) {
+	servers := startServers(t, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	put := func(d Document) *Server {
+		for ctx.Err() == nil {
+			for _, s := range servers {
+				token := func(k Token) Event { return &DocumentSent{Token: k, Document: d} }
+				if a := s.call(ctx, token); a.Status == StatusDone {
+					return s
+				}
+			}
+			time.Sleep(tickEvery)
+		}
+		t.Fatalf("version %d was not acknowledged", d.Version)
+		return nil
+	}
+	leader := put(noiseDocument(1, 10))
+	_, term := leader.look()
+	want := routesDocument(2, manyRoutes)
+	began := time.Now()
+	want.pack()
+	put(want)
+	t.Logf("%d bytes acknowledged after %v", len(want.Data), time.Since(began))
+	if a := leader.ReadDocument(ctx); a.Status != StatusDone || !bytes.Equal(a.Document.Data, want.Data) {
+		t.Errorf("read back: status %d, %d bytes", a.Status, len(a.Document.Data))
+	}
+	for i, s := range servers {
+		d, now := s.look()
+		for ; d.Version != want.Version && ctx.Err() == nil; d, now = s.look() {
+			time.Sleep(tickEvery)
+		}
+		if !bytes.Equal(d.Data, want.Data) || now != term {
+			t.Errorf("box %d has version %d of %d bytes in term %d, want 2 of %d in term %d", i+1, d.Version, len(d.Data), now, len(want.Data), term)
+		}
+	}
+}
