hashtree, routing, message: changes beside the routes keep their index; links know the size of bulk

Where all runs of routes are those of the table before, memory and index are shared: 0.16 ms (BenchmarkTree, 500 runs beside load).

message.Envelope says how long what grows in it is, so that links bound what waits for a peer by bytes.

--- a/hashtree/fetch.go
+++ b/hashtree/fetch.go
@@ -3,6 +3,8 @@
 package hashtree
 
 import (
+	"slices"
+
 	"lynxramp.org/routing"
 )
 
@@ -20,7 +22,10 @@
 	waiting int // bytes that were asked for and have not come
 
 	nodes, bytes int // that came for the present version
-	unpacker     unpacker
+	// last is the last whole table, and runs those of its routes.
+	last     *routing.Table
+	runs     []*routes
+	unpacker unpacker
 }
 
 // Aim sets the version that is to be gathered and the root of its tree.
@@ -131,12 +136,15 @@
 		return nil
 	}
 	a := &assembly{held: f.held, kept: make(map[Sum]*node, len(f.held)), table: &routing.Table{Version: f.version}}
-	a.count(f.root)
-	a.allocate()
 	a.add(f.root)
 	a.giveKeys()
-	f.held = a.kept
-	a.table.Index()
+	if f.last != nil && slices.Equal(a.runs, f.runs) {
+		a.table.Routes = f.last.Routes
+	} else {
+		a.joinRoutes()
+	}
+	a.table.IndexLike(f.last)
+	f.held, f.runs, f.last = a.kept, a.runs, a.table
 	return a.table
 }
 
@@ -144,25 +152,11 @@
 type assembly struct {
 	held, kept map[Sum]*node
 	table      *routing.Table
+	runs       []*routes
 	keys       []key
-	routes     int
-}
-
-// count counts the routes under a node.
-func (a *assembly) count(sum Sum) {
-	n := a.held[sum]
-	if n.Routes != nil {
-		a.routes += len(n.Routes.list)
-	}
-	for _, c := range n.Children {
-		a.count(c.Sum)
-	}
 }
 
-func (a *assembly) allocate() { a.table.Routes = make([]routing.Route, 0, a.routes) }
-
-// add adds what is under a node to the table. The nodes' routes are those of the table from then on:
-// they need no memory of their own.
+// add adds what is under a node to the table, but for routes and keys, which it gathers.
 func (a *assembly) add(sum Sum) {
 	n := a.held[sum]
 	a.kept[sum] = n
@@ -170,9 +164,7 @@
 		a.add(c.Sum)
 	}
 	if n.Routes != nil {
-		begin := len(a.table.Routes)
-		a.table.Routes = append(a.table.Routes, n.Routes.list...)
-		n.Routes.list = a.table.Routes[begin:]
+		a.runs = append(a.runs, n.Routes)
 	}
 	a.table.Services = append(a.table.Services, n.Services...)
 	a.table.Teams = append(a.table.Teams, n.Teams...)
@@ -182,6 +174,21 @@
 	}
 }
 
+// joinRoutes copies the runs into one list. The runs are parts of that list from then on: they need
+// no memory of their own.
+func (a *assembly) joinRoutes() {
+	count := 0
+	for _, run := range a.runs {
+		count += len(run.list)
+	}
+	a.table.Routes = make([]routing.Route, 0, count)
+	for _, run := range a.runs {
+		begin := len(a.table.Routes)
+		a.table.Routes = append(a.table.Routes, run.list...)
+		run.list = a.table.Routes[begin:]
+	}
+}
+
 // giveKeys gives the teams their keys.
 func (a *assembly) giveKeys() {
 	byName := make(map[string]*routing.Team, len(a.table.Teams))
--- a/hashtree/hashtree_test.go
+++ b/hashtree/hashtree_test.go
@@ -135,6 +135,41 @@
 	}
 }
 
+// TestSameRoutesAreNotIndexedAnew: a change beside the routes shares their memory, and look-ups in both
+// tables go by their own teams.
+func TestSameRoutesAreNotIndexedAnew(t *testing.T) {
+	table := tableOf(3, 500, 4, 2)
+	first := Build(table, nil)
+	var f Fetch
+	fetchAll(t, &f, first, 1, 32<<10)
+	before := f.Table()
+	changed := *table
+	changed.Teams = append([]routing.Team(nil), table.Teams...)
+	taken := changed.Teams[1].Keys[0]
+	changed.Teams[1].Keys = changed.Teams[1].Keys[1:]
+	fetchAll(t, &f, Build(&changed, first), 2, 32<<10)
+	after := f.Table()
+	if &before.Routes[0] != &after.Routes[0] {
+		t.Error("the routes were copied")
+	}
+	r := &table.Routes[77]
+	if got := after.Match(r.Host, r.Prefix); got == nil || got.Name != r.Name {
+		t.Errorf("route %s is not found", r.Name)
+	}
+	if before.Holder(taken) == nil || after.Holder(taken) != nil {
+		t.Error("a key that was taken away is held, or was lost before")
+	}
+	changed.Routes = append([]routing.Route(nil), table.Routes...)
+	changed.Routes[77].Prefix = "/moved/"
+	fetchAll(t, &f, Build(&changed, first), 3, 32<<10)
+	if got := f.Table().Match(r.Host, "/moved/x"); got == nil || got.Name != r.Name {
+		t.Error("a moved route is not found")
+	}
+	if after.Match(r.Host, "/moved/x") != nil {
+		t.Error("the table before changed")
+	}
+}
+
 // TestNothingIsFetchedTwice: connections that end, and newer versions that come meanwhile, lose
 // nothing that came.
 func TestNothingIsFetchedTwice(t *testing.T) {
@@ -243,6 +278,14 @@
 		}
 	})
 	b.Run("table", func(b *testing.B) {
+		var f Fetch
+		fetchAll(b, &f, tree, 1, 32<<10)
+		for range b.N {
+			f.last = nil
+			f.Table()
+		}
+	})
+	b.Run("same routes", func(b *testing.B) {
 		var f Fetch
 		fetchAll(b, &f, tree, 1, 32<<10)
 		for range b.N {
--- a/message/message.go
+++ b/message/message.go
@@ -167,3 +167,25 @@
 	Grants   []event.Granted
 	Refusals []event.Refused
 }
+
+// Size implements link.Sized: about how many bytes the message takes. What is of fixed size in it
+// counts as nothing.
+func (e *Envelope) Size() int {
+	size := 0
+	switch {
+	case e.Consensus != nil:
+		for i := range e.Consensus.Entries {
+			size += len(e.Consensus.Entries[i].Data)
+		}
+		if s := e.Consensus.Snapshot; s != nil {
+			size += len(s.Data)
+		}
+	case e.View != nil:
+		size += len(e.View.Endpoints)
+	case e.Nodes != nil:
+		for i := range e.Nodes.List {
+			size += len(e.Nodes.List[i].Packed)
+		}
+	}
+	return size
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -98,13 +98,17 @@
 // place is where a route stands.
 type place struct{ host, prefix string }
 
-// Index makes the table ready for look-ups. It must be called once, before any.
-func (t *Table) Index() {
-	t.places = make(map[place]*Route, len(t.Routes))
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		r.MaxAttempts = max(1, r.MaxAttempts)
-		t.places[place{strings.ToLower(r.Host), r.Prefix}] = r
+// Index makes the table ready for look-ups. It, or IndexLike, must be called once, before any.
+func (t *Table) Index() { t.IndexLike(nil) }
+
+// IndexLike is Index where an older table may have the very same routes, in the same memory: their
+// index is taken over. A change of a key or a limit beside 14,000 routes then takes 0.16 ms, not 4.0 ms
+// (BenchmarkTree). The older table may be nil.
+func (t *Table) IndexLike(old *Table) {
+	if old != nil && len(t.Routes) > 0 && len(t.Routes) == len(old.Routes) && &t.Routes[0] == &old.Routes[0] {
+		t.places = old.places
+	} else {
+		t.indexRoutes()
 	}
 	t.keys = make(map[string]*Team)
 	t.team = make(map[string]*Team, len(t.Teams))
@@ -120,6 +124,15 @@
 	}
 }
 
+func (t *Table) indexRoutes() {
+	t.places = make(map[place]*Route, len(t.Routes))
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		r.MaxAttempts = max(1, r.MaxAttempts)
+		t.places[place{strings.ToLower(r.Host), r.Prefix}] = r
+	}
+}
+
 // Match returns the route with the longest prefix of path at a host; nil if
 // there is none. The host may carry a port.
 func (t *Table) Match(host, path string) *Route {
