--- a/consensus/doc.go
+++ b/consensus/doc.go
@@ -18,6 +18,10 @@
 //     a learner; once it holds all that is committed, saved, its old self is
 //     removed and it becomes a voter, one change at a time.
 //   - Leadership transfer on a planned stop, and snapshots.
+//   - Messages of bounded bytes, one with entries or a piece of a snapshot at a
+//     time to a member, with heartbeats behind it. Their replies tell what came;
+//     nothing is sent again before. Members that take snapshots at the same
+//     entries, with equal bytes, go on with each other's transfers.
 //
 // The order that a carrier must keep: save HardState, Snapshot and Entries,
 // then send Messages. Early may be sent at once. After a save it tells the node
--- a/store/doc.go
+++ b/store/doc.go
@@ -3,7 +3,7 @@
 // Package store keeps a member's part of the replicated log in one folder.
 //
 //	identity     the box, its disk's incarnation and the group it belongs to
-//	snapshot-N   the state machine up to entry N
+//	snapshot-N   the state machine up to entry N, as records of a head and of pieces
 //	log-N        records after snapshot N: hard states and entries
 //
 // Each record and each snapshot carries a checksum. Nothing counts as written
