--- a/budget/bench_test.go
+++ b/budget/bench_test.go
@@ -35,7 +35,7 @@
 	return b, now
 }
 
-var benchSizes = []struct{ accounts, entries int }{{5, 4}, {16, 22}, {40, 103}, {1200, 390}}
+var benchSizes = []struct{ accounts, entries int }{{5, 4}, {16, 22}, {40, 103}, {1200, 390}, {14000, 30}}
 
 // BenchmarkRecord measures a record and tells its size.
 func BenchmarkRecord(b *testing.B) {
