--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -53,9 +53,8 @@
 	Limits  admission.Limits
 	// Fresh is how long the configuration counts after it was known to be the
 	// newest.
-	Fresh  event.Span
-	Decode func([]byte) (*routing.Table, error)
-	Log    *zap.Logger
+	Fresh event.Span
+	Log   *zap.Logger
 }
 
 // LinkID names a connection to a control box; 0 is none.
@@ -84,6 +83,8 @@
 	table  atomic.Pointer[routing.Table]
 	fresh  atomic.Int64  // event.Time until which the table may be used
 	pace   atomic.Int64  // entries that share endpoints
+	told   atomic.Uint64 // the newest version that an owner told of
+	nodes  atomic.Int64  // bytes of configurations' nodes that came
 	known  chan struct{} // closed when a configuration is in force for the first time
 
 	link      LinkID
@@ -94,6 +95,7 @@
 	lostAt    event.Time
 	pinged    event.Time
 	ponged    event.Time
+	came      int64    // bytes that came on the present link, as last looked at
 	members   []string // known control boxes
 	hint      string   // the leader, as last told
 	nextTry   int
@@ -102,7 +104,8 @@
 	endpoints map[event.EndpointID]message.Endpoint
 	revision  uint64            // of the registry, as endpoints has it
 	lent      budget.Allowances // what may be spent without an owner
-	alone     *admission.State  // nil while there is an owner
+	fetch     configFetch
+	alone     *admission.State // nil while there is an owner
 	batch     message.Batch
 	effects   event.Effects
 	out       ClientEffects
@@ -136,6 +139,7 @@
 		endpoints: make(map[event.EndpointID]message.Endpoint),
 		known:     make(chan struct{}),
 		nextTry:   int(c.Life % uint64(len(c.Control)+1)),
+		fetch:     configFetch{window: windowMost},
 	}
 	a.pace.Store(1)
 	return a
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -73,6 +73,7 @@
 		hello.Running = append(hello.Running, *r)
 	}
 	a.ponged, a.pinged = now, now
+	a.came = 0
 	a.send(&message.Envelope{Hello: hello})
 	a.send(&message.Envelope{Ping: &message.Ping{Sent: now}})
 	a.batch = message.Batch{}
@@ -83,6 +84,7 @@
 func (a *OwnerClient) lose(now event.Time, why string, err error) {
 	a.out.Closes = append(a.out.Closes, a.link)
 	a.link = 0
+	a.fetch.linkLost()
 	level := zap.DebugLevel
 	if a.owned {
 		a.lostAt = now
@@ -91,7 +93,24 @@
 	a.owned = false
 	a.dialAt = now
 	a.batch = message.Batch{}
-	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)))
+	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)),
+		zap.Int64("bytes", a.came), zap.Uint64("version", a.version()))
+}
+
+// Came takes note of how many bytes have come on a connection, whole messages or not. A line on a
+// lost owner tells with it a link that is silent from one that is full.
+func (a *OwnerClient) Came(link LinkID, bytes int64) {
+	if link == a.link {
+		a.came = bytes
+	}
+}
+
+// version returns the version that is in force; 0 if none is.
+func (a *OwnerClient) version() uint64 {
+	if t := a.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
 }
 
 // Lost takes note that a connection has ended.
@@ -118,6 +137,8 @@
 		}
 	case m.View != nil:
 		a.see(now, m.View)
+	case m.Nodes != nil:
+		a.takeNodes(now, m.Nodes)
 	case m.Pong != nil:
 		a.pong(now, m.Pong)
 	case m.Decisions != nil:
@@ -177,8 +198,8 @@
 	if v.Signs {
 		a.seeSigns(v.Silent)
 	}
-	if len(v.Document) > 0 {
-		a.put(now, v)
+	if v.Version > 0 {
+		a.aim(now, v)
 	}
 }
 
@@ -197,17 +218,3 @@
 		}
 	}
 }
-
-// put puts a configuration in force. An entry never goes back to an older one.
-func (a *OwnerClient) put(now event.Time, v *message.View) {
-	if t := a.table.Load(); t != nil && t.Version >= v.Version {
-		return
-	}
-	table, err := a.config.Decode(v.Document)
-	if err != nil {
-		a.log.Error("configuration not read", zap.Uint64("version", v.Version), logx.Err(err))
-		return
-	}
-	a.table.Store(table)
-	a.log.Info("configuration in force", zap.Uint64("version", v.Version), zap.Int("routes", len(table.Routes)))
-}
