admission, budget: limits of teams and services that left are dropped

Cause: an owner's book kept each account that ever had a limit until the owner ended. Change: a new table drops the limits of those that it does not have.

--- a/admission/quota.go
+++ b/admission/quota.go
@@ -17,6 +17,8 @@
 	// GiveBack takes back what was spent at a moment and that no endpoint had.
 	GiveBack(now event.Time, a budget.Account, at event.Time, amount int)
 	SetLimit(now event.Time, a budget.Account, l budget.Limit)
+	// DropLimit says that an account is bounded no more and will not be spent from.
+	DropLimit(a budget.Account)
 	// Room returns how long it takes until an amount may fit.
 	Room(now event.Time, a budget.Account, amount int) event.Span
 	// State returns what was spent of an account and may be, for the log.
@@ -36,6 +38,21 @@
 	s.budget.SetLimit(now, budget.Team(team.Name), budget.Limit{Window: s.limits.QuotaWindow, Most: most, Base: most})
 }
 
+// dropLimits drops the limits of a table's teams and services that are not in force any more:
+// an owner would else keep each that it ever had.
+func (s *State) dropLimits(old *routing.Table) {
+	for i := range old.Teams {
+		if name := old.Teams[i].Name; s.quotaOf(name) == nil {
+			s.budget.DropLimit(budget.Team(name))
+		}
+	}
+	for i := range old.Services {
+		if name := old.Services[i].Name; s.table.Service(name) == nil {
+			s.budget.DropLimit(budget.Repeats(name))
+		}
+	}
+}
+
 // limitRepeats bounds a service's repeats by the requests that it had lately. What counts
 // may arrive later by message.RepeatLife, so it counts for that much longer.
 func (s *State) limitRepeats(now event.Time, name string, v *service) {
--- a/admission/state.go
+++ b/admission/state.go
@@ -78,7 +78,11 @@
 
 // SetTable puts a table in force.
 func (s *State) SetTable(now event.Time, t *routing.Table) {
+	old := s.table
 	s.table = t
+	if old != nil {
+		s.dropLimits(old)
+	}
 	for i := range t.Services {
 		name := t.Services[i].Name
 		s.limitRepeats(now, name, s.service(now, name))
--- a/budget/allowances.go
+++ b/budget/allowances.go
@@ -77,6 +77,9 @@
 // SetLimit does nothing: limits are the owner's matter.
 func (s *Allowances) SetLimit(event.Time, Account, Limit) {}
 
+// DropLimit does nothing, as SetLimit.
+func (s *Allowances) DropLimit(Account) {}
+
 // Room returns when there may be an owner again that has room.
 func (s *Allowances) Room(event.Time, Account, int) event.Span { return ownerSoon }
 
