--- a/budget/bench_test.go
+++ b/budget/bench_test.go
@@ -101,3 +101,21 @@
 		}
 	}
 }
+
+// BenchmarkLedger measures what a snapshot takes of the records, and tells its size.
+func BenchmarkLedger(b *testing.B) {
+	for _, teams := range []int{16, 1200, 14000} {
+		b.Run(fmt.Sprintf("%d teams", teams), func(b *testing.B) {
+			l := fullLedger(teams)
+			size := 0
+			for b.Loop() {
+				data, err := json.Marshal(l.Record())
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/budget/size_test.go
+++ b/budget/size_test.go
@@ -177,3 +177,46 @@
 		t.Errorf("told %d of %d accounts", len(told), manyTeams)
 	}
 }
+
+// fullLedger returns a log with a line on each of many teams.
+func fullLedger(teams int) *Ledger {
+	var r Record
+	for i := range teams {
+		line := Line{Account: manyTeam(i), Mark: 600, Lent: 800}
+		for range recordBins {
+			line.Spent = append(line.Spent, 300)
+		}
+		r.Lines = append(r.Lines, line)
+	}
+	var l Ledger
+	l.Apply(r)
+	l.Heard(0)
+	return &l
+}
+
+// mostStep is the longest that one step of an owner may take: an eighth of the time after
+// which another box stands for its place, since its loop stands still meanwhile.
+const mostStep = 50 * time.Millisecond
+
+// TestOwnerInheritsWithinItsLease: an owner that follows another takes over all lines of the
+// log and makes its first Record, each in one step. The best of some runs counts.
+func TestOwnerInheritsWithinItsLease(t *testing.T) {
+	l := fullLedger(manyTeams)
+	inherit, record := time.Hour, time.Hour
+	for range 5 {
+		now := at(event.Second)
+		began := time.Now()
+		b := InheritLedger(now, testFresh, l)
+		for i := range manyTeams {
+			b.SetLimit(now, manyTeam(i), testLimit)
+		}
+		inherit = min(inherit, time.Since(began))
+		began = time.Now()
+		b.MakeRecord(now)
+		record = min(record, time.Since(began))
+	}
+	t.Logf("%d lines inherited in %v, the first record made in %v", manyTeams, inherit, record)
+	if inherit > mostStep || record > mostStep {
+		t.Errorf("%d lines inherited in %v, the first record made in %v, want %v at the most", manyTeams, inherit, record, mostStep)
+	}
+}
