registry, cluster, gateway: entries are told of endpoints in pieces

Cause: a session began with all endpoints in one message, in front of the owner's signs of life and from its beginning with each connection; news of a tick had no bound either.

Change: the registry knows its changes in their order (registry.After). A piece has 48 kB of endpoints before they are packed, and its own revision: who has it goes on from there, also with another owner. The next one is sent when the entry says that it has the last one, which it does at once. Endpoints that an owner does not name are dropped with the last piece, so that an entry that loses its owner between has what it knew. News that have not room in a tick's message wait for the next; a session that is still behind gets them without a revision.

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -35,8 +35,9 @@
 	book     *budget.Book
 	record   consensus.Index // of the last record of the book in the log
 	news     map[string]bool // endpoints, by id, of which the entries are not yet told
-	all      message.Packed  // the registry at the revision allAt
-	allAt    uint64
+	pieces   map[uint64]registry.Piece // by what they come after, at the revision piecesAt
+	piecesAt uint64
+	packed   map[pieceKey]message.Packed
 	toldAt   event.Time // when the log was last told of budgets
 }
 
@@ -52,6 +53,7 @@
 type session struct {
 	entry event.BoxID
 	told  uint64 // version of the configuration that it was told of
+	view  viewProgress
 }
 
 // entry is what is known of an entry over its connections.
@@ -72,6 +74,8 @@
 		began:    now,
 		keepTime: s.settings.Fresh + s.settings.Limits.QuotaWindow,
 		news:     make(map[string]bool),
+		pieces:   make(map[uint64]registry.Piece),
+		packed:   make(map[pieceKey]message.Packed),
 	}
 	o.admission = admission.New(s.settings.Limits, s.settings.Seed, o.book)
 	if s.config.table != nil {
@@ -263,12 +267,6 @@
 	}
 }
 
-func (o *owner) sendAll(m *message.Envelope, out *Effects) {
-	for id := range o.sessions {
-		out.Sends = append(out.Sends, Send{id, m})
-	}
-}
-
 // tellConfig tells an entry which configuration is the newest. The entry asks for what it lacks of
 // it, a little at a time: a document sent whole held up the owner's signs of life for longer than
 // entries wait for them, and began anew with each connection.
@@ -329,7 +327,7 @@
 	for _, r := range b.Hello.Running {
 		o.admission.Adopt(now, name, r, &o.effects)
 	}
-	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: o.firstView(b.Hello.Revision, s)}})
+	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: o.firstView(one, b.Hello.Revision, s)}})
 	o.tellConfig(b.Session, one, s, out)
 	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
 		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)})
@@ -352,6 +350,7 @@
 		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: o.count(now),
 		Lent: o.book.Lend(now, one.entry, len(o.entries)),
 	}}})
+	o.sendView(p, one, s, out)
 }
 
 // hearWord takes what an entry tells with a question, which it does not tell again: also while
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -12,7 +12,34 @@
 )
 
 // This file is what an owner tells entries of endpoints. It grows with what changes, not
-// with endpoints times entries.
+// with endpoints times entries, and goes in pieces: an owner's signs of life wait behind one
+// of them at the most.
+
+const (
+	// viewBytes bounds the endpoints in one message, before they are packed to half of that:
+	// 19 ms of a link of 1.25 MB/s.
+	viewBytes = 48 << 10
+	// silentMost bounds the silent endpoints that one message names: 14 kB of ids.
+	silentMost = 1000
+	// packedMost is how many packed pieces are kept for sessions that begin alike.
+	packedMost = 64
+)
+
+// viewProgress is how far a session has been told what it begins with.
+type viewProgress struct {
+	upTo     uint64 // revision
+	isBehind bool   // there is more
+	// isListed says that silent was made: endpoints that the entry is to be told are silent.
+	isListed bool
+	silent   []string
+}
+
+// pieceKey names a piece of the registry. Changes only leave the revisions that are past, so
+// that its count tells one from what is left of it.
+type pieceKey struct {
+	after, upTo uint64
+	count       int
+}
 
 // show hands news of an endpoint to the scheduler, and with the next tick to all entries.
 func (o *owner) show(now event.Time, e registry.Endpoint) {
@@ -22,56 +49,135 @@
 
 // tellNews tells all entries what changed of endpoints since the last tick, in one message:
 // one for each change and entry would be 900,000 while 3,000 endpoints come to 300 entries.
+// What one message has not room for waits for the next tick.
 func (o *owner) tellNews(s *State, out *Effects) {
 	if len(o.news) == 0 {
 		return
 	}
-	view := &message.View{Revision: s.machine.registry.Revision}
+	view := &message.View{}
 	var seen []message.Endpoint
+	size := 0
 	for _, id := range slices.Sorted(maps.Keys(o.news)) {
+		if size >= viewBytes {
+			break
+		}
+		delete(o.news, id)
 		if e, ok := s.machine.registry.Endpoints[id]; ok {
 			seen = append(seen, message.Endpoint{Endpoint: e, Down: o.down[id]})
+			size += e.Size()
 		} else {
 			view.Gone = append(view.Gone, event.EndpointID(id))
+			size += len(id)
 		}
 	}
-	clear(o.news)
 	if len(seen) > 0 {
 		view.Endpoints = message.Pack(seen)
 	}
-	o.sendAll(&message.Envelope{View: view}, out)
+	o.sendNews(view, s, out)
+}
+
+// sendNews sends news to all entries. Those that have all before it know the registry up to
+// its revision then; a session that is still told what it begins with does not.
+func (o *owner) sendNews(view *message.View, s *State, out *Effects) {
+	complete := *view
+	if len(o.news) == 0 {
+		complete.Revision = s.machine.registry.Revision
+	}
+	all, some := &message.Envelope{View: &complete}, &message.Envelope{View: view}
+	for id, one := range o.sessions {
+		if one.view.isBehind {
+			out.Sends = append(out.Sends, Send{id, some})
+			continue
+		}
+		out.Sends = append(out.Sends, Send{id, all})
+	}
 }
 
 // firstView returns what a session begins with: what has changed of endpoints since the
-// revision that its entry knows, and which of them are silent. All of 3,000 endpoints for
-// each of 300 entries at once, as after a change of owner, would be 86 MB in memory, by their size.
-func (o *owner) firstView(revision uint64, s *State) *message.View {
-	changed, gone, ok := s.machine.registry.Since(revision)
-	view := &message.View{Whole: !ok, Revision: s.machine.registry.Revision, Signs: true, Members: s.memberLinks()}
-	switch {
-	case !ok:
-		view.Endpoints = o.allEndpoints(s)
-	case len(changed) > 0:
-		view.Endpoints = message.Pack(endpoints(changed))
-	}
-	for _, id := range gone {
+// revision that its entry knows, and which of them are silent, or the first piece of that.
+func (o *owner) firstView(one *session, revision uint64, s *State) *message.View {
+	reaches := s.machine.registry.Reaches(revision)
+	if !reaches {
+		revision = 0
+	}
+	one.view = viewProgress{upTo: revision}
+	view := o.nextView(one, s)
+	view.Whole, view.Signs, view.Members = !reaches, true, s.memberLinks()
+	return view
+}
+
+// sendView sends the next piece of what a session begins with, when the last one is there.
+func (o *owner) sendView(p *SessionPinged, one *session, s *State, out *Effects) {
+	if !one.view.isBehind || p.Ping.Revision < one.view.upTo {
+		return
+	}
+	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{View: o.nextView(one, s)}})
+}
+
+// nextView returns the next piece for a session.
+func (o *owner) nextView(one *session, s *State) *message.View {
+	v := &one.view
+	p := o.pieceAfter(v.upTo, s)
+	view := &message.View{Endpoints: o.pack(v.upTo, p), Revision: p.UpTo}
+	for _, id := range p.Gone {
 		view.Gone = append(view.Gone, event.EndpointID(id))
 	}
-	for _, id := range slices.Sorted(maps.Keys(o.down)) {
-		if o.down[id] {
-			view.Silent = append(view.Silent, event.EndpointID(id))
-		}
+	v.upTo = p.UpTo
+	if !p.More {
+		view.Silent = o.nextSilent(v)
 	}
+	v.isBehind = p.More || len(v.silent) > 0
+	view.More = v.isBehind
 	return view
 }
 
-// allEndpoints returns the whole registry, packed once for all sessions that begin at a
-// revision.
-func (o *owner) allEndpoints(s *State) message.Packed {
-	if r := s.machine.registry.Revision; o.allAt != r || o.all == nil {
-		o.all, o.allAt = message.Pack(endpoints(s.machine.registry.List())), r
+// nextSilent returns some of the silent endpoints that an entry is to be told of.
+func (o *owner) nextSilent(v *viewProgress) (list []event.EndpointID) {
+	if !v.isListed {
+		v.isListed = true
+		v.silent = slices.Sorted(maps.Keys(o.down))
+	}
+	for len(v.silent) > 0 && len(list) < silentMost {
+		if id := v.silent[0]; o.down[id] {
+			list = append(list, event.EndpointID(id))
+		}
+		v.silent = v.silent[1:]
+	}
+	return list
+}
+
+// pieceAfter returns the piece of the registry after a revision, made once for all sessions
+// that begin alike: 0.3 ms each for ten pieces of 10,000 endpoints and 300 entries are 0.9 s
+// after a change of owner.
+func (o *owner) pieceAfter(revision uint64, s *State) registry.Piece {
+	if at := s.machine.registry.Revision; o.piecesAt != at {
+		clear(o.pieces)
+		o.piecesAt = at
+	}
+	p, ok := o.pieces[revision]
+	if !ok {
+		p = s.machine.registry.After(revision, viewBytes)
+		o.pieces[revision] = p
+	}
+	return p
+}
+
+// pack returns the endpoints of a piece, packed once for all sessions that begin alike: 10,000
+// endpoints for each of 300 entries would be packed 3,000,000 times after a change of owner.
+func (o *owner) pack(after uint64, p registry.Piece) message.Packed {
+	if len(p.Endpoints) == 0 {
+		return nil
+	}
+	key := pieceKey{after, p.UpTo, len(p.Endpoints)}
+	packed, ok := o.packed[key]
+	if !ok {
+		if len(o.packed) >= packedMost {
+			clear(o.packed)
+		}
+		packed = message.Pack(endpoints(p.Endpoints))
+		o.packed[key] = packed
 	}
-	return o.all
+	return packed
 }
 
 func endpoints(list []registry.Endpoint) []message.Endpoint {
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -102,14 +102,17 @@
 	waiting   map[event.RequestID]*waiter
 	running   map[event.RequestID]*message.Running
 	endpoints map[event.EndpointID]message.Endpoint
-	revision  uint64            // of the registry, as endpoints has it
-	lent      budget.Allowances // what may be spent without an owner
-	untold    []event.RequestID // requests that ran when the session began, not told yet
-	fetch     configFetch
-	alone     *admission.State // nil while there is an owner
-	batch     message.Batch
-	effects   event.Effects
-	out       ClientEffects
+	revision  uint64 // of the registry, as endpoints has it
+	// listed are the endpoints that an owner has named since it began to list all; nil while
+	// none does.
+	listed  map[event.EndpointID]bool
+	lent    budget.Allowances // what may be spent without an owner
+	untold  []event.RequestID // requests that ran when the session began, not told yet
+	fetch   configFetch
+	alone   *admission.State // nil while there is an owner
+	batch   message.Batch
+	effects event.Effects
+	out     ClientEffects
 }
 
 // waiter is a request without a decision.
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -181,34 +181,68 @@
 		return
 	}
 	if v.Whole {
-		clear(a.endpoints)
+		a.listed = make(map[event.EndpointID]bool)
 	}
 	for _, e := range endpoints {
-		a.endpoints[event.EndpointID(e.ID)] = e
+		a.list(e)
 	}
 	for _, id := range v.Gone {
 		delete(a.endpoints, id)
 	}
+	if (v.Whole || v.Revision > 0) && !v.More {
+		a.dropUnlisted()
+	}
 	a.revision = max(a.revision, v.Revision)
 	if v.Whole {
 		a.revision = v.Revision // of another log, perhaps
 	}
 	if v.Signs {
-		a.seeSigns(v.Silent)
+		a.seeSigns()
+	}
+	a.seeSilent(v.Silent)
+	if v.More {
+		a.ask(now)
 	}
 	if v.Version > 0 {
 		a.aim(now, v)
 	}
 }
 
-// seeSigns takes which endpoints give signs of life: all but those that are silent.
-func (a *OwnerClient) seeSigns(silent []event.EndpointID) {
+// list takes an owner's word on an endpoint.
+func (a *OwnerClient) list(e message.Endpoint) {
+	id := event.EndpointID(e.ID)
+	a.endpoints[id] = e
+	if a.listed != nil {
+		a.listed[id] = true
+	}
+}
+
+// dropUnlisted drops the endpoints that an owner did not list of all, when it has listed all.
+// Until then an entry that loses it has those that it knew.
+func (a *OwnerClient) dropUnlisted() {
+	if a.listed == nil {
+		return
+	}
+	for id := range a.endpoints {
+		if !a.listed[id] {
+			delete(a.endpoints, id)
+		}
+	}
+	a.listed = nil
+}
+
+// seeSigns takes that all endpoints give signs of life.
+func (a *OwnerClient) seeSigns() {
 	for id, e := range a.endpoints {
 		if e.Down {
 			e.Down = false
 			a.endpoints[id] = e
 		}
 	}
+}
+
+// seeSilent takes which endpoints give none.
+func (a *OwnerClient) seeSilent(silent []event.EndpointID) {
 	for _, id := range silent {
 		if e, ok := a.endpoints[id]; ok {
 			e.Down = true
--- /dev/null
+++ b/gateway/view_test.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+)
+
+func pieceOf(ids ...string) message.Packed {
+	var list []message.Endpoint
+	for _, id := range ids {
+		list = append(list, message.Endpoint{Endpoint: registry.Endpoint{ID: id, Service: "s"}})
+	}
+	return message.Pack(list)
+}
+
+// TestAllIsTakenInPieces: an entry that is told all endpoints piece by piece asks for each
+// next one at once, keeps those that it knew until the last piece is there, over another
+// connection too, and drops then what was not named. News between the pieces don't end them.
+func TestAllIsTakenInPieces(t *testing.T) {
+	a := NewOwnerClient(ClientConfig{Entry: "entry", Control: []string{"box"}, Fresh: 5 * event.Second, Log: zap.NewNop()})
+	see := func(v message.View) (asked bool) {
+		a.Received(0, a.link, &message.Envelope{View: &v})
+		for _, s := range a.Take().Sends {
+			asked = asked || (s.Message.Ping != nil && s.Message.Ping.Revision == a.revision)
+		}
+		return asked
+	}
+	check := func(revision uint64, want ...event.EndpointID) {
+		t.Helper()
+		if diff := cmp.Diff(want, slices.Sorted(maps.Keys(a.endpoints))); diff != "" || a.revision != revision {
+			t.Errorf("revision %d, want %d: %s", a.revision, revision, diff)
+		}
+	}
+	a.Dialed(0, 1, "box")
+	a.Take()
+	if see(message.View{Whole: true, Signs: true, Endpoints: pieceOf("old", "kept"), Revision: 900}) {
+		t.Error("asked for more when all was there")
+	}
+	check(900, "kept", "old")
+	a.Lost(0, 1, nil)
+	a.Dialed(0, 2, "box")
+	a.Take()
+	if !see(message.View{Whole: true, Signs: true, Endpoints: pieceOf("a"), Revision: 10, More: true}) {
+		t.Error("did not ask for more")
+	}
+	check(10, "a", "kept", "old")
+	see(message.View{Endpoints: pieceOf("news")})
+	check(10, "a", "kept", "news", "old")
+	a.Lost(0, 2, nil)
+	a.Dialed(0, 3, "box")
+	if hello := a.Take().Sends[0].Message.Hello; hello.Revision != 10 {
+		t.Errorf("greets with revision %d, want 10", hello.Revision)
+	}
+	see(message.View{Signs: true, Endpoints: pieceOf("kept"), Revision: 20, More: true})
+	check(20, "a", "kept", "news", "old")
+	see(message.View{Endpoints: pieceOf("b"), Silent: []event.EndpointID{"kept"}, Revision: 30})
+	check(30, "a", "b", "kept", "news")
+	if !a.endpoints["kept"].Down || a.endpoints["a"].Down {
+		t.Errorf("%+v, want kept alone to be silent", a.endpoints)
+	}
+}
--- a/message/message.go
+++ b/message/message.go
@@ -73,6 +73,8 @@
 	// what it spent of it since it last told.
 	Has   uint64
 	Spent []budget.Holding
+	// Revision is that of the newest change of the registry that the sender was told.
+	Revision uint64
 	// More says that there is more to tell of what was held when the session began, and
 	// Running is more of what ran then.
 	More    bool
@@ -103,8 +105,12 @@
 	Whole     bool
 	Endpoints Packed
 	Gone      []event.EndpointID
-	// Revision is that of the registry with these changes; 0 in a View that has none.
+	// Revision is that of the registry with these changes; 0 in a View that has not all up to
+	// one.
 	Revision uint64
+	// More says that there is more to tell of what the session begins with, which the owner
+	// sends when a Ping says that this is there.
+	More bool
 	// Signs says that all endpoints give signs of life but those in Silent. An owner begins
 	// a session with it: what an earlier one believed counts no more.
 	Signs   bool
--- a/message/pack_test.go
+++ b/message/pack_test.go
@@ -45,21 +45,24 @@
 	}
 }
 
-// BenchmarkPack measures what a list costs who sends it and who reads it.
+// BenchmarkPack measures what a list costs who sends it and who reads it: a piece, as an owner
+// sends them, and all at once.
 func BenchmarkPack(b *testing.B) {
-	all := list(3000)
-	packed := Pack(all)
-	b.Run("pack", func(b *testing.B) {
-		for range b.N {
-			packed = Pack(all)
-		}
-		b.ReportMetric(float64(len(packed)), "bytes")
-	})
-	b.Run("unpack", func(b *testing.B) {
-		for range b.N {
-			if _, err := packed.Unpack(); err != nil {
-				b.Fatal(err)
+	for _, n := range []int{1000, 3000, 10000} {
+		all := list(n)
+		packed := Pack(all)
+		b.Run(fmt.Sprintf("pack %d", n), func(b *testing.B) {
+			for range b.N {
+				packed = Pack(all)
 			}
-		}
-	})
+			b.ReportMetric(float64(len(packed)), "bytes")
+		})
+		b.Run(fmt.Sprintf("unpack %d", n), func(b *testing.B) {
+			for range b.N {
+				if _, err := packed.Unpack(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -54,6 +54,7 @@
 	// What follows is derived; index makes it.
 	byAddress map[string]string
 	isGone    map[string]struct{}
+	order     []change // by revision, perhaps with some that are not the last of their endpoint
 }
 
 // index makes what is derived, for a State that is new or was read from a snapshot.
@@ -81,6 +82,7 @@
 	for _, id := range s.Gone {
 		s.isGone[id] = struct{}{}
 	}
+	s.sortChanges()
 }
 
 // IsGone reports whether an endpoint said that it ended, or was followed by another at its
@@ -140,6 +142,7 @@
 	s.Endpoints[e.ID] = e
 	s.byAddress[e.Address] = e.ID
 	s.Changed[e.ID] = revision
+	s.note(change{revision: revision, id: e.ID})
 	s.Revision = max(s.Revision, revision)
 	return followed
 }
@@ -177,6 +180,7 @@
 	s.isGone[id] = struct{}{}
 	s.Gone = append(s.Gone, id)
 	s.GoneAt = append(s.GoneAt, revision)
+	s.note(change{revision: revision, id: id, isEnd: true})
 	s.Revision = max(s.Revision, revision)
 	s.forgetGone()
 }
@@ -199,10 +203,15 @@
 // List returns the endpoints by id.
 func (s *State) List() []Endpoint { return s.changedAfter(0) }
 
+// Reaches reports whether all changes after a revision are known.
+func (s *State) Reaches(revision uint64) bool {
+	return revision != 0 && revision >= s.Forgotten && revision <= s.Revision
+}
+
 // Since returns what changed after a revision: endpoints by id, and the ids of those that
 // are gone. It is false where that is not known; then List has all that is there.
 func (s *State) Since(revision uint64) (changed []Endpoint, gone []string, ok bool) {
-	if revision == 0 || revision < s.Forgotten || revision > s.Revision {
+	if !s.Reaches(revision) {
 		return nil, nil, false
 	}
 	s.index()
