--- a/budget/size_test.go
+++ b/budget/size_test.go
@@ -220,3 +220,30 @@
 		t.Errorf("%d lines inherited in %v, the first record made in %v, want %v at the most", manyTeams, inherit, record, mostStep)
 	}
 }
+
+// TestManyEntriesAreLentWhatTheyUse: what an owner keeps of 1,000 entries with 500 teams each
+// were 500,000 credits, whether they were used or not.
+func TestManyEntriesAreLentWhatTheyUse(t *testing.T) {
+	const teams, entries = 500, 1000
+	b := NewBook(0, testFresh)
+	for i := range teams {
+		b.SetLimit(0, manyTeam(i), testLimit)
+	}
+	commit(0, b)
+	for i := range entries {
+		b.Greet(0, event.BoxID(fmt.Sprint(i)), 1, nil)
+	}
+	for range 3 {
+		for i := range entries {
+			name := event.BoxID(fmt.Sprint(i))
+			b.Hear(0, name, b.Lend(0, name, entries).Number, nil)
+		}
+	}
+	credits := 0
+	for _, h := range b.holders {
+		credits += len(h.credits)
+	}
+	if most := 1 << 16; credits > most {
+		t.Errorf("%d credits of %d entries and %d teams, none used, want %d at the most", credits, entries, teams, most)
+	}
+}
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -33,8 +33,8 @@
 	began    event.Time
 	keepTime event.Span
 	book     *budget.Book
-	record   consensus.Index // of the last record of the book in the log
-	news     map[string]bool // endpoints, by id, of which the entries are not yet told
+	record   consensus.Index           // of the last record of the book in the log
+	news     map[string]bool           // endpoints, by id, of which the entries are not yet told
 	pieces   map[uint64]registry.Piece // by what they come after, at the revision piecesAt
 	piecesAt uint64
 	packed   map[pieceKey]message.Packed
