budget: an owner's credits are bounded where there are many entries

Cause: each entry was lent of all accounts, used or not, up to 512 accounts: 500,000 credits of 1,000 entries and 500 teams. Change: beyond 262,144 accounts times entries an entry is lent of what it uses, as beyond 512 accounts. At 300 entries that is 873 accounts, so that only the bound of 512 counts there.

--- a/budget/bounds.go
+++ b/budget/bounds.go
@@ -7,10 +7,12 @@
 // bounds keep what is sent and done at once from growing with accounts.
 type bounds struct {
 	// looks is the most accounts that one answer to an entry looks at; the next one goes on
-	// from there. Where no more accounts have limits, each entry is lent of all of them.
-	// Where there are more, it is lent of those that it used within the span lend.
+	// from there. Where no more accounts have limits, and few entries are there, each entry
+	// is lent of all of them; else of those that it used within the span lend.
 	looks int
 	lend  event.Span
+	// credits is the most accounts times entries with which each entry is lent of all.
+	credits int
 	// message and record bound, in bytes, the accounts in a message of a session and in a
 	// Record of the log, but for one account more.
 	message, record int
@@ -21,6 +23,7 @@
 // of 48 kB takes 38 ms of it.
 var usualBounds = bounds{
 	looks:   512,
+	credits: 1 << 18,      // of 0.2 kB each, of a box's 280 MB
 	lend:    4 * usedSpan, // so that an entry is lent what it uses now and then
 	message: 15 << 10,
 	record:  47 << 10,
--- a/budget/doc.go
+++ b/budget/doc.go
@@ -20,4 +20,12 @@
 //
 // where both sums are over all owners and entries, the dead and the unheard included.
 // What is uncertain is always taken for spent later than it was, never earlier.
+//
+// What is kept, sent and done grows with the accounts that are used, not with those that have
+// limits. Each message and Record is bounded (bounds): a Record that has not room for all that
+// is to be recorded is a part, and the log keeps what it said before of the others (Ledger);
+// a message to an entry lists some of its accounts, and the next one others; an entry tells
+// some of its accounts, and is lent nothing until it has told all. Where there are many
+// accounts an entry is lent of those that it used lately, and forgets the others when the
+// owner knows what it spent of them.
 package budget
--- a/budget/lend.go
+++ b/budget/lend.go
@@ -286,7 +286,9 @@
 }
 
 // isSmall reports whether each entry is lent of all accounts.
-func (b *Book) isSmall() bool { return len(b.limits) <= b.bounds.looks }
+func (b *Book) isSmall() bool {
+	return len(b.limits) <= b.bounds.looks && len(b.limits)*len(b.holders) <= b.bounds.credits
+}
 
 // turn returns the credit whose turn it is to be looked at; nil if that one has ended.
 func (h *holder) turn() *credit {
