--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -17,8 +17,8 @@
 	document Document
 	upload   upload
 	registry registry.State
-	// spending is the newest record of the budgets.
-	spending budget.Record
+	// spending is what the records of the budgets say.
+	spending budget.Ledger
 }
 
 // The first byte of a command says what it is.
@@ -50,7 +50,7 @@
 // change is what a command changed.
 type change struct {
 	document bool
-	spending bool
+	spending *budget.Record
 	seen     []registry.Endpoint
 	gone     []string
 }
@@ -78,8 +78,8 @@
 		if err := json.Unmarshal(body, &r); err != nil {
 			return change{}, errors.Wrap(err, "record of budgets")
 		}
-		m.spending = r
-		return change{spending: true}, nil
+		m.spending.Apply(r)
+		return change{spending: &r}, nil
 	default:
 		return change{}, errors.Errorf("command of kind %d", command[0])
 	}
