--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -156,8 +156,10 @@
 	next     int
 	refuse   event.Reason
 	silent   bool // it answers nothing
+	hold     bool // it decides nothing
 	finished []message.Finish
 	submits  []message.Submission
+	withdrew []message.Withdrawal
 	conn     *link.Conn[message.Envelope]
 	version  uint64
 	trees    map[uint64]*hashtree.Tree
@@ -218,6 +220,11 @@
 
 func (o *scriptedOwner) decide(c *link.Conn[message.Envelope], b *message.Batch) {
 	o.finished = append(o.finished, b.Finish...)
+	o.withdrew = append(o.withdrew, b.Withdraw...)
+	if o.hold {
+		o.submits = append(o.submits, b.Submit...)
+		return
+	}
 	d := &message.Decisions{}
 	for _, s := range b.Submit {
 		o.submits = append(o.submits, s)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -68,6 +68,7 @@
 	decision Decision
 	outcome  outcome
 	err      error
+	untried  bool          // nobody waited for it when its endpoint was found
 	first    time.Duration // to the answer's beginning
 	gap      time.Duration // usual time between tokens
 	tokens   int
@@ -265,7 +266,7 @@
 		},
 		Endpoint: a.decision.Endpoint,
 		Unsent:   a.outcome == outcomeNotSent,
-		Suspect:  a.outcome == outcomeNotSent || (a.outcome == outcomeUnknown && a.first == 0),
+		Suspect:  (a.outcome == outcomeNotSent && !a.untried) || (a.outcome == outcomeUnknown && a.first == 0),
 	}
 	c.gateway.agent.Finish(f)
 	if a.outcome != outcomeDone {
@@ -277,6 +278,12 @@
 // try sends the request to an endpoint and passes its answer on.
 func (c *call) try(ctx context.Context, d Decision) *attempt {
 	a := &attempt{decision: d, outcome: outcomeNotSent}
+	// The caller left, or its time ended, as the grant came: a request on a kept connection
+	// would race with its own cancelling, and its end would tell against the endpoint.
+	if err := ctx.Err(); err != nil {
+		a.err, a.untried = err, true
+		return a
+	}
 	began := time.Now()
 	conn, err := c.gateway.upstream.get(ctx, d.Address, string(d.Endpoint), d.Fresh)
 	if err != nil {
