fleet: callers that rest give way to new ones

Cause: only requests were bounded by descriptors, not connections. Callers that keep theirs rested on an entry until no descriptor was left; it said that it is ready and took no new connection until their time to rest was over (a minute and more).

Change: callers have at most half of the descriptors but the spare ones. Beyond that the connection that has rested longest is closed for a new one, none that is at work.

Ruled out: saying that the entry isn't ready (it could serve); a shorter time to rest (no time bounds the number).

TestLongestRestingGivesWay holds which.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -52,9 +52,7 @@
 		return err
 	}
 	defer ready.Close()
-	server := newServer(g, callersIdle)
-	server.ConnState = newIdleCloser(g.IdleTimeout).observe
-	callers, err := serve(f.Listen.Callers, server)
+	callers, err := serve(f.Listen.Callers, callersServer(g, g.IdleTimeout, f.Resources.Descriptors))
 	if err != nil {
 		return err
 	}
@@ -63,6 +61,14 @@
 	return stopEntry(g, callers, time.Duration(f.Bounds.Stop), log)
 }
 
+// callersServer returns the server of callers, who may rest for as long as idle says, on as
+// many connections as a process with so many descriptors may have for them; 0 for any number.
+func callersServer(h http.Handler, idle func() time.Duration, descriptors int) *http.Server {
+	server := newServer(h, callersIdle)
+	server.ConnState = newIdleCloser(idle, gateway.MayConnect(descriptors)).observe
+	return server
+}
+
 // controlLinks returns the link addresses of the seeds.
 func controlLinks(f settings.Fleet) []string {
 	var list []string
--- a/fleet/idle_test.go
+++ b/fleet/idle_test.go
@@ -27,7 +27,7 @@
 func TestRestingConnectionIsClosedWhenItsTimeIsOver(t *testing.T) {
 	const rest = 300 * time.Millisecond
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	server.Config.ConnState = newIdleCloser(func() time.Duration { return rest }).observe
+	server.Config.ConnState = newIdleCloser(func() time.Duration { return rest }, 0).observe
 	server.Start()
 	defer server.Close()
 	c, err := net.Dial("tcp", server.Listener.Addr().String())
@@ -50,3 +50,44 @@
 		t.Errorf("it was closed after %v", took)
 	}
 }
+
+// TestLongestRestingGivesWay: beyond the most connections the one that has rested longest is
+// closed for a new caller, and none that is at work.
+func TestLongestRestingGivesWay(t *testing.T) {
+	hold := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hold" {
+			<-hold
+		}
+	}))
+	server.Config.ConnState = newIdleCloser(func() time.Duration { return 0 }, 3).observe
+	server.Start()
+	defer server.Close()
+	connect := func() net.Conn {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	works := connect()
+	fmt.Fprint(works, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")
+	rested := make([]net.Conn, 4)
+	for i := range rested {
+		rested[i] = connect()
+		if err := ask(rested[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, closed := range []bool{true, true, false, false} {
+		_ = rested[i].SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := rested[i].Read(make([]byte, 1)); (err == io.EOF) != closed {
+			t.Errorf("connection %d rests until %v, want its close: %t", i, err, closed)
+		}
+	}
+	close(hold)
+	if a, err := http.ReadResponse(bufio.NewReader(works), nil); err != nil || a.StatusCode != http.StatusOK {
+		t.Errorf("the connection at work ended: %v", err)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,8 +23,7 @@
 const (
 	maxHeld = 2000 // requests, where descriptors do not bound them first
 	// heldDescriptors is what a request takes of descriptors: its caller's connection
-	// and its endpoint's. spareDescriptors are for all else, connections that rest
-	// included.
+	// and its endpoint's. spareDescriptors are for all else.
 	heldDescriptors  = 2
 	spareDescriptors = 400
 	// retryUnready is what a caller is told who comes while the entry knows no
@@ -84,7 +83,16 @@
 	if descriptors == 0 {
 		return maxHeld
 	}
-	return int64(min(maxHeld, max(1, (descriptors-spareDescriptors)/heldDescriptors)))
+	return int64(min(maxHeld, MayConnect(descriptors)))
+}
+
+// MayConnect returns how many connections callers may have to a process with so many
+// descriptors, and as many more it may have to endpoints; 0 is without a bound.
+func MayConnect(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(1, (descriptors-spareDescriptors)/heldDescriptors)
 }
 
 // Run drops connections that are not used until ctx ends.
