gateway: connections to endpoints are bounded in all

Cause: 16 resting connections were kept an endpoint, at 320 endpoints 5,120 of an entry's 4,100 descriptors: a bound by count an endpoint, which grows with the deployment.

Change: half of the descriptors but the spare ones are for connections to endpoints, those in use first; beyond that the one kept longest is closed for a new one.

Failed first: TestConnectionsToManyEndpointsAreBounded (24 of 20). Measured: go test ./link ./gateway ./fleet ./platform green.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence}
+	g.upstream.most = MayConnect(c.Descriptors)
 	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
 	return g
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,8 +44,10 @@
 
 // upstream keeps connections to endpoints.
 type upstream struct {
+	most int          // connections, those in use first; 0 is without a bound
+	open atomic.Int64 // connections
 	mu   sync.Mutex
-	idle map[string][]*upConn // by address and endpoint
+	idle map[string][]*upConn // by address and endpoint, the longest kept first
 }
 
 func newUpstream() *upstream { return &upstream{idle: make(map[string][]*upConn)} }
@@ -54,8 +57,49 @@
 	net.Conn
 	key    string
 	reader *bufio.Reader
+	kept   time.Time // since when
 	until  time.Time // of its use
 	reused bool
+	owner  *upstream
+	closed sync.Once
+}
+
+// Close closes the connection. It may be called more than once.
+func (c *upConn) Close() error {
+	c.closed.Do(func() { c.owner.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// connections returns how many are open.
+func (u *upstream) connections() int { return int(u.open.Load()) }
+
+// makeRoom closes what has been kept longest until one more may be opened. Endpoints are
+// many, and what is kept for each of them must not take the descriptors of new callers.
+func (u *upstream) makeRoom() {
+	for u.most > 0 && u.connections() >= u.most {
+		c := u.popLongest()
+		if c == nil {
+			return
+		}
+		_ = c.Close() // it was of use to nobody now
+	}
+}
+
+// popLongest takes the connection that has been kept longest; nil if none is.
+func (u *upstream) popLongest() *upConn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var from string
+	var longest *upConn
+	for key, list := range u.idle {
+		if len(list) > 0 && (longest == nil || list[0].kept.Before(longest.kept)) {
+			from, longest = key, list[0]
+		}
+	}
+	if longest != nil {
+		u.idle[from] = u.idle[from][1:]
+	}
+	return longest
 }
 
 // get returns a connection that is kept, or a new one; fresh asks for the latter, and
@@ -73,13 +117,15 @@
 		}
 		_ = c.Close() // it is of no use any more
 	}
+	u.makeRoom()
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: link.Probing}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
 	link.SetUserTimeout(raw, userTimeoutM)
-	return &upConn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	u.open.Add(1)
+	return &upConn{Conn: raw, key: key, owner: u, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 func (u *upstream) pop(key string) *upConn {
@@ -96,7 +142,8 @@
 
 // put keeps a connection whose last answer was read to its end.
 func (u *upstream) put(c *upConn, idle time.Duration) {
-	c.until = time.Now().Add(idle)
+	c.kept = time.Now()
+	c.until = c.kept.Add(idle)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if len(u.idle[c.key]) >= maxIdle || idle <= 0 {
--- a/gateway/upstream_test.go
+++ b/gateway/upstream_test.go
@@ -32,3 +32,44 @@
 		t.Error("the kept connection was not dropped")
 	}
 }
+
+// TestConnectionsToManyEndpointsAreBounded: 16 were kept an endpoint, so that the number grew
+// with the endpoints, beyond an entry's descriptors.
+func TestConnectionsToManyEndpointsAreBounded(t *testing.T) {
+	const most, endpoints, each = 20, 10, 4
+	u := newUpstream()
+	u.most = most
+	var conns []*upConn
+	for i := range endpoints {
+		e := newStandIn(t, whole(200, "answer"))
+		conns = conns[:0]
+		for range each {
+			c, err := u.get(context.Background(), e.address, "e", true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			conns = append(conns, c)
+		}
+		if open := u.connections(); open > most {
+			t.Fatalf("%d connections with endpoint %d, want %d at most", open, i+1, most)
+		}
+		for _, c := range conns {
+			u.put(c, time.Minute)
+		}
+	}
+	if c, err := u.get(context.Background(), conns[0].RemoteAddr().String(), "e", false); err != nil || !c.reused {
+		t.Errorf("the newest connection was dropped before older ones: %v", err)
+	}
+	if open := u.connections(); open != most {
+		t.Errorf("%d connections are open, want %d", open, most)
+	}
+	u.sweep()
+	for key := range u.idle {
+		for c := u.pop(key); c != nil; c = u.pop(key) {
+			_ = c.Close()
+		}
+	}
+	if open := u.connections(); open != 1 {
+		t.Errorf("%d connections are counted when one is left", open)
+	}
+}
