--- /dev/null
+++ b/cluster/review_test.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"encoding/json"
+	"testing"
+
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+	"lynxramp.org/hashtree"
+	"lynxramp.org/routing"
+)
+
+// TestEntriesServeWhileChangesFollowEachOther: an operator sends a small change of a large
+// configuration as soon as the one before is acknowledged, for longer than entries serve without word
+// that theirs is the newest. Entries must go on serving: an answer of the owner counts
+// only for an entry that has the version that is committed by then, so that they would refuse all from
+// Fresh on if each version came before the last one is decoded, fetched and in force.
+func TestEntriesServeWhileChangesFollowEachOther(t *testing.T) {
+	g := newGrowthSim(t, 3)
+	g.change(func(*routing.Table) { g.addRoutes(14000) })
+	g.mustBeInForce(growthBound)
+	g.runFleet(event.Second)
+	g.charge = 1
+	changes, refusing := 0, 0
+	for end := g.now.Add(15 * event.Second); g.now < end; changes++ {
+		g.change(func(table *routing.Table) { table.Routes[changes*997%len(table.Routes)].Rank-- })
+		for _, e := range g.entries {
+			if e.client == nil || e.client.Table(e.now(g.now)) == nil {
+				refusing++
+			}
+		}
+	}
+	t.Logf("%d changes in 15 s", changes)
+	if refusing > 0 {
+		t.Errorf("entries refused all at %d of %d looks while changes followed each other", refusing, 3*changes)
+	}
+}
+
+// TestOwnerTakesUpWithTheNewestConfiguration: a box starts with a snapshot of version 1 and, in its log
+// behind it, version 2, which gives team u a quota and takes half of that of team t. It is elected,
+// and owns the pools by version 1: the snapshot's document was decoded, version 2 is not yet. Entries
+// that were not restarted go by version 2. A team that version 1 does not know has no quota at all
+// until version 2 is decoded.
+func TestOwnerTakesUpWithTheNewestConfiguration(t *testing.T) {
+	document := func(version uint64, teams ...routing.Team) Document {
+		data, err := json.Marshal(routing.Table{Version: version, Services: []routing.Service{{Name: "s"}}, Teams: teams})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := Document{Version: version, Data: data}
+		d.pack()
+		return d
+	}
+	old := document(1, routing.Team{Name: "t", Rate: 1000, Burst: 1000})
+	newest := document(2, routing.Team{Name: "t", Rate: 500, Burst: 500}, routing.Team{Name: "u", Rate: 10, Burst: 10})
+	id := consensus.MakeID("box1", founderDisk)
+	members := consensus.Membership{Voters: []consensus.Member{{ID: id, Address: "box1:operators"}}}
+	m := machine{document: old}
+	r := consensus.Restored{
+		HardState: consensus.HardState{Term: 1},
+		Snapshot:  consensus.Snapshot{Index: 5, Term: 1, Members: members, Data: m.snapshot()},
+		Entries:   []consensus.Entry{{Index: 6, Term: 1, Kind: consensus.EntryCommand, Data: newest.packed.encodePart(0)}},
+	}
+	settings := simSettings(1)
+	settings.Decode = decodeTable
+	s, err := NewState(0, id, r, settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded := false
+	for now := event.Time(0); now < event.Time(2*event.Second) && s.owner == nil; now = now.Add(50 * event.Millisecond) {
+		var out Effects
+		s.Step(now, &Ticked{}, &out)
+		if out.Decode.Version == 1 && !decoded {
+			decoded = true // version 2 is still being decoded when the box is elected
+			table, err := settings.Decode(out.Decode.Data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Step(now, &Decoded{Version: 1, Table: table, Tree: hashtree.Build(table, nil)}, &Effects{})
+		}
+		for _, e := range out.Ready.Entries {
+			s.Step(now, &Saved{Index: e.Index, Term: e.Term}, &Effects{})
+		}
+	}
+	if s.machine.document.Version != 2 {
+		t.Fatalf("version %d is committed, want 2", s.machine.document.Version)
+	}
+	if s.owner != nil && s.config.version < 2 {
+		t.Errorf("owns the pools by version %d while version %d is committed", s.config.version, s.machine.document.Version)
+	}
+}
