--- a/cluster/absent_test.go
+++ b/cluster/absent_test.go
@@ -40,8 +40,12 @@
 		s.step(owner, &SessionEnded{Session: SessionID(i + 1)})
 	}
 	now := s.now.Add(entryPatience + second)
-	best := time.Hour
 	var out Effects
+	owner.state.owner.tick(now, owner.state, &out)
+	if got := forgotten(owner.state.owner); got == 0 || got > forgetMost {
+		t.Errorf("%d entries forgotten in one step, want some, %d at the most", got, forgetMost)
+	}
+	best := time.Hour
 	for range 3 {
 		began := time.Now()
 		for range 20 {
@@ -51,7 +55,21 @@
 		best = min(best, time.Since(began))
 	}
 	t.Logf("a second's ticks take %v", best)
+	if got := forgotten(owner.state.owner); got != away {
+		t.Errorf("%d of %d absent entries are forgotten seconds later", got, away)
+	}
 	if best > mostSecond {
 		t.Errorf("a second's ticks with %d of %d entries away and %d requests take %v, want %v at the most", away, entries, requests, best, mostSecond)
 	}
 }
+
+// forgotten returns of how many entries an owner took as ended what they had running.
+func forgotten(o *owner) int {
+	n := 0
+	for _, e := range o.entries {
+		if e.isForgotten {
+			n++
+		}
+	}
+	return n
+}
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -41,6 +41,9 @@
 	toldAt   event.Time // when the log was last told of budgets
 }
 
+// forgetMost is of how many absent entries a tick takes what they had running as ended.
+const forgetMost = 16
+
 // contestBeats is how many times its own rhythm an endpoint must be silent before the one
 // whose address it took has it back: two beats, and what they vary.
 const contestBeats = 2.5
@@ -168,19 +171,7 @@
 }
 
 func (o *owner) tick(now event.Time, s *State, out *Effects) {
-	for name, e := range o.entries {
-		away := now.Sub(e.left)
-		if e.session != 0 {
-			continue
-		}
-		if away > entryPatience && !e.isForgotten {
-			e.isForgotten = true
-			o.admission.EntryGone(now, name, &o.effects)
-		}
-		if away > o.keepTime {
-			delete(o.entries, name)
-		}
-	}
+	o.forgetAbsent(now)
 	o.book.Tick(now)
 	limit := downBeats * s.settings.BeatEvery
 	for id, at := range o.heard {
@@ -193,6 +184,27 @@
 	o.tellBudgets(now, out)
 }
 
+// forgetAbsent takes what entries had running as ended that are away for long, of some in
+// each tick: 130 of them at once, each looked for in 20,000 requests, were a step of 58 ms.
+func (o *owner) forgetAbsent(now event.Time) {
+	var gone []event.BoxID
+	for name, e := range o.entries {
+		if e.session != 0 {
+			continue
+		}
+		if away := now.Sub(e.left); away > entryPatience && !e.isForgotten {
+			gone = append(gone, name)
+		} else if away > o.keepTime {
+			delete(o.entries, name)
+		}
+	}
+	slices.Sort(gone)
+	for _, name := range gone[:min(len(gone), forgetMost)] {
+		o.entries[name].isForgotten = true
+		o.admission.EntryGone(now, name, &o.effects)
+	}
+}
+
 // tellBudgets tells the log how the budgets stand that are more than half used.
 func (o *owner) tellBudgets(now event.Time, out *Effects) {
 	if now.Sub(o.toldAt) < tellBudgetsEvery {
