gateway: a test for what waits for an owner, failing

TestWaitingRequestsAreBounded fails: 2,000 requests that waited go to the owner that was found in one message of 376,205 bytes, 0.3 s of a link of 1.25 MB/s in front of the entry's next question.

--- a/gateway/word_test.go
+++ b/gateway/word_test.go
@@ -119,3 +119,52 @@
 		t.Errorf("told %d requests, the ended one among them: %v", len(running), running[ended])
 	}
 }
+
+// TestWaitingRequestsAreBounded: an entry handed all requests that waited for an owner to the
+// one that it found in one message, in front of its next question. Each is told once.
+func TestWaitingRequestsAreBounded(t *testing.T) {
+	a := NewOwnerClient(ClientConfig{Entry: "entry", Control: []string{"box"}, Fresh: 5 * event.Second, Log: zap.NewNop()})
+	for i := range manyRunning {
+		t := event.Ticket{
+			ID: event.RequestID(fmt.Sprintf("10.0.3.7-4f2a-%x", i)), Team: "team", Service: "s", Pool: "s", Deadline: 5 * event.Second,
+			Target: event.Second, OutputTokens: 200, PromptTokens: 900,
+		}
+		for j := range 16 {
+			t.Prefix = append(t.Prefix, uint64(i*7919+j)*2654435761)
+		}
+		a.Submit(0, message.Submission{Ticket: t, Quota: 1}, make(chan Decision, 1))
+	}
+	a.Dialed(0, 1, "box")
+	a.Take()
+	told := make(map[event.RequestID]int)
+	last := event.RequestID("")
+	for now := event.Time(0); now < event.Time(60*pingEvery) && len(told) < manyRunning; now = now.Add(pingEvery) {
+		a.Received(now, 1, &message.Envelope{Pong: &message.Pong{}})
+		for _, s := range a.Take().Sends {
+			var data bytes.Buffer
+			if err := gob.NewEncoder(&data).Encode(s.Message); err != nil {
+				t.Fatal(err)
+			}
+			if data.Len() > mostWord+8<<10 { // the types go with the first one alone
+				t.Fatalf("a message of %d bytes when an owner is found, want %d at the most", data.Len(), mostWord)
+			}
+			if s.Message.Batch == nil {
+				continue
+			}
+			for _, one := range s.Message.Batch.Submit {
+				if told[one.Ticket.ID]++; len(one.Ticket.ID) == len(last) && one.Ticket.ID < last {
+					t.Fatalf("%s is told after %s, which came later", one.Ticket.ID, last)
+				}
+				last = one.Ticket.ID
+			}
+		}
+	}
+	for id, n := range told {
+		if n != 1 {
+			t.Errorf("%s is told %d times", id, n)
+		}
+	}
+	if len(told) != manyRunning {
+		t.Errorf("%d of %d waiting requests are told", len(told), manyRunning)
+	}
+}
