gateway: requests that waited go to a new owner in pieces

Cause: an entry that found an owner handed it all that waited in one message, in front of its next question. Change: 24 kB of them at a time, in the order of arrival; the answer to the question that follows brings the next. TestWaitingRequestsAreBounded, red before (376,205 bytes), passes.

--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -108,6 +108,7 @@
 	listed  map[event.EndpointID]bool
 	lent    budget.Allowances // what may be spent without an owner
 	untold  []event.RequestID // requests that ran when the session began, not told yet
+	unasked []*waiter         // that waited when the owner was found, not submitted to it yet
 	fetch   configFetch
 	alone   *admission.State // nil while there is an owner
 	batch   message.Batch
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -89,6 +89,7 @@
 		level = zap.WarnLevel
 	}
 	a.owned = false
+	a.unasked = nil
 	a.dialAt = now
 	a.batch = message.Batch{}
 	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)),
@@ -152,6 +153,7 @@
 	if !a.owned {
 		a.beginOwned(now)
 	}
+	a.submitWaiting(now)
 	if t := a.table.Load(); t != nil && t.Version >= p.Version {
 		if a.fresh.Swap(int64(p.Sent.Add(a.config.Fresh))) == 0 {
 			close(a.known)
@@ -163,9 +165,7 @@
 func (a *OwnerClient) beginOwned(now event.Time) {
 	a.owned = true
 	a.alone = nil
-	for _, w := range a.inOrder() {
-		a.batch.Submit = append(a.batch.Submit, w.resubmission(now))
-	}
+	a.unasked = a.inOrder()
 	a.log.Info("owner found", zap.String("address", a.address), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
 }
 
--- a/gateway/owner_word.go
+++ b/gateway/owner_word.go
@@ -8,10 +8,17 @@
 )
 
 // This file is what an entry tells an owner at the beginning of a session: as much with the
-// greeting and with each question as a message may have. Thousands of requests or accounts
-// in front of the first question would take longer than an owner may be silent.
+// greeting and with each question as a message may have, and the requests that wait for a
+// decision as answers come. Thousands of requests or accounts in front of a question would
+// take longer than an owner may be silent.
 
 const (
+	// waitingBytes bounds the waiting requests in one message: 20 ms of a link of 1.25 MB/s.
+	waitingBytes = 24 << 10
+	// waitingRest is the most that one takes in a message beside its names and marks, and
+	// markBytes the most that a mark of its prompt takes.
+	waitingRest = 60
+	markBytes   = 9
 	// runningBytes bounds the requests in one message: 13 ms of a link of 1.25 MB/s.
 	runningBytes = 16 << 10
 	// runningRest is the most that a request takes in a message beside its names.
@@ -56,3 +63,33 @@
 func runningSize(r *message.Running) int {
 	return runningRest + len(r.Ticket.ID) + len(r.Ticket.Team) + len(r.Ticket.Service) + len(r.Endpoint)
 }
+
+// submitWaiting submits requests that waited when the owner was found, in the order of their
+// arrival and as many as one message may have. The answer to a question that follows them
+// brings the next ones.
+func (a *OwnerClient) submitWaiting(now event.Time) {
+	if len(a.unasked) == 0 {
+		return
+	}
+	for bytes := 0; len(a.unasked) > 0 && bytes < waitingBytes; a.unasked = a.unasked[1:] {
+		w := a.unasked[0]
+		if a.waiting[w.submission.Ticket.ID] != w {
+			continue // it is not awaited any more
+		}
+		bytes += waitingSize(&w.submission)
+		a.batch.Submit = append(a.batch.Submit, w.resubmission(now))
+	}
+	if len(a.unasked) > 0 {
+		a.flush()
+		a.ask(now)
+	}
+}
+
+func waitingSize(m *message.Submission) int {
+	t := &m.Ticket
+	n := waitingRest + len(t.ID) + len(t.Team) + len(t.Service) + len(t.Pool) + len(t.Key) + len(t.DataCentre) + markBytes*len(t.Prefix)
+	for _, id := range t.Avoid {
+		n += len(id) + 1
+	}
+	return n
+}
