--- a/cluster/snapshot.go
+++ b/cluster/snapshot.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 
 	"github.com/pkg/errors"
+
+	"lynxramp.org/budget"
 )
 
 // snapshotFormat is the first byte of a snapshot: how the rest is written.
@@ -27,7 +29,7 @@
 	}
 	data = appendParts(data, m.upload.key, m.upload.parts)
 	data = appendJSON(data, m.registry)
-	return appendJSON(data, m.spending)
+	return appendJSON(data, m.spending.Record())
 }
 
 func appendParts(data []byte, k documentKey, parts [][]byte) []byte {
@@ -65,7 +67,9 @@
 	document := r.upload()
 	m.upload = r.upload()
 	r.json(&m.registry)
-	r.json(&m.spending)
+	var spending budget.Record
+	r.json(&spending)
+	m.spending.Apply(spending)
 	if r.err == nil && document.isWhole() {
 		m.document, r.err = document.document()
 	}
