gateway: a caller that takes nothing is let go

Cause: nothing bounded a write to a caller. One that kept its connection and took nothing of its answer held its request, and its endpoint's place by the owner's book, for as long as it liked, also past the request's deadline: the end is told after the last write.

Change: 10 s for the next 16 kB, whatever the whole takes.

Ruled out: the request's deadline for the whole answer, or the server's WriteTimeout (both cut callers whose bytes move).

TestSlowCallerGetsItsWholeAnswer holds the other side.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,17 +62,19 @@
 	bytes    atomic.Int64 // of their bodies
 	// bodySilence is how long no byte of a body may come.
 	bodySilence time.Duration
-	count       atomic.Uint64
-	stopping    atomic.Bool
-	closing     atomic.Bool // streams are not taken any more
-	meters      meters
+	// callerSilence is how long a caller may take no byte of its answer.
+	callerSilence time.Duration
+	count         atomic.Uint64
+	stopping      atomic.Bool
+	closing       atomic.Bool // streams are not taken any more
+	meters        meters
 
 	failedBudget, wellBudget *logx.Budget
 }
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence, callerSilence: callerSilence}
 	g.upstream.most = MayConnect(c.Descriptors)
 	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
@@ -173,7 +175,9 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
+	caller := newCallerWriter(w, g.callerSilence)
+	defer caller.extend() // for what the server writes after the handler
+	c := &call{gateway: g, w: caller, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
 	c.dropReserved()
 	defer c.writeRecord()
--- /dev/null
+++ b/gateway/stalled_test.go
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// largeEvents streams more than a connection holds that nobody reads.
+func largeEvents(c net.Conn, q *http.Request) bool {
+	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head(q, 200, ""))
+	for id := range 300 {
+		text := fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, strings.Repeat("x", 32<<10))
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
+			return false
+		}
+	}
+	fmt.Fprint(c, "0\r\n\r\n")
+	return true
+}
+
+// longAnswer is more than is held whole, and than a connection holds that nobody reads.
+func longAnswer(c net.Conn, q *http.Request) bool {
+	const pieces, piece = 600, 16 << 10
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", head(q, 200, ""), pieces*piece)
+	for range pieces {
+		if _, err := io.WriteString(c, strings.Repeat("x", piece)); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// smallCaller connects with a buffer of so many bytes and asks for an answer.
+func smallCaller(t *testing.T, r *rig, path string, buffer int) *caller {
+	t.Helper()
+	c := r.call(t)
+	if err := c.conn.SetReadBuffer(buffer); err != nil {
+		t.Fatal(err)
+	}
+	c.send(path, "question", 0)
+	return c
+}
+
+// TestStalledCallerIsLetGo: a caller took nothing of its answer and kept its connection. The
+// request was held for as long as it liked, and its endpoint's place with it.
+func TestStalledCallerIsLetGo(t *testing.T) {
+	for name, one := range map[string]struct {
+		path   string
+		script answer
+	}{"a stream": {"/single/x", largeEvents}, "a long answer": {"/once/x", longAnswer}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, newStandIn(t, one.script))
+			r.gateway.callerSilence = 300 * time.Millisecond
+			smallCaller(t, r, one.path, 4<<10)
+			waitFor(t, "the request is held", func() bool { all, _ := r.gateway.Held(); return all == 1 })
+			began := time.Now()
+			waitFor(t, "the endpoint's place is free", func() bool { return len(r.owner.ended()) == 1 })
+			waitFor(t, "nothing is held", func() bool { all, _ := r.gateway.Held(); return all == 0 })
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// TestSlowCallerGetsItsWholeAnswer: one that takes a little now and then is not let go,
+// however long the whole takes.
+func TestSlowCallerGetsItsWholeAnswer(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newStandIn(t, longAnswer))
+	r.gateway.callerSilence = 300 * time.Millisecond
+	c := smallCaller(t, r, "/once/x", 128<<10)
+	began := time.Now()
+	a, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 512<<10)
+	for whole := int64(0); ; {
+		n, err := io.ReadFull(a.Body, buffer)
+		if whole += int64(n); err != nil {
+			if whole != a.ContentLength {
+				t.Errorf("%d bytes of %d came: %v", whole, a.ContentLength, err)
+			}
+			break
+		}
+		time.Sleep(60 * time.Millisecond)
+	}
+	if took := time.Since(began); took < 2*r.gateway.callerSilence {
+		t.Errorf("it took %v only: nothing is shown", took)
+	}
+}
