--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 
 	"go.uber.org/zap"
@@ -22,9 +23,7 @@
 		return
 	}
 	if now.Sub(a.pinged) >= pingEvery {
-		a.pinged = now
-		has, spent := a.lent.Changes()
-		a.send(&message.Envelope{Ping: &message.Ping{Sent: now, Has: has, Spent: spent}})
+		a.ask(now)
 	}
 }
 
@@ -65,19 +64,18 @@
 		// It was out of touch for longer than it may use what it was lent.
 		a.lent.Drop()
 	}
+	a.untold = slices.Sorted(maps.Keys(a.running))
 	hello := &message.Hello{
 		Entry: a.config.Entry, Life: a.config.Life, Entries: int(a.pace.Load()), Held: a.lent.Greet(),
-		Revision: a.revision,
+		Running: a.tellRunning(), Revision: a.revision,
 	}
-	for _, r := range a.running {
-		hello.Running = append(hello.Running, *r)
-	}
-	a.ponged, a.pinged = now, now
+	hello.More = a.lent.More()
+	a.ponged = now
 	a.came = 0
 	a.send(&message.Envelope{Hello: hello})
-	a.send(&message.Envelope{Ping: &message.Ping{Sent: now}})
+	a.ask(now)
 	a.batch = message.Batch{}
-	a.log.Debug("asks control box", zap.String("address", address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(hello.Running)))
+	a.log.Debug("asks control box", zap.String("address", address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
 }
 
 // lose gives up the connection to the owner.
@@ -183,34 +181,68 @@
 		return
 	}
 	if v.Whole {
-		clear(a.endpoints)
+		a.listed = make(map[event.EndpointID]bool)
 	}
 	for _, e := range endpoints {
-		a.endpoints[event.EndpointID(e.ID)] = e
+		a.list(e)
 	}
 	for _, id := range v.Gone {
 		delete(a.endpoints, id)
 	}
+	if (v.Whole || v.Revision > 0) && !v.More {
+		a.dropUnlisted()
+	}
 	a.revision = max(a.revision, v.Revision)
 	if v.Whole {
 		a.revision = v.Revision // of another log, perhaps
 	}
 	if v.Signs {
-		a.seeSigns(v.Silent)
+		a.seeSigns()
+	}
+	a.seeSilent(v.Silent)
+	if v.More {
+		a.ask(now)
 	}
 	if v.Version > 0 {
 		a.aim(now, v)
 	}
 }
 
-// seeSigns takes which endpoints give signs of life: all but those that are silent.
-func (a *OwnerClient) seeSigns(silent []event.EndpointID) {
+// list takes an owner's word on an endpoint.
+func (a *OwnerClient) list(e message.Endpoint) {
+	id := event.EndpointID(e.ID)
+	a.endpoints[id] = e
+	if a.listed != nil {
+		a.listed[id] = true
+	}
+}
+
+// dropUnlisted drops the endpoints that an owner did not list of all, when it has listed all.
+// Until then an entry that loses it has those that it knew.
+func (a *OwnerClient) dropUnlisted() {
+	if a.listed == nil {
+		return
+	}
+	for id := range a.endpoints {
+		if !a.listed[id] {
+			delete(a.endpoints, id)
+		}
+	}
+	a.listed = nil
+}
+
+// seeSigns takes that all endpoints give signs of life.
+func (a *OwnerClient) seeSigns() {
 	for id, e := range a.endpoints {
 		if e.Down {
 			e.Down = false
 			a.endpoints[id] = e
 		}
 	}
+}
+
+// seeSilent takes which endpoints give none.
+func (a *OwnerClient) seeSilent(silent []event.EndpointID) {
 	for _, id := range silent {
 		if e, ok := a.endpoints[id]; ok {
 			e.Down = true
