budget: a record keeps what an owner has no limit of

Cause: a record that replaces all named only accounts of which the owner has a limit. An owner that goes by an older configuration, or a team that left and came back within the window, let the log forget what was spent; the next owner let it be spent anew: 14,500 of 10,000 in a window.

Change: while what earlier owners wrote may count, such a record repeats their lines. TestRecordKeepsWhatAnOwnerHasNoLimitOf failed before; go test ./budget passes.

--- a/budget/record.go
+++ b/budget/record.go
@@ -122,11 +122,14 @@
 		}
 	}
 	slices.SortFunc(list, byName)
-	bytes = 0
+	r.Lines = b.unclaimed(now)
+	first := len(r.Lines)
 	for _, a := range list {
-		line := a.line(now)
-		r.Lines = append(r.Lines, line)
-		bytes += line.bytes()
+		r.Lines = append(r.Lines, a.line(now))
+	}
+	bytes = 0
+	for i := range r.Lines {
+		bytes += r.Lines[i].bytes()
 	}
 	if bytes > b.bounds.record {
 		return Record{}, bytes
@@ -136,7 +139,7 @@
 		b.recording = append(b.recording, a)
 	}
 	for i, a := range list {
-		a.setPending(&r.Lines[i])
+		a.setPending(&r.Lines[first+i])
 	}
 	return r, bytes
 }
@@ -218,10 +221,31 @@
 // that has not room for all.
 const leastNeed = 0.25
 
+// pastCounts reports whether what earlier owners wrote may count still.
+func (b *Book) pastCounts(now event.Time) bool {
+	return !b.isFirst && (len(b.limits) == 0 || now < b.began.Add(b.fresh).Add(b.longest))
+}
+
+// unclaimed returns what earlier owners wrote of accounts of which this one has no limit. A Record that
+// replaces all must repeat it while it counts: a team that is missing from one configuration, or
+// from the one that an owner begins with, would else have its quota anew at the next owner.
+func (b *Book) unclaimed(now event.Time) []Line {
+	if !b.pastCounts(now) {
+		return nil
+	}
+	var lines []Line
+	for _, name := range slices.Sorted(maps.Keys(b.past)) {
+		if b.accounts[name] == nil {
+			lines = append(lines, b.past[name].Line)
+		}
+	}
+	return lines
+}
+
 // strays returns accounts that earlier owners wrote of and that are not used any more, some
 // at a time, and how much they take in a Record.
 func (b *Book) strays(now event.Time) (names []Account, bytes int) {
-	if now < b.began.Add(b.fresh).Add(b.longest) {
+	if b.pastCounts(now) {
 		return nil, 0
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.past)) {
