cluster: an owner takes the pools up by the configuration that is committed then

Change: what was committed when the lease began must be decoded first. Later ones are not waited for, so that quick changes leave the pools with an owner. TestOwnerTakesUpWithTheNewestConfiguration failed before.

--- a/cluster/config.go
+++ b/cluster/config.go
@@ -19,6 +19,7 @@
 	tree    *hashtree.Tree
 	asked   uint64 // version that was last given to be decoded
 	answers uint64 // version of the last answer, sound or not
+	wanted  uint64 // version that must be decoded before this box owns the pools
 }
 
 // askDecode gives the newest document to be decoded, once.
@@ -31,8 +32,16 @@
 	out.Decode = d
 }
 
-// knowsTable reports whether this box can decide: without the configuration it would know no quota.
-func (s *State) knowsTable() bool { return s.machine.document.Version == 0 || s.config.answers > 0 }
+// wantTable takes note that this box is about to own the pools: it must have decoded the configuration
+// that is committed by now. By an older one, or none, it would not know of quotas and keys that
+// entries and the owner before went by. A newer one that comes meanwhile is not waited for: changes
+// that follow each other must not leave the pools without an owner.
+func (s *State) wantTable() bool {
+	if s.config.wanted == 0 {
+		s.config.wanted = s.machine.document.Version
+	}
+	return s.config.answers >= s.config.wanted
+}
 
 // takeDecoded takes a configuration that was decoded.
 func (s *State) takeDecoded(now event.Time, d *Decoded, out *Effects) {
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -348,7 +348,10 @@
 		s.owner = nil
 		out.note("owns the pools no more", Field{"term", uint64(s.node.Term())})
 	}
-	if owns && s.owner == nil && s.knowsTable() {
+	if !owns && s.owner == nil {
+		s.config.wanted = 0
+	}
+	if owns && s.owner == nil && s.wantTable() {
 		s.owner = newOwner(now, s)
 		out.note("owns the pools", Field{"term", uint64(s.node.Term())}, Field{"waiting_entries", len(s.early)})
 		s.takeEarly(now, out)
