hashtree, gateway: what is on its way stays so when a newer version is told of, and what is held is bounded

Change: asked nodes keep counting over versions; beside the last whole version twice the longest tree since may be held, the longest not needed go first; a view without a root is logged and passed over. TestNewVersionAsksNothingAgainThatIsOnItsWay, TestUnfinishedVersionsDontPileUp, TestViewWithoutARootEndsNoEntry failed before.

--- a/gateway/owner_config.go
+++ b/gateway/owner_config.go
@@ -49,6 +49,10 @@
 	if v.Version < a.fetch.Version() || v.Version <= a.version() {
 		return
 	}
+	if v.Root == (hashtree.Sum{}) {
+		a.log.Error("configuration told of without its tree", zap.Uint64("version", v.Version))
+		return
+	}
 	a.fetch.offered = true
 	a.told.Store(v.Version)
 	if v.Version > a.fetch.Version() {
@@ -103,10 +107,9 @@
 // lacks reports whether one of the nodes that the owner does not have is still asked for. Those of
 // an earlier version are not, once a newer one was told of.
 func (c *configFetch) lacks(unknown []hashtree.Sum) bool {
+	lacks := false
 	for _, sum := range unknown {
-		if c.IsAsked(sum) {
-			return true
-		}
+		lacks = c.Lost(sum) || lacks
 	}
-	return false
+	return lacks
 }
--- a/hashtree/fetch.go
+++ b/hashtree/fetch.go
@@ -3,21 +3,39 @@
 package hashtree
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
 	"slices"
 
 	"lynxramp.org/routing"
 )
 
+// Bounds of what is held of versions that did not become whole.
+const (
+	// heldTimes is how many times the length of the longest tree that was known since the last whole
+	// one may be held, and heldLeast what may be held at any rate, in bytes on a link. What is
+	// beyond is dropped down to keptTimes.
+	heldTimes = 2
+	keptTimes = 1.5
+	heldLeast = 64 << 10
+)
+
 // Fetch gathers the nodes of a configuration. The zero value holds none and is ready. It is not safe
 // for concurrent use.
 type Fetch struct {
 	version uint64
 	root    Sum
-	held    map[Sum]*node
+	held    map[Sum]*holding
+	// heldBytes is the length of what is held beside the last whole version, treeBytes that of the
+	// present tree as far as it is known, peakBytes the most that it was since the last whole
+	// version, and turn counts the versions.
+	heldBytes, treeBytes, peakBytes int
+	turn                            int
 	// missing are to be asked for, the last one first; asked were asked for on the present
-	// connection, with their lengths.
+	// connection, with their lengths, of whatever version.
 	missing []Child
-	known   map[Sum]bool // in missing or in asked
+	needed  map[Sum]bool // of the present tree, in missing or in asked
 	asked   map[Sum]int
 	waiting int // bytes that were asked for and have not come
 
@@ -28,61 +46,105 @@
 	unpacker unpacker
 }
 
-// Aim sets the version that is to be gathered and the root of its tree.
+// holding is a node that came.
+type holding struct {
+	*node
+	bytes int
+	whole bool // it is of the last whole version
+	// turn is that of the last version that was known to need it.
+	turn int
+}
+
+// Aim sets the version that is to be gathered and the root of its tree, which is not zero. What was
+// asked for stays on its way, and counts as such.
 func (f *Fetch) Aim(version uint64, root Sum) {
-	if version == f.version && root == f.root {
+	if root == (Sum{}) || (version == f.version && root == f.root) {
 		return
 	}
 	f.version, f.root = version, root
 	f.nodes, f.bytes = 0, 0
+	f.turn++
 	f.begin()
 }
 
 // begin looks what is missing of the tree.
 func (f *Fetch) begin() {
 	if f.held == nil {
-		f.held = make(map[Sum]*node)
+		f.held = make(map[Sum]*holding)
+		f.asked = make(map[Sum]int)
 	}
 	f.missing = nil
-	f.known = make(map[Sum]bool)
-	f.asked = make(map[Sum]int)
-	f.waiting = 0
+	f.needed = make(map[Sum]bool)
+	f.treeBytes = 0
 	f.look(Child{Sum: f.root})
 }
 
 // look takes note of what is missing of a node and of those below it.
 func (f *Fetch) look(c Child) {
-	if n, ok := f.held[c.Sum]; ok {
+	f.treeBytes += c.Bytes
+	f.peakBytes = max(f.peakBytes, f.treeBytes)
+	if h, ok := f.held[c.Sum]; ok {
+		h.turn = f.turn
 		// The last one is asked for first: those at the front are to come first.
-		for i := len(n.Children) - 1; i >= 0; i-- {
-			f.look(n.Children[i])
+		for i := len(h.Children) - 1; i >= 0; i-- {
+			f.look(h.Children[i])
 		}
 		return
 	}
-	if c.Sum != (Sum{}) && !f.known[c.Sum] {
-		f.known[c.Sum] = true
+	if f.needed[c.Sum] {
+		return
+	}
+	f.needed[c.Sum] = true
+	if _, ok := f.asked[c.Sum]; !ok {
 		f.missing = append(f.missing, c)
 	}
 }
 
+// dropUnneeded drops nodes that no late version was known to need, once much is held: large changes
+// that follow each other faster than they come would else fill an entry's memory. Of the last whole
+// version all stay.
+func (f *Fetch) dropUnneeded() {
+	peak := max(heldLeast, f.peakBytes)
+	if f.heldBytes <= heldTimes*peak {
+		return
+	}
+	sums := slices.SortedFunc(maps.Keys(f.held), func(v, w Sum) int {
+		return cmp.Or(cmp.Compare(f.held[v].turn, f.held[w].turn), bytes.Compare(v[:], w[:]))
+	})
+	for _, sum := range sums {
+		h := f.held[sum]
+		if float64(f.heldBytes) <= keptTimes*float64(peak) || h.turn >= f.turn {
+			return
+		}
+		if !h.whole {
+			f.heldBytes -= h.bytes
+			delete(f.held, sum)
+		}
+	}
+}
+
 // Restart takes note that nothing that was asked for will come any more: its connection has ended.
 // What came is kept.
 func (f *Fetch) Restart() {
+	clear(f.asked)
+	f.waiting = 0
 	if f.Busy() {
 		f.begin()
 	}
 }
 
-// Busy reports whether nodes are missing.
-func (f *Fetch) Busy() bool { return len(f.missing)+len(f.asked) > 0 }
+// Busy reports whether nodes of the present version are missing.
+func (f *Fetch) Busy() bool { return len(f.needed) > 0 }
 
 // Version returns the version that is gathered.
 func (f *Fetch) Version() uint64 { return f.version }
 
-// IsAsked reports whether a node was asked for and has not come.
-func (f *Fetch) IsAsked(sum Sum) bool {
-	_, ok := f.asked[sum]
-	return ok
+// Lost takes note that the owner does not have a node that it was asked for. It reports whether the
+// present version needs it.
+func (f *Fetch) Lost(sum Sum) bool {
+	f.waiting -= f.asked[sum]
+	delete(f.asked, sum)
+	return f.needed[sum]
 }
 
 // Waiting returns how many bytes were asked for and have not come.
@@ -120,12 +182,16 @@
 		return err
 	}
 	delete(f.asked, sum)
-	delete(f.known, sum)
 	f.waiting -= length
-	f.held[sum] = n
 	f.nodes++
 	f.bytes += len(packed)
-	f.look(Child{Sum: sum})
+	f.held[sum] = &holding{node: n, bytes: len(packed), turn: f.turn - 1}
+	f.heldBytes += len(packed)
+	if f.needed[sum] {
+		delete(f.needed, sum)
+		f.look(Child{Sum: sum})
+	}
+	f.dropUnneeded()
 	return nil
 }
 
@@ -135,7 +201,7 @@
 	if f.held == nil || f.Busy() {
 		return nil
 	}
-	a := &assembly{held: f.held, kept: make(map[Sum]*node, len(f.held)), table: &routing.Table{Version: f.version}}
+	a := &assembly{held: f.held, kept: make(map[Sum]*holding, len(f.held)), table: &routing.Table{Version: f.version}}
 	a.add(f.root)
 	a.giveKeys()
 	if f.last != nil && slices.Equal(a.runs, f.runs) {
@@ -145,12 +211,13 @@
 	}
 	a.table.IndexLike(f.last)
 	f.held, f.runs, f.last = a.kept, a.runs, a.table
+	f.heldBytes, f.peakBytes = 0, f.treeBytes
 	return a.table
 }
 
 // assembly makes a table of nodes.
 type assembly struct {
-	held, kept map[Sum]*node
+	held, kept map[Sum]*holding
 	table      *routing.Table
 	runs       []*routes
 	keys       []key
@@ -159,6 +226,7 @@
 // add adds what is under a node to the table, but for routes and keys, which it gathers.
 func (a *assembly) add(sum Sum) {
 	n := a.held[sum]
+	n.whole = true
 	a.kept[sum] = n
 	for _, c := range n.Children {
 		a.add(c.Sum)
