--- a/gateway/run.go
+++ b/gateway/run.go
@@ -236,14 +236,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// gone takes note that the caller left.
+// gone takes note that the caller left. The connection ends without an answer: a handler that returned
+// without a word would have net/http answer 200, a success that no endpoint made.
 func (c *call) gone() {
 	c.gateway.meters.ended(0, c.rankLabel())
 	c.record.failed = true
 	c.note(stepCancelled, zap.String("why", "the caller left"), zap.Int("attempts", c.attempts), zap.Int("events", c.events))
-	if c.begun {
-		panic(http.ErrAbortHandler)
-	}
+	panic(http.ErrAbortHandler)
 }
 
 // unused gives a grant back that the request does not use.
--- a/message/message.go
+++ b/message/message.go
@@ -187,6 +187,12 @@
 	runningSize = 100
 )
 
+// About how long a word on a request and an endpoint's id are as gob, in bytes.
+const (
+	wordBytes = 130
+	idBytes   = 12
+)
+
 // Size implements link.Sized: about how many bytes the message takes. What is of fixed size in it
 // counts as nothing.
 func (e *Envelope) Size() int {
@@ -205,8 +211,13 @@
 		size += holdingSize*len(e.Ping.Spent) + runningSize*len(e.Ping.Running)
 	case e.Pong != nil:
 		size += holdingSize * len(e.Pong.Lent.UpTo)
+	case e.Batch != nil:
+		b := e.Batch
+		size += (len(b.Submit) + len(b.Withdraw) + len(b.Begun) + len(b.Finish)) * wordBytes
+	case e.Decisions != nil:
+		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * wordBytes
 	case e.View != nil:
-		size += len(e.View.Endpoints)
+		size += len(e.View.Endpoints) + (len(e.View.Gone)+len(e.View.Silent))*idBytes
 	case e.Nodes != nil:
 		for i := range e.Nodes.List {
 			size += len(e.Nodes.List[i].Packed)
