gateway: a caller that left gets no success without an endpoint's answer

Cause: a request whose caller's end of sending was read before its answer had begun was cancelled without a word; net/http answers 200 with an empty body for a handler that writes nothing, and the connection still carried it. Change: the connection is closed, as it was for streams that had begun. Ruled out: the growth of the configuration (the entry had version 28 in force 9 s before); a read deadline that passes (the next is 10 s away).

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -236,14 +236,14 @@
 	panic(http.ErrAbortHandler)
 }
 
-// gone takes note that the caller left.
+// gone takes note that the caller left and closes its connection. A handler that returned
+// without a word would have net/http answer 200 for it: a caller that only sends no more
+// would take that for an endpoint's success.
 func (c *call) gone() {
 	c.gateway.meters.ended(0, c.rankLabel())
 	c.record.failed = true
 	c.note(stepCancelled, zap.String("why", "the caller left"), zap.Int("attempts", c.attempts), zap.Int("events", c.events))
-	if c.begun {
-		panic(http.ErrAbortHandler)
-	}
+	panic(http.ErrAbortHandler)
 }
 
 // unused gives a grant back that the request does not use.
