--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,8 +23,7 @@
 const (
 	maxHeld = 2000 // requests, where descriptors do not bound them first
 	// heldDescriptors is what a request takes of descriptors: its caller's connection
-	// and its endpoint's. spareDescriptors are for all else, connections that rest
-	// included.
+	// and its endpoint's. spareDescriptors are for all else.
 	heldDescriptors  = 2
 	spareDescriptors = 400
 	// retryUnready is what a caller is told who comes while the entry knows no
@@ -63,17 +62,20 @@
 	bytes    atomic.Int64 // of their bodies
 	// bodySilence is how long no byte of a body may come.
 	bodySilence time.Duration
-	count       atomic.Uint64
-	stopping    atomic.Bool
-	closing     atomic.Bool // streams are not taken any more
-	meters      meters
+	// callerSilence is how long a caller may take no byte of its answer.
+	callerSilence time.Duration
+	count         atomic.Uint64
+	stopping      atomic.Bool
+	closing       atomic.Bool // streams are not taken any more
+	meters        meters
 
 	failedBudget, wellBudget *logx.Budget
 }
 
 // New returns a gateway; Run keeps it tidy.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence, callerSilence: callerSilence}
+	g.upstream.most = MayConnect(c.Descriptors)
 	g.meters = newMeters(g)
 	g.failedBudget, g.wellBudget = newBudgets()
 	return g
@@ -84,7 +86,16 @@
 	if descriptors == 0 {
 		return maxHeld
 	}
-	return int64(min(maxHeld, max(1, (descriptors-spareDescriptors)/heldDescriptors)))
+	return int64(min(maxHeld, MayConnect(descriptors)))
+}
+
+// MayConnect returns how many connections callers may have to a process with so many
+// descriptors, and as many more it may have to endpoints; 0 is without a bound.
+func MayConnect(descriptors int) int {
+	if descriptors == 0 {
+		return 0
+	}
+	return max(1, (descriptors-spareDescriptors)/heldDescriptors)
 }
 
 // Run drops connections that are not used until ctx ends.
@@ -164,7 +175,9 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{gateway: g, w: w, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
+	caller := newCallerWriter(w, g.callerSilence)
+	defer caller.extend() // for what the server writes after the handler
+	c := &call{gateway: g, w: caller, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
 	c.dropReserved()
 	defer c.writeRecord()
