budget: a record keeps what an owner has no limit of

Cause: a Record of all that an owner knows replaced all before, also what earlier owners wrote of teams that have no limit here: that owner goes by an older configuration, or the team left and comes back. The owner after it let them spend their quota anew. Change: while there are such lines a Record is a part, and they stay in the log for a minute. An account whose window changes keeps what was spent and awaits a Record of its own.

--- a/budget/account.go
+++ b/budget/account.go
@@ -122,6 +122,15 @@
 	return a.free() - a.total(now)
 }
 
+// setWindow bounds the account over another window. The log tells ages by the old one, so that
+// a new Line is needed.
+func (a *account) setWindow(now event.Time, l Limit) {
+	spent := NewWindow(l.Window)
+	spent.Add(now, a.spent.Total(now))
+	a.spent, a.limit, a.isLeaving = spent, l, false
+	a.isStale = a.isStale || a.isPending || a.committed.recorded
+}
+
 // permit returns what the newest Record permits, which may be on its way.
 func (a *account) permit() *permit {
 	if a.isPending {
--- a/budget/book.go
+++ b/budget/book.go
@@ -31,7 +31,7 @@
 	// began is when this owner began, and past what the log has of the owners before, by
 	// account; isFirst says that there was no owner before that could have spent.
 	began   event.Time
-	past    map[Account]*heardLine
+	past    map[Account]*heardLine // that this owner has not written of
 	isFirst bool
 	// inheriting are accounts of which earlier owners may have lent something.
 	inheriting []*account
@@ -51,6 +51,7 @@
 	return &Book{
 		limits: make(map[Account]Limit), accounts: make(map[Account]*account),
 		holders: make(map[event.BoxID]*holder),
+		past:    make(map[Account]*heardLine),
 		fresh:   fresh + lendMargin, began: now, isFirst: true, bounds: usualBounds,
 	}
 }
@@ -86,10 +87,7 @@
 		a.limit, a.isLeaving = l, false
 		b.look(now, a)
 	case a != nil:
-		b.drop(a)
-		next := b.account(now, name)
-		next.lent = a.lent
-		next.isStale = a.isStale || a.isPending || a.committed.recorded
+		a.setWindow(now, l)
 	case b.past[name] != nil:
 		b.account(now, name)
 	}
--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -56,4 +56,8 @@
 }
 
 // copy returns the lines by account.
-func (l *Ledger) copy() map[Account]*heardLine { return maps.Clone(l.lines) }
+func (l *Ledger) copy() map[Account]*heardLine {
+	lines := make(map[Account]*heardLine, len(l.lines))
+	maps.Copy(lines, l.lines)
+	return lines
+}
--- a/budget/record.go
+++ b/budget/record.go
@@ -97,7 +97,11 @@
 func (b *Book) MakeRecord(now event.Time) Record {
 	b.isPending, b.isDue = true, false
 	b.recording = b.recording[:0]
-	r, bytes := b.makeWhole(now)
+	var r Record
+	bytes := b.bounds.record + 1
+	if !b.hasStrays() {
+		r, bytes = b.makeWhole(now)
+	}
 	if bytes > b.bounds.record {
 		r, bytes = b.makePart(now)
 	}
@@ -218,10 +222,26 @@
 // that has not room for all.
 const leastNeed = 0.25
 
-// strays returns accounts that earlier owners wrote of and that are not used any more, some
-// at a time, and how much they take in a Record.
+// strayAfter is how long at the least the log keeps what earlier owners wrote of accounts that
+// have no limit here: longer than any window of a deployment, since theirs is not known.
+const strayAfter = 60 * event.Second
+
+// hasStrays reports whether earlier owners wrote of accounts that have no limit here. A Record
+// of all would take them off the log, and the owner after this one, with a configuration that
+// has them, would let them spend anew what they have spent.
+func (b *Book) hasStrays() bool {
+	for name := range b.past {
+		if b.accounts[name] == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// strays returns accounts that earlier owners wrote of and of which nothing counts any more,
+// some at a time, and how much they take in a Record.
 func (b *Book) strays(now event.Time) (names []Account, bytes int) {
-	if now < b.began.Add(b.fresh).Add(b.longest) {
+	if now < b.began.Add(b.fresh).Add(max(b.longest, strayAfter)) {
 		return nil, 0
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.past)) {
@@ -259,6 +279,7 @@
 func (b *Book) Committed() {
 	for _, a := range b.recording {
 		a.committed, a.isPending, a.isStale = a.pending, false, false
+		delete(b.past, a.name)
 	}
 	b.recording = b.recording[:0]
 	b.isPending, b.isRecorded = false, true
@@ -272,7 +293,9 @@
 		if a := b.account(now, line.Account); a != nil {
 			a.isStale = true
 			b.isDue = true
+			continue
 		}
+		b.past[line.Account] = &heardLine{Line: line, at: now}
 	}
 }
 
