--- a/budget/record.go
+++ b/budget/record.go
@@ -97,11 +97,7 @@
 func (b *Book) MakeRecord(now event.Time) Record {
 	b.isPending, b.isDue = true, false
 	b.recording = b.recording[:0]
-	var r Record
-	bytes := b.bounds.record + 1
-	if !b.hasStrays() {
-		r, bytes = b.makeWhole(now)
-	}
+	r, bytes := b.makeWhole(now)
 	if bytes > b.bounds.record {
 		r, bytes = b.makePart(now)
 	}
@@ -126,11 +122,14 @@
 		}
 	}
 	slices.SortFunc(list, byName)
-	bytes = 0
+	r.Lines = b.unclaimed(now)
+	first := len(r.Lines)
 	for _, a := range list {
-		line := a.line(now)
-		r.Lines = append(r.Lines, line)
-		bytes += line.bytes()
+		r.Lines = append(r.Lines, a.line(now))
+	}
+	bytes = 0
+	for i := range r.Lines {
+		bytes += r.Lines[i].bytes()
 	}
 	if bytes > b.bounds.record {
 		return Record{}, bytes
@@ -140,7 +139,7 @@
 		b.recording = append(b.recording, a)
 	}
 	for i, a := range list {
-		a.setPending(&r.Lines[i])
+		a.setPending(&r.Lines[first+i])
 	}
 	return r, bytes
 }
@@ -222,26 +221,31 @@
 // that has not room for all.
 const leastNeed = 0.25
 
-// strayAfter is how long at the least the log keeps what earlier owners wrote of accounts that
-// have no limit here: longer than any window of a deployment, since theirs is not known.
-const strayAfter = 60 * event.Second
+// pastCounts reports whether what earlier owners wrote may count still.
+func (b *Book) pastCounts(now event.Time) bool {
+	return !b.isFirst && (len(b.limits) == 0 || now < b.began.Add(b.fresh).Add(b.longest))
+}
 
-// hasStrays reports whether earlier owners wrote of accounts that have no limit here. A Record
-// of all would take them off the log, and the owner after this one, with a configuration that
-// has them, would let them spend anew what they have spent.
-func (b *Book) hasStrays() bool {
-	for name := range b.past {
+// unclaimed returns what earlier owners wrote of accounts of which this one has no limit. A Record that
+// replaces all must repeat it while it counts: a team that is missing from one configuration, or
+// from the one that an owner begins with, would else have its quota anew at the next owner.
+func (b *Book) unclaimed(now event.Time) []Line {
+	if !b.pastCounts(now) {
+		return nil
+	}
+	var lines []Line
+	for _, name := range slices.Sorted(maps.Keys(b.past)) {
 		if b.accounts[name] == nil {
-			return true
+			lines = append(lines, b.past[name].Line)
 		}
 	}
-	return false
+	return lines
 }
 
-// strays returns accounts that earlier owners wrote of and of which nothing counts any more,
-// some at a time, and how much they take in a Record.
+// strays returns accounts that earlier owners wrote of and that are not used any more, some
+// at a time, and how much they take in a Record.
 func (b *Book) strays(now event.Time) (names []Account, bytes int) {
-	if now < b.began.Add(b.fresh).Add(max(b.longest, strayAfter)) {
+	if b.pastCounts(now) {
 		return nil, 0
 	}
 	for _, name := range slices.Sorted(maps.Keys(b.past)) {
