--- a/budget/record.go
+++ b/budget/record.go
@@ -283,6 +283,7 @@
 func (b *Book) Committed() {
 	for _, a := range b.recording {
 		a.committed, a.isPending, a.isStale = a.pending, false, false
+		delete(b.past, a.name)
 	}
 	b.recording = b.recording[:0]
 	b.isPending, b.isRecorded = false, true
@@ -296,7 +297,9 @@
 		if a := b.account(now, line.Account); a != nil {
 			a.isStale = true
 			b.isDue = true
+			continue
 		}
+		b.past[line.Account] = &heardLine{Line: line, at: now}
 	}
 }
 
