--- a/gateway/gone_test.go
+++ b/gateway/gone_test.go
@@ -247,10 +247,11 @@
 		t.Parallel()
 		var broken chan struct{}
 		start := func() []*standIn {
-			broken = make(chan struct{})
+			breaks := make(chan struct{})
+			broken = breaks
 			first := func(c net.Conn, q *http.Request) bool {
 				streamHead(2)(c, q)
-				<-broken
+				<-breaks
 				return reset(c, q)
 			}
 			return []*standIn{newStandIn(t, first), newStandIn(t, events(9, false))}
