cluster, fleet: a link that is given up is logged; a test waits until the server has seen rest

TestLongestRestingGivesWay failed once beside load: an answer reaches its caller a moment before the server notes that the connection rests, and the next one may be noted first.

A control box dropped the reason when a link to a peer that takes too little, or for which a message is too long, was given up.

--- a/cluster/server.go
+++ b/cluster/server.go
@@ -11,10 +11,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/random"
 	"lynxramp.org/link"
 	"lynxramp.org/message"
@@ -270,8 +272,7 @@
 // serveLink serves one connection of another box or of an entry.
 func (s *Server) serveLink(c *link.Conn[message.Envelope]) {
 	var id SessionID
-	// The reason of an end is seen by the other side too, which connects again.
-	_ = c.Serve(func(m *message.Envelope) {
+	err := c.Serve(func(m *message.Envelope) {
 		switch {
 		case m.Hello != nil && m.Hello.Entry != "":
 			id = s.addSession(c)
@@ -293,6 +294,10 @@
 			s.peers.learn(m.Redirect)
 		}
 	})
+	if errors.Is(err, link.ErrTooLong) || errors.Is(err, link.ErrBehind) {
+		// Other ends are seen by the other side too, which connects again.
+		s.log.Warn("link given up", zap.String("peer", c.Remote()), logx.Err(err))
+	}
 	if id != 0 {
 		s.removeSession(id)
 		s.input <- &SessionEnded{Session: id}
--- a/fleet/idle_test.go
+++ b/fleet/idle_test.go
@@ -60,7 +60,14 @@
 			<-hold
 		}
 	}))
-	server.Config.ConnState = newIdleCloser(func() time.Duration { return 0 }, 3).observe
+	closer := newIdleCloser(func() time.Duration { return 0 }, 3)
+	rests := make(chan net.Conn, 10)
+	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		closer.observe(c, state)
+		if state == http.StateIdle {
+			rests <- c
+		}
+	}
 	server.Start()
 	defer server.Close()
 	connect := func() net.Conn {
@@ -79,6 +86,7 @@
 		if err := ask(rested[i]); err != nil {
 			t.Fatal(err)
 		}
+		<-rests // the server has seen it rest: an answer comes a moment before
 	}
 	for i, closed := range []bool{true, true, false, false} {
 		_ = rested[i].SetReadDeadline(time.Now().Add(200 * time.Millisecond))
