--- a/gateway/run.go
+++ b/gateway/run.go
@@ -236,9 +236,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// gone takes note that the caller left and closes its connection. A handler that returned
-// without a word would have net/http answer 200 for it: a caller that only sends no more
-// would take that for an endpoint's success.
+// gone takes note that the caller left. The connection ends without an answer: a handler that returned
+// without a word would have net/http answer 200, a success that no endpoint made.
 func (c *call) gone() {
 	c.gateway.meters.ended(0, c.rankLabel())
 	c.record.failed = true
