--- a/proc/request_test.go
+++ b/proc/request_test.go
@@ -239,10 +239,10 @@
 	dying.wait.Wait()
 	l.more(24)
 	began := time.Now()
+	c.boxes[at].ended = true
 	c.boxes[at].signal(syscall.SIGTERM)
 	c.waitLeader(at)
 	t.Logf("a new owner %v after the order to stop", time.Since(began))
-	c.boxes[at].ended = true
 	c.boxes[at].waitExit()
 	l.more(24)
 	c.slots[0].stop()
