--- a/registry/registry.go
+++ b/registry/registry.go
@@ -208,19 +208,6 @@
 	return revision != 0 && revision >= s.Forgotten && revision <= s.Revision
 }
 
-// Since returns what changed after a revision: endpoints by id, and the ids of those that
-// are gone. It is false where that is not known; then List has all that is there.
-func (s *State) Since(revision uint64) (changed []Endpoint, gone []string, ok bool) {
-	if !s.Reaches(revision) {
-		return nil, nil, false
-	}
-	s.index()
-	for i := len(s.Gone) - 1; i >= 0 && s.GoneAt[i] > revision; i-- {
-		gone = append(gone, s.Gone[i])
-	}
-	return s.changedAfter(revision), gone, true
-}
-
 // changedAfter returns the endpoints that changed after a revision, by id; all that are
 // there after none.
 func (s *State) changedAfter(revision uint64) []Endpoint {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -58,7 +59,7 @@
 	if !there || s.IsGone("new") || !s.IsGone("old") {
 		t.Errorf("%v, gone %v", s.Endpoints, s.Gone)
 	}
-	if changed, gone, ok := s.Since(1); !ok || len(changed) != 1 || len(gone) != 1 || gone[0] != "old" {
+	if changed, gone, ok := since(&s, 1); !ok || len(changed) != 1 || len(gone) != 1 || gone[0] != "old" {
 		t.Errorf("since its first word: %v, %v, %v", changed, gone, ok)
 	}
 	s.Remove("old", 4)
@@ -77,6 +78,15 @@
 	}
 }
 
+// since returns all that changed after a revision; false where that is not known.
+func since(s *State, revision uint64) (changed []Endpoint, gone []string, ok bool) {
+	if !s.Reaches(revision) {
+		return nil, nil, false
+	}
+	p := s.After(revision, math.MaxInt)
+	return p.Endpoints, p.Gone, true
+}
+
 // TestSinceTellsEachChangeOnce follows a registry through random changes: who applies what
 // it is told since the revision that it has seen knows what is there.
 func TestSinceTellsEachChangeOnce(t *testing.T) {
@@ -94,7 +104,7 @@
 		if random.IntN(40) != 0 {
 			continue
 		}
-		changed, gone, ok := s.Since(revision)
+		changed, gone, ok := since(&s, revision)
 		if !ok {
 			clear(seen)
 			changed = s.List()
@@ -120,11 +130,11 @@
 		s.Remove(fmt.Sprint(i), i+1)
 	}
 	for _, revision := range []uint64{0, 1, maxGone - 1, 2*maxGone + 1} {
-		if _, _, ok := s.Since(revision); ok {
+		if _, _, ok := since(&s, revision); ok {
 			t.Errorf("changes since revision %d are told, though some may be missing", revision)
 		}
 	}
-	if _, gone, ok := s.Since(2*maxGone - 3); !ok || len(gone) != 3 {
+	if _, gone, ok := since(&s, 2*maxGone-3); !ok || len(gone) != 3 {
 		t.Errorf("%d ends since the revision before the last three, %v", len(gone), ok)
 	}
 }
@@ -143,7 +153,7 @@
 	if err := json.Unmarshal(data, &again); err != nil {
 		t.Fatal(err)
 	}
-	changed, gone, ok := again.Since(3)
+	changed, gone, ok := since(&again, 3)
 	if !ok || len(changed) != 0 || len(gone) != 1 || gone[0] != "b" {
 		t.Errorf("since revision 3: %v, %v, %v; want that b is gone", changed, gone, ok)
 	}
