gateway: the log tells the tokens that a caller guesses

Cause: the line "admitted" told the most that a caller allows, not the guess by which its place is decided, so that nobody could check a decision from the log. Change: guessed_tokens beside output_tokens.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -237,7 +237,7 @@
 	}
 	c.prompt, c.output = c.tokens()
 	c.note(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
-		zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.prompt), zap.Int("output_tokens", c.output),
+		zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.prompt), zap.Int("output_tokens", c.output), zap.Int("guessed_tokens", c.guess()),
 		zap.Duration("left", time.Until(c.deadline)), zap.Uint64("version", c.table.Version))
 	return true
 }
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -42,6 +42,16 @@
 	return max(0, prompt), max(0, output)
 }
 
+// guess returns the tokens that the caller expects to be generated: its hint, or the most that
+// it allows where it gives none that makes sense.
+func (c *call) guess() int {
+	hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint))
+	if err != nil || hint <= 0 {
+		return c.output
+	}
+	return min(c.output, hint)
+}
+
 // quota is what the request counts against its team's quota.
 func (c *call) quota() int {
 	switch {
@@ -58,16 +68,12 @@
 
 // ticket describes the request to who decides.
 func (c *call) ticket(repeat bool) message.Submission {
-	output := c.output
-	if hint, err := strconv.Atoi(c.r.Header.Get(c.gateway.config.Names.Hint)); err == nil && hint > 0 {
-		output = min(output, hint)
-	}
 	left := time.Until(c.deadline)
 	target := c.route.Target - time.Since(c.arrived)
 	return message.Submission{
 		Ticket: event.Ticket{
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
-			PromptTokens: c.prompt, OutputTokens: output, Deadline: left,
+			PromptTokens: c.prompt, OutputTokens: c.guess(), Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.patience(left),
 			Placed: c.placed, Returned: c.returned, Avoid: c.avoid, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 		},
