sched: who has no chance of a place in time is told so, however long it waits

Cause: a request was refused for its forecast within a quarter of its target only. And the forecast counted all work of a request's rank, what came after it too.

Change: the forecast holds at any age, and counts the work before the request in its team's queue, once for each team that waits, as teams take turns. The window of a quarter of the target goes.

TestHopelessWaitIsRefusedAtOnceAndOnlyEarly held the opposite of this decision for its second half; in its place TestHopelessWaitIsRefusedAtOnce asks that each is told when its time is over at the latest, and the next one last.

--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -136,7 +136,7 @@
 	return s, now
 }
 
-func TestHopelessWaitIsRefusedAtOnceAndOnlyEarly(t *testing.T) {
+func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
 	s, now := overloaded(t)
 	var out event.Effects
 	for i := range 30 {
@@ -150,17 +150,18 @@
 			t.Errorf("refused with %+v", r)
 		}
 	}
-	// Nothing drains any more: those that wait are sent away only while it is early.
-	out.Reset()
-	early := now.Add(event.Second / earlyPart / 2)
-	s.Step(early, &event.Tick{}, &out)
-	out.Reset()
-	s.Step(now.Add(event.Second/2), &event.Tick{}, &out)
-	for _, r := range out.Refusals {
-		if r.Reason == event.ReasonShed {
-			t.Errorf("refused for its wait after half a second: %+v", r)
+	// Nothing drains any more: those that wait are told so as their time runs out, the one that
+	// is next last, when its target is over.
+	told := len(out.Refusals)
+	for wait := event.Span(0); wait <= event.Second+50*event.Millisecond; wait += 50 * event.Millisecond {
+		s.Step(now.Add(wait), &event.Tick{}, &out)
+		if wait <= event.Second/2 && len(out.Refusals) == 30 {
+			t.Errorf("nobody waits after %v, though one could be in time", wait)
 		}
 	}
+	if len(out.Refusals) != 30 || told == 30 {
+		t.Errorf("%d of 30 told at once and %d in all when their target was over", told, len(out.Refusals))
+	}
 }
 
 func TestNothingIsRefusedWhilePlacesAreFree(t *testing.T) {
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -8,12 +8,14 @@
 	"lynxramp.org/event"
 )
 
-// earlyPart is the part of its target within which a request may be refused for
-// its wait. Later it is held: who waited so long is not sent away.
-const earlyPart = 4
+// promptPart is the part of its patience, as a divisor, that the reading of a long prompt
+// leaves a request at the least.
+const promptPart = 4
 
-// forecast refuses what would wait longer than it may, by the work that waits before
-// it and the places that serve: at its arrival and a short time after.
+// forecast refuses what would wait longer than it may, by the work that waits before it and
+// the places that serve, at its arrival and as long as it waits. The load that it answers is
+// a burst in which more urgent requests keep coming: who was promised a place at its arrival
+// has none, and would be held to its deadline without a word.
 func (s *State) forecast(now event.Time, e event.Event, out *event.Effects) {
 	switch e := e.(type) {
 	case *event.Submitted:
@@ -63,21 +65,18 @@
 		return false
 	}
 	waited := now.Sub(k.arrived) + k.Waited
-	if k.Target > 0 && waited > (k.Target+k.Waited)/earlyPart {
-		return false
-	}
 	patience := k.Patience
 	if k.Target > 0 && k.OutputTokens > 0 {
 		// Its own prompt has to be read in the time, too.
 		fill := event.Span(float64(k.PromptTokens) / s.profile().PrefillRate * float64(event.Second))
-		patience = max(patience-fill, patience/earlyPart)
+		patience = max(patience-fill, patience/promptPart)
 	}
 	return waited+s.expectedWait(now, k) > patience
 }
 
-// expectedWait returns how long the queue before a ticket takes to drain: the time
-// that its requests will hold places, over the places. What ranks above it leave over
-// is what its own rank and those below got lately.
+// expectedWait returns how long the queue before a waiting ticket takes to drain: the time
+// that its requests will hold places, over the places. What ranks above it leave over is what
+// its own rank and those below got lately.
 func (s *State) expectedWait(now event.Time, k *ticket) event.Span {
 	if s.places == 0 {
 		return 0
@@ -92,7 +91,7 @@
 			above += t.work
 			continue
 		case t.rank == k.Rank && t.standing == k.standing:
-			beside = t.work
+			beside = t.ahead(k)
 		}
 		lower += drained
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -24,6 +24,7 @@
 	expected int        // output tokens, by what the service's answers had
 	class    *class     // of the rank that it came with
 	hold     float64    // seconds that it is expected to hold its place
+	position float64    // seconds of work that had entered its team's queue when it did
 	standing standing
 }
 
@@ -51,6 +52,24 @@
 	name    string
 	service float64 // tokens served, divided by the team's share
 	waiting *btree.BTreeG[*ticket]
+	// entered and left are the seconds of work that ever came into its queue and went.
+	entered, left float64
+}
+
+// leave takes a ticket's work out. One that goes as it came had nobody behind it.
+func (m *team) leave(k *ticket) {
+	if k.position+k.hold == m.entered {
+		m.entered = k.position
+		return
+	}
+	m.left += k.hold
+}
+
+// ahead returns the seconds of work that will run before a ticket of the tier: teams take
+// turns, so that it is its own team's work before it, once for each team that waits.
+func (t *tier) ahead(k *ticket) float64 {
+	before := max(0, k.position-t.team(k.Team).left)
+	return min(t.work, before*float64(t.active.Len()))
 }
 
 func teamLess(a, b *team) bool {
@@ -140,6 +159,8 @@
 		t.active.ReplaceOrInsert(m)
 	}
 	m.waiting.ReplaceOrInsert(k)
+	k.position = m.entered
+	m.entered += k.hold
 	t.size++
 	t.work += k.hold
 	q.byID[k.ID] = k
@@ -150,6 +171,7 @@
 	t := q.tier(k.Rank, k.standing)
 	m := t.team(k.Team)
 	m.waiting.Delete(k)
+	m.leave(k)
 	if m.waiting.Len() == 0 {
 		t.active.Delete(m)
 	}
