admission, budget: without an owner, requests without quota wait for one as long as they can be in time

Change: an entry alone keeps such a request as long as it may be expected to wait (its patience), and resubmits it when there is an owner. With an owner nothing changes: the room in a quota is known.

--- a/admission/park.go
+++ b/admission/park.go
@@ -25,12 +25,16 @@
 	until      event.Time
 }
 
-// parkOrRefuse keeps a request that a quota has room for in a moment, and refuses
-// any other with the time when it has.
+// parkOrRefuse keeps a request that a quota has room for in a moment, and refuses any other
+// with the time when it has. Without an owner each is kept as long as it can be in time. The
+// load that this answers is an owner lost under load: what an entry was lent of a quota is
+// often less than one long prompt, and an owner is back before most that wait are late.
 func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	// What it has waited already, perhaps for another who decided, counts.
 	patience := (m.Ticket.Target+m.Ticket.Waited)/parkPart - m.Ticket.Waited
 	switch room := s.roomIn(now, m); {
+	case s.budget.IsLent() && s.quotaOf(m.Ticket.Team) != nil:
+		patience = patienceOf(&m.Ticket)
 	case room == 0:
 		patience = max(patience, recordPatience)
 	case room > patience:
@@ -42,6 +46,15 @@
 	})
 }
 
+// patienceOf returns how much longer a request may be expected to wait. What it has waited
+// already, perhaps for another who decided, counts.
+func patienceOf(t *event.Ticket) event.Span {
+	if t.Patience == 0 {
+		return t.Target
+	}
+	return t.Patience - t.Waited
+}
+
 func (s *State) refuseQuota(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	out.Refusals = append(out.Refusals, event.Refused{
 		Entry: entry, ID: m.Ticket.ID, Reason: event.ReasonQuota, RetryAfter: max(quotaRetryLeast, s.roomIn(now, m)),
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -21,6 +21,9 @@
 	DropLimit(a budget.Account)
 	// Room returns how long it takes until an amount may fit.
 	Room(now event.Time, a budget.Account, amount int) event.Span
+	// IsLent reports whether all that may be spent was lent by an owner that is lost: another
+	// may have room at any moment.
+	IsLent() bool
 	// State returns what was spent of an account and may be, for the log.
 	State(now event.Time, a budget.Account) (spent, limit int)
 }
--- a/budget/allowances.go
+++ b/budget/allowances.go
@@ -83,6 +83,9 @@
 // Room returns when there may be an owner again that has room.
 func (s *Allowances) Room(event.Time, Account, int) event.Span { return ownerSoon }
 
+// IsLent returns true.
+func (s *Allowances) IsLent() bool { return true }
+
 // State returns what was spent of an account and up to where it may be, for the log.
 func (s *Allowances) State(_ event.Time, name Account) (spent, limit int) {
 	if h := s.held[name]; h != nil {
--- a/budget/book.go
+++ b/budget/book.go
@@ -173,6 +173,9 @@
 	}
 }
 
+// IsLent returns false: an owner spends by its own books.
+func (b *Book) IsLent() bool { return false }
+
 // Room returns how long it takes until an amount fits, if nothing more is spent. It is 0
 // while only a Record is awaited.
 func (b *Book) Room(now event.Time, name Account, amount int) event.Span {
