--- a/admission/size_test.go
+++ b/admission/size_test.go
@@ -26,7 +26,10 @@
 
 // inheritedState returns a State of an owner that follows another.
 func inheritedState() *State {
-	return New(testLimits, 1, recordedBook{budget.InheritBook(0, 5*event.Second, budget.Record{}, 0)})
+	var past budget.Ledger
+	past.Apply(budget.Record{})
+	past.Heard(0)
+	return New(testLimits, 1, recordedBook{budget.InheritLedger(0, 5*event.Second, &past)})
 }
 
 // mostTable is the longest that an owner may take over a new configuration: an eighth of the
--- a/budget/book.go
+++ b/budget/book.go
@@ -56,15 +56,6 @@
 	}
 }
 
-// InheritBook returns the book of an owner that follows others. The last Record of theirs
-// was heard at a moment; every owner before had ceased by now.
-func InheritBook(now event.Time, fresh event.Span, last Record, heard event.Time) *Book {
-	var l Ledger
-	l.Apply(last)
-	l.Heard(heard)
-	return InheritLedger(now, fresh, &l)
-}
-
 // InheritLedger returns the book of an owner that follows others, with what the log has of
 // them. Every owner before had ceased by now.
 func InheritLedger(now event.Time, fresh event.Span, l *Ledger) *Book {
--- a/budget/book_test.go
+++ b/budget/book_test.go
@@ -91,7 +91,7 @@
 		t.Fatal(err)
 	}
 	now := at(2 * event.Second)
-	next := InheritBook(now, testFresh, last, at(1100*event.Millisecond))
+	next := inheritBook(now, testFresh, last, at(1100*event.Millisecond))
 	next.SetLimit(now, worldAccount, testLimit)
 	commit(now, next)
 	if got := spendAll(now, next); got > 0 {
@@ -123,7 +123,7 @@
 	}
 	last := b.MakeRecord(at(8 * event.Second))
 	now := at(9 * event.Second)
-	next := InheritBook(now, testFresh, last, at(8*event.Second))
+	next := inheritBook(now, testFresh, last, at(8*event.Second))
 	next.SetLimit(now, worldAccount, testLimit)
 	commit(now, next)
 	if got := spendAll(now, next); got < testMost/5 {
@@ -134,7 +134,7 @@
 // TestInheritedSpendingFades: what may have been done by owners before counts for as long
 // as it may matter, and no longer.
 func TestInheritedSpendingFades(t *testing.T) {
-	b := InheritBook(0, testFresh, Record{}, 0)
+	b := inheritBook(0, testFresh, Record{}, 0)
 	b.SetLimit(0, worldAccount, testLimit)
 	commit(0, b)
 	if got := spendAll(0, b); got > testMost/2 {
@@ -231,7 +231,7 @@
 func TestNothingIsLentBeforeARecord(t *testing.T) {
 	e := &Allowances{}
 	e.Take(Lent{Number: 3, Whole: true, UpTo: []Holding{{Account: worldAccount, UpTo: 100}}})
-	b := InheritBook(0, testFresh, Record{}, 0)
+	b := inheritBook(0, testFresh, Record{}, 0)
 	b.SetLimit(0, worldAccount, testLimit)
 	b.Greet(0, "a", 1, e.Greet())
 	e.Take(b.Lend(0, "a", 1))
@@ -251,7 +251,7 @@
 			line := Line{Account: worldAccount, Spent: b.accounts[worldAccount].parts(spent.Add(late))}
 			for clock := event.Span(0); clock < 50*event.Millisecond; clock += 9 * event.Millisecond {
 				heard := spent.Add(late + clock)
-				next := InheritBook(heard, testFresh, Record{Lines: []Line{line}}, heard)
+				next := inheritBook(heard, testFresh, Record{Lines: []Line{line}}, heard)
 				next.SetLimit(heard, worldAccount, testLimit)
 				last := spent.Add(clock + testLimit.Window - event.Millisecond)
 				if got := next.accounts[worldAccount].spent.Total(last); got != 100 {
@@ -282,7 +282,7 @@
 // beside it where there is room. They were lent nothing for as long as that counted.
 func TestNewOwnerLendsAtOnce(t *testing.T) {
 	last := Record{Lines: []Line{{Account: worldAccount, Spent: []int{testMost / 4}, Mark: testMost / 16, Lent: testMost / 4}}}
-	b := InheritBook(0, testFresh, last, 0)
+	b := inheritBook(0, testFresh, last, 0)
 	b.SetLimit(0, worldAccount, testLimit)
 	commit(0, b)
 	b.Greet(0, "a", 1, nil)
@@ -316,7 +316,7 @@
 // one holds that is not heard, stays withheld.
 func TestWhatEntriesGiveBackIsFree(t *testing.T) {
 	last := Record{Lines: []Line{{Account: worldAccount, Spent: []int{0}, Mark: 0, Lent: testMost / 4}}}
-	b := InheritBook(0, testFresh, last, 0)
+	b := inheritBook(0, testFresh, last, 0)
 	b.SetLimit(0, worldAccount, testLimit)
 	commit(0, b)
 	inherited := func() int { return b.accounts[worldAccount].inherited }
@@ -358,3 +358,12 @@
 		t.Errorf("held %+v, want nothing left", held)
 	}
 }
+
+// inheritBook returns the book of an owner that follows others. The last Record of theirs
+// was heard at a moment; every owner before had ceased by now.
+func inheritBook(now event.Time, fresh event.Span, last Record, heard event.Time) *Book {
+	var l Ledger
+	l.Apply(last)
+	l.Heard(heard)
+	return InheritLedger(now, fresh, &l)
+}
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"maps"
 	"slices"
 
 	"lynxramp.org/admission"
@@ -111,9 +112,13 @@
 	return node.Leads() && !node.HandsOver() && o.term == node.Term() && now < node.LeaseEnd(now).Add(lapsePatience)
 }
 
+// inOrder returns the sessions in the order in which they began, so that what follows from an
+// event does not hang on the order of a map.
+func (o *owner) inOrder() []SessionID { return slices.Sorted(maps.Keys(o.sessions)) }
+
 // end closes all sessions: the entries go to the next owner.
 func (o *owner) end(s *State, out *Effects) {
-	for id := range o.sessions {
+	for _, id := range o.inOrder() {
 		s.redirect(id, out)
 	}
 }
@@ -277,8 +282,8 @@
 // takeConfig takes a new configuration and tells all entries of it.
 func (o *owner) takeConfig(now event.Time, s *State, out *Effects) {
 	o.admission.SetTable(now, s.config.table)
-	for id, one := range o.sessions {
-		o.tellConfig(id, one, s, out)
+	for _, id := range o.inOrder() {
+		o.tellConfig(id, o.sessions[id], s, out)
 	}
 }
 
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -84,8 +84,8 @@
 		complete.Revision = s.machine.registry.Revision
 	}
 	all, some := &message.Envelope{View: &complete}, &message.Envelope{View: view}
-	for id, one := range o.sessions {
-		if one.view.isBehind {
+	for _, id := range o.inOrder() {
+		if o.sessions[id].view.isBehind {
 			out.Sends = append(out.Sends, Send{id, some})
 			continue
 		}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lynxramp.org/internal/progress"
 )
 
 // bodySilence is how long no byte of a body may come. How long the whole may take is up to
@@ -41,9 +43,9 @@
 	if c.r.ContentLength == 0 {
 		return true
 	}
-	control := http.NewResponseController(c.w)
-	err := c.takeBody(control, limit)
-	_ = control.SetReadDeadline(time.Time{})
+	body := progress.Reader{Body: c.r.Body, Control: http.NewResponseController(c.w), Silence: c.gateway.bodySilence, Until: c.deadline}
+	err := c.takeBody(&body, limit)
+	body.End()
 	switch {
 	case err == nil:
 		return true
@@ -59,20 +61,14 @@
 	return false
 }
 
-// takeBody reads the body as long as its bytes come. They count as held from their coming.
-func (c *call) takeBody(control *http.ResponseController, limit int64) error {
+// takeBody keeps a body's bytes. They count as held from their coming.
+func (c *call) takeBody(body io.Reader, limit int64) error {
 	c.body = make([]byte, 0, firstBody)
 	for {
-		until := time.Now().Add(c.gateway.bodySilence)
-		if c.deadline.Before(until) {
-			until = c.deadline
-		}
-		// A connection that can't have a deadline is bounded by the caller's.
-		_ = control.SetReadDeadline(until)
 		if len(c.body) == cap(c.body) {
 			c.body = append(c.body, 0)[:len(c.body)]
 		}
-		n, err := c.r.Body.Read(c.body[len(c.body):cap(c.body)])
+		n, err := body.Read(c.body[len(c.body):cap(c.body)])
 		c.body = c.body[:len(c.body)+n]
 		held := c.gateway.bytes.Add(int64(n))
 		switch {
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -52,16 +52,15 @@
 
 // loadRequest is one caller's request.
 type loadRequest struct {
-	kind     *loadKind
-	ticket   event.Ticket
-	first    event.Time // its caller's first try
-	asked    event.Time // this try
-	length   int
-	share    float64 // of its kind's worth, by its size
-	long     bool    // of the tenth of its kind with the most tokens out
-	tries    int
-	placed   bool
-	finished bool
+	kind   *loadKind
+	ticket event.Ticket
+	first  event.Time // its caller's first try
+	asked  event.Time // this try
+	length int
+	share  float64 // of its kind's worth, by its size
+	long   bool    // of the tenth of its kind with the most tokens out
+	tries  int
+	placed bool
 }
 
 // loadResult is what came of a replay.
