--- a/admission/park.go
+++ b/admission/park.go
@@ -28,7 +28,9 @@
 // parkOrRefuse keeps a request that a quota has room for in a moment, and refuses any other
 // with the time when it has. Without an owner each is kept as long as it can be in time. The
 // load that this answers is an owner lost under load: what an entry was lent of a quota is
-// often less than one long prompt, and an owner is back before most that wait are late.
+// often less than one long prompt, and an owner is back before many that wait are late. 22
+// entries that refused them at once sent 132 of 184 long requests away while an owner was lost
+// for 2 s, counted from their log.
 func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	// What it has waited already, perhaps for another who decided, counts.
 	patience := (m.Ticket.Target+m.Ticket.Waited)/parkPart - m.Ticket.Waited
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -135,7 +135,7 @@
 	todo     todoHeap
 	order    int
 	requests map[event.RequestID]*loadRequest
-	reading  map[event.EndpointID]event.Time // until when prompts are read
+	engines  map[event.EndpointID]*loadEngine
 	lost     map[event.EndpointID]bool
 	result   loadResult
 }
@@ -181,7 +181,7 @@
 func playLoad(l load) *loadResult {
 	r := &replay{
 		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), requests: make(map[event.RequestID]*loadRequest),
-		reading: make(map[event.EndpointID]event.Time), lost: make(map[event.EndpointID]bool),
+		engines: make(map[event.EndpointID]*loadEngine), lost: make(map[event.EndpointID]bool),
 		s: New(0, event.Pool{Name: pool, MaxWaiting: 4000, Discovered: true, Profile: event.Profile{
 			PrefillRate: 40000, TokenGap: 5 * event.Millisecond, CallTime: 30 * event.Millisecond,
 		}, LeastOutstanding: l.baseline}, l.seed),
@@ -330,29 +330,73 @@
 	r.at(r.now.Add(min(f.RetryAfter, left/3)), func() { r.submit(k) })
 }
 
+// loadEngine is an endpoint of ten places; what comes beyond them waits there.
+type loadEngine struct {
+	slowness float64
+	running  int
+	waiting  []func()
+	reading  event.Time // until when prompts are read
+}
+
+const (
+	loadPlaces = 10
+	// loadWay is how long a word takes from an endpoint to the owner, by its entry, or back.
+	loadWay = 4 * event.Millisecond
+)
+
 func (r *replay) granted(g event.Granted) {
 	k := r.requests[g.ID]
 	k.placed = true
-	slow := r.slowness(g.Endpoint)
-	read := event.Span(float64(k.ticket.PromptTokens) / 56600 * slow * float64(event.Second))
-	begin := max(r.now, r.reading[g.Endpoint]).Add(read + 16*event.Millisecond)
-	r.reading[g.Endpoint] = begin
-	gap := event.Span(5.5 * slow * float64(event.Millisecond))
+	e, ok := r.engines[g.Endpoint]
+	if !ok {
+		e = &loadEngine{slowness: r.slowness(g.Endpoint)}
+		r.engines[g.Endpoint] = e
+	}
+	granted := r.now
+	r.at(r.now.Add(loadWay), func() {
+		run := func() { r.run(e, k, g.ID, granted) }
+		if e.running == loadPlaces {
+			e.waiting = append(e.waiting, run)
+			return
+		}
+		run()
+	})
+}
+
+// run has an engine begin with a request.
+func (r *replay) run(e *loadEngine, k *loadRequest, id event.RequestID, granted event.Time) {
+	e.running++
+	read := event.Span(float64(k.ticket.PromptTokens) / 56600 * e.slowness * float64(event.Second))
+	begin := max(r.now, e.reading).Add(read + 16*event.Millisecond)
+	e.reading = begin
+	gap := event.Span(5.5 * e.slowness * float64(event.Millisecond))
 	deadline := k.first.Add(k.kind.deadline)
 	end := begin.Add(gap * event.Span(k.length))
-	granted := r.now
 	if begin < deadline {
-		r.at(begin, func() { r.step(&event.Begun{ID: g.ID, Pool: pool, After: r.now.Sub(granted)}) })
+		r.at(begin.Add(loadWay), func() { r.step(&event.Begun{ID: id, Pool: pool, After: r.now.Sub(granted)}) })
+	}
+	r.at(min(end, deadline), func() {
+		e.free()
+		r.at(r.now.Add(loadWay), func() { r.end(id, k, granted, begin, gap, end <= deadline) })
+	})
+}
+
+// free gives a place to who waits at the engine.
+func (e *loadEngine) free() {
+	e.running--
+	if len(e.waiting) > 0 {
+		run := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		run()
 	}
-	r.at(min(end, deadline), func() { r.end(g, k, granted, begin, gap, end <= deadline) })
 }
 
-func (r *replay) end(g event.Granted, k *loadRequest, granted, begin event.Time, gap event.Span, whole bool) {
-	delete(r.requests, g.ID)
-	f := &event.Finished{ID: g.ID, Pool: pool, Tokens: k.length, FirstAfter: begin.Sub(granted), TokenGap: gap, Failed: !whole}
+func (r *replay) end(id event.RequestID, k *loadRequest, granted, begin event.Time, gap event.Span, whole bool) {
+	delete(r.requests, id)
+	f := &event.Finished{ID: id, Pool: pool, Tokens: k.length, FirstAfter: begin.Sub(granted), TokenGap: gap, Failed: !whole}
 	r.result.placeSeconds += r.now.Sub(granted).Seconds()
 	if !whole {
-		f.Tokens = int(r.now.Sub(begin) / gap)
+		f.Tokens = int(max(0, r.now.Sub(begin)) / gap)
 		r.result.cut++
 		r.result.useless += r.now.Sub(granted).Seconds()
 		r.step(f)
