gateway: under load each request that failed has a line, and the same part of the others

Change: a request that failed and has no room for all its steps has its last one, up to 200 a second; of those that did well one in 32 by its id has all.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,7 @@
 	closing       atomic.Bool // streams are not taken any more
 	meters        meters
 
-	failedBudget, wellBudget *logx.Budget
+	failedBudget, briefBudget, wellBudget *logx.Budget
 }
 
 // New returns a gateway; Run keeps it tidy.
@@ -77,7 +77,7 @@
 	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), longest: newLongest(), mayHold: mayHold(c.Descriptors), bodySilence: bodySilence, callerSilence: callerSilence}
 	g.upstream.most = MayConnect(c.Descriptors)
 	g.meters = newMeters(g)
-	g.failedBudget, g.wellBudget = newBudgets()
+	g.failedBudget, g.briefBudget, g.wellBudget = logx.NewBudget(failedLines), logx.NewBudget(briefLines), logx.NewBudget(wellLines)
 	return g
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -5,16 +5,24 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
-
-	"lynxramp.org/internal/logx"
 )
 
-// Lines a second that an entry writes about requests. Those that failed or were
-// late are kept before those that did well.
+// Lines that an entry writes about requests. The load that they answer is a burst in which
+// hundreds a second are refused: whoever counts from the log must find each of these.
 const (
+	// failedLines is how many a second tell all steps of requests that failed or were late.
 	failedLines = 30
-	wellLines   = 6
+	// briefLines is how many such requests a second beyond these have one line, their last
+	// step: some seven times the 30 requests a second that each of 30 entries was asked under
+	// a burst.
+	briefLines = 200
+	// wellPart is the part of the requests that did well, as a divisor, that have all their
+	// steps written: chosen by their ids, the same part under any load.
+	wellPart = 32
+	// wellLines bounds these, in lines a second.
+	wellLines = 60
 )
 
 // The steps of a request's life as the log has them.
@@ -50,31 +58,41 @@
 	c.record.steps = append(c.record.steps, step{name: name, at: time.Now(), fields: fields})
 }
 
-// writeRecord writes what was decided on the request, a line each, if the budget
-// allows all of them.
+// writeRecord writes what was decided on the request: all steps, a line each, of some of those
+// that did well and of as many as there is room for of the others, and the last one of the rest.
 func (c *call) writeRecord() {
-	g := c.gateway
-	budget := g.wellBudget
-	if c.record.failed {
-		budget = g.failedBudget
+	g, now := c.gateway, time.Now()
+	if !c.record.failed {
+		if isChosen(c.callerID) && g.wellBudget.Allow(now, len(c.record.steps)) {
+			c.writeSteps(c.record.steps)
+		}
+		return
 	}
-	if !budget.Allow(time.Now(), len(c.record.steps)) {
+	if g.failedBudget.Allow(now, len(c.record.steps)) {
+		c.writeSteps(c.record.steps)
 		return
 	}
-	log := g.log.With(zap.String("request", c.callerID), zap.String("id", string(c.id)))
-	for _, s := range c.record.steps {
-		log.Info(s.name, append(s.fields, zap.Time("at", s.at), zap.Duration("after", s.at.Sub(c.arrived)))...)
+	if steps := c.record.steps; len(steps) > 0 && g.briefBudget.Allow(now, 1) {
+		c.writeSteps(steps[len(steps)-1:])
 	}
 }
 
-// tellLeftOut writes how many lines about requests were left out.
-func (g *Gateway) tellLeftOut() {
-	failed, well := g.failedBudget.TakeLeftOut(), g.wellBudget.TakeLeftOut()
-	if failed+well > 0 {
-		g.log.Info("lines left out", zap.Uint64("of_failed", failed), zap.Uint64("of_others", well))
+// isChosen reports whether the request of an id is of the part whose lines are written though
+// it did well.
+func isChosen(id string) bool { return xxhash.Sum64String(id)%wellPart == 0 }
+
+func (c *call) writeSteps(steps []step) {
+	log := c.gateway.log.With(zap.String("request", c.callerID), zap.String("id", string(c.id)))
+	for _, s := range steps {
+		log.Info(s.name, append(s.fields, zap.Time("at", s.at), zap.Duration("after", s.at.Sub(c.arrived)))...)
 	}
 }
 
-func newBudgets() (failed, well *logx.Budget) {
-	return logx.NewBudget(failedLines), logx.NewBudget(wellLines)
+// tellLeftOut writes how many lines about requests were left out, and how many requests that
+// failed have no line at all.
+func (g *Gateway) tellLeftOut() {
+	failed, well, unnamed := g.failedBudget.TakeLeftOut(), g.wellBudget.TakeLeftOut(), g.briefBudget.TakeLeftOut()
+	if failed+well+unnamed > 0 {
+		g.log.Info("lines left out", zap.Uint64("of_failed", failed), zap.Uint64("of_others", well), zap.Uint64("failed_without_a_line", unnamed))
+	}
 }
