--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -164,6 +164,23 @@
 	}
 }
 
+// TestPassedOverRequestKeepsItsPlace: a request that is passed over, since it must not go to
+// the endpoint that has room, has no more work before it than it had when it came. It was
+// counted behind all that came after it, and refused for a wait that it did not have.
+func TestPassedOverRequestKeepsItsPlace(t *testing.T) {
+	s := discovered(2, 1)
+	var out event.Effects
+	s.Step(0, call(0, func(k *event.Ticket) { k.Patience = 0 }), &out)
+	s.Step(0, call(1, func(k *event.Ticket) { k.Avoid = []event.EndpointID{"e0000", "e0001"}; k.Patience = 0 }), &out)
+	first := s.queue.byID["r1"]
+	for i := range 20 {
+		s.Step(0, call(10+i, func(k *event.Ticket) { k.Patience = 0 }), &out)
+	}
+	if first.position != 0 || s.queue.tier(first.Rank, first.standing).ahead(first) != 0 {
+		t.Errorf("%.2f s of work are counted before the request that came first", s.queue.tier(first.Rank, first.standing).ahead(first))
+	}
+}
+
 func TestNothingIsRefusedWhilePlacesAreFree(t *testing.T) {
 	s, now := overloaded(t)
 	var out event.Effects
--- a/sched/place.go
+++ b/sched/place.go
@@ -24,7 +24,7 @@
 		c := s.choose(now, k)
 		switch {
 		case c.room == nil && len(k.Avoid) > 0:
-			s.queue.remove(k)
+			s.queue.setAside(k)
 			s.passed = append(s.passed, k)
 		case c.room == nil:
 			s.unpass()
@@ -33,7 +33,7 @@
 			// No endpoint can answer in time, whatever else waits.
 			s.refuse(now, k, event.ReasonDeadline, out)
 		case c.hold, s.isWorthWaiting(k, &c), k.Target == 0 && c.est.total*startMargin > c.left && s.length(k.Service).known():
-			s.queue.remove(k)
+			s.queue.setAside(k)
 			s.passed = append(s.passed, k)
 		default:
 			s.grant(now, k, c.room, c.est, out)
@@ -45,7 +45,7 @@
 // unpass puts back what was passed over.
 func (s *State) unpass() {
 	for _, k := range s.passed {
-		s.queue.add(k)
+		s.queue.putBack(k)
 	}
 }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -151,7 +151,22 @@
 	return m
 }
 
+// add takes a ticket in, behind the work of its team that came before it.
 func (q *queue) add(k *ticket) {
+	m := q.tier(k.Rank, k.standing).team(k.Team)
+	k.position = m.entered
+	m.entered += k.hold
+	q.putBack(k)
+}
+
+// remove takes a ticket out for good.
+func (q *queue) remove(k *ticket) {
+	q.tier(k.Rank, k.standing).team(k.Team).leave(k)
+	q.setAside(k)
+}
+
+// putBack takes a ticket in again where it was before it was set aside.
+func (q *queue) putBack(k *ticket) {
 	t := q.tier(k.Rank, k.standing)
 	m := t.team(k.Team)
 	if m.waiting.Len() == 0 {
@@ -159,19 +174,18 @@
 		t.active.ReplaceOrInsert(m)
 	}
 	m.waiting.ReplaceOrInsert(k)
-	k.position = m.entered
-	m.entered += k.hold
 	t.size++
 	t.work += k.hold
 	q.byID[k.ID] = k
 	q.expiry.ReplaceOrInsert(k)
 }
 
-func (q *queue) remove(k *ticket) {
+// setAside takes a ticket out that will be put back: it keeps its place before those that came
+// after it.
+func (q *queue) setAside(k *ticket) {
 	t := q.tier(k.Rank, k.standing)
 	m := t.team(k.Team)
 	m.waiting.Delete(k)
-	m.leave(k)
 	if m.waiting.Len() == 0 {
 		t.active.Delete(m)
 	}
