--- a/sched/doc.go
+++ b/sched/doc.go
@@ -20,9 +20,9 @@
 // their requests have a target for the answer's beginning. There, within a rank, go
 // first requests that had a place before, then those that can still be in time at
 // their first try, then the rest (standing). What would wait too long by the work
-// before it is refused, at its arrival and as long as it waits (forecast). The owner keeps books of the prompts that each
-// endpoint has yet to read (reading), which Begun events correct, and learns how fast
-// endpoints read and answer.
+// before it is refused, at its arrival and as long as it waits (forecast). The owner
+// keeps books of the prompts that each endpoint has yet to read (reading), which Begun
+// events correct, and learns how fast endpoints read and answer.
 //
 // Each decision answers a load:
 //
@@ -37,7 +37,8 @@
 //   - which endpoint (price, isWorthWaiting): endpoints of unlike speed that read long prompts;
 //     by when the answer begins and ends there, against the target and the deadline.
 //
-// What waits for a quota, and what entries decide without an owner, is in package admission.
+// What waits for a quota is in package admission. An entry without an owner decides by the
+// same code; which places it takes is in package gateway.
 //
 // The state is soft. A new owner starts empty: entries register again what they
 // hold, slots report what they run. Until that had time to happen (SettleTime)
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -15,7 +15,7 @@
 // forecast refuses what would wait longer than it may, by the work that waits before it and
 // the places that serve, at its arrival and as long as it waits. The load that it answers is
 // a burst in which more urgent requests keep coming: who was promised a place at its arrival
-// has none, and would be held to its deadline without a word: 255 callers in four replays of a
+// has none, and would be held to its deadline without a word: 262 callers in four replays of a
 // burst of twice the usual, none with it.
 func (s *State) forecast(now event.Time, e event.Event, out *event.Effects) {
 	switch e := e.(type) {
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -14,7 +14,7 @@
 
 // This file replays the worst load in simulated time: callers of three kinds before endpoints
 // of three speeds, a burst of twice the usual for some seconds while a quarter of the endpoints
-// is lost and one team sends many times its usual. Lengths of answers differ by a hundred
+// takes no new work and one team sends many times its usual. Lengths of answers differ by a hundred
 // times, callers guess them, and who is refused comes back once.
 
 // loadKind is a kind of request.
@@ -55,7 +55,6 @@
 	kind   *loadKind
 	ticket event.Ticket
 	first  event.Time // its caller's first try
-	asked  event.Time // this try
 	length int
 	share  float64 // of its kind's worth, by its size
 	long   bool    // of the tenth of its kind with the most tokens out
@@ -136,7 +135,6 @@
 	order    int
 	requests map[event.RequestID]*loadRequest
 	engines  map[event.EndpointID]*loadEngine
-	lost     map[event.EndpointID]bool
 	result   loadResult
 }
 
@@ -181,7 +179,7 @@
 func playLoad(l load) *loadResult {
 	r := &replay{
 		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), requests: make(map[event.RequestID]*loadRequest),
-		engines: make(map[event.EndpointID]*loadEngine), lost: make(map[event.EndpointID]bool),
+		engines: make(map[event.EndpointID]*loadEngine),
 		s: New(0, event.Pool{Name: pool, MaxWaiting: 4000, Discovered: true, Profile: event.Profile{
 			PrefillRate: 40000, TokenGap: 5 * event.Millisecond, CallTime: 30 * event.Millisecond,
 		}, LeastOutstanding: l.baseline}, l.seed),
@@ -218,10 +216,10 @@
 	r.step(&event.EndpointSeen{Endpoint: event.Endpoint{ID: loadEndpoint(i), Concurrency: 10, Speed: 1}, Address: "10.0.0.1:80", Down: down})
 }
 
+// lose has a quarter of the endpoints fall silent, or come back. What runs there goes on.
 func (r *replay) lose(down bool) {
 	for i := range r.load.endpoints {
 		if i%4 == 1 {
-			r.lost[loadEndpoint(i)] = down
 			r.seeEndpoint(i, down)
 		}
 	}
@@ -290,7 +288,6 @@
 // submit sends a caller's try.
 func (r *replay) submit(k *loadRequest) {
 	k.tries++
-	k.asked = r.now
 	r.order++
 	k.ticket.ID = event.RequestID(fmt.Sprintf("r%d", r.order))
 	k.ticket.Deadline = k.first.Add(k.kind.deadline).Sub(r.now)
@@ -432,7 +429,7 @@
 func TestNobodyIsHeldToTheEnd(t *testing.T) {
 	r := playSeeds(4, nil)
 	t.Log(r)
-	if r.held > 4 {
+	if r.held > 0 {
 		t.Errorf("%d callers were held until their time was over", r.held)
 	}
 }
