--- a/budget/book.go
+++ b/budget/book.go
@@ -62,6 +62,9 @@
 	b := NewBook(now, fresh)
 	b.isFirst = false
 	b.past = l.copy()
+	// A map that grows while 14,000 accounts come is a fifth of a new owner's step.
+	b.limits = make(map[Account]Limit, len(b.past))
+	b.accounts = make(map[Account]*account, len(b.past))
 	return b
 }
 
--- a/budget/record.go
+++ b/budget/record.go
@@ -325,11 +325,12 @@
 		return
 	}
 	a.isStale = true
+	a.spent.slide(now)
 	for i, amount := range line.Spent {
 		age := a.limit.Window * event.Span(i) / recordBins
-		a.spent.AddAt(now, line.at.Add(-age), amount)
+		a.spent.put(line.at.Add(-age), amount)
 	}
-	a.spent.AddAt(now, b.began, line.Mark)
+	a.spent.put(b.began, line.Mark)
 	a.inherited = line.Lent
 	a.expire(now)
 }
--- a/budget/window.go
+++ b/budget/window.go
@@ -22,6 +22,11 @@
 // slide forgets what is too old at now.
 func (w *Window) slide(now event.Time) {
 	number := int64(now) / int64(w.bin)
+	if w.sum == 0 {
+		// Nothing is counted, so that all bins are empty: a new window looks at none of them.
+		w.newest = max(w.newest, number)
+		return
+	}
 	for steps := 0; w.newest < number && steps <= binsPerWindow; steps++ {
 		w.newest++
 		slot := w.slot(w.newest)
@@ -42,6 +47,11 @@
 // AddAt counts an amount that was spent at an earlier moment.
 func (w *Window) AddAt(now, at event.Time, amount int) {
 	w.slide(now)
+	w.put(at, amount)
+}
+
+// put counts an amount of a moment in a window that has slid to the present.
+func (w *Window) put(at event.Time, amount int) {
 	number := int64(at) / int64(w.bin)
 	if number <= w.newest-int64(len(w.bins)) {
 		return
