level, link, message: what another box reads is told, or known by the types that it sends

Cause: messages between boxes were one gob type that all builds had to share, and none told which forms its sender reads. Change: package level has the table of levels. A box says its level and build with its first message on a connection; what earlier builds read is known by the fields that their types have, in the first bytes. Control boxes are sent a type without what differs, entries of level Listed one of their own. Ruled out: a preamble before the first message (earlier builds end the connection); to guess by commit (nothing tells it). Measured: the first bytes of control boxes, entries and owners of, recorded with their own code, are read and told apart (TestEarlierBuildsAreRead); the level takes less than 64 bytes of a connection (TestLevelIsTold).

--- a/link/conn.go
+++ b/link/conn.go
@@ -70,6 +70,7 @@
 	reason  error // of the end, before done is closed
 
 	maxMessage, maxWaiting int64 // bytes
+	forms                  Forms[M]
 }
 
 // queued is a message that waits for the writer.
@@ -97,9 +98,13 @@
 		raw: raw, flow: flow{raw: raw, patience: silence},
 		queue: make(chan queued[M], queueDepth), done: make(chan struct{}),
 		maxMessage: MaxMessage, maxWaiting: queueBytes,
+		forms: Forms[M]{}.orUsual(),
 	}
 }
 
+// SetForms says how messages look on the connection. It must be called before Serve.
+func (c *Conn[M]) SetForms(f Forms[M]) { c.forms = f.orUsual() }
+
 // SetUserTimeout bounds how long, in milliseconds, sent bytes may stay
 // unacknowledged on a TCP connection. Other connections are left as they are.
 func SetUserTimeout(raw net.Conn, milliseconds int) {
@@ -181,14 +186,20 @@
 
 // read calls receive for what comes until the connection ends, and returns why.
 func (c *Conn[M]) read(receive func(*M)) error {
-	in := gob.NewDecoder(&frameReader{in: bufio.NewReaderSize(&c.flow, bufferBytes), limit: c.maxMessage})
+	raw := &frameReader{in: bufio.NewReaderSize(&c.flow, bufferBytes), limit: c.maxMessage}
+	begun, err := raw.beginning()
+	if err != nil {
+		return err
+	}
+	in := gob.NewDecoder(&resumed{begun: begun, rest: raw})
+	read := c.forms.Reader(begun)
 	for {
-		f := new(frame[M])
-		if err := in.Decode(f); err != nil {
+		m, err := read(in)
+		if err != nil {
 			return err
 		}
-		if f.Message != nil {
-			receive(f.Message)
+		if m != nil {
+			receive(m)
 		}
 	}
 }
@@ -209,7 +220,7 @@
 		case <-timer.C:
 		}
 		timer.Reset(keepalive)
-		err := out.encode(frame[M]{next.message})
+		err := out.encode(c.forms.Frame(next.message))
 		c.waiting.Add(-next.size)
 		if err == nil && len(c.queue) == 0 {
 			err = buffer.Flush()
--- /dev/null
+++ b/message/forms_test.go
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: MIT
+
+package message
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lynxramp.org/consensus"
+	"lynxramp.org/event"
+	"lynxramp.org/level"
+	"lynxramp.org/link"
+	"lynxramp.org/registry"
+)
+
+// The files of testdata are what a connection's dialler or an owner of a commit sends: a first message
+// and then nothing. They were recorded with link.Dial of that commit.
+var recorded = map[string]level.Level{
+	"d61e540": level.Listed, "50d3523": level.Packed, "e994de1": level.Parts, "53e223b": level.Parts, "de049ca": level.Suspects,
+}
+
+// replay serves a connection whose other side sends recorded bytes, and returns the messages that come.
+func replay(t *testing.T, file string, forms link.Forms[Envelope]) []*Envelope {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []*Envelope
+	serveBytes(t, data, forms, func(m *Envelope) { list = append(list, m) })
+	return list
+}
+
+func serveBytes(t testing.TB, data []byte, forms link.Forms[Envelope], receive func(*Envelope)) {
+	t.Helper()
+	served := make(chan struct{})
+	l, err := link.Listen("127.0.0.1:0", func(c *link.Conn[Envelope]) {
+		c.SetForms(forms)
+		_ = c.Serve(receive) // it ends with the bytes
+		close(served)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := raw.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.(*net.TCPConn).CloseWrite()
+	select {
+	case <-served:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection does not end")
+	}
+	_ = raw.Close()
+}
+
+// TestEarlierBuildsAreRead: what boxes of earlier builds send is read, and it is known by it which forms
+// they read. Messages of d61e540 had ended each connection: the type of one field was another.
+func TestEarlierBuildsAreRead(t *testing.T) {
+	for commit, want := range recorded {
+		var peer Peer
+		list := replay(t, commit+"-control.bytes", peer.Answering())
+		if len(list) != 1 || list[0].Consensus == nil || string(list[0].Consensus.Entries[0].Data) != "data" || peer.Reads() != want {
+			t.Errorf("%s: a control box reads level %d, want %d; it said %+v", commit, peer.Reads(), want, list)
+		}
+		peer = Peer{}
+		list = replay(t, commit+"-entry.bytes", peer.Answering())
+		if len(list) != 1 || list[0].Hello == nil || list[0].Hello.Entry != "entry-1" || peer.Reads() != want {
+			t.Errorf("%s: an entry reads level %d, want %d; it said %+v", commit, peer.Reads(), want, list)
+		}
+		peer = Peer{}
+		list = replay(t, commit+"-owner.bytes", peer.Asking())
+		if len(list) != 1 || list[0].View == nil {
+			t.Errorf("%s: an owner said %+v", commit, list)
+			continue
+		}
+		checkView(t, commit, list[0].View, want)
+	}
+}
+
+func checkView(t *testing.T, commit string, v *View, reads level.Level) {
+	t.Helper()
+	endpoints, err := v.Endpoints.Unpack()
+	if err != nil || len(endpoints) != 1 || endpoints[0].Address != "127.0.0.9:80" || !v.Whole || v.Version != 4 {
+		t.Errorf("%s: %+v, %v: %+v", commit, v, err, endpoints)
+	}
+	if whole := string(v.Document) == `{"version":4}`; whole != (reads < level.Parts) {
+		t.Errorf("%s: the configuration came whole: %v", commit, whole)
+	}
+}
+
+// frameOfListed and frameOfPacked are the types that builds of those levels read views with.
+type (
+	frameOfListed struct {
+		Message *struct {
+			Consensus *consensus.Message
+			View      *struct {
+				Document  []byte
+				Endpoints []Endpoint
+			}
+		}
+	}
+	frameOfPacked struct {
+		Message *struct {
+			Consensus *consensus.Message
+			View      *struct {
+				Document  []byte
+				Endpoints Packed
+				Revision  uint64
+			}
+		}
+	}
+)
+
+// encoded returns frames as a connection has them.
+func encoded(t *testing.T, frames ...any) *gob.Decoder {
+	t.Helper()
+	var wire bytes.Buffer
+	out := gob.NewEncoder(&wire)
+	for _, f := range frames {
+		if err := out.Encode(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return gob.NewDecoder(&wire)
+}
+
+// TestEarlierBuildsRead: boxes of earlier builds read what they are sent, also what comes before it is
+// known what they read.
+func TestEarlierBuildsRead(t *testing.T) {
+	list := []Endpoint{{Endpoint: registry.Endpoint{ID: "i-1", Address: "a"}, Down: true}}
+	view := &Envelope{View: &View{Version: 4, Document: []byte("{}"), Endpoints: Pack(list), Revision: 5, Silent: []event.EndpointID{"i-1"}}}
+	hello := (&Envelope{Consensus: &consensus.Message{From: "a", To: "b"}}).Introduced()
+
+	listedPeer := &Peer{}
+	first := listedPeer.frameAnswer(nil)
+	listedPeer.reads.Store(uint32(level.Listed))
+	in := encoded(t, first, frameToControl(hello), listedPeer.frameAnswer(nil), listedPeer.frameAnswer(view))
+	var f frameOfListed
+	for range 4 {
+		f = frameOfListed{}
+		if err := in.Decode(&f); err != nil {
+			t.Fatalf("level %d: %v", level.Listed, err)
+		}
+	}
+	if diff := cmp.Diff(list, f.Message.View.Endpoints); diff != "" || string(f.Message.View.Document) != "{}" {
+		t.Errorf("endpoints (-want +got):\n%s", diff)
+	}
+
+	packedPeer := &Peer{}
+	first = packedPeer.frameAnswer(nil)
+	packedPeer.reads.Store(uint32(level.Packed))
+	in = encoded(t, first, frameToControl(hello), packedPeer.frameAnswer(view))
+	var p frameOfPacked
+	for range 3 {
+		p = frameOfPacked{}
+		if err := in.Decode(&p); err != nil {
+			t.Fatalf("level %d: %v", level.Packed, err)
+		}
+	}
+	if got, err := p.Message.View.Endpoints.Unpack(); err != nil || len(got) != 1 || p.Message.View.Revision != 5 {
+		t.Errorf("%v, %v, revision %d", err, got, p.Message.View.Revision)
+	}
+}
+
+// TestLevelIsTold: a box of this build says what it reads with its first message, in few bytes.
+func TestLevelIsTold(t *testing.T) {
+	var wire bytes.Buffer
+	out := gob.NewEncoder(&wire)
+	hello := &Envelope{Hello: &Hello{Entry: "e", Life: 1}}
+	if err := out.Encode(frameToControl(hello.Introduced())); err != nil {
+		t.Fatal(err)
+	}
+	var peer Peer
+	said := 0
+	serveBytes(t, bytes.Clone(wire.Bytes()), peer.Answering(), func(m *Envelope) {
+		said++
+		if m.Hello == nil || m.Level != level.Newest || m.Build != level.Build() {
+			t.Errorf("%+v", m)
+		}
+	})
+	if said != 1 || peer.Reads() != level.Newest {
+		t.Errorf("%d messages, level %d", said, peer.Reads())
+	}
+	var without bytes.Buffer
+	if err := gob.NewEncoder(&without).Encode(frameToControl(hello)); err != nil {
+		t.Fatal(err)
+	}
+	// The two fields in the definition of the type come on top: their names, types and lengths.
+	const definition = len("Level") + len("Build") + 2*5
+	if most, got := 64, wire.Len()-without.Len()+definition; got > most {
+		t.Errorf("a level takes %d bytes of a connection, want %d at the most", got, most)
+	}
+}
+
+// FuzzPeer: whatever a peer sends, the connection ends and nothing breaks.
+func FuzzPeer(f *testing.F) {
+	for commit := range recorded {
+		for _, who := range []string{"control", "entry", "owner"} {
+			data, err := os.ReadFile("testdata/" + commit + "-" + who + ".bytes")
+			if err != nil {
+				f.Fatal(err)
+			}
+			f.Add(data)
+		}
+	}
+	f.Add([]byte{0xfc, 0x7f, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, forms := range []link.Forms[Envelope]{(&Peer{}).Answering(), (&Peer{}).Asking()} {
+			serveBytes(t, data, forms, func(m *Envelope) {
+				if m.Consensus != nil {
+					m.Consensus.Valid()
+				}
+			})
+		}
+	})
+}
--- a/message/message.go
+++ b/message/message.go
@@ -10,6 +10,7 @@
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/hashtree"
+	"lynxramp.org/level"
 	"lynxramp.org/poison"
 	"lynxramp.org/registry"
 )
@@ -19,7 +20,7 @@
 // budget counts it. It is below the time in which callers give a silent stream up.
 const RepeatLife = 2 * event.Second
 
-// Envelope is one message; exactly one field is set.
+// Envelope is one message; exactly one field of a pointer is set.
 type Envelope struct {
 	Hello     *Hello
 	Redirect  *Redirect
@@ -33,6 +34,10 @@
 	Decisions *Decisions
 	Want      *Want
 	Nodes     *Nodes
+	// Level and Build are what the sender reads and is. They come with the first message of a
+	// box on a connection; see Peer.
+	Level level.Level
+	Build string
 }
 
 // Hello begins a connection. An entry sends it with what a new owner must know
@@ -105,6 +110,9 @@
 	// owner gives who asks (Want). 0 in a View that says nothing of it.
 	Version uint64
 	Root    hashtree.Sum
+	// Document is the configuration of that version as its operator sent it, for entries that
+	// read no trees.
+	Document []byte
 	// Whole says that Endpoints replaces all that was known.
 	Whole     bool
 	Endpoints Packed
@@ -250,7 +258,7 @@
 	case e.Decisions != nil:
 		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * wordBytes
 	case e.View != nil:
-		size += len(e.View.Endpoints) + (len(e.View.Gone)+len(e.View.Silent))*idBytes
+		size += len(e.View.Document) + len(e.View.Endpoints) + (len(e.View.Gone)+len(e.View.Silent))*idBytes
 		if s := e.View.Suspects; s != nil {
 			size += len(s.List) * printBytes
 		}
