--- a/budget/lend.go
+++ b/budget/lend.go
@@ -40,6 +40,8 @@
 	told    event.Time // when it was last lent something or told to go on
 	// isSettled says that all it was lent was taken for spent since.
 	isSettled bool
+	// isRemembering says that it never forgets an account.
+	isRemembering bool
 	// isAwaited says that it has more to tell that it held at the beginning of the session.
 	isAwaited bool
 	// number is that of the last message that lent something. While it is 0, what the
@@ -112,6 +114,14 @@
 	}
 }
 
+// Remembers says that an entry never forgets an account, as those of earlier builds: its credits are
+// not ended, since what it spent before would count once more when it is lent of the account again.
+func (b *Book) Remembers(entry event.BoxID) {
+	if h, ok := b.holders[entry]; ok {
+		h.isRemembering = true
+	}
+}
+
 // Complete says that an entry has told all that it held when it greeted.
 func (b *Book) Complete(entry event.BoxID) {
 	if h, ok := b.holders[entry]; ok {
@@ -327,13 +337,16 @@
 	if c.isEnding || (c.sent != c.upto && !h.whole) {
 		return Holding{}, false
 	}
-	if !b.isWanted(now, c) {
+	if !b.isWanted(now, c) && !h.isRemembering {
 		return b.endCredit(h, c), true
 	}
 	a := b.accountOf(c)
 	if a == nil {
 		a = b.account(now, c.name)
 	}
+	if a == nil {
+		return Holding{}, false // it has no limit any more
+	}
 	want := a.share(now, c, entries)
 	if more := want - c.left(); more > 0 {
 		want = c.left() + max(0, min(more, b.mayLend(now, a)))
--- a/budget/record.go
+++ b/budget/record.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"lynxramp.org/event"
@@ -92,6 +93,15 @@
 // isRecordable reports whether an account is to have a Line.
 func (a *account) isRecordable(now event.Time) bool { return a.wanted > 0 || a.isHigh(now) }
 
+// RecordWhole has all Records replace all before, whatever their size, or, if it is false, lets large
+// ones be Parts. A box that reads no Parts takes each for all.
+func (b *Book) RecordWhole(whole bool) {
+	b.bounds.record = usualBounds.record
+	if whole {
+		b.bounds.record = math.MaxInt
+	}
+}
+
 // MakeRecord returns a Record to be put into the log. Until Committed is called, what the
 // log says before and with it are both kept to.
 func (b *Book) MakeRecord(now event.Time) Record {
--- a/cluster/bulk_sim_test.go
+++ b/cluster/bulk_sim_test.go
@@ -143,6 +143,7 @@
 			late = append(late, f)
 		case to == nil || to.disk.member.ID != f.message.To || s.cut(string(f.message.From.Box()), to.name):
 		default:
+			s.meet(s.boxes[string(f.message.From.Box())], to)
 			s.step(to, &Received{Message: f.message})
 		}
 	}
--- a/cluster/config.go
+++ b/cluster/config.go
@@ -17,9 +17,11 @@
 	version uint64
 	table   *routing.Table
 	tree    *hashtree.Tree
-	asked   uint64 // version that was last given to be decoded
-	answers uint64 // version of the last answer, sound or not
-	wanted  uint64 // version that must be decoded before this box owns the pools
+	// document is the configuration as its operator sent it, for entries that read no trees.
+	document []byte
+	asked    uint64 // version that was last given to be decoded
+	answers  uint64 // version of the last answer, sound or not
+	wanted   uint64 // version that must be decoded before this box owns the pools
 }
 
 // askDecode gives the newest document to be decoded, once.
@@ -54,7 +56,7 @@
 	if d.Version <= s.config.version {
 		return
 	}
-	s.config.version, s.config.table, s.config.tree = d.Version, d.Table, d.Tree
+	s.config.version, s.config.table, s.config.tree, s.config.document = d.Version, d.Table, d.Tree, d.Document
 	out.note("configuration decoded", Field{"version", d.Version}, Field{"routes", len(d.Table.Routes)},
 		Field{"nodes", d.Tree.Len()}, Field{"bytes", d.Tree.Bytes()})
 	if s.owner != nil {
--- a/cluster/decoder.go
+++ b/cluster/decoder.go
@@ -44,7 +44,7 @@
 		case <-ctx.Done():
 			return
 		case doc := <-d.next:
-			e := &Decoded{Version: doc.Version}
+			e := &Decoded{Version: doc.Version, Document: doc.Data}
 			if e.Table, e.Err = d.decode(doc.Data); e.Err == nil {
 				tree = hashtree.Build(e.Table, tree)
 				e.Tree = tree
--- a/cluster/document.go
+++ b/cluster/document.go
@@ -11,6 +11,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"lynxramp.org/level"
 )
 
 // This file is how a configuration stands in the log: in parts, each a command of its own, so that
@@ -117,6 +119,35 @@
 	return append(data, p.parts[number]...)
 }
 
+// versionBytes is the length of a version before a whole document.
+const versionBytes = 8
+
+// encodeWhole returns the command that brings a document whole, for groups with boxes below
+// level.Parts. It is of the same kind as that of a part.
+func (d *Document) encodeWhole() []byte {
+	data := make([]byte, 0, 1+versionBytes+len(d.Data))
+	data = binary.BigEndian.AppendUint64(append(data, commandPart), d.Version)
+	return append(data, d.Data...)
+}
+
+// isWholeDocument tells a command's body that is a version and a document from one that is a part: a
+// part has the document's size behind the version, whose first byte is at most that of
+// maxDocument. A document is a text there, whose bytes are all above that.
+func isWholeDocument(body []byte) bool {
+	return len(body) > versionBytes && body[versionBytes] > maxDocument>>24
+}
+
+// applyWhole takes a document that came whole.
+func (m *machine) applyWhole(body []byte) change {
+	m.knows(level.Listed)
+	version := binary.BigEndian.Uint64(body)
+	if version <= m.document.Version {
+		return change{}
+	}
+	m.document = Document{Version: version, Data: body[versionBytes:]}
+	return change{document: true}
+}
+
 // upload is a document of which not all parts have come. There is one at a time: the first part
 // of another takes its place, so that documents that were given up don't pile up.
 type upload struct {
@@ -159,9 +190,13 @@
 
 // applyPart takes a part of a document; the last one puts the document in force.
 func (m *machine) applyPart(body []byte) (change, error) {
+	if isWholeDocument(body) {
+		return m.applyWhole(body), nil
+	}
 	if len(body) < partHeader {
 		return change{}, errors.New("part of a document without its header")
 	}
+	m.knows(level.Parts)
 	key := parseKey(body)
 	number := binary.BigEndian.Uint32(body[keyBytes:])
 	if key.Version <= m.document.Version {
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -6,6 +6,7 @@
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/hashtree"
+	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
 	"lynxramp.org/routing"
@@ -58,6 +59,9 @@
 	SessionBegan struct {
 		Session SessionID
 		Hello   message.Hello
+		// Reads and Build are what the entry reads and is.
+		Reads level.Level
+		Build string
 	}
 	// SessionPinged brings an entry's question.
 	SessionPinged struct {
@@ -78,10 +82,23 @@
 	}
 	// Decoded brings a document that Effects asked to decode.
 	Decoded struct {
-		Version uint64
-		Table   *routing.Table
-		Tree    *hashtree.Tree
-		Err     error
+		Version  uint64
+		Document []byte
+		Table    *routing.Table
+		Tree     *hashtree.Tree
+		Err      error
+	}
+	// PeerTold says what another control box reads and is that has made a connection.
+	PeerTold struct {
+		Box   event.BoxID
+		Link  uint64 // names the connection
+		Reads level.Level
+		Build string
+	}
+	// PeerLost says that such a connection has ended.
+	PeerLost struct {
+		Box  event.BoxID
+		Link uint64
 	}
 	// StopAsked says that the process is to end.
 	StopAsked struct{}
@@ -103,6 +120,8 @@
 func (*SessionEnded) isEvent()   {}
 func (*SessionWanted) isEvent()  {}
 func (*Decoded) isEvent()        {}
+func (*PeerTold) isEvent()       {}
+func (*PeerLost) isEvent()       {}
 func (*StopAsked) isEvent()      {}
 
 // Status says how a call ended.
@@ -148,7 +167,10 @@
 	// Decode is a document that is to be decoded beside the loop; a Decoded answers. A later one
 	// may take the place of one that is not begun. Version 0 is none.
 	Decode Document
-	Notes  []Note
+	// Stop says why the process must end: it met what only a later build reads. Nothing else of
+	// these effects is to be carried out then.
+	Stop  error
+	Notes []Note
 }
 
 // Note is a line for the log: a belief that changed.
@@ -174,5 +196,6 @@
 	e.Closes = e.Closes[:0]
 	e.Heard = nil
 	e.Decode = Document{}
+	e.Stop = nil
 	e.Notes = e.Notes[:0]
 }
--- /dev/null
+++ b/cluster/levels_test.go
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	"lynxramp.org/budget"
+	"lynxramp.org/consensus"
+	"lynxramp.org/level"
+	"lynxramp.org/poison"
+	"lynxramp.org/registry"
+)
+
+// fullMachine returns a machine with some of all that the log may bring, at a level.
+func fullMachine(t *testing.T, l level.Level) *machine {
+	t.Helper()
+	m := &machine{}
+	d := Document{Version: 3, Data: []byte(`{"version":3}`)}
+	commands := [][]byte{
+		encodeEndpoint(registry.Endpoint{ID: "e", Service: "s", Address: "127.0.0.1:1", Sequence: 1}),
+		encodeEndpoint(registry.Endpoint{ID: "f", Service: "s", Address: "127.0.0.1:2", Sequence: 1}),
+		encodeRemove("f"),
+		encodeSpending(budget.Record{Lines: []budget.Line{{Account: "team/t", Spent: []int{1, 2}, Mark: 7, Lent: 8}}}),
+		d.encodeWhole(),
+	}
+	if l >= level.Parts {
+		d.pack()
+		commands[len(commands)-1] = d.packed.encodePart(0)
+		commands = append(commands, encodeSpending(budget.Record{Part: true, Lines: []budget.Line{{Account: "team/u", Mark: 1}}}))
+	}
+	if l >= level.Suspects {
+		commands = append(commands, encodePoison(poison.Record{Lines: []poison.Line{{Print: "0123456789abcdef", Ends: []uint64{7}}}}))
+	}
+	if l >= level.Told {
+		commands = append(commands, encodeLevel(l))
+	}
+	for i, c := range commands {
+		if _, err := m.apply(consensus.Index(i+1), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return m
+}
+
+// contents is all that a machine has, for comparisons.
+func (m *machine) contents(t *testing.T) string {
+	t.Helper()
+	m.registry.IsGone("") // it makes what is derived, which is there or not after a snapshot
+	data, err := json.Marshal([]any{
+		m.level, m.document.Version, m.document.Data, m.upload.key, m.upload.parts, m.registry, m.spending.Record(), m.poison.Record(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// TestSnapshotsOfAllLevels: boxes were replaced by a later build, and ended as they read what the
+// build before had written. Each form that was ever written is read, and written by a group whose
+// members read no other.
+func TestSnapshotsOfAllLevels(t *testing.T) {
+	for _, l := range []level.Level{level.Listed, level.Parts, level.Suspects, level.Told} {
+		m := fullMachine(t, l)
+		var again machine
+		if err := again.restore(m.snapshot(), level.Newest); err != nil {
+			t.Errorf("level %d: %v", l, err)
+			continue
+		}
+		if diff := cmp.Diff(m.contents(t), again.contents(t)); diff != "" {
+			t.Errorf("level %d (-want +got):\n%s", l, diff)
+		}
+		if m.level != l {
+			t.Errorf("a log with forms up to level %d tells level %d", l, m.level)
+		}
+	}
+}
+
+// TestSnapshotAboveIsTold: a box whose folder is of a later build must say so, and not that the folder
+// is damaged: an operator would take its disk for lost.
+func TestSnapshotAboveIsTold(t *testing.T) {
+	var m machine
+	later := append([]byte{formatTold, byte(level.Newest + 2)}, fullMachine(t, level.Told).snapshot()[2:]...)
+	for name, c := range map[string]struct {
+		data []byte
+		says string
+	}{
+		"a later level":  {later, "level 7"},
+		"a later format": {[]byte{lastFormat + 1, 0, 0}, "format 4"},
+	} {
+		err := m.restore(c.data, level.Newest)
+		if !level.IsAbove(err) || !strings.Contains(err.Error(), c.says) || !strings.Contains(err.Error(), "5") {
+			t.Errorf("%s: %v, want what was found and what is read", name, err)
+		}
+	}
+	for name, data := range map[string][]byte{"no snapshot": []byte("?"), "JSON that is cut": []byte(`{"version":`), "a format alone": {formatTold}} {
+		if err := m.restore(data, level.Newest); level.IsAbove(err) || !errors.Is(err, errSnapshot) {
+			t.Errorf("%s: %v, want that it can't be read", name, err)
+		}
+	}
+}
+
+// TestWholeDocumentIsNoPart: a whole configuration and a part of one have the same kind of command,
+// in builds that don't know of each other.
+func TestWholeDocumentIsNoPart(t *testing.T) {
+	for _, text := range []string{"{}", "\t{}", " {}", "\n\n{}", `{"version":2,"routes":[]}`} {
+		var m machine
+		d := Document{Version: 2, Data: []byte(text)}
+		if c, err := m.apply(1, d.encodeWhole()); err != nil || !c.document || string(m.document.Data) != text {
+			t.Errorf("%q whole: %v, %q", text, err, m.document.Data)
+		}
+		m = machine{}
+		d.pack()
+		if c, err := m.apply(1, d.packed.encodePart(0)); err != nil || !c.document || string(m.document.Data) != text {
+			t.Errorf("%q in parts: %v, %q", text, err, m.document.Data)
+		}
+	}
+}
+
+// TestCommandsAboveAreTold: a command that a box does not know used to be passed over, so that it
+// differed from the others from there on, and might lead next.
+func TestCommandsAboveAreTold(t *testing.T) {
+	for name, command := range map[string][]byte{"a later kind": {lastCommand + 1, 1}, "a later level": encodeLevel(level.Newest + 1)} {
+		if err := readable(command, level.Newest); !level.IsAbove(err) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for _, command := range [][]byte{{}, {0, 1}, encodeLevel(level.Newest), encodeRemove("e")} {
+		if err := readable(command, level.Newest); err != nil {
+			t.Errorf("%v: %v", command, err)
+		}
+	}
+}
+
+// FuzzCommand: whatever a command's bytes are, it is carried out, or changes nothing and an error says why.
+func FuzzCommand(f *testing.F) {
+	d := Document{Version: 2, Data: []byte(`{"version":2}`)}
+	f.Add(d.encodeWhole())
+	d.pack()
+	f.Add(d.packed.encodePart(0))
+	f.Add(encodeLevel(level.Told))
+	f.Add(encodeRemove("e"))
+	f.Fuzz(func(t *testing.T, command []byte) {
+		var m machine
+		before := m.contents(t)
+		if _, err := m.apply(2, command); err != nil && m.contents(t) != before && m.upload.key == (documentKey{}) {
+			t.Errorf("%v, and the state is another", err)
+		}
+	})
+}
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -4,17 +4,22 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"github.com/pkg/errors"
 
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
+	"lynxramp.org/level"
 	"lynxramp.org/poison"
 	"lynxramp.org/registry"
 )
 
 // machine is the replicated state: what the log's commands make.
 type machine struct {
+	// level is what the log says of which forms all members read: from level.Told on by a command
+	// of its own, before by the forms that it has; 0 where it has none that tells.
+	level    level.Level
 	document Document
 	upload   upload
 	registry registry.State
@@ -31,8 +36,51 @@
 	commandRemove
 	commandSpending
 	commandPoison
+	commandLevel
+	lastCommand = commandLevel
 )
 
+// encodeLevel returns the command that raises the group's level. It is a form of level.Told, so that
+// builds before it must not be sent it.
+func encodeLevel(l level.Level) []byte { return []byte{commandLevel, byte(l)} }
+
+// levelOf returns the level of a command's form: who reads that reads the command. Where it isn't
+// known, because the kind of command is not, it is false.
+func levelOf(command []byte) (level.Level, bool) {
+	switch {
+	case len(command) == 0 || command[0] == 0:
+		return level.Listed, true // it does nothing, on every box alike
+	case command[0] > lastCommand:
+		return 0, false
+	case command[0] == commandPart && !isWholeDocument(command[1:]):
+		return level.Parts, true
+	case command[0] == commandPoison:
+		return level.Suspects, true
+	case command[0] == commandLevel && len(command) == 2:
+		return max(level.Told, level.Level(command[1])), true
+	}
+	return level.Listed, true
+}
+
+// readable reports whether a box that reads a level reads a command: an error names what it does not
+// read.
+func readable(command []byte, reads level.Level) error {
+	l, known := levelOf(command)
+	switch {
+	case !known:
+		return &level.Above{
+			What: "the log", Found: fmt.Sprintf("a command of kind %d", command[0]),
+			Reads: fmt.Sprintf("kinds up to %d (level %d)", lastCommand, reads),
+		}
+	case l > reads:
+		return level.TooNew("the log", l, reads)
+	}
+	return nil
+}
+
+// knows takes note that the log has a form of a level, which all members read then.
+func (m *machine) knows(l level.Level) { m.level = max(m.level, l) }
+
 func encodeEndpoint(e registry.Endpoint) []byte {
 	data, err := json.Marshal(e)
 	if err != nil {
@@ -62,6 +110,7 @@
 // change is what a command changed.
 type change struct {
 	document bool
+	level    bool
 	spending *budget.Record
 	poison   *poison.Record
 	seen     []registry.Endpoint
@@ -91,6 +140,9 @@
 		if err := json.Unmarshal(body, &r); err != nil {
 			return change{}, errors.Wrap(err, "record of budgets")
 		}
+		if r.Part {
+			m.knows(level.Parts)
+		}
 		m.spending.Apply(r)
 		return change{spending: &r}, nil
 	case commandPoison:
@@ -98,8 +150,16 @@
 		if err := json.Unmarshal(body, &r); err != nil {
 			return change{}, errors.Wrap(err, "record of requests that end endpoints")
 		}
+		m.knows(level.Suspects)
 		m.poison.Apply(r)
 		return change{poison: &r}, nil
+	case commandLevel:
+		if len(body) != 1 {
+			return change{}, errors.New("level of another length")
+		}
+		raised := level.Level(body[0]) > m.level
+		m.knows(level.Level(body[0]))
+		return change{level: raised}, nil
 	default:
 		return change{}, errors.Errorf("command of kind %d", command[0])
 	}
--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -21,6 +21,7 @@
 	grants   *metrics.Counter
 	refusals *metrics.Counter
 	steps    *metrics.Histogram
+	levels   *levelMeters
 }
 
 func newMeters() meters {
@@ -36,6 +37,7 @@
 		grants:   set.NewCounter("lynxramp_control_grants_total"),
 		refusals: set.NewCounter("lynxramp_control_refusals_total"),
 		steps:    set.NewHistogram("lynxramp_control_step_seconds"),
+		levels:   &levelMeters{set: set},
 	}
 	metrics.RegisterSet(set)
 	return m
@@ -44,6 +46,7 @@
 // stepped takes what a step took and left.
 func (m *meters) stepped(began time.Time, s *State, out *Effects) {
 	m.steps.UpdateDuration(began)
+	m.levels.update(began, s)
 	owner, sessions, suspects := 0.0, 0.0, 0.0
 	if s.owner != nil {
 		owner, sessions, suspects = 1, float64(len(s.owner.sessions)), float64(len(s.owner.suspects))
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -10,6 +10,7 @@
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/poison"
 	"lynxramp.org/registry"
@@ -44,6 +45,8 @@
 	toldAt   event.Time // when the log was last told of budgets
 	// poisonRecord is the index of the last record of poison in the log.
 	poisonRecord consensus.Index
+	// poisonLogged says that the log is told of requests that end endpoints.
+	poisonLogged bool
 	suspects     []poison.Print // as entries were last told, and their revision
 	suspectsTold uint64
 }
@@ -62,6 +65,8 @@
 // session is a connection of an entry.
 type session struct {
 	entry event.BoxID
+	reads level.Level
+	build string
 	told  uint64 // version of the configuration that it was told of
 	view  viewProgress
 }
@@ -92,6 +97,7 @@
 	}
 	o.poison = poison.NewBook(now, &s.machine.poison)
 	o.suspects, o.suspectsTold = o.poison.Suspects()
+	o.useForms(s)
 	o.admission = admission.New(s.settings.Limits, s.settings.Seed, o.book, o.poison)
 	if s.config.table != nil {
 		o.admission.SetTable(now, s.config.table)
@@ -209,6 +215,7 @@
 	o.tellNews(s, out)
 	o.tellSuspects(out)
 	o.tellBudgets(now, out)
+	o.raiseLevel(now, s, out)
 }
 
 // forgetAbsent takes what entries had running as ended that are away for long, of some in
@@ -321,6 +328,12 @@
 		return
 	}
 	one.told = s.config.version
+	if one.reads < level.Parts {
+		out.Sends = append(out.Sends, Send{id, &message.Envelope{View: &message.View{
+			Version: one.told, Document: s.config.document,
+		}}})
+		return
+	}
 	out.Sends = append(out.Sends, Send{id, &message.Envelope{View: &message.View{
 		Version: one.told, Root: s.config.tree.Root(),
 	}}})
@@ -355,6 +368,9 @@
 		o.expected = max(o.expected, b.Hello.Entries)
 	}
 	o.book.Greet(now, name, b.Hello.Life, b.Hello.Held)
+	if b.Reads < level.Parts {
+		o.book.Remembers(name)
+	}
 	if b.Hello.More {
 		o.book.Await(name)
 	}
@@ -372,7 +388,7 @@
 	o.effects.Grants = slices.DeleteFunc(o.effects.Grants, func(g event.Granted) bool { return g.Entry == name })
 	o.effects.Refusals = slices.DeleteFunc(o.effects.Refusals, func(r event.Refused) bool { return r.Entry == name })
 	o.admission.EntryGone(now, name, &o.effects)
-	one := &session{entry: name}
+	one := &session{entry: name, reads: b.Reads, build: b.Build}
 	o.sessions[b.Session] = one
 	for _, r := range b.Hello.Running {
 		o.admission.Adopt(now, name, r, &o.effects)
@@ -382,7 +398,7 @@
 	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
 	o.tellConfig(b.Session, one, s, out)
 	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
-		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)})
+		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)}, Field{"level", uint8(b.Reads)}, Field{"build", b.Build})
 }
 
 // ping tells an entry that this box still owns the pools. It has no answer while the lease
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -90,6 +90,11 @@
 // connection until it ends.
 func (p *peers) dial(one *peer, first *message.Envelope) {
 	conn, err := link.Dial[message.Envelope](one.address)
+	var other message.Peer
+	if err == nil {
+		conn.SetForms(other.Asking())
+		conn.Send(first.Introduced())
+	}
 	p.mu.Lock()
 	one.dialing = false
 	one.conn = conn
@@ -99,7 +104,6 @@
 		return
 	}
 	p.log.Info("control box reached", zap.String("address", one.address))
-	conn.Send(first)
 	err = conn.Serve(func(*message.Envelope) {})
 	p.mu.Lock()
 	one.conn = nil
--- a/cluster/poison.go
+++ b/cluster/poison.go
@@ -48,6 +48,12 @@
 			e.ends.pending = e.ends.heard
 		}
 	}
+	if !o.poisonLogged {
+		// Members that don't read it would pass it over and differ. What is known lasts as long as
+		// this owner.
+		o.poisonRecorded(now, s, out)
+		return
+	}
 	index, err := s.node.Propose(now, encodePoison(record), &out.Ready)
 	if err != nil {
 		// It does not lead any more, and will find out; entries tell the next owner again.
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/random"
+	"lynxramp.org/level"
 	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
@@ -69,6 +69,9 @@
 	decoder  *decoder
 	meters   meters
 	tokens   atomic.Uint64
+	links    atomic.Uint64 // connections that others made, counted
+	// stopped has why the process must end by itself.
+	stopped chan error
 
 	mu       sync.Mutex
 	calls    map[Token]chan Answer
@@ -100,6 +103,7 @@
 		logInput: make(chan Event, inputDepth),
 		decoder:  newDecoder(c.Settings.Decode),
 		meters:   newMeters(),
+		stopped:  make(chan error, 1),
 		calls:    make(map[Token]chan Answer),
 		sessions: make(map[SessionID]*link.Conn[message.Envelope]),
 	}
@@ -125,7 +129,9 @@
 		})
 	}
 	slices.SortFunc(founders, func(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) })
-	r := consensus.Restored{Snapshot: consensus.Snapshot{Index: 1, Members: consensus.Membership{Voters: founders}}}
+	r := consensus.Restored{Snapshot: consensus.Snapshot{
+		Index: 1, Members: consensus.Membership{Voters: founders}, Data: foundingState(),
+	}}
 	if err := disk.Save(&consensus.Ready{Snapshot: &r.Snapshot}); err != nil {
 		return r, err
 	}
@@ -150,7 +156,7 @@
 
 // Run serves until ctx ends, then hands the lead to another box.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := link.Listen(cmp.Or(s.config.LinkBind, s.config.Link), s.serveLink)
+	listener, err := link.Listen(cmp.Or(s.config.LinkBind, s.config.Link), s.serve)
 	if err != nil {
 		return err
 	}
@@ -165,7 +171,13 @@
 	go s.stayMember(keep)
 	go s.decoder.run(keep, s.input)
 	go s.loop(keep)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case err := <-s.stopped:
+		s.log.Error("control box stops: it met a form that it does not read", logx.Err(err),
+			zap.Uint8("level", uint8(level.Newest)), zap.String("build", level.Build()))
+		return err
+	}
 	s.log.Info("control box stops: hands the lead over")
 	s.input <- &StopAsked{}
 	time.Sleep(handOver)
@@ -195,6 +207,10 @@
 		out.reset()
 		began := time.Now()
 		s.state.Step(s.clock.Now(), e, &out)
+		if out.Stop != nil {
+			s.stopped <- out.Stop
+			return
+		}
 		s.meters.stepped(began, s.state, &out)
 		s.carryOut(&out)
 	}
@@ -269,41 +285,6 @@
 	}
 }
 
-// serveLink serves one connection of another box or of an entry.
-func (s *Server) serveLink(c *link.Conn[message.Envelope]) {
-	var id SessionID
-	err := c.Serve(func(m *message.Envelope) {
-		switch {
-		case m.Hello != nil && m.Hello.Entry != "":
-			id = s.addSession(c)
-			s.input <- &SessionBegan{Session: id, Hello: *m.Hello}
-		case m.Ping != nil && id != 0:
-			s.input <- &SessionPinged{Session: id, Ping: *m.Ping}
-		case m.Batch != nil && id != 0:
-			s.input <- &SessionTold{Session: id, Batch: m.Batch}
-		case m.Want != nil && id != 0:
-			s.input <- &SessionWanted{Session: id, Want: m.Want}
-		case m.Consensus != nil && m.Consensus.Valid():
-			s.logInput <- &Received{Message: *m.Consensus}
-		case m.Heard != nil:
-			s.input <- &EndpointsHeard{IDs: m.Heard.Endpoints}
-		case m.Join != nil:
-			s.input <- &JoinAsked{Member: *m.Join}
-			s.peers.tellMembers(string(m.Join.ID.Box()))
-		case m.Redirect != nil:
-			s.peers.learn(m.Redirect)
-		}
-	})
-	if errors.Is(err, link.ErrTooLong) || errors.Is(err, link.ErrBehind) {
-		// Other ends are seen by the other side too, which connects again.
-		s.log.Warn("link given up", zap.String("peer", c.Remote()), logx.Err(err))
-	}
-	if id != 0 {
-		s.removeSession(id)
-		s.input <- &SessionEnded{Session: id}
-	}
-}
-
 func (s *Server) addSession(c *link.Conn[message.Envelope]) SessionID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cluster/snapshot.go
+++ b/cluster/snapshot.go
@@ -5,39 +5,77 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 
 	"github.com/pkg/errors"
 
 	"lynxramp.org/budget"
+	"lynxramp.org/level"
 	"lynxramp.org/poison"
+	"lynxramp.org/registry"
 )
 
-// The first byte of a snapshot says how the rest is written: snapshotFormat is the present way,
-// and earlierFormat one without what is known of requests that end endpoints.
+// The first byte of a snapshot says how the rest is written: beginsJSON up to level.Packed, then
+// formatParts, formatSuspects, and formatTold, which says the level itself behind it.
 const (
-	earlierFormat  = 1
-	snapshotFormat = 2
+	beginsJSON     = '{'
+	formatParts    = 1
+	formatSuspects = 2
+	formatTold     = 3
+	lastFormat     = formatTold
 )
 
-// errSnapshot says that a snapshot is not one, or of another program.
+// errSnapshot says that a snapshot is not one.
 var errSnapshot = errors.New("snapshot can't be read")
 
-// snapshot returns the machine as bytes: those of documents as they are in the log, compressed.
-// Equal machines have equal snapshots, so that a member that gets one from several leaders can
-// put it together.
+// plainState is the machine as JSON.
+type plainState struct {
+	Version  uint64         `json:"version"`
+	Data     []byte         `json:"data"`
+	Registry registry.State `json:"registry"`
+	Spending budget.Record  `json:"spending"`
+}
+
+// snapshot returns the machine as bytes, in the newest form that its level has: those of documents as
+// they are in the log, compressed. Equal machines have equal snapshots, so that a member that gets one
+// from several leaders can put it together.
 func (m *machine) snapshot() []byte {
-	data := []byte{snapshotFormat}
-	if p := m.document.packed; p != nil {
-		data = appendParts(data, p.key, p.parts)
+	var data []byte
+	switch {
+	case m.level >= level.Told:
+		data = []byte{formatTold, byte(m.level)}
+	case m.level == level.Suspects:
+		data = []byte{formatSuspects}
+	case m.level == level.Parts:
+		data = []byte{formatParts}
+	default:
+		return m.plainSnapshot()
+	}
+	if m.document.Version > 0 {
+		m.document.pack()
+		data = appendParts(data, m.document.packed.key, m.document.packed.parts)
 	} else {
 		data = appendParts(data, documentKey{}, nil)
 	}
 	data = appendParts(data, m.upload.key, m.upload.parts)
 	data = appendJSON(data, m.registry)
 	data = appendJSON(data, m.spending.Record())
+	if m.level < level.Suspects {
+		return data
+	}
 	return appendJSON(data, m.poison.Record())
 }
 
+func (m *machine) plainSnapshot() []byte {
+	data, err := json.Marshal(plainState{
+		Version: m.document.Version, Data: m.document.Data, Registry: m.registry, Spending: m.spending.Record(),
+	})
+	if err != nil {
+		panic(err) // texts and numbers always encode
+	}
+	return data
+}
+
 func appendParts(data []byte, k documentKey, parts [][]byte) []byte {
 	data = appendKey(data, k)
 	data = binary.AppendUvarint(data, uint64(len(parts)))
@@ -60,23 +98,69 @@
 	return appendBytes(data, field)
 }
 
-// restore makes the machine what a snapshot says; an empty one is that of a new group.
-func (m *machine) restore(data []byte) error {
+// restore makes the machine what a snapshot says, of any level up to what the box reads; an empty one is
+// that of a new group of a build before level.Told. The error of one of a later build is a level.Above.
+func (m *machine) restore(data []byte, reads level.Level) error {
 	*m = machine{}
 	if len(data) == 0 {
 		return nil
 	}
-	if data[0] != snapshotFormat && data[0] != earlierFormat {
+	r := &reader{data: data[1:]}
+	switch data[0] {
+	case beginsJSON:
+		return m.restorePlain(data)
+	case formatParts:
+		m.level = level.Parts
+	case formatSuspects:
+		m.level = level.Suspects
+	case formatTold:
+		if one := r.take(1); one != nil {
+			m.level = level.Level(one[0])
+		}
+	default:
+		return unknownFormat(data[0])
+	}
+	if m.level > reads {
+		return level.TooNew("a snapshot", m.level, reads)
+	}
+	return errors.Wrap(m.restoreFrom(r), "snapshot")
+}
+
+// unknownFormat returns what a snapshot is that begins with no format of this build.
+func unknownFormat(format byte) error {
+	if format == 0 || format > lastFormat+formatsAhead {
 		return errSnapshot
 	}
-	r := &reader{data: data[1:]}
+	return &level.Above{
+		What: "a snapshot", Found: fmt.Sprintf("format %d", format),
+		Reads: fmt.Sprintf("formats up to %d (level %d)", lastFormat, level.Newest),
+	}
+}
+
+// formatsAhead is how many formats later builds may have added, so that a snapshot of one of them is
+// told from bytes that are none.
+const formatsAhead = 16
+
+func (m *machine) restorePlain(data []byte) error {
+	var s plainState
+	if err := json.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(errSnapshot, err.Error())
+	}
+	m.level = level.Listed
+	m.document = Document{Version: s.Version, Data: s.Data}
+	m.registry = s.Registry
+	m.spending.Apply(s.Spending)
+	return nil
+}
+
+func (m *machine) restoreFrom(r *reader) error {
 	document := r.upload()
 	m.upload = r.upload()
 	r.json(&m.registry)
 	var spending budget.Record
 	r.json(&spending)
 	m.spending.Apply(spending)
-	if data[0] == snapshotFormat {
+	if m.level >= level.Suspects {
 		var known poison.Record
 		r.json(&known)
 		m.poison.Apply(known)
@@ -84,7 +168,7 @@
 	if r.err == nil && document.isWhole() {
 		m.document, r.err = document.document()
 	}
-	return errors.Wrap(r.err, "snapshot")
+	return r.err
 }
 
 // reader reads what appendParts and appendJSON wrote. After an error it reads nothing.
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -9,6 +9,7 @@
 	"lynxramp.org/admission"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/routing"
 )
@@ -39,6 +40,8 @@
 	// Decode reads a configuration and checks it. It takes long for a large one, and is called
 	// beside the loop.
 	Decode func([]byte) (*routing.Table, error)
+	// Reads is the level that the box reads; 0 is the newest. Tests set it.
+	Reads level.Level
 }
 
 // State is the reducer of a control box. It is not safe for concurrent use.
@@ -60,6 +63,7 @@
 	early   map[SessionID]*earlySession
 	leader  consensus.ID
 	members consensus.Membership // as last told in the log
+	levels  levels
 }
 
 // pending is a call that waits for its command to be committed.
@@ -80,9 +84,21 @@
 
 		snapshotBytes: len(r.Snapshot.Data),
 		compactLeast:  compactBytes,
+		levels:        newLevels(settings.Reads),
+	}
+	for _, e := range r.Entries {
+		if e.Kind != consensus.EntryCommand {
+			continue
+		}
+		if err := s.readable(e.Data); err != nil {
+			return nil, err
+		}
 	}
 	s.node.SetLimits(settings.Members)
-	if err := s.machine.restore(r.Snapshot.Data); err != nil {
+	if s.levels.own >= level.Told {
+		s.node.SetUsualForms(consensus.Forms{Held: true}) // until a box has said what it reads
+	}
+	if err := s.restore(r.Snapshot.Data); err != nil {
 		return nil, err
 	}
 	s.machine.spending.Heard(now)
@@ -128,10 +144,16 @@
 	case *Saved:
 		s.node.Saved(now, e.Index, e.Term, &out.Ready)
 	case *JoinAsked:
-		// A box that does not lead has no say; the joining box asks on.
-		_, _ = s.node.Join(now, e.Member, &out.Ready)
+		if s.mayJoin(e, out) {
+			// A box that does not lead has no say; the joining box asks on.
+			_, _ = s.node.Join(now, e.Member, &out.Ready)
+		}
+	case *PeerTold:
+		s.hearPeer(e, out)
+	case *PeerLost:
+		s.losePeer(e, out)
 	case *StopAsked:
-		s.node.Transfer(now, &out.Ready)
+		s.node.Transfer(now, s.handOverTo, &out.Ready)
 	}
 }
 
@@ -259,8 +281,9 @@
 func (s *State) settle(now event.Time, out *Effects) {
 	if snap := out.Ready.Snapshot; snap != nil && snap.Index > s.compact {
 		s.compacted(snap.Index, snap.Data)
-		if err := s.machine.restore(snap.Data); err != nil {
-			panic(err) // it was checked when it was taken
+		if err := s.restore(snap.Data); err != nil {
+			out.Stop = err
+			return
 		}
 		s.machine.spending.Heard(now)
 	}
@@ -269,6 +292,9 @@
 		out.Ready.Committed = nil
 		for _, entry := range committed {
 			s.applyEntry(now, entry, out)
+			if out.Stop != nil {
+				return
+			}
 			s.compactAt(entry.Index, out)
 		}
 	}
@@ -279,8 +305,8 @@
 // compactAt takes a snapshot at the entry that was just applied, if one is due. It is due at the
 // same entries on all boxes, whatever they apply together: see consensus.Node.Compact.
 func (s *State) compactAt(index consensus.Index, out *Effects) {
-	if s.logged < max(s.compactLeast, compactGrowth*s.snapshotBytes) {
-		return
+	if s.logged < max(s.compactLeast, compactGrowth*s.snapshotBytes) || s.machine.level == 0 {
+		return // a log that does not tell which snapshots its members read has none yet
 	}
 	data := s.machine.snapshot()
 	s.compacted(index, data)
@@ -316,6 +342,10 @@
 }
 
 func (s *State) applyCommand(now event.Time, entry consensus.Entry, out *Effects) {
+	if err := s.readable(entry.Data); err != nil {
+		out.Stop = err
+		return
+	}
 	c, err := s.machine.apply(entry.Index, entry.Data)
 	if err != nil {
 		// A command that no version of this program can read does nothing, on
@@ -332,6 +362,9 @@
 	if c.poison != nil && s.owner != nil && s.owner.poisonRecord != entry.Index {
 		s.owner.poison.Foreign(now, *c.poison)
 	}
+	if c.level {
+		s.levelRaised(out)
+	}
 	if c.document {
 		out.note("configuration applied", Field{"version", s.machine.document.Version}, Field{"bytes", len(s.machine.document.Data)})
 	}
--- /dev/null
+++ b/cluster/upgrade_sim_test.go
@@ -0,0 +1,308 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lynxramp.org/event"
+	"lynxramp.org/level"
+	"lynxramp.org/message"
+	"lynxramp.org/poison"
+	"lynxramp.org/registry"
+)
+
+// upgrade is a group whose boxes are replaced one after the other by a later build, while anything
+// happens to it.
+type upgrade struct {
+	*sim
+	from     level.Level
+	states   map[uint64]string // what all members had when they had applied an entry
+	applied  map[*State]uint64
+	sent     map[Token]uint64 // versions by call
+	down     *simBox
+	cutOff   string
+	sequence uint64
+	session  SessionID
+	number   uint64
+	commands map[byte]int // applied, by kind
+}
+
+func newUpgrade(t *testing.T, from level.Level, boxes int, seed uint64) *upgrade {
+	u := &upgrade{
+		sim: newSim(t, boxes, 0), from: from, states: make(map[uint64]string), applied: make(map[*State]uint64),
+		sent: make(map[Token]uint64), commands: make(map[byte]int),
+	}
+	u.random = rand.New(rand.NewPCG(seed, 5))
+	u.compactLeast = 1
+	for _, name := range u.order {
+		b := u.boxes[name]
+		u.stop(name)
+		b.reads = from
+		b.disk.restored.Snapshot.Data = nil // as builds before level.Told found a group
+		u.restart(name)
+	}
+	u.cut = func(one, other string) bool { return one == u.cutOff || other == u.cutOff }
+	return u
+}
+
+// do lets one thing happen.
+func (u *upgrade) do() {
+	owner := u.owner()
+	switch n := u.random.IntN(100); {
+	case n < 12 && owner != nil:
+		token := u.put(owner, uint64(len(u.sent)+1))
+		u.sent[token] = uint64(len(u.sent) + 1)
+	case n < 40 && owner != nil:
+		u.sequence++
+		u.tell(owner, registry.Endpoint{
+			ID: fmt.Sprint("e", u.random.IntN(9)), Service: "s", Address: fmt.Sprint("a", u.random.IntN(9)), Slots: int(u.sequence), Sequence: u.sequence,
+		})
+	case n < 45 && owner != nil:
+		u.token++
+		u.step(owner, &EndpointLeft{Token: u.token, ID: fmt.Sprint("e", u.random.IntN(9))})
+	case n < 60 && owner != nil:
+		u.tellEnd(owner)
+	case n < 70 && u.down == nil:
+		u.down = u.boxes[u.order[u.random.IntN(len(u.order))]]
+		u.stop(u.down.name)
+	case n < 85 && u.down != nil:
+		u.restart(u.down.name)
+		u.down = nil
+	case n < 89 && u.down == nil:
+		u.cutOff = u.order[u.random.IntN(len(u.order))]
+	case n < 97:
+		u.cutOff = ""
+	}
+	for range 1 + u.random.IntN(20) {
+		u.run(simStep)
+		u.check()
+	}
+}
+
+// tellEnd has an entry tell that an endpoint ended under a request.
+func (u *upgrade) tellEnd(owner *simBox) {
+	u.session++
+	u.number++
+	u.step(owner, &SessionBegan{Session: u.session, Hello: message.Hello{Entry: "entry", Life: 1}, Reads: level.Newest})
+	u.step(owner, &SessionTold{Session: u.session, Batch: &message.Batch{Ends: []poison.End{{
+		Number: u.number, Print: poison.Print(fmt.Sprintf("%016x", u.random.IntN(5))),
+		Endpoint: event.EndpointID(fmt.Sprint("e", u.random.IntN(99))), Request: event.RequestID(fmt.Sprint(u.number)),
+	}}}})
+}
+
+// check fails the test if two members differ that have applied the same entries, or if the level of one
+// was lowered.
+func (u *upgrade) check() {
+	for _, name := range u.order {
+		b := u.boxes[name]
+		if b.state == nil {
+			continue
+		}
+		index := uint64(b.state.node.Applied())
+		if u.applied[b.state] == index {
+			continue
+		}
+		u.applied[b.state] = index
+		has := b.state.machine.contents(u.t.(*testing.T))
+		if other, ok := u.states[index]; ok && other != has {
+			u.t.Fatalf("%s differs from the others at entry %d:\n%s\nothers:\n%s", name, index, has, other)
+		}
+		u.states[index] = has
+	}
+}
+
+// replace has a box end as it is told to, and start anew with a later build.
+func (u *upgrade) replace(name string, to level.Level) {
+	b := u.boxes[name]
+	if b.state != nil {
+		u.step(b, &StopAsked{})
+		u.run(200 * event.Millisecond)
+		u.stop(name)
+	}
+	if u.down == b {
+		u.down = nil
+	}
+	b.reads = to
+	u.run(simStep * event.Span(u.random.IntN(100)))
+	u.restart(name)
+}
+
+// mustAgree brings all back, and checks that nothing acknowledged is lost, that all have the same, and
+// that the group has the level that all read.
+func (u *upgrade) mustAgree(want level.Level) {
+	u.cutOff = ""
+	if u.down != nil {
+		u.restart(u.down.name)
+		u.down = nil
+	}
+	for range 400 {
+		u.run(simStep)
+		u.check()
+	}
+	acknowledged := uint64(0)
+	for token, version := range u.sent {
+		if u.answers[token].Status == StatusDone {
+			acknowledged = max(acknowledged, version)
+		}
+	}
+	owner := u.mustOwner()
+	if got := owner.state.Document().Version; got < acknowledged {
+		u.t.Fatalf("version %d is in force, %d was acknowledged", got, acknowledged)
+	}
+	for _, name := range u.order {
+		state := u.boxes[name].state
+		if got, all := state.node.Applied(), owner.state.node.Applied(); got != all {
+			u.t.Fatalf("%s has applied %d entries, the owner %d", name, got, all)
+		}
+		if want >= level.Told && state.machine.level != want {
+			u.t.Fatalf("%s: the group has level %d, want %d", name, state.machine.level, want)
+		}
+		if want < level.Told && state.machine.level > want {
+			u.t.Fatalf("%s: the log tells level %d while a member reads %d", name, state.machine.level, want)
+		}
+	}
+}
+
+// TestUpgrade replaces the boxes of a group in any order by a later build, while boxes are killed and cut
+// off, snapshots are taken, one loses its disk, configurations and endpoints change and requests end
+// endpoints. An upgrade from an earlier build had ended every control box; in others a command that
+// earlier members did not know was passed over there, so that members differed and the one that
+// differed might lead next.
+func TestUpgrade(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Packed, level.Parts, level.Suspects}).Draw(rt, "from")
+		u := newUpgrade(t, from, rapid.SampledFrom([]int{3, 5}).Draw(rt, "boxes"), rapid.Uint64().Draw(rt, "seed"))
+		defer func() {
+			if t.Failed() {
+				t.Logf("from level %d, %d boxes", from, len(u.order))
+			}
+		}()
+		u.run(2 * event.Second)
+		order := rapid.Permutation(u.order).Draw(rt, "order")
+		wiped := rapid.IntRange(-len(order), len(order)-1).Draw(rt, "wiped")
+		stopsAt := rapid.IntRange(0, len(order)).Draw(rt, "stops")
+		for i, name := range order {
+			for range rapid.IntRange(1, 15).Draw(rt, "steps") {
+				u.do()
+			}
+			if i == stopsAt {
+				break
+			}
+			u.replace(name, level.Newest)
+			if i == wiped && u.down == nil {
+				u.stop(name)
+				u.addEmpty(name)
+			}
+		}
+		for range 10 {
+			u.do()
+		}
+		if stopsAt < len(order) {
+			u.mustAgree(from)
+			return
+		}
+		u.mustAgree(level.Newest)
+	})
+}
+
+// TestGoingBack: a build that turns out bad is replaced by the one before, on the same folders, as long
+// as not all boxes have it.
+func TestGoingBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Packed, level.Parts, level.Suspects}).Draw(rt, "from")
+		u := newUpgrade(t, from, 3, rapid.Uint64().Draw(rt, "seed"))
+		u.run(2 * event.Second)
+		for _, to := range []level.Level{level.Newest, from} {
+			for _, name := range u.order[:2] {
+				for range rapid.IntRange(1, 10).Draw(rt, "steps") {
+					u.do()
+				}
+				u.replace(name, to)
+			}
+		}
+		for range 5 {
+			u.do()
+		}
+		u.mustAgree(from)
+	})
+}
+
+// TestMemberBelowTheGroup: a box that goes back to an earlier build once the level was raised is sent
+// nothing, and is not let in with an empty disk: it would pass over what it does not know.
+func TestMemberBelowTheGroup(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(2 * event.Second)
+	if got := s.mustOwner().state.machine.level; got != level.Newest {
+		t.Fatalf("a new group has level %d", got)
+	}
+	var back *simBox
+	for _, name := range s.order {
+		if b := s.boxes[name]; b != s.mustOwner() {
+			back = b
+		}
+	}
+	s.stop(back.name)
+	before := simDisk{member: back.disk.member, restored: back.disk.restored}
+	back.reads = level.Suspects
+	if _, err := NewState(s.now, back.disk.member.ID, back.disk.restored, Settings{Reads: level.Suspects}); !level.IsAbove(err) {
+		t.Errorf("the folder of a later build: %v", err)
+	}
+	back.disk.restored.Snapshot.Data = nil // a build before level.Told does not look
+	s.restart(back.name)
+	token := s.put(s.mustOwner(), 5)
+	s.run(2 * event.Second)
+	if s.answers[token].Status != StatusDone {
+		t.Error("a change is not taken while one box of three is of an earlier build")
+	}
+	if got := back.state.Document().Version; got != 0 {
+		t.Errorf("the box of an earlier build has version %d", got)
+	}
+	s.stop(back.name)
+	s.addEmpty(back.name)
+	s.boxes[back.name].reads = level.Suspects
+	s.stop(back.name)
+	s.restart(back.name)
+	s.run(3 * event.Second)
+	if got := s.mustOwner().state.node.Members(); len(got.Voters) != 3 || got.Has(s.boxes[back.name].disk.member.ID) {
+		t.Errorf("members are %+v, want those of before", got)
+	}
+	s.stop(back.name)
+	s.boxes[back.name].reads = 0
+	s.boxes[back.name].disk = &before
+	s.restart(back.name)
+	s.run(3 * event.Second)
+	if got := s.boxes[back.name].state.Document().Version; got != 5 {
+		t.Errorf("once it has the later build again it has version %d, want 5", got)
+	}
+}
+
+// TestLeadMovesTwiceAtMost: each control box that was replaced handed its lead to any other one, which was
+// replaced in its turn. A box that was replaced already is to have it.
+func TestLeadMovesTwiceAtMost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(t, rapid.SampledFrom([]int{3, 5}).Draw(rt, "boxes"), 0)
+		s.run(2 * event.Second)
+		order := rapid.Permutation(s.order).Draw(rt, "order")
+		lead, moves := s.mustOwner().name, 0
+		for _, name := range order {
+			s.step(s.boxes[name], &StopAsked{})
+			s.run(600 * event.Millisecond)
+			s.stop(name)
+			s.run(event.Span(rapid.IntRange(1, 100).Draw(rt, "off")) * simStep)
+			s.restart(name)
+			s.run(event.Span(rapid.IntRange(50, 300).Draw(rt, "gap")) * simStep)
+			if now := s.mustOwner().name; now != lead {
+				lead = now
+				moves++
+			}
+		}
+		if moves > 2 {
+			rt.Fatalf("the lead moved %d times while %v were replaced", moves, order)
+		}
+	})
+}
--- a/cluster/upload.go
+++ b/cluster/upload.go
@@ -7,6 +7,7 @@
 
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
+	"lynxramp.org/level"
 )
 
 // uploads are the documents that the leader was sent and has not committed. One is in the log;
@@ -55,19 +56,13 @@
 // that an earlier leader did not get committed.
 func (s *State) logNext(now event.Time, out *Effects) {
 	u := &s.uploads
-	if u.logged != nil || u.waiting == nil || !s.owns(now) {
+	if u.logged != nil || u.waiting == nil || !s.owns(now) || s.writes() == 0 {
 		return
 	}
 	next := u.waiting
 	u.waiting = nil
-	next.document.pack()
-	p := next.document.packed
-	first := 0
-	if s.machine.upload.key == p.key {
-		first = len(s.machine.upload.parts)
-	}
-	for number := first; number < len(p.parts); number++ {
-		index, err := s.node.Propose(now, p.encodePart(number), &out.Ready)
+	for _, command := range s.commandsOf(&next.document) {
+		index, err := s.node.Propose(now, command, &out.Ready)
 		if err != nil {
 			next.answer(StatusUnclear, out)
 			return
@@ -78,6 +73,24 @@
 	u.logged = next
 }
 
+// commandsOf returns the commands that bring a document: its parts that an earlier leader did not get
+// committed, or all of it at once where members read no parts.
+func (s *State) commandsOf(d *Document) [][]byte {
+	if s.writes() < level.Parts {
+		return [][]byte{d.encodeWhole()}
+	}
+	d.pack()
+	first := 0
+	if s.machine.upload.key == d.packed.key {
+		first = len(s.machine.upload.parts)
+	}
+	var list [][]byte
+	for number := first; number < len(d.packed.parts); number++ {
+		list = append(list, d.packed.encodePart(number))
+	}
+	return list
+}
+
 // uploaded takes note that an entry was applied.
 func (s *State) uploaded(entry consensus.Entry, out *Effects) {
 	d := s.uploads.logged
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -4,9 +4,11 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 
 	"lynxramp.org/event"
+	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
 )
@@ -96,6 +98,9 @@
 // firstView returns what a session begins with: what has changed of endpoints since the
 // revision that its entry knows, and which of them are silent, or the first piece of that.
 func (o *owner) firstView(one *session, revision uint64, s *State) *message.View {
+	if one.reads < level.Parts {
+		return o.wholeView(one, revision, s)
+	}
 	reaches := s.machine.registry.Reaches(revision)
 	if !reaches {
 		revision = 0
@@ -106,6 +111,31 @@
 	return view
 }
 
+// wholeView returns all that a session begins with at once, for an entry that knows no pieces.
+func (o *owner) wholeView(one *session, revision uint64, s *State) *message.View {
+	if one.reads < level.Packed || !s.machine.registry.Reaches(revision) {
+		revision = 0
+	}
+	p := s.machine.registry.After(revision, math.MaxInt)
+	one.view = viewProgress{upTo: p.UpTo}
+	list := endpoints(p.Endpoints)
+	for i := range list {
+		list[i].Down = o.down[list[i].ID]
+	}
+	view := &message.View{
+		Whole: revision == 0, Endpoints: message.Pack(list), Revision: p.UpTo, Signs: true, Members: s.memberLinks(),
+	}
+	for _, id := range p.Gone {
+		view.Gone = append(view.Gone, event.EndpointID(id))
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.down)) {
+		if o.down[id] {
+			view.Silent = append(view.Silent, event.EndpointID(id))
+		}
+	}
+	return view
+}
+
 // sendView sends the next piece of what a session begins with, when the last one is there.
 func (o *owner) sendView(p *SessionPinged, one *session, s *State, out *Effects) {
 	if !one.view.isBehind || p.Ping.Revision < one.view.upTo {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -133,17 +133,16 @@
 	}
 }
 
-// Transfer hands the leadership to the member that holds most of the log. The
-// lease ends here and now.
-func (n *Node) Transfer(now event.Time, out *Ready) {
+// Transfer hands the leadership to a member that answers: of those that a rank puts first, the one
+// that holds most of the log. The lease ends here and now. A nil rank puts all alike.
+func (n *Node) Transfer(now event.Time, rank func(ID) int, out *Ready) {
 	defer n.finish(out)
 	if n.role != leader {
 		return
 	}
 	var best ID
 	for _, m := range n.members.Voters {
-		p := n.progress[m.ID]
-		if m.ID != n.id && p != nil && p.heard && (best == "" || p.match > n.progress[best].match) {
+		if m.ID != n.id && n.mayFollow(m.ID) && (best == "" || n.isBefore(now, m.ID, best, rank)) {
 			best = m.ID
 		}
 	}
@@ -155,6 +154,26 @@
 	n.tryTransfer(now, out)
 }
 
+// mayFollow reports whether a member has answered in this term and reads what the log has.
+func (n *Node) mayFollow(id ID) bool {
+	p := n.progress[id]
+	return p != nil && p.heard && !p.isIgnored
+}
+
+// isBefore reports whether a member is to lead rather than another: one that answers rather than one
+// that is silent, then by rank, then by how much of the log it holds.
+func (n *Node) isBefore(now event.Time, id, other ID, rank func(ID) int) bool {
+	p, q := n.progress[id], n.progress[other]
+	answers, otherAnswers := now.Sub(p.answered) < ElectionMin, now.Sub(q.answered) < ElectionMin
+	if answers != otherAnswers {
+		return answers
+	}
+	if rank != nil && rank(id) != rank(other) {
+		return rank(id) > rank(other)
+	}
+	return p.match > q.match
+}
+
 // tryTransfer tells the chosen member to stand once it holds the whole log.
 func (n *Node) tryTransfer(now event.Time, out *Ready) {
 	if n.transfer == "" {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -102,6 +102,8 @@
 	agreed     Index
 	agreedTerm Term
 	incoming   *incoming // nil if no snapshot is coming
+	forms      map[event.BoxID]Forms
+	usualForms Forms
 }
 
 // Limits bound how the members change by themselves. The zero value lets every
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -12,6 +12,7 @@
 		for _, m := range list {
 			if m.ID != n.id && n.progress[m.ID] == nil {
 				n.progress[m.ID] = &progress{next: n.log.last() + 1}
+				n.setForms(m.ID)
 			}
 		}
 	}
@@ -22,6 +23,43 @@
 	}
 }
 
+// Forms says how a box takes what this member sends it. The zero value is that of boxes that read
+// what this build writes.
+type Forms struct {
+	// Whole: it takes a snapshot in one message and numbers no messages.
+	Whole bool
+	// Ignored: it does not read what the log has, and is sent nothing.
+	Ignored bool
+	// Held: it is not known any more what it reads. It is sent heartbeats alone, whose answers come
+	// with that.
+	Held bool
+}
+
+// SetForms takes note of how a box takes what it is sent.
+func (n *Node) SetForms(box event.BoxID, f Forms) {
+	if n.forms == nil {
+		n.forms = make(map[event.BoxID]Forms)
+	}
+	n.forms[box] = f
+	for id := range n.progress {
+		if id.Box() == box {
+			n.setForms(id)
+		}
+	}
+}
+
+// SetUsualForms takes note of how boxes take what they are sent of which SetForms says nothing.
+func (n *Node) SetUsualForms(f Forms) { n.usualForms = f }
+
+func (n *Node) setForms(id ID) {
+	f, ok := n.forms[id.Box()]
+	if !ok {
+		f = n.usualForms
+	}
+	p := n.progress[id]
+	p.isWhole, p.isIgnored, p.isHeld = f.Whole, f.Ignored, f.Held
+}
+
 func (n *Node) tickLeader(now event.Time, out *Ready) {
 	n.checkQuorum(now)
 	if n.role != leader {
@@ -64,6 +102,9 @@
 // send sends a member the next part of what it lacks, or a heartbeat when it is due.
 func (n *Node) send(now event.Time, to ID, out *Ready) {
 	p := n.progress[to]
+	if p.isIgnored {
+		return
+	}
 	m := Message{From: n.id, To: to, Term: n.hard.Term, SentAt: now, Commit: n.commit}
 	bulk := n.fill(now, p, &m)
 	if !bulk && p.sent != 0 && now.Sub(p.sent) < HeartbeatEvery {
@@ -71,6 +112,9 @@
 	}
 	p.seq++
 	m.Seq = p.seq
+	if p.isWhole {
+		m.Token = p.seq
+	}
 	if bulk {
 		p.bulk = p.seq
 		p.flying = m.bytes()
@@ -87,12 +131,18 @@
 	if !ok && p.snapshot == nil {
 		p.begin(n.snapshot)
 	}
-	if p.snapshot != nil {
+	switch {
+	case p.snapshot != nil && (!p.heard || p.isHeld):
+		m.Kind = KindAppend // until it is known how the member takes snapshots
+		return false
+	case p.snapshot != nil && p.isWhole:
+		return p.fillWhole(m)
+	case p.snapshot != nil:
 		return p.fillPiece(m, n.bounds.message, n.hasRoom(now, p))
 	}
 	m.Kind = KindAppend
 	m.Index, m.LogTerm = p.next-1, before
-	if p.isInFlight() || n.unsaved(p) >= n.bounds.unsaved {
+	if p.isHeld || p.isInFlight() || n.unsaved(p) >= n.bounds.unsaved {
 		return false
 	}
 	if p.probing {
@@ -165,10 +215,10 @@
 // is on disk by now and does not wait for the disk, so that a slow one costs no lease and the
 // leader sends on. What the message brought is acknowledged by itself once it is saved.
 func (n *Node) acknowledge(m Message, last Index, offset uint64, brings bool, out *Ready) {
-	if m.Token == 0 {
+	if !m.takesOneReply() {
 		n.receipt(m, Message{Granted: true, Index: min(n.saved, n.agreed), Offset: offset}, out)
 	}
-	if brings || m.Token != 0 {
+	if brings || m.takesOneReply() {
 		n.reply(m, Message{Granted: true, Index: last, Offset: offset}, out)
 	}
 }
@@ -176,7 +226,7 @@
 // receipt answers a message that has nothing to be saved, or does not wait for that. The one
 // reply that a carrier with tokens takes goes the usual way.
 func (n *Node) receipt(m, with Message, out *Ready) {
-	if m.Token != 0 {
+	if m.takesOneReply() {
 		n.reply(m, with, out)
 		return
 	}
@@ -204,10 +254,10 @@
 	}
 	p.heard = true
 	p.answered = max(p.answered, m.SentAt)
-	p.seen = max(p.seen, m.Seq)
+	p.seen = max(p.seen, m.number())
 	// A connection keeps the order: a reply to the last part, or to a heartbeat after it, says
 	// what came of all parts. An earlier one does not.
-	isNews := m.Seq >= p.bulk
+	isNews := m.number() >= p.bulk
 	switch {
 	case m.Kind == KindSnapshotReply && p.snapshot != nil && p.sum == m.Sum && isNews:
 		p.place(m.Offset, n.snapshot)
--- a/consensus/transfer.go
+++ b/consensus/transfer.go
@@ -30,6 +30,12 @@
 	snapshot *Snapshot
 	sum      uint32
 	offset   int
+	// isWhole says that the member takes a snapshot whole, in one message, and gives Token back
+	// where others give Seq.
+	isWhole bool
+	// isIgnored says that the member does not read what the log has: it is sent nothing. isHeld says
+	// that it is not known whether it does: it is sent heartbeats alone.
+	isIgnored, isHeld bool
 }
 
 // isInFlight reports whether entries or a piece of a snapshot are on their way. Nothing is sent
@@ -58,6 +64,19 @@
 	return true
 }
 
+// fillWhole makes m the whole snapshot, or a heartbeat that any log agrees with: a member that takes
+// snapshots whole would install a piece as if it were all.
+func (p *progress) fillWhole(m *Message) bool {
+	if p.isInFlight() {
+		m.Kind = KindAppend
+		return false
+	}
+	s := *p.snapshot
+	m.Kind, m.Snapshot = KindSnapshot, &s
+	m.Size, m.Sum = uint64(len(s.Data)), p.sum
+	return true
+}
+
 // place goes on from what the member holds of the snapshot, which may be from another leader. A
 // member that holds nothing is sent the newest one.
 func (p *progress) place(held uint64, newest Snapshot) {
@@ -83,6 +102,9 @@
 	if s == nil {
 		return
 	}
+	if m.isWhole() {
+		m.Size, m.Sum = uint64(len(s.Data)), crc32.Checksum(s.Data, castagnoli)
+	}
 	if s.Index <= n.commit {
 		n.incoming = nil
 		n.agree(n.commit)
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -210,5 +210,27 @@
 	if m.Kind != KindSnapshot {
 		return true
 	}
-	return m.Snapshot != nil && m.Offset <= m.Size && uint64(len(m.Snapshot.Data)) <= m.Size-m.Offset
+	if m.Snapshot == nil {
+		return false
+	}
+	return m.isWhole() || m.Offset <= m.Size && uint64(len(m.Snapshot.Data)) <= m.Size-m.Offset
+}
+
+// isEarlier reports whether a leader's message is of a build that numbers no messages: it takes one
+// reply to each, once what it brought is saved.
+func (m *Message) isEarlier() bool { return m.Seq == 0 }
+
+// isWhole reports whether a message with a snapshot brings all of it, as those builds send it.
+func (m *Message) isWhole() bool { return m.isEarlier() && m.Size == 0 }
+
+// takesOneReply reports whether the sender takes a single reply to the message.
+func (m *Message) takesOneReply() bool { return m.Token != 0 || m.isEarlier() }
+
+// number returns the number of the message that a reply answers: members that know no Seq give back
+// the Token alone.
+func (m *Message) number() uint64 {
+	if m.Seq > 0 {
+		return m.Seq
+	}
+	return m.Token
 }
--- a/control/state.go
+++ b/control/state.go
@@ -73,10 +73,10 @@
 	case *event.PlatformListed:
 		s.listed = e
 		if s.leavesAlone(e.Leaving) {
-			s.node.Transfer(now, &out.Ready)
+			s.node.Transfer(now, nil, &out.Ready)
 		}
 	case *StopAsked:
-		s.node.Transfer(now, &out.Ready)
+		s.node.Transfer(now, nil, &out.Ready)
 	}
 	s.settle(now, out)
 	if s.owns(now) {
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -39,6 +39,7 @@
 		Control: controlLinks(f),
 		Limits:  limits(f.Bounds),
 		Fresh:   event.Span(f.Bounds.Fresh),
+		Decode:  d.Decode,
 		Log:     log,
 	})
 	g := gateway.New(gateway.Config{
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -165,6 +165,8 @@
 		a.client.Dialed(now, a.next, address)
 	}
 	one := <-id
+	var owner message.Peer
+	conn.SetForms(owner.Asking())
 	err = conn.Serve(func(m *message.Envelope) {
 		a.input <- func(now event.Time) { a.client.Received(now, one, m) }
 	})
--- /dev/null
+++ b/gateway/document_test.go
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"lynxramp.org/message"
+	"lynxramp.org/routing"
+)
+
+// TestWholeConfigurationIsTaken: an entry that was replaced before its control boxes got no configuration
+// from an owner of an earlier build, which sends it whole.
+func TestWholeConfigurationIsTaken(t *testing.T) {
+	a := NewOwnerClient(ClientConfig{Entry: "entry", Control: []string{"box"}, Log: zap.NewNop(), Decode: func(data []byte) (*routing.Table, error) {
+		if string(data) == "bad" {
+			return nil, errors.New("bad")
+		}
+		table := &routing.Table{Version: uint64(data[0] - '0')}
+		table.Index()
+		return table, nil
+	}})
+	a.Dialed(0, 1, "box")
+	for _, one := range []struct {
+		document string
+		version  uint64
+		want     uint64
+	}{{"2", 2, 2}, {"1", 1, 2}, {"bad", 3, 2}, {"4", 4, 4}} {
+		a.Received(0, 1, &message.Envelope{View: &message.View{Version: one.version, Document: []byte(one.document)}})
+		if got := a.version(); got != one.want {
+			t.Errorf("after %q: version %d is in force, want %d", one.document, got, one.want)
+		}
+	}
+}
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -55,7 +55,9 @@
 	// Fresh is how long the configuration counts after it was known to be the
 	// newest.
 	Fresh event.Span
-	Log   *zap.Logger
+	// Decode reads a configuration as its operator sent it: owners below level.Parts send it so.
+	Decode func([]byte) (*routing.Table, error)
+	Log    *zap.Logger
 }
 
 // LinkID names a connection to a control box; 0 is none.
--- a/gateway/owner_config.go
+++ b/gateway/owner_config.go
@@ -62,6 +62,23 @@
 	a.gather(now)
 }
 
+// takeDocument puts a configuration in force that came whole, from an owner below level.Parts. It is
+// read in the client's loop: owners that send it so are there only while boxes are replaced.
+func (a *OwnerClient) takeDocument(v *message.View) {
+	if v.Version <= a.version() {
+		return
+	}
+	table, err := a.config.Decode(v.Document)
+	if err != nil {
+		a.log.Error("configuration not read", zap.Uint64("version", v.Version), logx.Err(err))
+		return
+	}
+	a.told.Store(v.Version)
+	a.table.Store(table)
+	a.log.Info("configuration in force", zap.Uint64("version", table.Version), zap.Int("routes", len(table.Routes)),
+		zap.Int("bytes", len(v.Document)))
+}
+
 // gather asks for more of the configuration, and puts it in force once it is whole.
 func (a *OwnerClient) gather(now event.Time) {
 	if !a.fetch.offered {
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -72,7 +72,7 @@
 	hello.More = a.lent.More()
 	a.ponged = now
 	a.came = 0
-	a.send(&message.Envelope{Hello: hello})
+	a.send((&message.Envelope{Hello: hello}).Introduced())
 	a.ask(now)
 	a.batch = message.Batch{}
 	a.log.Debug("asks control box", zap.String("address", address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
@@ -208,7 +208,10 @@
 	if v.More {
 		a.ask(now)
 	}
-	if v.Version > 0 {
+	switch {
+	case len(v.Document) > 0:
+		a.takeDocument(v)
+	case v.Version > 0:
 		a.aim(now, v)
 	}
 }
--- a/poison/record.go
+++ b/poison/record.go
@@ -47,6 +47,13 @@
 	b.dirty = append(b.dirty, p)
 }
 
+// TellAll has the log told of all that is known: it was told of nothing before.
+func (b *Book) TellAll() {
+	for _, p := range slices.Sorted(maps.Keys(b.cases)) {
+		b.mark(p)
+	}
+}
+
 // Due reports whether a Record is wanted. There is none while one is on its way.
 func (b *Book) Due() bool { return !b.isPending && len(b.dirty) > 0 }
 
--- a/store/load.go
+++ b/store/load.go
@@ -107,7 +107,7 @@
 		}
 		return placeEntry(e, r)
 	default:
-		return errors.Wrapf(ErrDamaged, "record of kind %d", content[0])
+		return unknownRecord(content[0])
 	}
 }
 
--- a/store/record.go
+++ b/store/record.go
@@ -5,11 +5,13 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 
 	"github.com/pkg/errors"
 
 	"lynxramp.org/consensus"
+	"lynxramp.org/level"
 )
 
 // A record is: magic (4 bytes), length (4), checksum of the content (4),
@@ -32,6 +34,21 @@
 	recordPiece // of a snapshot
 )
 
+// lastRecord is the last kind of record that this build reads.
+const lastRecord = recordPiece
+
+// unknownRecord returns that a sound record is of a kind that does not belong there: a later build
+// wrote it, or, if the kind is known, the file is damaged.
+func unknownRecord(kind byte) error {
+	if kind <= lastRecord {
+		return errors.Wrapf(ErrDamaged, "record of kind %d", kind)
+	}
+	return &level.Above{
+		What: "the data folder", Found: fmt.Sprintf("a record of kind %d", kind),
+		Reads: fmt.Sprintf("kinds up to %d (level %d)", lastRecord, level.Newest),
+	}
+}
+
 // ErrDamaged says that a file does not hold what was written to it.
 var ErrDamaged = errors.New("the data folder is damaged")
 
--- a/store/snapshot.go
+++ b/store/snapshot.go
@@ -8,6 +8,7 @@
 	"iter"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -15,9 +16,12 @@
 )
 
 // A snapshot's file has one record with its head (index, term and length of the data, 8 bytes each,
-// and the members as JSON) and then the data, in records of pieces.
+// and the members as JSON) and then the data, in records of pieces. A state machine whose data is
+// JSON is that of a group with boxes below level.Parts: then the file has one record, all of it as
+// JSON, which those read and no other.
 const (
 	snapshotHead = 24
+	beginsJSON   = '{'
 	// snapshotPiece is the length of a piece in bytes: that of one buffer more while a snapshot is
 	// written, whatever its size.
 	snapshotPiece = 1 << 20
@@ -25,6 +29,13 @@
 
 // snapshotRecords returns the records of a snapshot's file. Each is gone with the next.
 func snapshotRecords(s *consensus.Snapshot) (iter.Seq[[]byte], error) {
+	if len(s.Data) > 0 && s.Data[0] == beginsJSON {
+		whole, err := json.Marshal(s)
+		if err != nil {
+			return nil, errors.Wrap(err, "snapshot")
+		}
+		return slices.Values([][]byte{appendRecord(nil, append([]byte{recordSnapshot}, whole...))}), nil
+	}
 	members, err := json.Marshal(s.Members)
 	if err != nil {
 		return nil, errors.Wrap(err, "snapshot")
@@ -67,7 +78,17 @@
 func parseSnapshot(file []byte) (consensus.Snapshot, error) {
 	var snap consensus.Snapshot
 	head, length, err := readRecord(file)
-	if err != nil || len(head) < 1+snapshotHead || head[0] != recordSnapshot {
+	switch {
+	case err != nil || len(head) < 2:
+		return snap, errors.Wrap(ErrDamaged, "head")
+	case head[0] != recordSnapshot:
+		return snap, unknownRecord(head[0])
+	case head[1] == beginsJSON:
+		if err := json.Unmarshal(head[1:], &snap); err != nil || length != len(file) {
+			return snap, errors.Wrap(ErrDamaged, "one record")
+		}
+		return snap, nil
+	case len(head) < 1+snapshotHead:
 		return snap, errors.Wrap(ErrDamaged, "head")
 	}
 	snap.Index = consensus.Index(binary.BigEndian.Uint64(head[1:]))
@@ -79,9 +100,12 @@
 	file = file[length:]
 	for len(file) > 0 {
 		content, length, err := readRecord(file)
-		if err != nil || len(content) == 0 || content[0] != recordPiece {
+		if err != nil || len(content) == 0 {
 			return snap, errors.Wrap(ErrDamaged, "piece")
 		}
+		if content[0] != recordPiece {
+			return snap, unknownRecord(content[0])
+		}
 		snap.Data = append(snap.Data, content[1:]...)
 		file = file[length:]
 	}
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"lynxramp.org/consensus"
+	"lynxramp.org/level"
 )
 
 func open(t *testing.T, dir string) (*Store, consensus.Restored) {
@@ -272,3 +274,50 @@
 	}
 	check("the new log there, the new snapshot not in place", want)
 }
+
+// TestSnapshotOfEarlierBuilds: a snapshot of a group with boxes of earlier builds is one record, which
+// those must read again if they come back, and no piece of theirs was ever read by a later build.
+func TestSnapshotOfEarlierBuilds(t *testing.T) {
+	dir := t.TempDir()
+	s, _ := open(t, dir)
+	snap := consensus.Snapshot{Index: 4, Term: 2, Data: []byte(`{"version":1}`), Members: consensus.Membership{Voters: []consensus.Member{{ID: "box@1", Address: "a"}}}}
+	save(t, s, consensus.Ready{Snapshot: &snap, Entries: entries(5, 6, 2)})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.ReadFile(filepath.Join(dir, numbered(snapshotPrefix, 4)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	content, length, err := readRecord(file)
+	var asTheyRead consensus.Snapshot
+	if err != nil || length != len(file) || content[0] != recordSnapshot || json.Unmarshal(content[1:], &asTheyRead) != nil {
+		t.Fatalf("%v, a record of %d of %d bytes", err, length, len(file))
+	}
+	if diff := cmp.Diff(snap, asTheyRead); diff != "" {
+		t.Errorf("as earlier builds read it (-want +got):\n%s", diff)
+	}
+	_, r := open(t, dir)
+	if diff := cmp.Diff(snap, r.Snapshot); diff != "" || len(r.Entries) != 2 {
+		t.Errorf("%d entries, the snapshot (-want +got):\n%s", len(r.Entries), diff)
+	}
+	if _, err := parseSnapshot(append(file, 0)); !errors.Is(err, ErrDamaged) {
+		t.Errorf("with a byte more: %v", err)
+	}
+}
+
+// TestRecordsOfLaterBuilds: a sound record of a kind that isn't known is not damage. An operator would
+// take the disk for lost.
+func TestRecordsOfLaterBuilds(t *testing.T) {
+	later := appendRecord(nil, []byte{lastRecord + 1, 1, 2, 3})
+	var r consensus.Restored
+	if _, err := parseLog(later, &r); !level.IsAbove(err) {
+		t.Errorf("log: %v", err)
+	}
+	if _, err := parseSnapshot(later); !level.IsAbove(err) {
+		t.Errorf("snapshot: %v", err)
+	}
+	if _, err := parseLog(appendRecord(nil, []byte{recordSnapshot, 1}), &r); !errors.Is(err, ErrDamaged) {
+		t.Errorf("a record that does not belong there: %v", err)
+	}
+}
