--- a/cmd/lynxramp/main.go
+++ b/cmd/lynxramp/main.go
@@ -36,6 +36,7 @@
 	Recover recoverCommand `cmd:"" help:"Make a box the only voter, after most disks of the control group were lost for good."`
 	Trace   traceCommand   `cmd:"" help:"Make a trace of a users workload."`
 	Replay  replayCommand  `cmd:"" help:"Replay traces and compare with their stated outcomes."`
+	Levels  levelsCommand  `cmd:"" help:"Show the build and the level of each box of a fleet, and what holds the next level back."`
 	Explain explainCommand `cmd:"" help:"Walk log files from a request to its cause."`
 	Engine  engineCommand  `cmd:"" help:"Run a stand-in of a model engine."`
 	Service serviceCommand `cmd:"" help:"Run a stand-in of a plain service."`
