--- a/level/level.go
+++ b/level/level.go
@@ -57,8 +57,8 @@
 	{Told, Members, "levels: at the beginning of a connection, in the log and in snapshots", ""},
 }
 
-// ReadBy reports whether entries, too, must read the forms above a level up to another before the
-// group may have that one.
+// ReadBy reports whether some readers must read a form above a level and up to another: then the group may
+// have that one only when they do.
 func ReadBy(r Readers, above, upTo Level) bool {
 	for _, f := range Forms {
 		if f.Level > above && f.Level <= upTo && f.Readers&r != 0 {
