cluster: a part of a document that can't be read tells nothing of what members read

Found by fuzzing: the command failed, and the state had another level. The same on all boxes, so that no two differed; but a command that fails is to change nothing.

--- a/cluster/document.go
+++ b/cluster/document.go
@@ -188,15 +188,24 @@
 	return Document{Version: u.key.Version, Data: u.data, packed: &packed{key: u.key, parts: u.parts}}, nil
 }
 
-// applyPart takes a part of a document; the last one puts the document in force.
-func (m *machine) applyPart(body []byte) (change, error) {
+// applyDocument takes a document that came whole, or a part of one. One that can't be read tells nothing
+// of what members read.
+func (m *machine) applyDocument(body []byte) (change, error) {
 	if isWholeDocument(body) {
 		return m.applyWhole(body), nil
 	}
+	c, err := m.applyPart(body)
+	if err == nil {
+		m.knows(level.Parts)
+	}
+	return c, err
+}
+
+// applyPart takes a part of a document; the last one puts the document in force.
+func (m *machine) applyPart(body []byte) (change, error) {
 	if len(body) < partHeader {
 		return change{}, errors.New("part of a document without its header")
 	}
-	m.knows(level.Parts)
 	key := parseKey(body)
 	number := binary.BigEndian.Uint32(body[keyBytes:])
 	if key.Version <= m.document.Version {
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -125,7 +125,7 @@
 	body := command[1:]
 	switch command[0] {
 	case commandPart:
-		return m.applyPart(body)
+		return m.applyDocument(body)
 	case commandEndpoint:
 		var e registry.Endpoint
 		if err := json.Unmarshal(body, &e); err != nil {
