--- a/hashtree/node.go
+++ b/hashtree/node.go
@@ -7,7 +7,6 @@
 	"compress/flate"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"io"
 	"strings"
 
@@ -194,6 +193,7 @@
 	in     bytes.Reader
 	reader io.ReadCloser
 	plain  bytes.Buffer
+	shapes shapes
 }
 
 // unpack reads a node and checks that it is the one that sum names.
@@ -211,8 +211,11 @@
 	if sumOf(u.plain.Bytes()) != sum {
 		return nil, ErrDamaged
 	}
-	n := &node{}
-	if err := json.Unmarshal(u.plain.Bytes(), n); err != nil {
+	if u.shapes == nil {
+		u.shapes = make(shapes)
+	}
+	n, err := u.shapes.readNode(u.plain.Bytes())
+	if err != nil {
 		return nil, errors.Wrap(ErrDamaged, err.Error())
 	}
 	if n.Routes != nil {
