cluster, consensus: the end of a control box's connection is told after its beginning; boxes that are remembered are bounded

Cause: PeerTold and PeerLost of a connection came to the loop by two queues, so that one that ended at once could be taken as lost before it was known and then counted as there for good: the group's level could be raised while that box was away. And boxes go by the name that they give themselves, of which all were remembered. Ruled out: a word of the loop's own on connections that it has not heard of (it would have to remember those instead).

--- a/cluster/incoming.go
+++ b/cluster/incoming.go
@@ -39,7 +39,7 @@
 		s.input <- &SessionEnded{Session: in.session}
 	}
 	if in.box != "" {
-		s.input <- &PeerLost{Box: in.box, Link: in.number}
+		s.logInput <- &PeerLost{Box: in.box, Link: in.number} // after its PeerTold, by the same queue
 	}
 }
 
--- a/cluster/levels.go
+++ b/cluster/levels.go
@@ -47,6 +47,10 @@
 func (s *State) hearPeer(e *PeerTold, out *Effects) {
 	p, ok := s.levels.peers[e.Box]
 	if !ok {
+		if !s.makeRoomFor(e.Box) {
+			out.note("too many control boxes are connected: one is not remembered", Field{"peer", string(e.Box)}, Field{"most", maxPeers})
+			return
+		}
 		p = &peerBox{links: make(map[uint64]bool)}
 		s.levels.peers[e.Box] = p
 	}
@@ -67,6 +71,25 @@
 	}
 }
 
+// makeRoomFor reports whether another control box may be remembered: its name is what it says of itself, so
+// that the names must be bounded. Boxes that are gone make room, and members always have it.
+func (s *State) makeRoomFor(box event.BoxID) bool {
+	if len(s.levels.peers) < maxPeers {
+		return true
+	}
+	isMember := func(id event.BoxID) bool {
+		return slices.ContainsFunc(s.allMembers(), func(m consensus.Member) bool { return m.ID.Box() == id })
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.levels.peers)) {
+		if len(s.levels.peers[name].links) == 0 && !isMember(name) {
+			delete(s.levels.peers, name)
+			s.node.ForgetForms(name)
+			return true
+		}
+	}
+	return isMember(box)
+}
+
 // losePeer takes note that a connection of another control box has ended. If it was the last one, the
 // box may come back with another build: no entries of the log go to it until it has said what it reads.
 func (s *State) losePeer(e *PeerLost, out *Effects) {
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -41,6 +41,16 @@
 		n.forms = make(map[event.BoxID]Forms)
 	}
 	n.forms[box] = f
+	n.setFormsOf(box)
+}
+
+// ForgetForms undoes SetForms: the box takes what it is sent as usual boxes do.
+func (n *Node) ForgetForms(box event.BoxID) {
+	delete(n.forms, box)
+	n.setFormsOf(box)
+}
+
+func (n *Node) setFormsOf(box event.BoxID) {
 	for id := range n.progress {
 		if id.Box() == box {
 			n.setForms(id)
