--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -8,13 +8,13 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
-	"time"
 
 	"lynxramp.org/admission"
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/hashtree"
+	"lynxramp.org/internal/cputime"
 	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
@@ -88,7 +88,7 @@
 	settings func(seed uint64) Settings
 	// compactLeast is that of the boxes' states, if it is not 0.
 	compactLeast int
-	// charge is how much simulated time an event's real time takes on a control box; 0 lets
+	// charge is how much simulated time an event's processor time takes on a control box; 0 lets
 	// events take none.
 	charge float64
 }
@@ -192,12 +192,11 @@
 		return
 	}
 	var out Effects
-	began := time.Now()
-	b.state.Step(s.now, e, &out)
+	work := s.work(func() { b.state.Step(s.now, e, &out) })
 	if out.Stop != nil {
 		s.t.Fatalf("%s, which reads level %d, stops: %v", b.name, b.reads, out.Stop)
 	}
-	b.busy = max(b.busy, s.now).Add(event.Span(s.charge * float64(time.Since(began))))
+	b.busy = max(b.busy, s.now).Add(work)
 	s.messages = append(s.messages, out.Ready.Early...)
 	b.waiting = append(b.waiting, out.Ready)
 	for _, a := range out.Answers {
@@ -216,18 +215,28 @@
 	s.saveAll(b)
 }
 
+// work does something and returns how much simulated time it takes.
+func (s *sim) work(do func()) event.Span {
+	if s.charge == 0 {
+		do()
+		return 0
+	}
+	return event.Span(s.charge * float64(cputime.Of(do)))
+}
+
 // decode does what Server's decoder does: the loop goes on meanwhile.
 func (s *sim) decode(b *simBox, d Document) {
 	if d.Version == 0 {
 		return
 	}
-	began := time.Now()
 	b.decoding = Decoded{Version: d.Version}
-	if b.decoding.Table, b.decoding.Err = s.settings(0).Decode(d.Data); b.decoding.Err == nil {
-		b.tree = hashtree.Build(b.decoding.Table, b.tree)
-		b.decoding.Tree = b.tree
-	}
-	b.decoded = max(b.decoded, s.now).Add(event.Span(s.charge * float64(time.Since(began))))
+	work := s.work(func() {
+		if b.decoding.Table, b.decoding.Err = s.settings(0).Decode(d.Data); b.decoding.Err == nil {
+			b.tree = hashtree.Build(b.decoding.Table, b.tree)
+			b.decoding.Tree = b.tree
+		}
+	})
+	b.decoded = max(b.decoded, s.now).Add(work)
 	s.finishDecoding(b)
 }
 
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -89,6 +89,8 @@
 	told   atomic.Uint64 // the newest version that an owner told of
 	nodes  atomic.Int64  // bytes of configurations' nodes that came
 	known  chan struct{} // closed when a configuration is in force for the first time
+	// newest are words of owners on versions that are not in force yet.
+	newest []newestWord
 
 	link      LinkID
 	address   string // of the control box behind link
--- a/gateway/owner_config.go
+++ b/gateway/owner_config.go
@@ -75,6 +75,7 @@
 	}
 	a.told.Store(v.Version)
 	a.table.Store(table)
+	a.refresh()
 	a.log.Info("configuration in force", zap.Uint64("version", table.Version), zap.Int("routes", len(table.Routes)),
 		zap.Int("bytes", len(v.Document)))
 }
@@ -95,6 +96,7 @@
 	}
 	table := a.fetch.Table()
 	a.table.Store(table)
+	a.refresh()
 	nodes, bytes := a.fetch.Came()
 	a.log.Info("configuration in force", zap.Uint64("version", table.Version), zap.Int("routes", len(table.Routes)),
 		zap.Int("nodes", nodes), zap.Int("bytes", bytes), zap.Duration("after", now.Sub(a.fetch.began)))
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -155,11 +155,7 @@
 		a.beginOwned(now)
 	}
 	a.submitWaiting(now)
-	if t := a.table.Load(); t != nil && t.Version >= p.Version {
-		if a.fresh.Swap(int64(p.Sent.Add(a.config.Fresh))) == 0 {
-			close(a.known)
-		}
-	}
+	a.hearNewest(now, newestWord{version: p.Version, asked: p.Sent})
 }
 
 // beginOwned hands what waits to the owner that was found.
