registry, level, cluster, gateway: an endpoint is its name and its start

Cause: an endpoint was its id. One that crashed and started again under its id sent messages whose count began anew: they were taken for late ones until it had sent as many as before, and for ever if it had said that it ended. Places, speeds, connections, suspicion and runs of the start before stayed with the new one. Change: ids name a start ("i-7f3a91c2/"), so that all that goes by ids goes by starts; requests carry the name alone. A later start ends the one before: its runs are settled as with a crash, and none of its words counts that comes later. Endpoints that don't tell their start go by the name as before; one that comes to tell it, as boxes are replaced, stays what it was. Level 6 (Starts): written once all members and entries read it. Ruled out: a field beside the id, checked at each place (books of grants, prompts, speeds, pins, connections, drains, poison): one place forgotten would be one fault; renaming at the upgrade (runs on the old id would have to be renamed everywhere).

--- a/cluster/events.go
+++ b/cluster/events.go
@@ -41,7 +41,7 @@
 	}
 	// DocumentRead asks for the newest configuration.
 	DocumentRead struct{ Token Token }
-	// EndpointTold brings an endpoint's word on itself.
+	// EndpointTold brings an endpoint's word on itself; the ID in it is the endpoint's name.
 	EndpointTold struct {
 		Token    Token
 		Endpoint registry.Endpoint
@@ -49,7 +49,8 @@
 	// EndpointLeft says that an endpoint says that it ends.
 	EndpointLeft struct {
 		Token Token
-		ID    string
+		Name  string
+		Born  uint64 // as in registry.Endpoint
 	}
 	// EndpointsHeard says that other boxes have heard endpoints that had no news.
 	EndpointsHeard struct{ IDs []string }
@@ -135,6 +136,8 @@
 	StatusElsewhere
 	// StatusUnclear: it may or may not have been done.
 	StatusUnclear
+	// StatusUnknownService: an endpoint is of a service that the configuration does not have.
+	StatusUnknownService
 )
 
 // Answer ends a call.
--- a/cluster/levels_test.go
+++ b/cluster/levels_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -40,6 +41,9 @@
 	if l >= level.Told {
 		commands = append(commands, encodeLevel(l))
 	}
+	if l >= level.Starts {
+		commands = append(commands, encodeEndpoint(registry.Endpoint{ID: "g", Born: 7, Service: "s", Address: "127.0.0.1:3", Sequence: 1}))
+	}
 	for i, c := range commands {
 		if _, err := m.apply(consensus.Index(i+1), c); err != nil {
 			t.Fatal(err)
@@ -65,7 +69,7 @@
 // build before had written. Each form that was ever written is read, and written by a group whose
 // members read no other.
 func TestSnapshotsOfAllLevels(t *testing.T) {
-	for _, l := range []level.Level{level.Listed, level.Parts, level.Suspects, level.Told} {
+	for _, l := range []level.Level{level.Listed, level.Parts, level.Suspects, level.Told, level.Starts} {
 		m := fullMachine(t, l)
 		var again machine
 		if err := again.restore(m.snapshot(), level.Newest); err != nil {
@@ -90,11 +94,11 @@
 		data []byte
 		says string
 	}{
-		"a later level":  {later, "level 7"},
+		"a later level":  {later, fmt.Sprint("level ", level.Newest+2)},
 		"a later format": {[]byte{lastFormat + 1, 0, 0}, "format 4"},
 	} {
 		err := m.restore(c.data, level.Newest)
-		if !level.IsAbove(err) || !strings.Contains(err.Error(), c.says) || !strings.Contains(err.Error(), "5") {
+		if !level.IsAbove(err) || !strings.Contains(err.Error(), c.says) || !strings.Contains(err.Error(), fmt.Sprint(level.Newest)) {
 			t.Errorf("%s: %v, want what was found and what is read", name, err)
 		}
 	}
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -37,7 +37,8 @@
 	commandSpending
 	commandPoison
 	commandLevel
-	lastCommand = commandLevel
+	commandStart // an endpoint's word that tells when it started
+	lastCommand  = commandStart
 )
 
 // encodeLevel returns the command that raises the group's level. It is a form of level.Told, so that
@@ -56,6 +57,8 @@
 		return level.Parts, true
 	case command[0] == commandPoison:
 		return level.Suspects, true
+	case command[0] == commandStart || command[0] == commandRemove && registry.Name(string(command[1:])) != string(command[1:]):
+		return level.Starts, true
 	case command[0] == commandLevel && len(command) == 2:
 		return max(level.Told, level.Level(command[1])), true
 	}
@@ -81,12 +84,17 @@
 // knows takes note that the log has a form of a level, which all members read then.
 func (m *machine) knows(l level.Level) { m.level = max(m.level, l) }
 
+// encodeEndpoint returns the command that takes an endpoint's word on itself.
 func encodeEndpoint(e registry.Endpoint) []byte {
 	data, err := json.Marshal(e)
 	if err != nil {
 		panic(err) // texts and numbers always encode
 	}
-	return append([]byte{commandEndpoint}, data...)
+	kind := commandEndpoint
+	if e.Born > 0 {
+		kind = commandStart
+	}
+	return append([]byte{kind}, data...)
 }
 
 func encodeSpending(r budget.Record) []byte {
@@ -105,6 +113,8 @@
 	return append([]byte{commandPoison}, data...)
 }
 
+// encodeRemove returns the command that takes an endpoint's word that it ends. Its id is its name alone where it
+// does not tell when it started, or not all members read that.
 func encodeRemove(id string) []byte { return append([]byte{commandRemove}, id...) }
 
 // change is what a command changed.
@@ -126,15 +136,19 @@
 	switch command[0] {
 	case commandPart:
 		return m.applyDocument(body)
-	case commandEndpoint:
+	case commandEndpoint, commandStart:
 		var e registry.Endpoint
 		if err := json.Unmarshal(body, &e); err != nil {
 			return change{}, errors.Wrap(err, "endpoint")
 		}
+		if command[0] == commandEndpoint {
+			e.Born = 0 // builds that read no starts pass it over
+		}
 		return m.put(index, e), nil
 	case commandRemove:
-		m.registry.Remove(string(body), uint64(index))
-		return change{gone: []string{string(body)}}, nil
+		id := m.registry.Ending(registry.ParseID(string(body)))
+		m.registry.Remove(id, uint64(index))
+		return change{gone: []string{id}}, nil
 	case commandSpending:
 		var r budget.Record
 		if err := json.Unmarshal(body, &r); err != nil {
@@ -165,13 +179,11 @@
 	}
 }
 
-func (m *machine) put(index consensus.Index, e registry.Endpoint) change {
-	if !m.registry.Accepts(e) {
+// put takes an endpoint's word on itself.
+func (m *machine) put(index consensus.Index, told registry.Endpoint) change {
+	e, counts := m.registry.Start(told)
+	if !counts || !m.registry.Accepts(e) {
 		return change{}
 	}
-	c := change{seen: []registry.Endpoint{e}}
-	if followed := m.registry.Put(e, uint64(index)); followed != "" {
-		c.gone = append(c.gone, followed)
-	}
-	return c
+	return change{gone: m.registry.Put(e, uint64(index)), seen: []registry.Endpoint{e}}
 }
--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -67,6 +67,6 @@
 
 // called takes how long a call of an operator or an endpoint took.
 func (m *meters) called(began time.Time, status Status) {
-	name := map[Status]string{StatusDone: "done", StatusElsewhere: "elsewhere", StatusUnclear: "unclear"}[status]
+	name := map[Status]string{StatusDone: "done", StatusElsewhere: "elsewhere", StatusUnclear: "unclear", StatusUnknownService: "unknown_service"}[status]
 	m.set.GetOrCreateHistogram(`lynxramp_control_call_seconds{status="` + name + `"}`).UpdateDuration(began)
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -144,7 +144,9 @@
 	case *Ticked:
 		o.tick(now, s, out)
 	case *EndpointTold:
-		o.hear(now, e.Endpoint.ID, s, out)
+		if told, counts := s.startOf(e.Endpoint); counts {
+			o.hear(now, told.ID, s, out)
+		}
 	case *EndpointsHeard:
 		for _, id := range e.IDs {
 			o.hear(now, id, s, out)
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -401,7 +401,10 @@
 // Address is where operators and endpoints reach this box.
 func (s *Server) Address() string { return s.config.Operators }
 
-// RemoveEndpoint takes note that an endpoint ends.
-func (s *Server) RemoveEndpoint(ctx context.Context, id string) Answer {
-	return s.call(ctx, func(k Token) Event { return &EndpointLeft{Token: k, ID: id} })
+// RemoveEndpoint takes note that an endpoint ends; born is as in registry.Endpoint.
+func (s *Server) RemoveEndpoint(ctx context.Context, name string, born uint64) Answer {
+	return s.call(ctx, func(k Token) Event { return &EndpointLeft{Token: k, Name: name, Born: born} })
 }
+
+// Log returns the box's log.
+func (s *Server) Log() *zap.Logger { return s.log }
--- a/cluster/size_test.go
+++ b/cluster/size_test.go
@@ -160,7 +160,7 @@
 	}
 	s.tell(s.mustOwner(), manyEndpoint(40, 1))
 	s.token++
-	s.step(s.mustOwner(), &EndpointLeft{Token: s.token, ID: manyEndpoint(7, 1).ID})
+	s.step(s.mustOwner(), &EndpointLeft{Token: s.token, Name: manyEndpoint(7, 1).ID})
 	s.run(second)
 	s.stop(s.mustOwner().name)
 	s.run(6 * second) // all fall silent
--- /dev/null
+++ b/cluster/starts_test.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"testing"
+
+	"lynxramp.org/event"
+	"lynxramp.org/level"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+)
+
+// TestNewStartSettlesWhatRan: an endpoint crashed and started again under its name within a heartbeat. Its
+// messages were taken for late ones, and what had run on it held its place until the entry told the
+// end of each. Now its place is free at once, and what comes late of the start before, also of its runs,
+// changes nothing of the new one.
+func TestNewStartSettlesWhatRan(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	e := registry.Endpoint{ID: "e", Born: 1000, Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 900}
+	s.tell(s.mustOwner(), e)
+	s.run(second)
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Newest, Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("a")})
+	if got := s.grants(1); len(got) != 1 || got[0].Endpoint != "e/1000" {
+		t.Fatalf("grants %+v, want one to the first start", got)
+	}
+	again := e
+	again.Born, again.Sequence = 2000, 1
+	token := s.tell(s.mustOwner(), again)
+	for s.answers[token].Status != StatusDone {
+		s.run(simStep)
+	}
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("b")})
+	if got := s.grants(1); len(got) != 2 || got[1].Endpoint != "e/2000" {
+		t.Fatalf("grants %+v, want one to the second start", got)
+	}
+	late := e
+	late.Sequence, late.Leaving = 901, true
+	s.tell(s.mustOwner(), late)
+	s.step(s.mustOwner(), &EndpointLeft{Token: 99, Name: "e", Born: 1000})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: &message.Batch{Finish: []message.Finish{
+		{Finished: event.Finished{ID: "a", Pool: "s"}, Endpoint: "e/1000", Suspect: true},
+		{Finished: event.Finished{ID: "b", Pool: "s"}, Endpoint: "e/2000", Ran: message.RanWell},
+	}}})
+	s.run(second / 2)
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("c")})
+	s.run(second / 2)
+	if got := s.grants(1); len(got) != 3 || got[2].Endpoint != "e/2000" {
+		t.Errorf("grants %+v, want three", got)
+	}
+	s.stop(s.mustOwner().name)
+	s.run(4 * second)
+	s.tell(s.mustOwner(), late)
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Newest, Session: 2, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 2, Batch: submit("d")})
+	s.run(second)
+	if got := s.grants(2); len(got) != 1 || got[0].Endpoint != "e/2000" {
+		t.Errorf("the next owner granted %+v", got)
+	}
+}
+
+// TestOldStartIsNoSignOfLife: a late heartbeat of the start before, at any box, does not keep the owner from
+// finding that the last one is silent.
+func TestOldStartIsNoSignOfLife(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	old := registry.Endpoint{ID: "e", Born: 1000, Service: "s", Address: "10.0.0.1:80", Slots: 9, Sequence: 1}
+	s.tell(s.mustOwner(), old)
+	s.run(second)
+	again := old
+	again.Born = 2000
+	s.tell(s.mustOwner(), again)
+	for range 2 * (downBeats + 1) {
+		s.run(second / 2)
+		for _, name := range s.order {
+			old.Sequence++
+			s.tell(s.boxes[name], old)
+		}
+	}
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Newest, Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.step(s.mustOwner(), &SessionTold{Session: 1, Batch: submit("a")})
+	s.run(second)
+	if got := s.grants(1); len(got) != 0 {
+		t.Errorf("granted %+v to a start that is silent", got)
+	}
+}
+
+// TestEndpointOfNoService: an endpoint of a service that the configuration does not have is not taken in, nor
+// in place of a good one whose name it uses. One whose service was taken from the configuration still
+// tells that it leaves.
+func TestEndpointOfNoService(t *testing.T) {
+	s := newSim(t, 3, 2)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	s.run(second)
+	good := registry.Endpoint{ID: "e", Born: 1000, Service: "s", Address: "10.0.0.1:80", Slots: 9, Sequence: 1}
+	s.tell(s.mustOwner(), good)
+	s.run(second)
+	for _, e := range []registry.Endpoint{
+		{ID: "e", Born: 1000, Service: "nobody", Address: "10.0.0.9:80", Slots: 9, Sequence: 100},
+		{ID: "e", Born: 2000, Service: "nobody", Address: "10.0.0.9:80", Slots: 9, Sequence: 1},
+		{ID: "f", Service: "nobody", Address: "10.0.0.1:80", Slots: 9, Sequence: 1},
+	} {
+		if token := s.tell(s.mustOwner(), e); s.answers[token].Status != StatusUnknownService {
+			t.Errorf("%+v got %+v", e, s.answers[token])
+		}
+	}
+	s.run(second)
+	known := s.mustOwner().state.machine.registry.Endpoints
+	want := good
+	want.ID = "e/1000"
+	if len(known) != 1 || known[want.ID] != want {
+		t.Errorf("endpoints are %+v", known)
+	}
+	good.Sequence, good.Leaving = 2, true
+	s.mustOwner().state.config.table.Services[0].Name = "t"
+	s.mustOwner().state.config.table.Index()
+	token := s.tell(s.mustOwner(), good)
+	s.run(second)
+	if s.answers[token].Status != StatusDone {
+		t.Errorf("leaving got %+v", s.answers[token])
+	}
+}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -174,17 +174,9 @@
 			Token: e.Token, Status: StatusDone, Document: s.machine.document, Until: s.node.LeaseEnd(now),
 		})
 	case *EndpointTold:
-		known := !s.machine.registry.Accepts(e.Endpoint) || !s.machine.registry.Changes(e.Endpoint) ||
-			(s.owner != nil && s.owner.hearsOther(now, e.Endpoint, s))
-		if known && s.heardLeaderLately(now) {
-			// It has no news: the leader need only know that it lives.
-			s.heard[e.Endpoint.ID] = true
-			out.Answers = append(out.Answers, Answer{Token: e.Token, Status: StatusDone, Here: true})
-			return
-		}
-		s.propose(now, e.Token, encodeEndpoint(e.Endpoint), known, out)
+		s.hearEndpoint(now, e, out)
 	case *EndpointLeft:
-		s.propose(now, e.Token, encodeRemove(e.ID), s.machine.registry.IsGone(e.ID), out)
+		s.removeEndpoint(now, e, out)
 	case *CallGone:
 		s.uploads.forget(e.Token)
 		for i, p := range s.pending {
--- a/cluster/upgrade_sim_test.go
+++ b/cluster/upgrade_sim_test.go
@@ -61,10 +61,11 @@
 		u.sequence++
 		u.tell(owner, registry.Endpoint{
 			ID: fmt.Sprint("e", u.random.IntN(9)), Service: "s", Address: fmt.Sprint("a", u.random.IntN(9)), Slots: int(u.sequence), Sequence: u.sequence,
+			Born: u.random.Uint64N(4),
 		})
 	case n < 45 && owner != nil:
 		u.token++
-		u.step(owner, &EndpointLeft{Token: u.token, ID: fmt.Sprint("e", u.random.IntN(9))})
+		u.step(owner, &EndpointLeft{Token: u.token, Name: fmt.Sprint("e", u.random.IntN(9)), Born: u.random.Uint64N(3)})
 	case n < 60 && owner != nil:
 		u.tellEnd(owner)
 	case n < 70 && u.down == nil:
@@ -175,7 +176,7 @@
 // differed might lead next.
 func TestUpgrade(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		from := rapid.SampledFrom([]level.Level{level.Listed, level.Packed, level.Parts, level.Suspects}).Draw(rt, "from")
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Packed, level.Parts, level.Suspects, level.Told}).Draw(rt, "from")
 		u := newUpgrade(t, from, rapid.SampledFrom([]int{3, 5}).Draw(rt, "boxes"), rapid.Uint64().Draw(rt, "seed"))
 		defer func() {
 			if t.Failed() {
@@ -214,7 +215,7 @@
 // as not all boxes have it.
 func TestGoingBack(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		from := rapid.SampledFrom([]level.Level{level.Listed, level.Packed, level.Parts, level.Suspects}).Draw(rt, "from")
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Packed, level.Parts, level.Suspects, level.Told}).Draw(rt, "from")
 		u := newUpgrade(t, from, 3, rapid.Uint64().Draw(rt, "seed"))
 		u.run(2 * event.Second)
 		for _, to := range []level.Level{level.Newest, from} {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -16,6 +16,7 @@
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/message"
 	"lynxramp.org/poison"
+	"lynxramp.org/registry"
 	"lynxramp.org/routing"
 )
 
@@ -345,7 +346,7 @@
 	if c.team != nil {
 		h.Set(names.Team, c.team.Name)
 	}
-	h.Set(names.Expect, string(d.Endpoint))
+	h.Set(names.Expect, registry.Name(string(d.Endpoint)))
 	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
 	if c.lastEvent != "" {
 		h.Set(names.LastEvent, c.lastEvent)
--- a/level/level.go
+++ b/level/level.go
@@ -25,10 +25,12 @@
 	Suspects
 	// Told: boxes tell their levels, and the log has that of the group.
 	Told
+	// Starts: ids of endpoints tell their starts apart.
+	Starts
 )
 
 // Newest is the level that this build reads.
-const Newest = Told
+const Newest = Starts
 
 // Readers says who must read a form.
 type Readers uint8
@@ -54,7 +56,8 @@
 	{Packed, Members | Entries, "endpoints compressed, with revisions and signs of life", "8300e31"},
 	{Parts, Members | Entries, "configurations, snapshots and messages of the log in parts; records of some budgets; configurations as a tree", "d279456"},
 	{Suspects, Members, "records of requests that end endpoints", "585ddf2"},
-	{Told, Members, "levels: at the beginning of a connection, in the log and in snapshots", ""},
+	{Told, Members, "levels: at the beginning of a connection, in the log and in snapshots", "cf9622c"},
+	{Starts, Members | Entries, "words of endpoints that tell when they started; ids of endpoints with that, of which requests carry the name alone", ""},
 }
 
 // ReadBy reports whether some readers must read a form above a level and up to another: then the group may
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,9 +19,13 @@
 // maxGone bounds how many endpoints that are gone are remembered.
 const maxGone = 4096
 
-// Endpoint is one incarnation of a replica of a service.
+// Endpoint is one start of an endpoint, by its own word.
 type Endpoint struct {
-	ID         string `json:"id"`
+	// ID names the start: see start.go. In a word of an endpoint it is the name that the endpoint
+	// has at each of its starts.
+	ID string `json:"id"`
+	// Born is when it started, in milliseconds since 1970 by its own clock; 0 if it does not tell.
+	Born       uint64 `json:"born,omitempty"`
 	Service    string `json:"service"`
 	Address    string `json:"address"` // IP:port
 	DataCentre string `json:"data_centre"`
@@ -54,7 +58,8 @@
 	// What follows is derived; index makes it.
 	byAddress map[string]string
 	isGone    map[string]struct{}
-	order     []change // by revision, perhaps with some that are not the last of their endpoint
+	starts    map[string]start // the last of each name
+	order     []change         // by revision, perhaps with some that are not the last of their endpoint
 }
 
 // index makes what is derived, for a State that is new or was read from a snapshot.
@@ -82,6 +87,7 @@
 	for _, id := range s.Gone {
 		s.isGone[id] = struct{}{}
 	}
+	s.indexStarts()
 	s.sortChanges()
 }
 
@@ -122,18 +128,24 @@
 	return !ok || known != e
 }
 
-// Put takes an endpoint's word on itself, which the log has at a revision. Another endpoint
-// at the same address is gone, and its id returned: an address has one incarnation at a
-// time.
-func (s *State) Put(e Endpoint, revision uint64) (followed string) {
+// Put takes an endpoint's word on itself, whose ID is that of a start and which the log has at a
+// revision. Another endpoint at the same address is gone, as an address has one at a time, and so is an
+// earlier start of this one. Their ids are returned.
+func (s *State) Put(e Endpoint, revision uint64) (gone []string) {
 	if !s.Accepts(e) {
-		return ""
+		return nil
 	}
 	if other, ok := s.byAddress[e.Address]; ok && other != e.ID {
-		followed = other
+		gone = append(gone, other)
 		last := s.Endpoints[other].Sequence
 		s.Remove(other, revision)
-		s.Followed[other] = last
+		if Name(other) != Name(e.ID) {
+			s.Followed[other] = last
+		}
+	}
+	if before := s.starts[Name(e.ID)].id; before != e.ID && s.isThere(before) {
+		gone = append(gone, before)
+		s.Remove(before, revision)
 	}
 	s.comeBack(e.ID)
 	if known, ok := s.Endpoints[e.ID]; ok {
@@ -141,10 +153,11 @@
 	}
 	s.Endpoints[e.ID] = e
 	s.byAddress[e.Address] = e.ID
+	s.noteStart(e.ID, e.Born)
 	s.Changed[e.ID] = revision
 	s.note(change{revision: revision, id: e.ID})
 	s.Revision = max(s.Revision, revision)
-	return followed
+	return gone
 }
 
 // comeBack takes an endpoint from those that are gone.
@@ -167,22 +180,34 @@
 	}
 }
 
-// Remove takes note that an endpoint is gone for good, which the log has at a revision.
+// Remove takes note that the start of an endpoint that an id names is gone for good, which the log has at
+// a revision.
 func (s *State) Remove(id string, revision uint64) {
 	s.index()
 	s.freeAddress(s.Endpoints[id])
+	born := s.Endpoints[id].Born
 	delete(s.Endpoints, id)
 	delete(s.Changed, id)
 	delete(s.Followed, id)
 	if s.IsGone(id) {
 		return
 	}
+	s.noteStart(id, born)
+	s.addGone(id, revision)
+	if named := StartID(Name(id), born); named != id && !s.IsGone(named) {
+		// The start is known by another id than its words have, which must go for nothing now.
+		s.addGone(named, revision)
+	}
+	s.forgetGone()
+}
+
+func (s *State) addGone(id string, revision uint64) {
 	s.isGone[id] = struct{}{}
 	s.Gone = append(s.Gone, id)
 	s.GoneAt = append(s.GoneAt, revision)
+	s.noteStart(id, 0)
 	s.note(change{revision: revision, id: id, isEnd: true})
 	s.Revision = max(s.Revision, revision)
-	s.forgetGone()
 }
 
 // forgetGone drops the oldest ends beyond the bound.
@@ -194,6 +219,9 @@
 	for _, id := range s.Gone[:over] {
 		delete(s.isGone, id)
 		delete(s.Followed, id)
+		if name := Name(id); s.starts[name].id == id {
+			delete(s.starts, name)
+		}
 	}
 	s.Forgotten = s.GoneAt[over-1]
 	s.Gone = slices.Delete(s.Gone, 0, over)
