event, gateway, uptime: time counts while a box is suspended

Cause: leases, the age of a configuration, what is lent of quotas and budgets, and deadlines handed on went by a clock that stands still while the computer is suspended: each was too young by that time when it woke, with nothing that said so. Ruled out: the difference between the time of day and the steady clock as a sign (79 ns a look instead of 208, but a time of day that is set back hides a suspension); the time of day for a lease (it may jump). Timers that only end waits stay as they are.

--- a/cluster/server_test.go
+++ b/cluster/server_test.go
@@ -34,6 +34,13 @@
 // startServers starts a group of control boxes, each on a loopback address of its own.
 func startServers(t *testing.T, count int) []*Server {
 	t.Helper()
+	return startServersAt(t, make([]func() event.Span, count))
+}
+
+// startServersAt is startServers with boxes that go by clocks; nil is the usual one.
+func startServersAt(t *testing.T, clocks []func() event.Span) []*Server {
+	t.Helper()
+	count := len(clocks)
 	port := freePort(t)
 	var seeds []string
 	for i := range count {
@@ -45,7 +52,7 @@
 		time.Sleep(handOver)
 	})
 	var list []*Server
-	for _, operators := range seeds {
+	for i, operators := range seeds {
 		s, err := Open(Config{
 			Link: LinkAddress(operators, "127.0.0.1:"+port), Operators: operators, Seeds: seeds, Found: true,
 			Data: t.TempDir(), Settings: simSettings(0), Log: zap.NewNop(),
@@ -53,6 +60,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if clocks[i] != nil {
+			s.clock = event.ClockOf(clocks[i])
+		}
 		list = append(list, s)
 		go func() { _ = s.Run(ctx) }() // it ends with the test
 	}
--- /dev/null
+++ b/cluster/suspended_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lynxramp.org/event"
+	"lynxramp.org/internal/uptime"
+)
+
+// TestSuspendedOwnerAnswersNoRead: a control box whose computer wakes after a while still had its lease by a clock
+// that had stood still, and answered a read of the configuration with one that was not the newest any
+// more.
+func TestSuspendedOwnerAnswersNoRead(t *testing.T) {
+	const boxes = 3
+	var slept [boxes]atomic.Int64
+	var clocks []func() event.Span
+	for i := range boxes {
+		clocks = append(clocks, func() event.Span { return uptime.Now() + event.Span(slept[i].Load()) })
+	}
+	servers := startServersAt(t, clocks)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	leader := -1
+	for d := noiseDocument(1, 10); leader < 0 && ctx.Err() == nil; time.Sleep(tickEvery) {
+		for i, s := range servers {
+			if s.call(ctx, func(k Token) Event { return &DocumentSent{Token: k, Document: d} }).Status == StatusDone {
+				leader = i
+				break
+			}
+		}
+	}
+	if leader < 0 {
+		t.Fatal("nobody leads")
+	}
+	// What its lease rests on when it wakes is what it had heard before.
+	a := servers[leader].ReadDocument(ctx)
+	for ; a.Status != StatusDone && ctx.Err() == nil; a = servers[leader].ReadDocument(ctx) {
+		time.Sleep(tickEvery)
+	}
+	slept[leader].Add(int64(2 * event.Second))
+	if now := servers[leader].clock.Now(); now < a.Until {
+		t.Fatalf("the lease lasts until %v, it is %v", a.Until, now)
+	}
+	held := make(chan bool, 1)
+	servers[leader].input <- inspect(func(now event.Time, s *State) { held <- s.node.HasLease(now) && s.node.LeaseEnd(now) <= a.Until })
+	if <-held {
+		t.Error("it holds the lease that it had before it slept")
+	}
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -46,7 +46,7 @@
 	if c.r.ContentLength == 0 {
 		return true
 	}
-	body := progress.Reader{Body: c.r.Body, Control: http.NewResponseController(c.w), Silence: c.gateway.bodySilence, Until: c.deadline}
+	body := progress.Reader{Body: c.r.Body, Control: http.NewResponseController(c.w), Silence: c.gateway.bodySilence, Until: time.Now().Add(c.left())}
 	err := c.takeBody(io.TeeReader(&body, printer), limit)
 	body.End()
 	switch {
@@ -56,7 +56,7 @@
 		c.end(http.StatusRequestEntityTooLarge, 0, err.Error())
 	case errors.Is(err, errBodyFull):
 		c.end(http.StatusServiceUnavailable, retryFull, err.Error())
-	case !time.Now().Before(c.deadline):
+	case c.left() <= 0:
 		c.end(http.StatusServiceUnavailable, retryRejected, "the body did not come in time")
 	default:
 		c.end(http.StatusBadRequest, 0, "the body was not sent whole")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,8 +151,9 @@
 	prompt   int          // tokens
 	output   int          // tokens that may be generated at the most
 	arrived  time.Time
-	deadline time.Time
-	attempts int // endpoints that the request was sent to
+	came     event.Time    // arrived, by the agent's clock
+	allowed  time.Duration // how long it may take in all
+	attempts int           // endpoints that the request was sent to
 	avoid    []event.EndpointID
 	placed   bool // it was granted an endpoint before
 	returned bool // its caller was refused before
@@ -179,7 +180,7 @@
 	}
 	caller := newCallerWriter(w, g.callerSilence)
 	defer caller.extend() // for what the server writes after the handler
-	c := &call{gateway: g, w: caller, r: r, arrived: time.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
+	c := &call{gateway: g, w: caller, r: r, arrived: time.Now(), came: g.agent.clock.Now(), callerID: r.Header.Get(g.config.Names.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Life&0xffff, g.count.Add(1)))
 	c.dropReserved()
 	defer c.writeRecord()
@@ -198,6 +199,23 @@
 	c.run()
 }
 
+// age returns how long ago the request arrived, and left how long it may still take. Both count the time
+// for which the computer was suspended, which a deadline by package time would not: endpoints would be given
+// more time than the caller waits.
+func (c *call) age() time.Duration  { return c.gateway.agent.clock.Now().Sub(c.came) }
+func (c *call) left() time.Duration { return c.allowed - c.age() }
+
+// over returns why the call must not go on; nil if it may.
+func (c *call) over(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if c.left() <= 0 {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 // dropReserved takes off what the system alone may tell endpoints, so that nothing that
 // copies the request's headers can pass it on. It counts names, never values.
 func (c *call) dropReserved() {
@@ -227,12 +245,10 @@
 		return false
 	}
 	c.service = c.route.Pick(rand.Float64())
-	c.deadline = c.arrived.Add(c.route.Timeout)
+	c.allowed = c.route.Timeout
 	if ms, err := strconv.ParseFloat(c.r.Header.Get(g.config.Names.Deadline), 64); err == nil && ms > 0 {
-		if d := c.arrived.Add(time.Duration(ms * float64(time.Millisecond))); d.Before(c.deadline) {
-			c.deadline = d
-		}
-		c.returned = g.longest.isShort(c.arrived, c.route.Name, c.deadline.Sub(c.arrived))
+		c.allowed = time.Duration(min(float64(c.allowed), ms*float64(time.Millisecond)))
+		c.returned = g.longest.isShort(c.arrived, c.route.Name, c.allowed)
 	}
 	if !c.readBody() {
 		return false
@@ -240,7 +256,7 @@
 	c.prompt, c.output = c.tokens()
 	c.note(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
 		zap.Stringer("print", c.print), zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.prompt), zap.Int("output_tokens", c.output), zap.Int("guessed_tokens", c.guess()),
-		zap.Duration("left", time.Until(c.deadline)), zap.Uint64("version", c.table.Version))
+		zap.Duration("left", c.left()), zap.Uint64("version", c.table.Version))
 	return true
 }
 
--- a/gateway/gone_test.go
+++ b/gateway/gone_test.go
@@ -337,7 +337,7 @@
 	cancel()
 	const tries = 50
 	for range tries {
-		late := &call{gateway: r.gateway, r: r.request("POST", "/safe/x", "").WithContext(ctx), id: "late", callerID: "late", deadline: time.Now().Add(time.Second)}
+		late := &call{gateway: r.gateway, r: r.request("POST", "/safe/x", "").WithContext(ctx), id: "late", callerID: "late", came: r.agent.clock.Now(), allowed: time.Second}
 		late.tell(late.try(ctx, Decision{Granted: true, Endpoint: "e1", Address: e.address}))
 	}
 	waitFor(t, "the grants are given back", func() bool { return len(r.owner.ended()) == 1+tries })
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -152,19 +152,21 @@
 
 // scriptedOwner is the other side of an agent's link.
 type scriptedOwner struct {
-	mu       sync.Mutex
-	grantTo  []registry.Endpoint
-	next     int
-	refuse   event.Reason
-	silent   bool // it answers nothing
-	hold     bool // it decides nothing
-	finished []message.Finish
-	ends     []poison.End
-	submits  []message.Submission
-	withdrew []message.Withdrawal
-	conn     *link.Conn[message.Envelope]
-	version  uint64
-	trees    map[uint64]*hashtree.Tree
+	mu      sync.Mutex
+	grantTo []registry.Endpoint
+	next    int
+	refuse  event.Reason
+	silent  bool // it answers nothing
+	// beforeRepeat is called before it decides on a request that is to be sent once more.
+	beforeRepeat func()
+	hold         bool // it decides nothing
+	finished     []message.Finish
+	ends         []poison.End
+	submits      []message.Submission
+	withdrew     []message.Withdrawal
+	conn         *link.Conn[message.Envelope]
+	version      uint64
+	trees        map[uint64]*hashtree.Tree
 }
 
 // put lets the owner tell of a configuration.
@@ -231,6 +233,9 @@
 	d := &message.Decisions{}
 	for _, s := range b.Submit {
 		o.submits = append(o.submits, s)
+		if s.Repeat && o.beforeRepeat != nil {
+			o.beforeRepeat()
+		}
 		if o.refuse != event.ReasonNone || o.next >= len(o.grantTo) {
 			d.Refusals = append(d.Refusals, event.Refused{ID: s.Ticket.ID, Reason: max(o.refuse, event.ReasonShed), RetryAfter: event.Second})
 			continue
@@ -265,6 +270,12 @@
 
 // newRig starts a gateway in front of endpoints, which are granted in their order.
 func newRig(t *testing.T, endpoints ...*standIn) *rig {
+	t.Helper()
+	return newRigAt(t, event.NewClock(), endpoints...)
+}
+
+// newRigAt is newRig with an entry that goes by a clock.
+func newRigAt(t *testing.T, clock event.Clock, endpoints ...*standIn) *rig {
 	t.Helper()
 	o := &scriptedOwner{}
 	o.put(testTable(1, "key"))
@@ -280,6 +291,7 @@
 		Limits: admission.Limits{QuotaWindow: event.Second, RetryWindow: event.Second, RetryMin: 10},
 		Log:    zap.NewNop(),
 	})
+	agent.clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	go agent.Run(ctx)
 	g := New(Config{Agent: agent, Names: testNames, HeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Life: 7})
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -104,7 +104,7 @@
 
 // run finds endpoints for the request until it has its answer or is given up.
 func (c *call) run() {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.left())
 	defer cancel()
 	unsent := 0
 	repeat := false
@@ -152,7 +152,8 @@
 // decide asks for an endpoint. It ends the call when there is none.
 func (c *call) decide(ctx context.Context, repeat bool, last *attempt) (Decision, bool) {
 	m := c.ticket(repeat)
-	asked := time.Now()
+	asked, clock := time.Now(), c.gateway.agent.clock
+	submitted := clock.Now()
 	answer := c.gateway.agent.Submit(m)
 	select {
 	case d := <-answer:
@@ -162,7 +163,7 @@
 			c.endNotRun(http.StatusServiceUnavailable, retryUnready, "the configuration changed")
 			return d, false
 		}
-		if d.Granted && repeat && time.Since(asked) > message.RepeatLife {
+		if d.Granted && repeat && clock.Now().Sub(submitted) > message.RepeatLife {
 			c.unused(d)
 			c.giveUp(last)
 			return d, false
@@ -218,7 +219,7 @@
 // mayRepeat reports whether the request may go to another endpoint after an
 // attempt that was sent.
 func (c *call) mayRepeat(a *attempt) bool {
-	if c.attempts >= c.route.MaxAttempts || time.Until(c.deadline) < minRepeatTime {
+	if c.attempts >= c.route.MaxAttempts || c.left() < minRepeatTime {
 		return false
 	}
 	return a.outcome == outcomeNotRun || c.route.Repeatable()
@@ -238,7 +239,7 @@
 		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint took the request")
 	case a.outcome == outcomeFailed && a.kept != nil:
 		c.pass(a.kept)
-	case time.Until(c.deadline) <= 0:
+	case c.left() <= 0:
 		c.end(http.StatusGatewayTimeout, 0, "the endpoint did not answer in time")
 	default:
 		c.end(http.StatusBadGateway, 0, "the endpoint's answer was lost")
@@ -305,7 +306,7 @@
 	a := &attempt{decision: d, outcome: outcomeNotSent}
 	// The caller left, or its time ended, as the grant came: a request on a kept connection
 	// would race with its own cancelling, and its end would tell against the endpoint.
-	if err := ctx.Err(); err != nil {
+	if err := c.over(ctx); err != nil {
 		a.err, a.untried = err, true
 		return a
 	}
@@ -347,7 +348,7 @@
 		h.Set(names.Team, c.team.Name)
 	}
 	h.Set(names.Expect, registry.Name(string(d.Endpoint)))
-	h.Set(names.Deadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
+	h.Set(names.Deadline, strconv.FormatInt(max(1, c.left().Milliseconds()), 10))
 	if c.lastEvent != "" {
 		h.Set(names.LastEvent, c.lastEvent)
 	}
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -5,7 +5,6 @@
 import (
 	"strconv"
 	"strings"
-	"time"
 
 	"lynxramp.org/event"
 	"lynxramp.org/message"
@@ -68,8 +67,8 @@
 
 // ticket describes the request to who decides.
 func (c *call) ticket(repeat bool) message.Submission {
-	left := time.Until(c.deadline)
-	target := c.route.Target - time.Since(c.arrived)
+	left := c.left()
+	target := c.route.Target - c.age()
 	return message.Submission{
 		Ticket: event.Ticket{
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
