--- a/cluster/events.go
+++ b/cluster/events.go
@@ -145,8 +145,9 @@
 	Token  Token
 	Status Status
 	Leader string // operators' address of the leader
-	// Here says that the caller may come back to this very box.
-	Here     bool
+	// Next is the operators' address of the box to which an endpoint is to send its next words; empty if
+	// it is all one.
+	Next     string
 	Document Document
 	// Until is when the lease ends on which the answer rests.
 	Until event.Time
--- a/cluster/upload.go
+++ b/cluster/upload.go
@@ -37,7 +37,7 @@
 	case !s.owns(now):
 		s.elsewhere(e.Token, out)
 	case version <= s.machine.document.Version:
-		out.Answers = append(out.Answers, Answer{Token: e.Token, Status: StatusDone, Here: true})
+		out.Answers = append(out.Answers, Answer{Token: e.Token, Status: StatusDone})
 	case u.logged != nil && version <= u.logged.document.Version:
 		u.logged.tokens = append(u.logged.tokens, e.Token)
 	case u.waiting != nil && version <= u.waiting.document.Version:
