message, cluster, level: endpoints are listed by column; entries that are away hold the level back

Cause: (1) ids with starts took 29 kB for 1,000 endpoints instead of 19, and lists of endpoints are most of what a thousand entries are sent when all processes start anew. (2) An owner raised the level that entries must read in its first moment, before any entry could have found it, and while one was away: an entry of an earlier build came back to a group that it can't read, as one that goes back a build does. Change: (1) names, starts, addresses and the rest each in a column, within level Starts, which no build has written yet. (2) Entries that are away count, an owner waits 13 s for those that may have to find it, and an entry below the group's level is sent nothing and said so. The simulated upgrade waits as long for its last level. TestAwayEntryHoldsTheLevel, TestEntryBelowTheGroup fail before.

--- a/cluster/levels.go
+++ b/cluster/levels.go
@@ -129,6 +129,18 @@
 	return false
 }
 
+// mayServe reports whether an entry that connects reads what the group writes. One of an earlier build, after
+// the group's level was raised, would name endpoints by ids that they don't know: it gets no answer, so that
+// it asks again twice a second, and serves nothing.
+func (s *State) mayServe(b *SessionBegan, out *Effects) bool {
+	if s.machine.level < level.Told || !level.ReadBy(level.Entries, b.Reads, s.machine.level) {
+		return true
+	}
+	out.note("an entry does not read what the group writes: it is sent nothing", Field{"entry", string(b.Hello.Entry)},
+		Field{"level", uint8(b.Reads)}, Field{"group_level", uint8(s.machine.level)}, Field{"build", b.Build})
+	return false
+}
+
 // writes returns the level of the forms that an owner puts into the log; 0 while it is not known what
 // a member reads of which neither a connection nor the log tells.
 func (s *State) writes() level.Level {
@@ -165,7 +177,7 @@
 	if s.levels.raising > s.node.Applied() || !s.owns(now) {
 		return
 	}
-	next, by := s.nextLevel()
+	next, by := s.nextLevel(now)
 	if by != s.levels.heldBy {
 		s.levels.heldBy = by
 		out.note("the group's level is held back", Field{"level", uint8(s.machine.level)}, Field{"own", uint8(s.levels.own)}, Field{"by", by})
@@ -183,7 +195,7 @@
 
 // nextLevel returns the level that the group may have, and who holds it below this box's; empty if
 // nobody does.
-func (s *State) nextLevel() (next level.Level, heldBy string) {
+func (s *State) nextLevel(now event.Time) (next level.Level, heldBy string) {
 	next = s.levels.own
 	hold := func(who string, reads level.Level) {
 		if reads < next {
@@ -204,9 +216,13 @@
 	if !level.ReadBy(level.Entries, s.machine.level, next) {
 		return next, heldBy
 	}
-	for _, id := range s.owner.inOrder() {
-		one := s.owner.sessions[id]
-		hold("entry "+string(one.entry), one.reads)
+	// Entries that are away for a moment count, too: they would come back to a group that they can't read.
+	o := s.owner
+	for _, name := range slices.Sorted(maps.Keys(o.entries)) {
+		hold("entry "+string(name)+" of build "+o.entries[name].build, o.entries[name].reads)
+	}
+	if now.Sub(o.began) <= o.keepTime {
+		hold("entries that may not have been heard yet", s.machine.level)
 	}
 	return next, heldBy
 }
@@ -218,6 +234,7 @@
 		s.setForms(box, s.levels.peers[box], out)
 	}
 	if s.owner != nil {
+		clear(s.owner.packed) // in the form of the level before
 		s.owner.useForms(s)
 	}
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -26,10 +26,12 @@
 	term      consensus.Term
 	admission *admission.State
 	sessions  map[SessionID]*session
-	entries   map[event.BoxID]*entry
-	heard     map[string]event.Time // endpoints, by id
-	down      map[string]bool
-	effects   event.Effects
+	// unread are sessions of entries that do not read what the group writes.
+	unread  map[SessionID]bool
+	entries map[event.BoxID]*entry
+	heard   map[string]event.Time // endpoints, by id
+	down    map[string]bool
+	effects event.Effects
 	// expected is how many entries there were by the word of an entry, which
 	// counts for keepTime from began on.
 	expected int
@@ -41,7 +43,7 @@
 	news     map[string]bool           // endpoints, by id, of which the entries are not yet told
 	pieces   map[uint64]registry.Piece // by what they come after, at the revision piecesAt
 	piecesAt uint64
-	packed   map[pieceKey]message.Packed
+	packed   map[pieceKey]packedPiece
 	toldAt   event.Time // when the log was last told of budgets
 	// poisonRecord is the index of the last record of poison in the log.
 	poisonRecord consensus.Index
@@ -74,6 +76,8 @@
 // entry is what is known of an entry over its connections.
 type entry struct {
 	life    uint64
+	reads   level.Level
+	build   string
 	session SessionID // 0 while it is away
 	left    event.Time
 	// isForgotten says that what it had running was taken as ended since it left.
@@ -86,6 +90,7 @@
 		term:     s.node.Term(),
 		book:     s.newBook(now),
 		sessions: make(map[SessionID]*session),
+		unread:   make(map[SessionID]bool),
 		entries:  make(map[event.BoxID]*entry),
 		heard:    make(map[string]event.Time),
 		down:     make(map[string]bool),
@@ -93,7 +98,7 @@
 		keepTime: s.settings.Fresh + s.settings.Limits.QuotaWindow,
 		news:     make(map[string]bool),
 		pieces:   make(map[uint64]registry.Piece),
-		packed:   make(map[pieceKey]message.Packed),
+		packed:   make(map[pieceKey]packedPiece),
 	}
 	o.poison = poison.NewBook(now, &s.machine.poison)
 	o.suspects, o.suspectsTold = o.poison.Suspects()
@@ -362,6 +367,10 @@
 // begin takes an entry in: what it says is running, and what it spent.
 func (o *owner) begin(now event.Time, b *SessionBegan, s *State, out *Effects) {
 	name := b.Hello.Entry
+	if !s.mayServe(b, out) {
+		o.unread[b.Session] = true
+		return
+	}
 	e, ok := o.entries[name]
 	newLife := ok && e.life != b.Hello.Life
 	if !ok {
@@ -385,7 +394,7 @@
 		e.ends = endsProgress{}
 		o.admission.EntryDied(now, name, &o.effects)
 	}
-	e.life = b.Hello.Life
+	e.life, e.reads, e.build = b.Hello.Life, b.Reads, b.Build
 	// What it had here is as it now says; what was decided during a lapse goes for nothing.
 	o.effects.Grants = slices.DeleteFunc(o.effects.Grants, func(g event.Granted) bool { return g.Entry == name })
 	o.effects.Refusals = slices.DeleteFunc(o.effects.Refusals, func(r event.Refused) bool { return r.Entry == name })
@@ -407,6 +416,9 @@
 // has lapsed; the entry asks again.
 func (o *owner) ping(now event.Time, p *SessionPinged, s *State, out *Effects) {
 	one, ok := o.sessions[p.Session]
+	if o.unread[p.Session] {
+		return
+	}
 	if !ok {
 		s.redirect(p.Session, out)
 		return
@@ -457,6 +469,7 @@
 }
 
 func (o *owner) ended(now event.Time, id SessionID) {
+	delete(o.unread, id)
 	one, ok := o.sessions[id]
 	if !ok {
 		return
--- a/cluster/starts_test.go
+++ b/cluster/starts_test.go
@@ -125,3 +125,63 @@
 		t.Errorf("leaving got %+v", s.answers[token])
 	}
 }
+
+// TestEntryBelowTheGroup: an entry that goes back to an earlier build once the group's level was raised would name
+// endpoints by ids that they don't know. It is sent nothing, and said so; one that reads all is served.
+func TestEntryBelowTheGroup(t *testing.T) {
+	s := newSim(t, 3, 0)
+	s.run(5 * second)
+	s.put(s.mustOwner(), 1)
+	s.tell(s.mustOwner(), registry.Endpoint{ID: "e", Born: 1000, Service: "s", Address: "10.0.0.1:80", Slots: 9, Sequence: 1})
+	s.run(second)
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Told, Session: 1, Hello: message.Hello{Entry: "back"}})
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Newest, Session: 2, Hello: message.Hello{Entry: "entry"}})
+	for range 3 {
+		s.step(s.mustOwner(), &SessionPinged{Session: 1})
+		s.step(s.mustOwner(), &SessionPinged{Session: 2})
+		s.run(second)
+	}
+	if len(s.sends[1]) > 0 || s.closed[1] {
+		t.Errorf("an entry of an earlier build was sent %+v", s.sends[1])
+	}
+	if len(s.sends[2]) == 0 {
+		t.Error("an entry of this build was sent nothing")
+	}
+	s.step(s.mustOwner(), &SessionEnded{Session: 1})
+	if n := len(s.mustOwner().state.owner.unread); n > 0 {
+		t.Errorf("%d sessions are remembered", n)
+	}
+}
+
+// TestAwayEntryHoldsTheLevel: an entry of an earlier build that is away for a moment must be able to come back, so
+// that the level that entries must read is not raised meanwhile, nor by a new owner before all can have found it:
+// it was raised in an owner's first moment, before any entry had come.
+func TestAwayEntryHoldsTheLevel(t *testing.T) {
+	s := newSim(t, 3, 0)
+	for _, name := range s.order {
+		s.stop(name)
+		s.boxes[name].disk.restored.Snapshot.Data = nil // as builds before level.Told found a group
+		s.restart(name)
+	}
+	s.run(200 * event.Millisecond)
+	for s.owner() == nil {
+		s.run(simStep)
+	}
+	groupLevel := func() level.Level { return s.mustOwner().state.machine.level }
+	s.run(second)
+	if got := groupLevel(); got >= level.Starts {
+		t.Fatalf("the level is %d before any entry can have been heard", got)
+	}
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Told, Session: 1, Hello: message.Hello{Entry: "old"}})
+	s.run(20 * second)
+	s.step(s.mustOwner(), &SessionEnded{Session: 1})
+	s.run(3 * second)
+	if got := groupLevel(); got >= level.Starts {
+		t.Fatalf("the level is %d while an entry is away for 3 s that reads %d", got, level.Told)
+	}
+	s.step(s.mustOwner(), &SessionBegan{Reads: level.Newest, Session: 2, Hello: message.Hello{Entry: "old", Life: 2}})
+	s.run(2 * second)
+	if got := groupLevel(); got != level.Newest {
+		t.Errorf("the level is %d once all read %d", got, level.Newest)
+	}
+}
--- a/cluster/upgrade_sim_test.go
+++ b/cluster/upgrade_sim_test.go
@@ -141,7 +141,7 @@
 		u.restart(u.down.name)
 		u.down = nil
 	}
-	for range 400 {
+	for range 1800 { // an owner waits 13 s for entries that may have to find it
 		u.run(simStep)
 		u.check()
 	}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -43,6 +43,25 @@
 	count       int
 }
 
+// packedPiece has endpoints as entries of the group are sent them: one of its fields is set.
+type packedPiece struct {
+	packed message.Packed
+	listed message.Listing
+}
+
+// packFor packs endpoints as all entries of the group read them.
+func (s *State) packFor(list []message.Endpoint) packedPiece {
+	switch {
+	case len(list) == 0:
+		return packedPiece{}
+	case s.machine.level >= level.Starts:
+		return packedPiece{listed: message.List(list)}
+	}
+	return packedPiece{packed: message.Pack(list)}
+}
+
+func (p packedPiece) addTo(v *message.View) { v.Endpoints, v.Listed = p.packed, p.listed }
+
 // show hands news of an endpoint to the scheduler, and with the next tick to all entries.
 func (o *owner) show(now event.Time, e registry.Endpoint) {
 	o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e, Down: o.down[e.ID]}, &o.effects)
@@ -72,9 +91,7 @@
 			size += len(id)
 		}
 	}
-	if len(seen) > 0 {
-		view.Endpoints = message.Pack(seen)
-	}
+	s.packFor(seen).addTo(view)
 	o.sendNews(view, s, out)
 }
 
@@ -148,7 +165,8 @@
 func (o *owner) nextView(one *session, s *State) *message.View {
 	v := &one.view
 	p := o.pieceAfter(v.upTo, s)
-	view := &message.View{Endpoints: o.pack(v.upTo, p), Revision: p.UpTo}
+	view := &message.View{Revision: p.UpTo}
+	o.pack(v.upTo, p, s).addTo(view)
 	for _, id := range p.Gone {
 		view.Gone = append(view.Gone, event.EndpointID(id))
 	}
@@ -194,17 +212,14 @@
 
 // pack returns the endpoints of a piece, packed once for all sessions that begin alike: 10,000
 // endpoints for each of 300 entries would be packed 3,000,000 times after a change of owner.
-func (o *owner) pack(after uint64, p registry.Piece) message.Packed {
-	if len(p.Endpoints) == 0 {
-		return nil
-	}
+func (o *owner) pack(after uint64, p registry.Piece, s *State) packedPiece {
 	key := pieceKey{after, p.UpTo, len(p.Endpoints)}
 	packed, ok := o.packed[key]
 	if !ok {
 		if len(o.packed) >= packedMost {
 			clear(o.packed)
 		}
-		packed = message.Pack(endpoints(p.Endpoints))
+		packed = s.packFor(endpoints(p.Endpoints))
 		o.packed[key] = packed
 	}
 	return packed
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -170,7 +170,7 @@
 // see takes news of the deployment.
 func (a *OwnerClient) see(now event.Time, v *message.View) {
 	a.Know(v.Members)
-	endpoints, err := v.Endpoints.Unpack()
+	endpoints, err := v.List()
 	if err != nil {
 		// The rest of the view is of no use without them: the next session asks for all.
 		a.log.Error("endpoints not read", logx.Err(err))
--- a/level/level.go
+++ b/level/level.go
@@ -57,7 +57,7 @@
 	{Parts, Members | Entries, "configurations, snapshots and messages of the log in parts; records of some budgets; configurations as a tree", "d279456"},
 	{Suspects, Members, "records of requests that end endpoints", "585ddf2"},
 	{Told, Members, "levels: at the beginning of a connection, in the log and in snapshots", "cf9622c"},
-	{Starts, Members | Entries, "words of endpoints that tell when they started; ids of endpoints with that, of which requests carry the name alone", ""},
+	{Starts, Members | Entries, "words of endpoints that tell when they started; ids with that, of which requests carry the name alone; endpoints listed by column", ""},
 }
 
 // ReadBy reports whether some readers must read a form above a level and up to another: then the group may
--- a/message/message.go
+++ b/message/message.go
@@ -116,7 +116,9 @@
 	// Whole says that Endpoints replaces all that was known.
 	Whole     bool
 	Endpoints Packed
-	Gone      []event.EndpointID
+	// Listed takes the place of Endpoints for boxes that read level.Starts.
+	Listed Listing
+	Gone   []event.EndpointID
 	// Revision is that of the registry with these changes; 0 in a View that has not all up to
 	// one.
 	Revision uint64
@@ -258,7 +260,7 @@
 	case e.Decisions != nil:
 		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * wordBytes
 	case e.View != nil:
-		size += len(e.View.Document) + len(e.View.Endpoints) + (len(e.View.Gone)+len(e.View.Silent))*idBytes
+		size += len(e.View.Document) + len(e.View.Endpoints) + len(e.View.Listed) + (len(e.View.Gone)+len(e.View.Silent))*idBytes
 		if s := e.View.Suspects; s != nil {
 			size += len(s.List) * printBytes
 		}
