cluster, gateway: entries await the next owner where the last one is out of reach

Cause: a box takes a leader for one until the next election, 0.4 s after it was killed. Change: a leader that has no connection to a box any more, or was silent for 0.3 s, is no place to send entries to: the box keeps them as it does while there is none. An entry that is told of a leader goes there at once, boxes that name each other aside. Ruled out: an election as soon as the connection ends (the old leader may live, with its lease).

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -137,9 +137,9 @@
 func (o *owner) inOrder() []SessionID { return slices.Sorted(maps.Keys(o.sessions)) }
 
 // end closes all sessions: the entries go to the next owner.
-func (o *owner) end(s *State, out *Effects) {
+func (o *owner) end(now event.Time, s *State, out *Effects) {
 	for _, id := range o.inOrder() {
-		s.redirect(id, out)
+		s.redirect(now, id, out)
 	}
 }
 
@@ -163,7 +163,7 @@
 	case *SessionTold:
 		o.told(now, e, s, out)
 	case *SessionWanted:
-		o.wanted(e, s, out)
+		o.wanted(now, e, s, out)
 	case *SessionEnded:
 		o.ended(now, e.Session)
 	}
@@ -347,9 +347,9 @@
 }
 
 // wanted gives an entry nodes of the configuration.
-func (o *owner) wanted(w *SessionWanted, s *State, out *Effects) {
+func (o *owner) wanted(now event.Time, w *SessionWanted, s *State, out *Effects) {
 	if _, ok := o.sessions[w.Session]; !ok {
-		s.redirect(w.Session, out)
+		s.redirect(now, w.Session, out)
 		return
 	}
 	nodes := &message.Nodes{}
@@ -420,7 +420,7 @@
 		return
 	}
 	if !ok {
-		s.redirect(p.Session, out)
+		s.redirect(now, p.Session, out)
 		return
 	}
 	o.hearWord(now, one.entry, &p.Ping)
@@ -450,7 +450,7 @@
 func (o *owner) told(now event.Time, t *SessionTold, s *State, out *Effects) {
 	one, ok := o.sessions[t.Session]
 	if !ok {
-		s.redirect(t.Session, out)
+		s.redirect(now, t.Session, out)
 		return
 	}
 	o.hearEnds(now, o.entries[one.entry], t.Batch)
