cluster, gateway: entries await the next owner: taken back, it does not hold at twice the size

Cause: has entries wait where the last owner is out of reach, and go to the next one in its first 0.1 s. At 770 the new owner works on all their greetings at once, does not keep its lease, and a second and third election follow, each with what entries were lent counted as spent, so that teams are refused with 429. Change: as it was before; what its reading found stays (an owner's sessions in a file of their own).

--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -115,9 +115,9 @@
 func (o *owner) inOrder() []SessionID { return slices.Sorted(maps.Keys(o.sessions)) }
 
 // end closes all sessions: the entries go to the next owner.
-func (o *owner) end(now event.Time, s *State, out *Effects) {
+func (o *owner) end(s *State, out *Effects) {
 	for _, id := range o.inOrder() {
-		s.redirect(now, id, out)
+		s.redirect(id, out)
 	}
 }
 
@@ -141,7 +141,7 @@
 	case *SessionTold:
 		o.told(now, e, s, out)
 	case *SessionWanted:
-		o.wanted(now, e, s, out)
+		o.wanted(e, s, out)
 	case *SessionEnded:
 		o.ended(now, e.Session)
 	}
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -54,9 +54,9 @@
 }
 
 // wanted gives an entry nodes of the configuration.
-func (o *owner) wanted(now event.Time, w *SessionWanted, s *State, out *Effects) {
+func (o *owner) wanted(w *SessionWanted, s *State, out *Effects) {
 	if _, ok := o.sessions[w.Session]; !ok {
-		s.redirect(now, w.Session, out)
+		s.redirect(w.Session, out)
 		return
 	}
 	nodes := &message.Nodes{}
@@ -127,7 +127,7 @@
 		return
 	}
 	if !ok {
-		s.redirect(now, p.Session, out)
+		s.redirect(p.Session, out)
 		return
 	}
 	o.hearWord(now, one.entry, &p.Ping)
@@ -157,7 +157,7 @@
 func (o *owner) told(now event.Time, t *SessionTold, s *State, out *Effects) {
 	one, ok := o.sessions[t.Session]
 	if !ok {
-		s.redirect(now, t.Session, out)
+		s.redirect(t.Session, out)
 		return
 	}
 	o.hearEnds(now, o.entries[one.entry], t.Batch)
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -375,7 +375,7 @@
 func (s *State) settleOwnership(now event.Time, out *Effects) {
 	owns := s.owns(now)
 	if s.owner != nil && !s.owner.remains(now, s.node) {
-		s.owner.end(now, s, out)
+		s.owner.end(s, out)
 		s.owner = nil
 		out.note("owns the pools no more", Field{"term", uint64(s.node.Term())})
 	}
@@ -401,8 +401,11 @@
 	}
 }
 
-func (s *State) redirect(now event.Time, session SessionID, out *Effects) {
-	leader := string(s.leaderInReach(now).Box())
+func (s *State) redirect(session SessionID, out *Effects) {
+	leader := ""
+	if id := s.node.Leader(); id != s.node.ID() {
+		leader = string(id.Box())
+	}
 	out.Sends = append(out.Sends, Send{session, &message.Envelope{Redirect: &message.Redirect{
 		Leader: leader, Members: s.memberLinks(),
 	}}})
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -97,7 +97,6 @@
 	owned     bool   // the other side of link said that it is the owner
 	dialing   bool
 	dialAt    event.Time
-	followed  event.Time // when it last went to a leader that a control box had named
 	lostAt    event.Time
 	pinged    event.Time
 	ponged    event.Time
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -48,18 +48,6 @@
 	a.out.Dial = address
 }
 
-// follow goes to the leader that a control box named, at once but for boxes that name each other: the next
-// tick is 25 ms away at the mean.
-func (a *OwnerClient) follow(now event.Time) {
-	switch {
-	case a.hint == "":
-		a.dialAt = now.Add(redialWait)
-	case now.Sub(a.followed) >= redialWait:
-		a.followed = now
-		a.dial()
-	}
-}
-
 // DialFailed takes note that a control box was not reached.
 func (a *OwnerClient) DialFailed(now event.Time, address string, err error) {
 	a.dialing = false
@@ -143,7 +131,9 @@
 		a.Know(m.Redirect.Members)
 		a.hint = m.Redirect.Leader
 		a.lose(now, "not the owner", nil)
-		a.follow(now)
+		if a.hint == "" {
+			a.dialAt = now.Add(redialWait)
+		}
 	case m.View != nil:
 		a.see(now, m.View)
 	case m.Nodes != nil:
