cluster, platform: endpoints choose their control box by themselves; an owner only ends the connections of news

Cause: the owner named the box that was to hear each endpoint, by a hash that knows no data centres. Change: no box is named; the connection of a word with news still ends with its answer, which was what took connections off the owner. Ruled out: to name boxes of the endpoint's data centre (where a member stands is not in the log).

--- a/cluster/endpoints.go
+++ b/cluster/endpoints.go
@@ -3,9 +3,6 @@
 package cluster
 
 import (
-	"github.com/cespare/xxhash/v2"
-
-	"lynxramp.org/consensus"
 	"lynxramp.org/event"
 	"lynxramp.org/level"
 	"lynxramp.org/registry"
@@ -42,7 +39,7 @@
 	case !known && s.isOfNoService(e):
 		out.Answers = append(out.Answers, Answer{Token: t.Token, Status: StatusUnknownService})
 	default:
-		s.propose(now, pending{token: t.Token, endpoint: t.Endpoint.ID}, encodeEndpoint(s.asRead(t.Endpoint)), known, out)
+		s.propose(now, t.Token, encodeEndpoint(s.asRead(t.Endpoint)), known, out)
 	}
 }
 
@@ -59,36 +56,7 @@
 func (s *State) removeEndpoint(now event.Time, e *EndpointLeft, out *Effects) {
 	told := s.asRead(registry.Endpoint{ID: e.Name, Born: e.Born})
 	known := s.machine.registry.IsGone(s.machine.registry.Ending(told.ID, told.Born))
-	s.propose(now, pending{token: e.Token}, encodeRemove(registry.StartID(told.ID, told.Born)), known, out)
-}
-
-// hearingBox returns the operators' address of the box to which an endpoint is to send its next words, by the
-// owner: each of the members that are connected to it has as many endpoints as any other, and keeps them
-// while members come and go. The owner's news brings all endpoints to it now and then; it kept them, 9,057
-// of 10,000 before ten boxes, whose connections and memory grew with all endpoints.
-func (s *State) hearingBox(endpoint string) string {
-	if endpoint == "" || s.owner == nil {
-		return ""
-	}
-	address, highest := "", uint64(0)
-	for _, m := range s.allMembers() {
-		if !s.isInTouch(m) {
-			continue
-		}
-		if rank := xxhash.Sum64String(endpoint + " " + string(m.ID)); address == "" || rank > highest {
-			address, highest = m.Address, rank
-		}
-	}
-	return address
-}
-
-// isInTouch reports whether a member is this box or is connected to it.
-func (s *State) isInTouch(m consensus.Member) bool {
-	if m.ID == s.node.ID() {
-		return true
-	}
-	p, ok := s.levels.peers[m.ID.Box()]
-	return ok && len(p.links) > 0
+	s.propose(now, e.Token, encodeRemove(registry.StartID(told.ID, told.Born)), known, out)
 }
 
 // address returns the operators' address of this box; empty if it is no member.
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -145,8 +145,8 @@
 	Token  Token
 	Status Status
 	Leader string // operators' address of the leader
-	// Next is the operators' address of the box to which an endpoint is to send its next words; empty if
-	// it is all one.
+	// Next is the operators' address to which an endpoint is to send its next words; empty if it is to choose
+	// a box by itself.
 	Next     string
 	Document Document
 	// Until is when the lease ends on which the answer rests.
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -398,9 +398,6 @@
 	return s.call(ctx, func(k Token) Event { return &EndpointTold{Token: k, Endpoint: e} })
 }
 
-// Address is where operators and endpoints reach this box.
-func (s *Server) Address() string { return s.config.Operators }
-
 // RemoveEndpoint takes note that an endpoint ends; born is as in registry.Endpoint.
 func (s *Server) RemoveEndpoint(ctx context.Context, name string, born uint64) Answer {
 	return s.call(ctx, func(k Token) Event { return &EndpointLeft{Token: k, Name: name, Born: born} })
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -70,8 +70,6 @@
 type pending struct {
 	token Token
 	term  consensus.Term
-	// endpoint is the name of the one that told of itself; empty for other calls.
-	endpoint string
 }
 
 // NewState returns the state of a member with what its disk holds.
@@ -191,22 +189,21 @@
 
 // propose puts a command into the log, unless it is known to change nothing; the
 // call is answered when it is committed.
-func (s *State) propose(now event.Time, p pending, command []byte, known bool, out *Effects) {
+func (s *State) propose(now event.Time, token Token, command []byte, known bool, out *Effects) {
 	if !s.owns(now) {
-		s.elsewhere(p.token, out)
+		s.elsewhere(token, out)
 		return
 	}
 	if known {
-		out.Answers = append(out.Answers, Answer{Token: p.token, Status: StatusDone, Next: s.hearingBox(p.endpoint)})
+		out.Answers = append(out.Answers, Answer{Token: token, Status: StatusDone, Next: s.address()})
 		return
 	}
 	index, err := s.node.Propose(now, command, &out.Ready)
 	if err != nil {
-		s.elsewhere(p.token, out)
+		s.elsewhere(token, out)
 		return
 	}
-	p.term = s.node.Term()
-	s.pending[index] = p
+	s.pending[index] = pending{token: token, term: s.node.Term()}
 }
 
 // hearsLeader reports whether another box leads and was heard a moment ago.
@@ -329,11 +326,11 @@
 		return
 	}
 	delete(s.pending, entry.Index)
+	status := StatusDone
 	if p.term != entry.Term {
-		out.Answers = append(out.Answers, Answer{Token: p.token, Status: StatusUnclear})
-		return
+		status = StatusUnclear
 	}
-	out.Answers = append(out.Answers, Answer{Token: p.token, Status: StatusDone, Next: s.hearingBox(p.endpoint)})
+	out.Answers = append(out.Answers, Answer{Token: p.token, Status: status})
 }
 
 func (s *State) applyCommand(now event.Time, entry consensus.Entry, out *Effects) {
