consensus: leases are looked at between steps

Nobody can ask a member in the middle of a step. Change: the look comes after the whole of each list, as often as before for all else. The check itself is the same. Ruled out: a lease before an entry of the own term is committed (its first own entry is 170, its commit 170).

--- a/consensus/property_test.go
+++ b/consensus/property_test.go
@@ -97,6 +97,13 @@
 
 // take queues what a step asks for.
 func (g *group) take(b *member, r Ready) {
+	g.takeIn(b, r)
+	g.checkLease()
+}
+
+// takeIn is take without a look at leases: in the middle of what a member is handed out at once it has not applied
+// all that its node has, and nobody can ask it meanwhile.
+func (g *group) takeIn(b *member, r Ready) {
 	g.network = append(g.network, r.Early...)
 	b.pending = append(b.pending, r)
 	if r.Snapshot != nil && len(r.Snapshot.Data)/pieceBytes > len(b.applied) {
@@ -119,7 +126,6 @@
 		}
 		g.leaders[b.node.Term()] = b.id
 	}
-	g.checkLease()
 }
 
 // compact lets a member take a snapshot at an entry if one is due.
@@ -130,7 +136,7 @@
 	}
 	var out Ready
 	b.node.Compact(at, snapshotOf(b.applied), &out)
-	g.take(b, out)
+	g.takeIn(b, out)
 }
 
 // checkApplied fails unless all members apply the same commands in one order.
