backpressure, platform, gateway: what endpoints ask for in their answers is logged

Nothing in the log told an endpoint's limit, rest or leaving, so that an entry that reads none of them looks like one that reads and forgets them. No decision looks at it.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -43,7 +43,7 @@
 		Log:     log,
 	})
 	g := gateway.New(gateway.Config{
-		Agent: agent, Names: d.Names, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Life: one,
+		Agent: agent, Names: d.Names, Word: d.Word, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Life: one,
 		HeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldPart), Descriptors: f.Resources.Descriptors,
 	})
 	go agent.Run(run)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/admission"
+	"lynxramp.org/backpressure"
 	"lynxramp.org/cluster"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
@@ -50,6 +51,8 @@
 	Names gateway.Names
 	// Decode reads a configuration; its error has all findings.
 	Decode func([]byte) (*routing.Table, error)
+	// Word reads what an endpoint asks for in an answer; its error names what can't be read.
+	Word func(status int, h http.Header) (backpressure.Word, error)
 	// Operators serves operators and endpoints by a control box.
 	Operators func(*cluster.Server) http.Handler
 	// ReadyPath is where an entry is asked whether it is ready.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/poison"
@@ -40,6 +41,9 @@
 type Config struct {
 	Agent *Agent
 	Names Names
+	// Word reads what an endpoint asks for in an answer; its error names what can't be read. Without it none
+	// asks for anything.
+	Word func(status int, h http.Header) (backpressure.Word, error)
 	// HeldBytes bounds the request bodies that are held at once.
 	HeldBytes int64
 	// Descriptors is how many the process may have; 0 does not bound what is held.
@@ -70,7 +74,7 @@
 	closing       atomic.Bool // streams are not taken any more
 	meters        meters
 
-	failedBudget, briefBudget, wellBudget *logx.Budget
+	failedBudget, briefBudget, wellBudget, wordBudget *logx.Budget
 }
 
 // New returns a gateway; Run keeps it tidy.
@@ -79,6 +83,7 @@
 	g.upstream.most = MayConnect(c.Descriptors)
 	g.meters = newMeters(g)
 	g.failedBudget, g.briefBudget, g.wellBudget = logx.NewBudget(failedLines), logx.NewBudget(briefLines), logx.NewBudget(wellLines)
+	g.wordBudget = logx.NewBudget(wordLines)
 	return g
 }
 
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -60,6 +60,11 @@
 	m.set.GetOrCreateCounter(`lynxramp_gateway_attempts_total{outcome="` + o.String() + `"}`).Inc()
 }
 
+// asked counts a thing that an endpoint asked for in an answer.
+func (m *meters) asked(what string) {
+	m.set.GetOrCreateCounter(`lynxramp_gateway_endpoint_words_total{word="` + what + `"}`).Inc()
+}
+
 // decided takes how long a request waited for its decision, and who decided.
 func (m *meters) decided(since time.Time, alone bool) {
 	by := "owner"
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -23,6 +23,8 @@
 	wellPart = 32
 	// wellLines bounds these, in lines a second.
 	wellLines = 60
+	// wordLines bounds the lines a second about what endpoints ask for.
+	wordLines = 20
 )
 
 // The steps of a request's life as the log has them.
@@ -31,6 +33,7 @@
 	stepGranted    = "granted"
 	stepRefused    = "refused"
 	stepDispatched = "dispatched"
+	stepAsked      = "endpoint asks"
 	stepFailed     = "attempt failed"
 	stepRepeated   = "repeated"
 	stepResumed    = "resumed"
@@ -91,8 +94,9 @@
 // tellLeftOut writes how many lines about requests were left out, and how many requests that
 // failed have no line at all.
 func (g *Gateway) tellLeftOut() {
-	failed, well, unnamed := g.failedBudget.TakeLeftOut(), g.wellBudget.TakeLeftOut(), g.briefBudget.TakeLeftOut()
-	if failed+well+unnamed > 0 {
-		g.log.Info("lines left out", zap.Uint64("of_failed", failed), zap.Uint64("of_others", well), zap.Uint64("failed_without_a_line", unnamed))
+	failed, well, unnamed, words := g.failedBudget.TakeLeftOut(), g.wellBudget.TakeLeftOut(), g.briefBudget.TakeLeftOut(), g.wordBudget.TakeLeftOut()
+	if failed+well+unnamed+words > 0 {
+		g.log.Info("lines left out", zap.Uint64("of_failed", failed), zap.Uint64("of_others", well), zap.Uint64("failed_without_a_line", unnamed),
+			zap.Uint64("of_what_endpoints_ask", words))
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -361,6 +361,7 @@
 func (c *call) receive(x *exchange, a *attempt, began time.Time) {
 	names := &c.gateway.config.Names
 	r := x.response
+	c.hear(a, r)
 	a.isFramed = r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
 	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" {
 		c.reject(x, a)
