--- /dev/null
+++ b/admission/asked.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"lynxramp.org/backpressure"
+	"lynxramp.org/event"
+)
+
+// This file is how what endpoints ask for in their answers reaches the pools.
+
+// Hear takes a word of an endpoint and reports whether it changed what is believed.
+func (s *State) Hear(now event.Time, h *backpressure.Heard, out *event.Effects) bool {
+	k, ok := s.endpoints[h.Endpoint]
+	if !ok || !k.asked.Hear(now, s.sentAt(h.Request), h.Word) {
+		return false
+	}
+	s.tell(now, k, out)
+	return true
+}
+
+// sentAt returns a moment before which a request was not sent; 0 if it is not known.
+func (s *State) sentAt(id event.RequestID) event.Time {
+	if r, ok := s.runs[id]; ok && !r.adopted {
+		return r.began
+	}
+	return 0
+}
+
+// Learn takes what another who decides believes of an endpoint.
+func (s *State) Learn(now event.Time, b backpressure.State, out *event.Effects) {
+	if k, ok := s.endpoints[b.Endpoint]; ok && k.asked.Learn(now, b) {
+		s.tell(now, k, out)
+	}
+}
+
+// Asked returns what is believed of an endpoint by its words.
+func (s *State) Asked(id event.EndpointID) backpressure.State {
+	if k, ok := s.endpoints[id]; ok {
+		return k.asked.State(id)
+	}
+	return backpressure.State{Endpoint: id}
+}
+
+// SetPart takes which part of endpoints' limits is to be spent here.
+func (s *State) SetPart(now event.Time, part float64, out *event.Effects) {
+	if part == s.part {
+		return
+	}
+	s.part = part
+	for _, v := range s.services {
+		s.step(now, v, &event.PartChanged{Part: part}, out)
+	}
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 
+	"lynxramp.org/backpressure"
 	"lynxramp.org/budget"
 	"lynxramp.org/event"
 	"lynxramp.org/message"
@@ -62,11 +63,13 @@
 	countedOf map[event.BoxID]map[event.RequestID]*counted
 	runs      map[event.RequestID]*run
 	sweepAt   event.Time // of runs
+	part      float64    // of endpoints' limits that is spent here
 }
 
 // known is an endpoint with what is believed of it beside its own words.
 type known struct {
 	message.Endpoint
+	asked        backpressure.Asked
 	suspectUntil event.Time
 	failures     int
 }
@@ -84,6 +87,7 @@
 		counted:   make(map[event.RequestID]*counted),
 		countedOf: make(map[event.BoxID]map[event.RequestID]*counted),
 		runs:      make(map[event.RequestID]*run),
+		part:      1,
 	}
 }
 
@@ -113,6 +117,7 @@
 			pool:     sched.New(now, pool, s.seed),
 			requests: budget.NewWindow(event.Span(float64(s.limits.RetryWindow) * requestsPart)),
 		}
+		v.pool.SetPart(now, s.part)
 		s.services[name] = v
 	}
 	return v
@@ -142,6 +147,8 @@
 		Address: k.Address,
 		Down:    k.Down || now < k.suspectUntil,
 		Unsure:  k.failures > 0,
+		Limited: k.asked.Limited,
+		Limit:   k.asked.Rate,
 	}, out)
 }
 
@@ -244,7 +251,7 @@
 
 // Adopt books a request that runs by the word of an entry.
 func (s *State) Adopt(now event.Time, entry event.BoxID, r message.Running, out *event.Effects) {
-	s.keepRun(r.Ticket.ID, &run{print: r.Print, endpoint: r.Endpoint, attempt: r.Ticket.Attempt, began: now, until: now.Add(r.Ticket.Deadline + unclearFor)})
+	s.keepRun(r.Ticket.ID, &run{print: r.Print, endpoint: r.Endpoint, attempt: r.Ticket.Attempt, began: now, adopted: true, until: now.Add(r.Ticket.Deadline + unclearFor)})
 	s.step(now, s.service(now, r.Ticket.Service), &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
 }
 
--- /dev/null
+++ b/cluster/asked.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"maps"
+	"slices"
+
+	"lynxramp.org/backpressure"
+	"lynxramp.org/event"
+	"lynxramp.org/level"
+	"lynxramp.org/message"
+)
+
+// This file is an owner's part in what endpoints ask for in their answers: it takes in what entries heard, and
+// tells all entries, so that none sends more than an endpoint takes when it decides alone, or by the grant of
+// an owner that is new.
+
+const (
+	// askedMost bounds the endpoints in one message: 16 kB.
+	askedMost = 400
+	// askedLines bounds the lines that a tick writes about endpoints.
+	askedLines = 20
+)
+
+// asking is what an owner knows of endpoints that ask for something. The zero asking knows nothing.
+type asking struct {
+	now  map[event.EndpointID]bool // those that do
+	news map[event.EndpointID]bool // of which the entries are not yet told
+}
+
+// hearWords takes in words of endpoints that an entry heard.
+func (o *owner) hearWords(now event.Time, words []backpressure.Heard) {
+	for i := range words {
+		id := words[i].Endpoint
+		if !o.admission.Hear(now, &words[i], &o.effects) {
+			continue
+		}
+		o.asking.changed(id, o.admission.Asked(id).Asks())
+	}
+}
+
+func (a *asking) changed(id event.EndpointID, asks bool) {
+	if a.now == nil {
+		a.now, a.news = make(map[event.EndpointID]bool), make(map[event.EndpointID]bool)
+	}
+	a.news[id] = true
+	if asks {
+		a.now[id] = true
+	} else {
+		delete(a.now, id)
+	}
+}
+
+// gone forgets an endpoint that has ended. Entries find that out by themselves.
+func (a *asking) gone(id event.EndpointID) {
+	delete(a.now, id)
+	delete(a.news, id)
+}
+
+// tellAsked tells all entries what changed since the last tick, as much as one message may have.
+func (o *owner) tellAsked(out *Effects) {
+	if len(o.asking.news) == 0 {
+		return
+	}
+	var list []backpressure.State
+	for _, id := range slices.Sorted(maps.Keys(o.asking.news)) {
+		if len(list) == askedMost {
+			break
+		}
+		delete(o.asking.news, id)
+		state := o.admission.Asked(id)
+		list = append(list, state)
+		if len(list) <= askedLines {
+			out.note("endpoint asks", Field{"endpoint", string(id)}, Field{"limited", state.Limited}, Field{"limit_per_s", state.Rate})
+		}
+	}
+	if more := len(list) - askedLines; more > 0 {
+		out.note("endpoints ask, without a line", Field{"count", more})
+	}
+	m := &message.Envelope{View: &message.View{Asked: list}}
+	for _, id := range o.inOrder() {
+		if o.sessions[id].reads >= level.Asked {
+			out.Sends = append(out.Sends, Send{id, m})
+		}
+	}
+}
+
+// tellAskedTo tells an entry the next part of what was asked for when its session began.
+func (o *owner) tellAskedTo(id SessionID, one *session, out *Effects) {
+	n := min(len(one.asked), askedMost)
+	if n == 0 {
+		return
+	}
+	list := make([]backpressure.State, n)
+	for i, endpoint := range one.asked[:n] {
+		list[i] = o.admission.Asked(endpoint)
+	}
+	one.asked = one.asked[n:]
+	out.Sends = append(out.Sends, Send{id, &message.Envelope{View: &message.View{Asked: list}}})
+}
+
+// sharePart spends as much of endpoints' limits as belongs to the entries that are connected: the others may be
+// deciding alone, by their own parts.
+func (o *owner) sharePart(now event.Time) {
+	connected := 0
+	for _, e := range o.entries {
+		if e.session != 0 {
+			connected++
+		}
+	}
+	o.admission.SetPart(now, float64(connected)/float64(o.count(now)), &o.effects)
+}
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -50,6 +50,7 @@
 	poisonLogged bool
 	suspects     []poison.Print // as entries were last told, and their revision
 	suspectsTold uint64
+	asking       asking // endpoints
 }
 
 // forgetMost is of how many absent entries a tick takes what they had running as ended.
@@ -82,6 +83,7 @@
 	o.suspects, o.suspectsTold = o.poison.Suspects()
 	o.useForms(s)
 	o.admission = admission.New(s.settings.Limits, s.settings.Seed, o.book, o.poison)
+	o.admission.SetPart(now, 0, &o.effects) // until entries are connected
 	if s.config.table != nil {
 		o.admission.SetTable(now, s.config.table)
 	}
@@ -196,8 +198,10 @@
 	if len(fallen) > 0 {
 		o.admission.Fallen(now, fallen, &o.effects)
 	}
+	o.sharePart(now)
 	o.admission.Tick(now, &o.effects)
 	o.tellNews(s, out)
+	o.tellAsked(out)
 	o.tellSuspects(out)
 	o.tellBudgets(now, out)
 	o.raiseLevel(now, s, out)
@@ -287,6 +291,7 @@
 		delete(o.heard, id)
 		delete(o.down, id)
 		o.admission.RemoveEndpoint(now, event.EndpointID(id), &o.effects)
+		o.asking.gone(event.EndpointID(id))
 		out.note("endpoint gone", Field{"endpoint", id})
 		o.news[id] = true
 	}
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"maps"
 	"slices"
 
 	"lynxramp.org/event"
@@ -20,6 +21,7 @@
 	build string
 	told  uint64 // version of the configuration that it was told of
 	view  viewProgress
+	asked []event.EndpointID // that asked for something when it began, of which it is not told yet
 }
 
 // entry is what is known of an entry over its connections.
@@ -115,6 +117,10 @@
 	view.Suspects = &message.Suspects{List: o.suspects}
 	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
 	o.tellConfig(b.Session, one, s, out)
+	if b.Reads >= level.Asked {
+		one.asked = slices.Sorted(maps.Keys(o.asking.now))
+		o.tellAskedTo(b.Session, one, out)
+	}
 	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
 		Field{"known", ok}, Field{"new_life", newLife}, Field{"held", len(b.Hello.Held)}, Field{"level", uint8(b.Reads)}, Field{"build", b.Build})
 }
@@ -140,6 +146,7 @@
 		Lent: o.book.Lend(now, one.entry, len(o.entries)), Ends: o.endsSaved(o.entries[one.entry]),
 	}}})
 	o.sendView(p, one, s, out)
+	o.tellAskedTo(p.Session, one, out)
 }
 
 // hearWord takes what an entry tells with a question, which it does not tell again: also while
@@ -161,6 +168,7 @@
 		return
 	}
 	o.hearEnds(now, o.entries[one.entry], t.Batch)
+	o.hearWords(now, t.Batch.Heard)
 	for i := range t.Batch.Begun {
 		o.admission.Begin(now, &t.Batch.Begun[i], &o.effects)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -159,8 +159,14 @@
 	// it has served again: it gets one request at a time.
 	Down   bool
 	Unsure bool
+	// Limited says that it names a limit: it takes Limit requests a second from all boxes together.
+	Limited bool
+	Limit   float64
 }
 
+// PartChanged says which part of endpoints' limits is to be spent, 1 for all of them.
+type PartChanged struct{ Part float64 }
+
 // EndpointGone says that an endpoint has ended for good.
 type EndpointGone struct{ ID EndpointID }
 
@@ -197,6 +203,7 @@
 func (*EntryGone) IsEvent()      {}
 func (*EndpointSeen) IsEvent()   {}
 func (*EndpointGone) IsEvent()   {}
+func (*PartChanged) IsEvent()    {}
 
 // Report is a slot's regular message about its endpoint.
 type Report struct {
@@ -286,7 +293,9 @@
 	Attempt int
 	// Fresh asks for a new connection: the endpoint failed lately, and on one that was
 	// kept the request's fate would be unknown if it is dead.
-	Fresh  bool
+	Fresh bool
+	// Paced says that whoever decided knew of the limits that the endpoint names, or that they are over.
+	Paced  bool
 	Inputs Inputs
 	// Attach, if set, is the dispatch whose answer there is to be fetched:
 	// nothing is offered.
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/link"
 	"lynxramp.org/message"
@@ -96,6 +97,11 @@
 	a.input <- func(now event.Time) { a.client.ended(now, e) }
 }
 
+// Heard says what an endpoint asked for in an answer.
+func (a *Agent) Heard(h backpressure.Heard) {
+	a.input <- func(now event.Time) { a.client.heard(now, h) }
+}
+
 // SetControl takes other addresses of control boxes.
 func (a *Agent) SetControl(control []string) {
 	a.input <- func(event.Time) { a.client.Know(control) }
@@ -168,7 +174,11 @@
 	var owner message.Peer
 	conn.SetForms(owner.Asking())
 	err = conn.Serve(func(m *message.Envelope) {
-		a.input <- func(now event.Time) { a.client.Received(now, one, m) }
+		reads := owner.Reads()
+		a.input <- func(now event.Time) {
+			a.client.reads = reads
+			a.client.Received(now, one, m)
+		}
 	})
 	a.input <- func(now event.Time) {
 		delete(a.links, one)
--- a/gateway/asked.go
+++ b/gateway/asked.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"lynxramp.org/backpressure"
+	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/level"
 )
 
 // This file is how a call takes what an endpoint asks for in its answer.
@@ -29,17 +32,41 @@
 				zap.String("request", c.callerID), logx.Err(err))
 		}
 	}
-	if !w.Asks() {
+	endpoint := a.decision.Endpoint
+	if !w.Asks() && !g.agent.client.gate.Knows(endpoint) {
 		return
 	}
+	now := g.agent.clock.Now()
+	isNew := g.agent.client.gate.Hear(now, now.Add(-time.Since(a.sent)), endpoint, w)
+	g.agent.Heard(backpressure.Heard{Endpoint: endpoint, Request: c.id, Word: w})
 	g.countWord(w)
-	fields := append(wordFields(w), zap.String("endpoint", string(a.decision.Endpoint)), zap.Int("answered", r.StatusCode))
-	c.note(stepAsked, fields...)
-	if g.wordBudget.Allow(time.Now(), 1) {
+	fields := append(wordFields(w), zap.String("endpoint", string(endpoint)), zap.Int("answered", r.StatusCode))
+	if w.Asks() {
+		c.note(stepAsked, fields...)
+	}
+	if isNew && g.wordBudget.Allow(time.Now(), 1) {
 		g.log.With(zap.String("request", c.callerID)).Info(stepAsked, fields...)
 	}
 }
 
+// stops reports whether a grant must not be used, and why: the endpoint asked for less than whoever gave it knew.
+func (c *call) stops(d Decision) backpressure.Stopped {
+	gate := &c.gateway.agent.client.gate
+	if !gate.IsAsked() {
+		return backpressure.StoppedNot
+	}
+	return gate.Stops(c.gateway.agent.clock.Now(), d.Endpoint, d.Permit)
+}
+
+// stopped takes note that a grant is not used, and tells who gave it why.
+func (c *call) stopped(a *attempt, why backpressure.Stopped) {
+	agent := c.gateway.agent
+	a.outcome, a.untried = outcomeStopped, true
+	a.err = errors.Errorf("stopped by what the endpoint asks for: %s", why)
+	c.gateway.meters.stopped(why)
+	agent.Heard(agent.client.gate.Belief(agent.clock.Now(), a.decision.Endpoint))
+}
+
 func (g *Gateway) countWord(w backpressure.Word) {
 	if w.Limited {
 		g.meters.asked("limit")
@@ -65,3 +92,59 @@
 	}
 	return fields
 }
+
+// This part is the agent's side.
+
+// toldMost bounds what a new owner is told at once: 16 kB.
+const toldMost = 400
+
+// gateSweep is how often what is known of endpoints that are gone is looked for.
+const gateSweep = 5 * event.Second
+
+// permit returns what a grant rests on.
+func (a *OwnerClient) permit(g *event.Granted, alone bool) backpressure.Permit {
+	switch {
+	case g.Paced:
+		return backpressure.PermitPaced
+	case !alone && a.reads < level.Asked:
+		return backpressure.PermitBlind
+	default:
+		return backpressure.PermitPlain
+	}
+}
+
+// heard takes what an endpoint asked for in an answer, or what a grant's owner did not know.
+func (a *OwnerClient) heard(now event.Time, h backpressure.Heard) {
+	if a.owned && a.reads >= level.Asked {
+		a.batch.Heard = append(a.batch.Heard, h)
+	}
+	if a.alone != nil {
+		a.alone.Hear(now, &h, &a.effects)
+	}
+}
+
+// tellAsked tells a new owner what was heard lately.
+func (a *OwnerClient) tellAsked(now event.Time) {
+	if a.reads >= level.Asked {
+		a.batch.Heard = a.gate.Own(now, toldMost)
+	}
+}
+
+// seeAsked takes what an owner believes that endpoints ask for.
+func (a *OwnerClient) seeAsked(now event.Time, list []backpressure.State) {
+	for _, s := range list {
+		a.gate.Learn(now, s)
+	}
+}
+
+// sweepGate forgets what endpoints asked for that are gone.
+func (a *OwnerClient) sweepGate(now event.Time) {
+	if now < a.sweepAt {
+		return
+	}
+	a.sweepAt = now.Add(gateSweep)
+	a.gate.Sweep(now, func(id event.EndpointID) bool {
+		_, ok := a.endpoints[id]
+		return ok
+	})
+}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"lynxramp.org/backpressure"
 )
 
 // meters are the gateway's figures; docs/METRICS.md lists them.
@@ -65,6 +67,11 @@
 	m.set.GetOrCreateCounter(`lynxramp_gateway_endpoint_words_total{word="` + what + `"}`).Inc()
 }
 
+// stopped counts a grant that was not used.
+func (m *meters) stopped(why backpressure.Stopped) {
+	m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`).Inc()
+}
+
 // decided takes how long a request waited for its decision, and who decided.
 func (m *meters) decided(since time.Time, alone bool) {
 	by := "owner"
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -11,8 +11,10 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/admission"
+	"lynxramp.org/backpressure"
 	"lynxramp.org/budget"
 	"lynxramp.org/event"
+	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/poison"
 	"lynxramp.org/routing"
@@ -39,6 +41,8 @@
 	RetryAfter event.Span
 	// Fresh asks for a new connection to the endpoint.
 	Fresh bool
+	// Permit is what the grant rests on where the endpoint names a limit.
+	Permit backpressure.Permit
 	// Alone says that the entry decided without an owner.
 	Alone bool
 	// Inputs are what decided.
@@ -123,9 +127,13 @@
 	alone    *admission.State // nil while there is an owner
 	// alonePoison is what alone knows of requests that end endpoints.
 	alonePoison *poison.Book
-	batch       message.Batch
-	effects     event.Effects
-	out         ClientEffects
+	// gate has what endpoints ask for, for the calls too.
+	gate    backpressure.Gate
+	sweepAt event.Time  // of gate
+	reads   level.Level // what the owner reads
+	batch   message.Batch
+	effects event.Effects
+	out     ClientEffects
 }
 
 // waiter is a request without a decision.
@@ -281,7 +289,7 @@
 		}
 		delete(a.waiting, g.ID)
 		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint, Print: w.submission.Print}
-		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Fresh: g.Fresh, Alone: alone, Inputs: g.Inputs}
+		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, Fresh: g.Fresh, Permit: a.permit(&g, alone), Alone: alone, Inputs: g.Inputs}
 	}
 	for _, r := range refusals {
 		w, ok := a.waiting[r.ID]
@@ -311,7 +319,7 @@
 
 // flush sends what was gathered.
 func (a *OwnerClient) flush() {
-	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Begun)+len(a.batch.Finish)+len(a.batch.Ends)+len(a.batch.Well) == 0 {
+	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Begun)+len(a.batch.Finish)+len(a.batch.Ends)+len(a.batch.Well)+len(a.batch.Heard) == 0 {
 		return
 	}
 	if a.link != 0 {
@@ -337,6 +345,7 @@
 		a.alone.Tick(now, &a.effects)
 		a.logSuspicions()
 	}
+	a.sweepGate(now)
 	a.settle(now)
 }
 
@@ -352,12 +361,16 @@
 	entries := int(a.pace.Load())
 	a.alonePoison = poison.NewAlone(a.suspects)
 	a.alone = admission.New(a.config.Limits, a.config.Life, &a.lent, a.alonePoison)
+	a.alone.SetPart(now, 1/float64(entries), &a.effects)
 	a.alone.SetTable(now, a.table.Load())
 	for _, id := range slices.Sorted(maps.Keys(a.endpoints)) {
 		e := a.endpoints[id]
 		e.Slots = max(1, (e.Slots+entries-1)/entries)
 		a.alone.SetEndpoint(now, e, &a.effects)
 	}
+	for _, s := range a.gate.States() {
+		a.alone.Learn(now, s, &a.effects)
+	}
 	for _, one := range a.ends {
 		a.alone.Ended(now, []poison.End{one.end}, &a.effects)
 	}
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -164,6 +164,7 @@
 	a.alone = nil
 	a.unasked = a.inOrder()
 	a.tellEnds(now)
+	a.tellAsked(now)
 	a.log.Info("owner found", zap.String("address", a.address), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.pace.Load())))
 }
 
@@ -201,6 +202,7 @@
 		a.seeSigns()
 	}
 	a.seeSilent(v.Silent)
+	a.seeAsked(now, v.Asked)
 	if v.More {
 		a.ask(now)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/message"
@@ -36,6 +37,8 @@
 const (
 	// outcomeDone: the caller has its answer, or is gone.
 	outcomeDone outcome = iota
+	// outcomeStopped: the endpoint asked for less than whoever decided knew.
+	outcomeStopped
 	// outcomeNotSent: not a byte left for the endpoint.
 	outcomeNotSent
 	// outcomeNotRun: the endpoint says that it has not run the request.
@@ -53,6 +56,8 @@
 	switch o {
 	case outcomeDone:
 		return "done"
+	case outcomeStopped:
+		return "stopped"
 	case outcomeNotSent:
 		return "not_sent"
 	case outcomeNotRun:
@@ -83,6 +88,9 @@
 	isFramed bool
 }
 
+// wasSent reports whether the endpoint may have had the request.
+func (a *attempt) wasSent() bool { return a.outcome != outcomeStopped && a.outcome != outcomeNotSent }
+
 // ran returns what the attempt told of its request.
 func (a *attempt) ran() message.Ran {
 	switch {
@@ -106,7 +114,7 @@
 func (c *call) run() {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.left())
 	defer cancel()
-	unsent := 0
+	unsent, stopped := 0, 0
 	repeat := false
 	var last *attempt
 	for {
@@ -121,15 +129,23 @@
 			c.gone()
 			return
 		}
-		last = a
-		if a.outcome != outcomeNotSent && a.outcome != outcomeNotRun {
+		if last == nil || a.wasSent() {
+			last = a
+		}
+		if a.wasSent() && a.outcome != outcomeNotRun {
 			c.mayHaveRun = true
 		}
+		if a.outcome == outcomeStopped {
+			// Whoever decided knows better now, unless it is of a build that knows nothing of it.
+			if stopped++; stopped == 1 {
+				continue
+			}
+		}
 		c.avoid = append(c.avoid, decision.Endpoint)
 		switch a.outcome {
 		case outcomeDone:
 			return
-		case outcomeNotSent:
+		case outcomeStopped, outcomeNotSent:
 			unsent++
 			if unsent >= unsentTries && c.giveUp(last) {
 				return
@@ -176,7 +192,7 @@
 		c.note(stepRefused, zap.Stringer("reason", d.Reason), zap.Bool("alone", d.Alone), zap.Duration("retry_after", d.RetryAfter),
 			zap.Int("ahead", d.Inputs.Ahead), zap.Duration("expected_wait", d.Inputs.Wait),
 			zap.Int("spent", d.Inputs.Spent), zap.Int("limit", d.Inputs.Limit))
-		if last != nil && last.outcome != outcomeNotSent {
+		if last != nil && last.wasSent() {
 			c.giveUp(last)
 			return d, false
 		}
@@ -188,7 +204,7 @@
 			c.gone()
 			return Decision{}, false
 		}
-		if last != nil && last.outcome != outcomeNotSent {
+		if last != nil && last.wasSent() {
 			c.giveUp(last)
 			return Decision{}, false
 		}
@@ -233,7 +249,7 @@
 	switch {
 	case c.begun:
 		c.cut("the endpoint's answer was lost", a.err)
-	case a.outcome == outcomeNotSent:
+	case !a.wasSent():
 		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint was reached")
 	case a.outcome == outcomeNotRun:
 		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint took the request")
@@ -281,11 +297,11 @@
 	f := message.Finish{
 		Finished: event.Finished{
 			ID: c.id, Pool: c.service, Tokens: a.tokens, Failed: failed,
-			Void:       a.outcome == outcomeNotSent || a.outcome == outcomeNotRun,
+			Void: !a.wasSent() || a.outcome == outcomeNotRun, Unused: a.outcome == outcomeStopped,
 			FirstAfter: a.first, TokenGap: a.gap,
 		},
 		Endpoint: a.decision.Endpoint,
-		Unsent:   a.outcome == outcomeNotSent,
+		Unsent:   !a.wasSent(),
 		Suspect:  (a.outcome == outcomeNotSent && !a.untried) || (a.outcome == outcomeUnknown && a.first == 0),
 	}
 	f.Print, f.Ran = c.print, a.ran()
@@ -310,12 +326,21 @@
 		a.err, a.untried = err, true
 		return a
 	}
+	if why := c.stops(d); why != backpressure.StoppedNot {
+		c.stopped(a, why)
+		return a
+	}
 	began := time.Now()
 	conn, err := c.gateway.upstream.get(ctx, d.Address, string(d.Endpoint), d.Fresh)
 	if err != nil {
 		a.err = err
 		return a
 	}
+	if why := c.stops(d); why != backpressure.StoppedNot {
+		_ = conn.Close() // it was opened while the word came
+		c.stopped(a, why)
+		return a
+	}
 	a.sent, a.attempt = time.Now(), c.attempts
 	c.attempts++
 	c.note(stepDispatched, zap.String("endpoint", string(d.Endpoint)), zap.String("address", d.Address),
--- a/level/level.go
+++ b/level/level.go
@@ -27,10 +27,12 @@
 	Told
 	// Starts: ids of endpoints tell their starts apart.
 	Starts
+	// Asked: entries tell what endpoints ask for in their answers, and owners tell all entries.
+	Asked
 )
 
 // Newest is the level that this build reads.
-const Newest = Starts
+const Newest = Asked
 
 // Readers says who must read a form.
 type Readers uint8
@@ -57,7 +59,8 @@
 	{Parts, Members | Entries, "configurations, snapshots and messages of the log in parts; records of some budgets; configurations as a tree", "d279456"},
 	{Suspects, Members, "records of requests that end endpoints", "585ddf2"},
 	{Told, Members, "levels: at the beginning of a connection, in the log and in snapshots", "cf9622c"},
-	{Starts, Members | Entries, "words of endpoints that tell when they started; ids with that, of which requests carry the name alone; endpoints listed by column", ""},
+	{Starts, Members | Entries, "words of endpoints that tell when they started; ids with that, of which requests carry the name alone; endpoints listed by column", "4538dad"},
+	{Asked, Members, "what endpoints ask for in their answers: told to the owner, and by it to each entry that reads it", ""},
 }
 
 // ReadBy reports whether some readers must read a form above a level and up to another: then the group may
--- a/message/forms.go
+++ b/message/forms.go
@@ -36,6 +36,7 @@
 	level level.Level
 	field string
 }{
+	{level.Asked, "\x05Asked"},
 	{level.Told, "\x05Level"},
 	{level.Suspects, "\x05Print"},
 	{level.Parts, "\x04Want"},
--- a/message/message.go
+++ b/message/message.go
@@ -6,6 +6,7 @@
 package message
 
 import (
+	"lynxramp.org/backpressure"
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
@@ -130,6 +131,8 @@
 	Signs   bool
 	Silent  []event.EndpointID
 	Members []string
+	// Asked is what endpoints ask for, of those of whom that changed. It is sent to entries that read level.Asked.
+	Asked []backpressure.State
 	// Suspects has the requests, if it is set, that must not run without an owner.
 	Suspects *Suspects
 }
@@ -166,6 +169,8 @@
 	Withdraw []Withdrawal
 	Begun    []event.Begun
 	Finish   []Finish
+	// Heard has what endpoints asked for in answers. It is sent to owners that read level.Asked.
+	Heard []backpressure.Heard
 	// Ends are told again in each session until a Pong says that they are in the log.
 	Ends []poison.End
 	// Well has the requests of which a run ended well while no owner was told.
@@ -229,9 +234,10 @@
 	runningSize = 120
 )
 
-// About how long a word on a request, an endpoint's id and a print are as gob, in bytes.
+// About how long a word on a request, what an endpoint asks for, its id and a print are as gob, in bytes.
 const (
 	wordBytes  = 150
+	askedBytes = 40
 	idBytes    = 12
 	printBytes = 18
 )
@@ -256,11 +262,11 @@
 		size += holdingSize * len(e.Pong.Lent.UpTo)
 	case e.Batch != nil:
 		b := e.Batch
-		size += (len(b.Submit)+len(b.Withdraw)+len(b.Begun)+len(b.Finish)+len(b.Ends))*wordBytes + len(b.Well)*printBytes
+		size += (len(b.Submit)+len(b.Withdraw)+len(b.Begun)+len(b.Finish)+len(b.Ends))*wordBytes + len(b.Heard)*askedBytes + len(b.Well)*printBytes
 	case e.Decisions != nil:
 		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * wordBytes
 	case e.View != nil:
-		size += len(e.View.Document) + len(e.View.Endpoints) + len(e.View.Listed) + (len(e.View.Gone)+len(e.View.Silent))*idBytes
+		size += len(e.View.Document) + len(e.View.Endpoints) + len(e.View.Listed) + (len(e.View.Gone)+len(e.View.Silent))*idBytes + len(e.View.Asked)*askedBytes
 		if s := e.View.Suspects; s != nil {
 			size += len(s.List) * printBytes
 		}
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -21,6 +21,7 @@
 	e.unsure = seen.Unsure
 	e.reported = true
 	e.heard = always
+	s.setLimit(now, e, seen)
 	s.refresh(now, e)
 	if e.Concurrency > 0 && e.serves(now) {
 		s.fastest = max(s.fastest, e.speed())
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -24,6 +24,7 @@
 	listed   bool // as leaving, by the platform
 	reported bool
 	unsure   bool // it failed lately
+	limit    limit
 	inflight int
 	// leftUntil is when it may be granted work again.
 	leftUntil event.Time
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -96,7 +96,7 @@
 		}
 		lower += drained
 	}
-	places := float64(s.places)
+	places := float64(s.places) / thousandths
 	left := places
 	if all > 0 {
 		left = places * max(lower/all, leastLeft)
--- /dev/null
+++ b/sched/limit.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"lynxramp.org/backpressure"
+	"lynxramp.org/event"
+)
+
+// This file is how a pool spends the limits that endpoints name: requests a second, beside the places that bound
+// how many run at once. The load that it answers is an endpoint in need: what it can't take waits here or goes
+// to others, and the forecast counts the endpoint as the places that its limit keeps busy.
+
+// limit is what an endpoint takes of requests. The zero limit is none.
+type limit struct {
+	isSet bool
+	// wasSet says that a limit was in force since the endpoint is known: what was decided since then, was
+	// decided by one who knows of it.
+	wasSet bool
+	rate   float64 // a second, from all boxes
+	pacer  backpressure.Pacer
+}
+
+// setLimit takes the limit that an endpoint names, of which this pool spends its part.
+func (s *State) setLimit(now event.Time, e *endpoint, seen *event.EndpointSeen) {
+	l := &e.limit
+	if seen.Limited && !l.isSet {
+		l.pacer = backpressure.Pacer{} // what is not known to be unspent is taken for spent
+	}
+	l.isSet, l.rate = seen.Limited, seen.Limit
+	if l.isSet {
+		l.wasSet = true
+		l.pacer.Set(now, l.rate, s.part)
+	}
+}
+
+// SetPart takes which part of endpoints' limits the pool spends.
+func (s *State) SetPart(now event.Time, part float64) {
+	if part == s.part {
+		return
+	}
+	s.part = part
+	for _, e := range s.endpoints {
+		if e.limit.isSet {
+			e.limit.pacer.Set(now, e.limit.rate, part)
+			s.refresh(now, e)
+		}
+	}
+}
+
+// spend spends a request of an endpoint's limit.
+func (l *limit) spend(now event.Time) {
+	if l.isSet {
+		l.pacer.Take(now)
+	}
+}
+
+// giveBack takes back what a grant spent that was not used.
+func (g *grant) giveBack() {
+	if l := &g.endpoint.limit; l.isSet && g.paced {
+		l.pacer.GiveBack()
+	}
+}
+
+// thousandths is in how many parts the places of a pool are counted.
+const thousandths = 1000
+
+// usualHold is how long a request is taken to hold its place until some have ended, in seconds.
+const usualHold = 1.0
+
+// limitedPlaces returns how many places, in thousandths, a limit keeps busy.
+func (s *State) limitedPlaces(l *limit) int {
+	hold := usualHold
+	if s.held.samples >= holdingSamples {
+		hold = s.held.mean
+	}
+	return max(1, int(l.pacer.Rate()*hold*thousandths))
+}
--- /dev/null
+++ b/sched/limit_test.go
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"testing"
+
+	"lynxramp.org/event"
+)
+
+// TestLimitsOfAllEndpointsAreForecast: where all endpoints name a limit, what they can't take in time is refused
+// early, with when to come back, and what they can is served.
+func TestLimitsOfAllEndpointsAreForecast(t *testing.T) {
+	s := discovered(3, 10)
+	var out event.Effects
+	for i := range s.endpoints {
+		e := s.endpoints[i].Endpoint
+		s.Step(0, &event.EndpointSeen{Endpoint: e, Address: "10.0.0.1:80", Limited: true, Limit: 2}, &out)
+	}
+	granted, refused, late := 0, 0, 0
+	asked := make(map[event.RequestID]event.Time)
+	const length = 20 * event.Second
+	for now, id := event.Time(0), 0; now < event.Time(length); now = now.Add(20 * event.Millisecond) {
+		out.Reset()
+		one := call(id, func(k *event.Ticket) { k.Patience = 500 * event.Millisecond })
+		asked[one.Ticket.ID] = now
+		s.Step(now, one, &out)
+		id++
+		s.Step(now, &event.Tick{}, &out)
+		for _, g := range out.Grants {
+			granted++
+			if !g.Paced {
+				t.Fatal("a grant of a limited endpoint is not spent from its limit")
+			}
+			s.Step(now, &event.Finished{ID: g.ID, Tokens: 50}, &out)
+		}
+		for _, r := range out.Refusals {
+			refused++
+			if r.RetryAfter < MinRetryAfter {
+				t.Errorf("refused with %v", r.RetryAfter)
+			}
+			if now.Sub(asked[r.ID]) > 600*event.Millisecond {
+				late++
+			}
+		}
+	}
+	if granted < 115 || granted > 125 {
+		t.Errorf("%d granted in 20 s of 6 a second", granted)
+	}
+	if late > 0 || refused < 850 {
+		t.Errorf("%d refused, %d of them late", refused, late)
+	}
+}
+
+// TestUnusedGrantIsGivenBackToItsLimit: an endpoint that takes a request each ten seconds loses none to a caller
+// that left.
+func TestUnusedGrantIsGivenBackToItsLimit(t *testing.T) {
+	s := discovered(1, 10)
+	var out event.Effects
+	seen := &event.EndpointSeen{Endpoint: s.endpoints[0].Endpoint, Address: "10.0.0.1:80", Limited: true, Limit: 0.1}
+	s.Step(0, seen, &out)
+	now := event.Time(11 * event.Second)
+	s.Step(now, &event.Tick{}, &out)
+	for i := range 3 {
+		out.Reset()
+		s.Step(now, call(i, nil), &out)
+		if len(out.Grants) != 1 {
+			t.Fatalf("request %d: %d grants", i, len(out.Grants))
+		}
+		s.Step(now, &event.Finished{ID: out.Grants[0].ID, Void: true, Unused: true}, &out)
+	}
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -66,7 +66,9 @@
 		call:     k.OutputTokens == 0,
 		prompt:   k.PromptTokens - est.cached,
 		fill:     est.work,
+		paced:    e.limit.wasSet,
 	}
+	e.limit.spend(now)
 	s.prefix.add(e, k.Prefix)
 	switch {
 	case !s.pool.Discovered:
@@ -93,6 +95,7 @@
 		Incarnation: g.life,
 		Attempt:     g.attempt,
 		Fresh:       g.endpoint.unsure,
+		Paced:       g.paced,
 	}
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -80,6 +80,7 @@
 	prompt   int     // tokens to be read
 	fill     float64 // work of reading them, seconds at speed 1
 	alone    bool    // no other prompt was to be read before it
+	paced    bool    // by one who knows of the endpoint's limits
 }
 
 // State is the scheduler of one pool. It is not safe for concurrent use.
@@ -98,7 +99,9 @@
 	views     []view    // of the endpoints, in their order
 	prefill   prefillFit
 	fastest   float64 // speed of the fastest that serves, 0 if none does
-	places    int     // of all that serve
+	places    int     // of all that serve, in thousandths
+	part      float64 // of endpoints' limits that this pool spends
+	held      holding // of places, by all requests
 	prefix    prefixIndex
 	lengths   map[string]*answerLength // by service
 	refused   map[Group]int            // since this owner began
@@ -121,6 +124,7 @@
 		lengths: make(map[string]*answerLength),
 		refused: make(map[Group]int),
 		classes: make(classes),
+		part:    1,
 	}
 	s.setPool(now, pool)
 	return s
@@ -152,6 +156,8 @@
 		s.dropEntry(now, e.Entry)
 	case *event.EndpointSeen:
 		s.seeEndpoint(now, e)
+	case *event.PartChanged:
+		s.SetPart(now, e.Part)
 	case *event.EndpointGone:
 		s.removeEndpoint(now, e.ID)
 	case *event.PlatformListed:
@@ -298,6 +304,9 @@
 	if k, ok := s.queue.byID[e.ID]; ok {
 		s.queue.remove(k)
 	}
+	if g, ok := s.grants[e.ID]; ok {
+		g.giveBack()
+	}
 	s.release(now, e.ID)
 }
 
@@ -312,7 +321,9 @@
 // for a while.
 func (s *State) finish(now event.Time, e *event.Finished) {
 	if g, ok := s.grants[e.ID]; ok {
-		if e.Void && !e.Unused {
+		if e.Unused {
+			g.giveBack()
+		} else if e.Void {
 			g.endpoint.leftUntil = now.Add(HoldOff)
 		}
 		if !e.Failed && !e.Void {
@@ -321,6 +332,7 @@
 		s.measure(now, g, e)
 		if !e.Void {
 			s.classes.at(g.asked).held.learn(now.Sub(g.at))
+			s.held.learn(now.Sub(g.at))
 		}
 	}
 	s.release(now, e.ID)
--- a/sched/view.go
+++ b/sched/view.go
@@ -21,7 +21,7 @@
 	readUntil           event.Time // by plan, where beginnings are not told
 	free                int        // places for the highest tier; 0 if it does not serve
 	reserve             int        // of these, not for lower tiers
-	places              int        // in all; 0 if it does not serve
+	places              int        // in all, in thousandths; 0 if it does not serve
 	dataCentre          string
 }
 
@@ -36,7 +36,11 @@
 	}
 	if e.Concurrency > 0 && e.serves(now) {
 		v.free = max(0, e.room()-e.inflight)
-		v.places = e.room()
+		v.places = e.room() * thousandths
+		if e.limit.isSet {
+			v.free = min(v.free, e.limit.pacer.Room(now))
+			v.places = min(v.places, s.limitedPlaces(&e.limit))
+		}
 		s.places += v.places
 		if !s.pool.Discovered {
 			v.reserve = e.Concurrency / reservePart
