--- a/admission/state.go
+++ b/admission/state.go
@@ -74,6 +74,9 @@
 	failures     int
 }
 
+// isLeaving reports whether an endpoint takes nothing new, by what it registers or by its answers.
+func (k *known) isLeaving() bool { return k.Leaving || k.asked.Leaving }
+
 // New returns a State that knows nothing yet, spends out of a budget and runs no request that a
 // book holds off.
 func New(limits Limits, seed uint64, b Budget, p *poison.Book) *State {
@@ -142,7 +145,7 @@
 func (s *State) tell(now event.Time, k *known, out *event.Effects) {
 	s.step(now, s.service(now, k.Service), &event.EndpointSeen{
 		Endpoint: event.Endpoint{
-			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Leaving: k.Leaving, DataCentre: k.DataCentre,
+			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Leaving: k.isLeaving(), DataCentre: k.DataCentre,
 		},
 		Address: k.Address,
 		Down:    k.Down || now < k.suspectUntil,
@@ -242,7 +245,7 @@
 // work.
 func (s *State) hasAnother(now event.Time, k *known) bool {
 	for _, other := range s.endpoints {
-		if other != k && other.Service == k.Service && !other.Down && !other.Leaving && now >= other.suspectUntil {
+		if other != k && other.Service == k.Service && !other.Down && !other.isLeaving() && now >= other.suspectUntil {
 			return true
 		}
 	}
--- a/backpressure/asked.go
+++ b/backpressure/asked.go
@@ -10,6 +10,8 @@
 	// Limited says that it names a limit, Rate in requests a second from all boxes together.
 	Limited bool
 	Rate    float64
+	// Leaving says that it takes nothing new. A start that said so never takes it back.
+	Leaving bool
 	// limitAt is when it was last heard to name a limit.
 	limitAt event.Time
 }
@@ -19,6 +21,7 @@
 // raised or over only by the answer to a request that was sent after it was last named.
 func (a *Asked) Hear(now, sent event.Time, w Word) bool {
 	before := *a
+	a.Leaving = a.Leaving || w.Leaving
 	isLater := sent > a.limitAt
 	switch {
 	case w.Unread:
@@ -30,22 +33,26 @@
 	case a.Limited && isLater:
 		a.Limited, a.Rate = false, 0
 	}
-	return a.Limited != before.Limited || a.Rate != before.Rate
+	return a.differs(before)
 }
 
 // Learn takes what another box believes, and reports whether that is new.
 func (a *Asked) Learn(now event.Time, s State) bool {
 	before := *a
-	a.Limited, a.Rate = s.Limited, s.Rate
+	a.Limited, a.Rate, a.Leaving = s.Limited, s.Rate, a.Leaving || s.Leaving
 	if s.Limited {
 		a.limitAt = now
 	}
-	return a.Limited != before.Limited || a.Rate != before.Rate
+	return a.differs(before)
+}
+
+func (a *Asked) differs(b Asked) bool {
+	return a.Limited != b.Limited || a.Rate != b.Rate || a.Leaving != b.Leaving
 }
 
 // State returns what is believed as it is told to others.
 func (a *Asked) State(endpoint event.EndpointID) State {
-	return State{Endpoint: endpoint, Limited: a.Limited, Rate: a.Rate}
+	return State{Endpoint: endpoint, Limited: a.Limited, Rate: a.Rate, Leaving: a.Leaving}
 }
 
 // State is what is believed of an endpoint, as boxes tell each other. One that asks for nothing says that what
@@ -54,10 +61,11 @@
 	Endpoint event.EndpointID
 	Limited  bool
 	Rate     float64 // requests a second
+	Leaving  bool
 }
 
 // Asks reports whether the endpoint asks for anything.
-func (s State) Asks() bool { return s.Limited }
+func (s State) Asks() bool { return s.Limited || s.Leaving }
 
 // Heard is a word with the answer that had it.
 type Heard struct {
--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -123,3 +123,20 @@
 		t.Error("an endpoint that is gone is never forgotten")
 	}
 }
+
+// TestLeavingIsNeverTakenBack: neither a later answer nor an owner that has not heard it makes a leaving endpoint
+// ready again.
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	var g Gate
+	g.Hear(1, 1, "e", Word{Leaving: true})
+	g.Hear(5, 4, "e", Word{})
+	g.Learn(6, State{Endpoint: "e"})
+	for _, p := range []Permit{PermitPlain, PermitPaced, PermitBlind} {
+		if g.Stops(7, "e", p) != StoppedByLeaving {
+			t.Errorf("permit %d: a leaving endpoint is sent a request", p)
+		}
+	}
+	if own := g.Own(7, 10); len(own) != 1 || !own[0].Word.Leaving {
+		t.Errorf("a new owner is told %+v", own)
+	}
+}
--- a/backpressure/gate.go
+++ b/backpressure/gate.go
@@ -17,7 +17,7 @@
 	trickleEvery = 10 * event.Second
 	// forgetAfter is how long what an endpoint asked for is kept after the endpoint was last known to be there.
 	forgetAfter = 60 * event.Second
-	// ownFor is how long a limit that the entry heard by itself is told to new owners.
+	// ownFor is how long what the entry heard by itself is told to new owners.
 	ownFor = 10 * event.Second
 )
 
@@ -45,7 +45,7 @@
 // gated is what an entry keeps of an endpoint.
 type gated struct {
 	Asked
-	ownAt  event.Time // when the entry itself last heard it name a limit; 0 for never
+	ownAt  event.Time // when the entry itself last heard it ask for something; 0 for never
 	letAt  event.Time // when it was last sent a request by a blind grant
 	seenAt event.Time // when it was last known to be there
 }
@@ -70,7 +70,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	one := g.at(now, endpoint)
-	if w.Limited {
+	if w.Limited || w.Leaving {
 		one.ownAt = now
 	}
 	return one.Hear(now, sent, w)
@@ -104,6 +104,8 @@
 	StoppedNot Stopped = iota
 	// StoppedByLimit: the endpoint names a limit, and the request is not spent from it.
 	StoppedByLimit
+	// StoppedByLeaving: the endpoint is leaving.
+	StoppedByLeaving
 )
 
 // String returns the reason as logs have it.
@@ -111,6 +113,8 @@
 	switch s {
 	case StoppedByLimit:
 		return "limit"
+	case StoppedByLeaving:
+		return "leaving"
 	default:
 		return "not"
 	}
@@ -127,7 +131,10 @@
 	if !ok {
 		return StoppedNot
 	}
-	if one.Limited && p != PermitPaced && !one.trickles(now, p) {
+	switch {
+	case one.Leaving:
+		return StoppedByLeaving
+	case one.Limited && p != PermitPaced && !one.trickles(now, p):
 		return StoppedByLimit
 	}
 	return StoppedNot
@@ -154,7 +161,7 @@
 }
 
 func (one *gated) heard(now event.Time, endpoint event.EndpointID) Heard {
-	return Heard{Endpoint: endpoint, Word: Word{Limited: one.Limited, Rate: one.Rate, Unread: !one.Limited}}
+	return Heard{Endpoint: endpoint, Word: Word{Limited: one.Limited, Rate: one.Rate, Unread: !one.Limited, Leaving: one.Leaving}}
 }
 
 // Own returns what a new owner is told: what the entry heard lately by itself, up to a number of endpoints. Of
@@ -176,7 +183,7 @@
 }
 
 func (one *gated) isOwn(now event.Time) bool {
-	return one.Limited && one.ownAt != 0 && now.Sub(one.ownAt) < ownFor
+	return (one.Limited || one.Leaving) && one.ownAt != 0 && now.Sub(one.ownAt) < ownFor
 }
 
 // States returns what is believed of all endpoints, by id.
--- a/cluster/asked.go
+++ b/cluster/asked.go
@@ -72,7 +72,7 @@
 		state := o.admission.Asked(id)
 		list = append(list, state)
 		if len(list) <= askedLines {
-			out.note("endpoint asks", Field{"endpoint", string(id)}, Field{"limited", state.Limited}, Field{"limit_per_s", state.Rate})
+			out.note("endpoint asks", Field{"endpoint", string(id)}, Field{"limited", state.Limited}, Field{"limit_per_s", state.Rate}, Field{"leaving", state.Leaving})
 		}
 	}
 	if more := len(list) - askedLines; more > 0 {
