--- a/admission/asked.go
+++ b/admission/asked.go
@@ -9,9 +9,13 @@
 
 // This file is how what endpoints ask for in their answers reaches the pools.
 
-// Hear takes a word of an endpoint and reports whether it changed what is believed.
-func (s *State) Hear(now event.Time, h *backpressure.Heard, out *event.Effects) bool {
+// Hear takes a word of an endpoint that an entry heard, and reports whether it changed what is believed of the
+// endpoint for all entries.
+func (s *State) Hear(now event.Time, entry event.BoxID, h *backpressure.Heard, out *event.Effects) bool {
 	k, ok := s.endpoints[h.Endpoint]
+	if ok && h.Word.Rest > 0 {
+		s.step(now, s.service(now, k.Service), &event.Rested{Entry: entry, Endpoint: h.Endpoint, For: h.Word.Rest}, out)
+	}
 	if !ok || !k.asked.Hear(now, s.sentAt(h.Request), h.Word) {
 		return false
 	}
--- a/backpressure/gate.go
+++ b/backpressure/gate.go
@@ -46,6 +46,7 @@
 type gated struct {
 	Asked
 	ownAt  event.Time // when the entry itself last heard it ask for something; 0 for never
+	restTo event.Time // until when it wants nothing from this entry
 	letAt  event.Time // when it was last sent a request by a blind grant
 	seenAt event.Time // when it was last known to be there
 }
@@ -73,7 +74,12 @@
 	if w.Limited || w.Leaving {
 		one.ownAt = now
 	}
-	return one.Hear(now, sent, w)
+	isNew := one.Hear(now, sent, w)
+	if until := now.Add(w.Rest); w.Rest > 0 && until > one.restTo {
+		isNew = isNew || now >= one.restTo
+		one.restTo = until
+	}
+	return isNew
 }
 
 func (g *Gate) at(now event.Time, endpoint event.EndpointID) *gated {
@@ -106,6 +112,8 @@
 	StoppedByLimit
 	// StoppedByLeaving: the endpoint is leaving.
 	StoppedByLeaving
+	// StoppedByRest: the endpoint wants nothing of this entry for a while.
+	StoppedByRest
 )
 
 // String returns the reason as logs have it.
@@ -115,6 +123,8 @@
 		return "limit"
 	case StoppedByLeaving:
 		return "leaving"
+	case StoppedByRest:
+		return "rest"
 	default:
 		return "not"
 	}
@@ -134,6 +144,8 @@
 	switch {
 	case one.Leaving:
 		return StoppedByLeaving
+	case now < one.restTo:
+		return StoppedByRest
 	case one.Limited && p != PermitPaced && !one.trickles(now, p):
 		return StoppedByLimit
 	}
@@ -161,7 +173,7 @@
 }
 
 func (one *gated) heard(now event.Time, endpoint event.EndpointID) Heard {
-	return Heard{Endpoint: endpoint, Word: Word{Limited: one.Limited, Rate: one.Rate, Unread: !one.Limited, Leaving: one.Leaving}}
+	return Heard{Endpoint: endpoint, Word: Word{Limited: one.Limited, Rate: one.Rate, Unread: !one.Limited, Leaving: one.Leaving, Rest: max(0, one.restTo.Sub(now))}}
 }
 
 // Own returns what a new owner is told: what the entry heard lately by itself, up to a number of endpoints. Of
@@ -178,12 +190,33 @@
 			list = append(list, one.heard(now, id))
 		}
 	}
-	slices.SortFunc(list, func(a, b Heard) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	sortHeard(list)
 	return list[:min(len(list), most)]
 }
 
 func (one *gated) isOwn(now event.Time) bool {
-	return (one.Limited || one.Leaving) && one.ownAt != 0 && now.Sub(one.ownAt) < ownFor
+	return now < one.restTo || (one.Limited || one.Leaving) && one.ownAt != 0 && now.Sub(one.ownAt) < ownFor
+}
+
+// Rests returns the rests that the entry was asked for and that last.
+func (g *Gate) Rests(now event.Time) []Heard {
+	if !g.IsAsked() {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []Heard
+	for id, one := range g.all {
+		if now < one.restTo {
+			list = append(list, one.heard(now, id))
+		}
+	}
+	sortHeard(list)
+	return list
+}
+
+func sortHeard(list []Heard) {
+	slices.SortFunc(list, func(a, b Heard) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 }
 
 // States returns what is believed of all endpoints, by id.
--- a/backpressure/word.go
+++ b/backpressure/word.go
@@ -13,7 +13,8 @@
 	Rate    float64
 	// Unread says that a limit was named which can't be read: the answer tells nothing of limits.
 	Unread bool
-	// Rest is for how long the endpoint wants nothing from the box that has the answer; 0 for no rest.
+	// Rest is for how long the endpoint, which has turned the request away, wants nothing from the box that has
+	// the answer; 0 for no rest.
 	Rest event.Span
 	// Leaving says that the endpoint is about to end and takes nothing new, from any box.
 	Leaving bool
--- a/cluster/asked.go
+++ b/cluster/asked.go
@@ -30,10 +30,10 @@
 }
 
 // hearWords takes in words of endpoints that an entry heard.
-func (o *owner) hearWords(now event.Time, words []backpressure.Heard) {
+func (o *owner) hearWords(now event.Time, entry event.BoxID, words []backpressure.Heard) {
 	for i := range words {
 		id := words[i].Endpoint
-		if !o.admission.Hear(now, &words[i], &o.effects) {
+		if !o.admission.Hear(now, entry, &words[i], &o.effects) {
 			continue
 		}
 		o.asking.changed(id, o.admission.Asked(id).Asks())
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -168,7 +168,7 @@
 		return
 	}
 	o.hearEnds(now, o.entries[one.entry], t.Batch)
-	o.hearWords(now, t.Batch.Heard)
+	o.hearWords(now, one.entry, t.Batch.Heard)
 	for i := range t.Batch.Begun {
 		o.admission.Begin(now, &t.Batch.Begun[i], &o.effects)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -167,6 +167,13 @@
 // PartChanged says which part of endpoints' limits is to be spent, 1 for all of them.
 type PartChanged struct{ Part float64 }
 
+// Rested says that an endpoint wants nothing of an entry for a while.
+type Rested struct {
+	Entry    BoxID
+	Endpoint EndpointID
+	For      Span
+}
+
 // EndpointGone says that an endpoint has ended for good.
 type EndpointGone struct{ ID EndpointID }
 
@@ -204,6 +211,7 @@
 func (*EndpointSeen) IsEvent()   {}
 func (*EndpointGone) IsEvent()   {}
 func (*PartChanged) IsEvent()    {}
+func (*Rested) IsEvent()         {}
 
 // Report is a slot's regular message about its endpoint.
 type Report struct {
@@ -344,6 +352,8 @@
 	ReasonBudget
 	// ReasonPoison: endpoints ended under requests of the same content.
 	ReasonPoison
+	// ReasonRest: all endpoints want nothing of the entry for a while.
+	ReasonRest
 )
 
 // String returns the reason as logs and answers have it.
@@ -365,6 +375,8 @@
 		return "retry_budget"
 	case ReasonPoison:
 		return "ends_endpoints"
+	case ReasonRest:
+		return "endpoints_rest"
 	default:
 		return "none"
 	}
--- a/gateway/asked.go
+++ b/gateway/asked.go
@@ -19,10 +19,10 @@
 
 // hear takes what an endpoint asks for. The words on an answer of another endpoint than the one that was called
 // are of nobody.
-func (c *call) hear(a *attempt, r *http.Response) {
+func (c *call) hear(a *attempt, r *http.Response) (w backpressure.Word) {
 	g := c.gateway
 	if g.config.Word == nil || r.StatusCode == http.StatusMisdirectedRequest {
-		return
+		return w
 	}
 	w, err := g.config.Word(r.StatusCode, r.Header)
 	if err != nil {
@@ -34,7 +34,7 @@
 	}
 	endpoint := a.decision.Endpoint
 	if !w.Asks() && !g.agent.client.gate.Knows(endpoint) {
-		return
+		return w
 	}
 	now := g.agent.clock.Now()
 	isNew := g.agent.client.gate.Hear(now, now.Add(-time.Since(a.sent)), endpoint, w)
@@ -47,6 +47,7 @@
 	if isNew && g.wordBudget.Allow(time.Now(), 1) {
 		g.log.With(zap.String("request", c.callerID)).Info(stepAsked, fields...)
 	}
+	return w
 }
 
 // stops reports whether a grant must not be used, and why: the endpoint asked for less than whoever gave it knew.
@@ -119,7 +120,7 @@
 		a.batch.Heard = append(a.batch.Heard, h)
 	}
 	if a.alone != nil {
-		a.alone.Hear(now, &h, &a.effects)
+		a.alone.Hear(now, a.config.Entry, &h, &a.effects)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,6 +165,7 @@
 	// mayHaveRun is set once an endpoint had the request and did not say that it has
 	// not run it.
 	mayHaveRun bool
+	comeBack   event.Span // when some endpoint takes its requests again, as last told; 0 for now
 	record     record
 
 	// Of a stream that has begun:
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -371,6 +371,9 @@
 	for _, s := range a.gate.States() {
 		a.alone.Learn(now, s, &a.effects)
 	}
+	for _, h := range a.gate.Rests(now) {
+		a.alone.Hear(now, a.config.Entry, &h, &a.effects)
+	}
 	for _, one := range a.ends {
 		a.alone.Ended(now, []poison.End{one.end}, &a.effects)
 	}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/admission"
+	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/hashtree"
 	"lynxramp.org/link"
@@ -36,6 +38,19 @@
 	Reserved: []string{"X-Hold", "X-Kv-From"},
 }
 
+// testWord reads what the rig's endpoints ask for.
+func testWord(_ int, h http.Header) (w backpressure.Word, err error) {
+	if text := h.Get("X-Limit"); text != "" {
+		w.Limited = true
+		w.Rate, err = strconv.ParseFloat(text, 64)
+	}
+	if text := h.Get("X-Rest"); text != "" {
+		w.Rest, err = time.ParseDuration(text)
+	}
+	w.Leaving = h.Get("X-Leaving") != ""
+	return w, err
+}
+
 // standIn is an endpoint that answers each connection's requests by a script.
 type standIn struct {
 	address string
@@ -162,6 +177,7 @@
 	hold         bool // it decides nothing
 	finished     []message.Finish
 	ends         []poison.End
+	heard        []backpressure.Heard
 	submits      []message.Submission
 	withdrew     []message.Withdrawal
 	conn         *link.Conn[message.Envelope]
@@ -225,6 +241,7 @@
 func (o *scriptedOwner) decide(c *link.Conn[message.Envelope], b *message.Batch) {
 	o.finished = append(o.finished, b.Finish...)
 	o.ends = append(o.ends, b.Ends...)
+	o.heard = append(o.heard, b.Heard...)
 	o.withdrew = append(o.withdrew, b.Withdraw...)
 	if o.hold {
 		o.submits = append(o.submits, b.Submit...)
@@ -294,7 +311,7 @@
 	agent.clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	go agent.Run(ctx)
-	g := New(Config{Agent: agent, Names: testNames, HeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Life: 7})
+	g := New(Config{Agent: agent, Names: testNames, Word: testWord, HeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Life: 7})
 	server := httptest.NewServer(g)
 	server.Config.ErrorLog = zap.NewStdLog(zap.NewNop())
 	t.Cleanup(func() {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -193,6 +193,9 @@
 			zap.Int("ahead", d.Inputs.Ahead), zap.Duration("expected_wait", d.Inputs.Wait),
 			zap.Int("spent", d.Inputs.Spent), zap.Int("limit", d.Inputs.Limit))
 		if last != nil && last.wasSent() {
+			if d.Reason == event.ReasonRest {
+				c.comeBack = d.RetryAfter
+			}
 			c.giveUp(last)
 			return d, false
 		}
@@ -252,7 +255,7 @@
 	case !a.wasSent():
 		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint was reached")
 	case a.outcome == outcomeNotRun:
-		c.endNotRun(http.StatusServiceUnavailable, retryRejected, "no endpoint took the request")
+		c.endNotRun(http.StatusServiceUnavailable, max(retryRejected, c.comeBack), "no endpoint took the request")
 	case a.outcome == outcomeFailed && a.kept != nil:
 		c.pass(a.kept)
 	case c.left() <= 0:
@@ -386,9 +389,10 @@
 func (c *call) receive(x *exchange, a *attempt, began time.Time) {
 	names := &c.gateway.config.Names
 	r := x.response
-	c.hear(a, r)
+	word := c.hear(a, r)
 	a.isFramed = r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
-	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" {
+	// An endpoint that asks for rest has turned the request away.
+	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" || word.Rest > 0 {
 		c.reject(x, a)
 		return
 	}
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -70,6 +70,7 @@
 // dropEntry forgets what an entry that has ended had here.
 func (s *State) dropEntry(now event.Time, entry event.BoxID) {
 	delete(s.entries, entry)
+	s.dropRests(now, entry)
 	for _, k := range s.queue.byID {
 		if k.entry == entry {
 			s.queue.remove(k)
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -25,6 +25,8 @@
 	reported bool
 	unsure   bool // it failed lately
 	limit    limit
+	// rests has until when it wants nothing of an entry.
+	rests    map[event.BoxID]event.Time
 	inflight int
 	// leftUntil is when it may be granted work again.
 	leftUntil event.Time
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -3,6 +3,8 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"lynxramp.org/event"
@@ -21,24 +23,39 @@
 	switch e := e.(type) {
 	case *event.Submitted:
 		k, ok := s.queue.byID[e.Ticket.ID]
-		if ok && s.isHopeless(now, k) {
+		if !ok || s.resting > 0 && s.refuseRested(now, k, out) {
+			return
+		}
+		if s.isHopeless(now, k) {
 			s.refuse(now, k, event.ReasonShed, out)
 		}
 	case *event.Tick:
 		s.demoteLate(now)
+		s.refuseAllRested(now, out)
 		var late []*ticket
 		for _, k := range s.queue.byID {
 			if s.isHopeless(now, k) {
 				late = append(late, k)
 			}
 		}
-		slices.SortFunc(late, func(a, b *ticket) int { return int(a.number) - int(b.number) })
+		sortByNumber(late)
 		for _, k := range late {
 			s.refuse(now, k, event.ReasonShed, out)
 		}
 	}
 }
 
+func sortByNumber(list []*ticket) {
+	slices.SortFunc(list, func(a, b *ticket) int { return cmp.Compare(a.number, b.number) })
+}
+
+// inOrder returns what waits, in the order of arrival.
+func (s *State) inOrder() []*ticket {
+	list := slices.Collect(maps.Values(s.queue.byID))
+	sortByNumber(list)
+	return list
+}
+
 // demoteLate puts requests behind the others of their rank that can't be in time any
 // more, even at the fastest endpoint.
 func (s *State) demoteLate(now event.Time) {
--- a/sched/place.go
+++ b/sched/place.go
@@ -23,7 +23,7 @@
 	for k := s.queue.first(); k != nil && len(s.passed) < passes; k = s.queue.first() {
 		c := s.choose(now, k)
 		switch {
-		case c.room == nil && len(k.Avoid) > 0:
+		case c.room == nil && (len(k.Avoid) > 0 || c.rests):
 			s.queue.setAside(k)
 			s.passed = append(s.passed, k)
 		case c.room == nil:
@@ -111,6 +111,11 @@
 }
 
 func (s *State) refuse(now event.Time, k *ticket, why event.Reason, out *event.Effects) {
+	s.refuseFor(now, k, why, s.retryAfter(now), out)
+}
+
+// refuseFor refuses a request with when to come back.
+func (s *State) refuseFor(now event.Time, k *ticket, why event.Reason, after event.Span, out *event.Effects) {
 	s.queue.remove(k)
 	k.class.refused.add(now, 1)
 	s.refused[Group{Team: k.Team, Rank: k.Rank, Reason: why}]++
@@ -118,7 +123,7 @@
 		Entry:      k.entry,
 		ID:         k.ID,
 		Reason:     why,
-		RetryAfter: s.retryAfter(now),
+		RetryAfter: after,
 		Inputs:     event.Inputs{Ahead: s.queue.len(), Wait: s.expectedWait(now, k)},
 	})
 }
@@ -130,6 +135,10 @@
 	if rate := s.drain.perSecond(now); rate > 0 {
 		wait = event.Span(float64(s.queue.len()) / rate * float64(event.Second))
 	}
-	wait += event.Span(s.random.Float64() / 4 * float64(wait))
-	return min(max(wait, MinRetryAfter), MaxRetryAfter)
+	return min(max(s.spread(wait), MinRetryAfter), MaxRetryAfter)
+}
+
+// spread makes a wait longer by up to a quarter.
+func (s *State) spread(wait event.Span) event.Span {
+	return wait + event.Span(s.random.Float64()/4*float64(wait))
 }
--- a/sched/state.go
+++ b/sched/state.go
@@ -100,6 +100,7 @@
 	prefill   prefillFit
 	fastest   float64 // speed of the fastest that serves, 0 if none does
 	places    int     // of all that serve, in thousandths
+	resting   int     // endpoints that want nothing of some entries
 	part      float64 // of endpoints' limits that this pool spends
 	held      holding // of places, by all requests
 	prefix    prefixIndex
@@ -156,6 +157,8 @@
 		s.dropEntry(now, e.Entry)
 	case *event.EndpointSeen:
 		s.seeEndpoint(now, e)
+	case *event.Rested:
+		s.rest(now, e)
 	case *event.PartChanged:
 		s.SetPart(now, e.Part)
 	case *event.EndpointGone:
@@ -212,7 +215,7 @@
 
 // dropEndpoint takes an endpoint away; the last one takes its place among the views.
 func (s *State) dropEndpoint(e *endpoint) {
-	s.places -= s.views[e.index].places
+	s.takeOut(&s.views[e.index])
 	last := len(s.endpoints) - 1
 	s.endpoints[e.index] = s.endpoints[last]
 	s.endpoints[e.index].index = e.index
@@ -228,7 +231,7 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 	clear(s.views)
-	s.places = 0
+	s.places, s.resting = 0, 0
 	for i, e := range s.endpoints {
 		e.index = i
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -23,12 +23,13 @@
 	reserve             int        // of these, not for lower tiers
 	places              int        // in all, in thousandths; 0 if it does not serve
 	dataCentre          string
+	isResting           bool // it wants nothing of some entries
 }
 
 // refresh makes an endpoint's view fit what is known of it at now.
 func (s *State) refresh(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
-	s.places -= v.places
+	s.takeOut(v)
 	first := e.reading.first()
 	*v = view{
 		endpoint: e, slowness: 1 / e.speed(), reading: e.pace.get(now) / e.speed(), dataCentre: e.DataCentre,
@@ -41,6 +42,14 @@
 			v.free = min(v.free, e.limit.pacer.Room(now))
 			v.places = min(v.places, s.limitedPlaces(&e.limit))
 		}
+		if len(e.rests) > 0 {
+			e.endRests(now)
+			v.isResting = len(e.rests) > 0
+		}
+		if v.isResting {
+			s.resting++
+			v.places = s.restedPlaces(e, v.places)
+		}
 		s.places += v.places
 		if !s.pool.Discovered {
 			v.reserve = e.Concurrency / reservePart
@@ -48,6 +57,14 @@
 	}
 }
 
+// takeOut takes a view out of the pool's sums.
+func (s *State) takeOut(v *view) {
+	s.places -= v.places
+	if v.isResting {
+		s.resting--
+	}
+}
+
 // refreshAll makes all views fit. Time alone can change whether an endpoint
 // serves, so it is done at each tick.
 func (s *State) refreshAll(now event.Time) {
@@ -176,6 +193,7 @@
 	left    float64   // until the deadline
 	fastest float64   // what the fastest endpoint needs at the least
 	hold    bool      // it is better to wait for a full endpoint
+	rests   bool      // one with room wants nothing of its entry
 }
 
 // choose finds the endpoint with room where k costs least: a little for its
@@ -187,26 +205,35 @@
 	c := choice{left: p.left, cost: math.Inf(1), fastest: p.decode / s.fastest}
 	higher := k.Rank < s.top && now.Sub(s.topSeen) < topMemory
 	if s.pool.LeastOutstanding {
-		s.chooseLeast(k, &c)
+		s.chooseLeast(now, k, &c)
 		return c
 	}
 	for i := range s.views {
 		v := &s.views[i]
-		if v.free > 0 && !(higher && v.free <= v.reserve) && !k.avoids(v.endpoint) {
-			c.take(&p, v, 0)
+		if v.free == 0 || higher && v.free <= v.reserve || k.avoids(v.endpoint) {
+			continue
+		}
+		if v.restsFrom(now, k.entry) {
+			c.rests = true
+			continue
 		}
+		c.take(&p, v, 0)
 	}
 	s.weighHolders(&p, k, higher, &c, now)
 	return c
 }
 
 // chooseLeast finds the endpoint with room that has the fewest requests.
-func (s *State) chooseLeast(k *ticket, c *choice) {
+func (s *State) chooseLeast(now event.Time, k *ticket, c *choice) {
 	for i := range s.views {
 		v := &s.views[i]
 		if v.free == 0 || k.avoids(v.endpoint) {
 			continue
 		}
+		if v.restsFrom(now, k.entry) {
+			c.rests = true
+			continue
+		}
 		if c.room == nil || v.endpoint.inflight < c.room.inflight {
 			c.room = v.endpoint
 		}
@@ -227,6 +254,7 @@
 	for _, h := range s.prefix.search(k.Prefix, k.PromptTokens) {
 		v := &s.views[h.endpoint.index]
 		switch {
+		case v.restsFrom(now, k.entry):
 		case v.free > 0 && !(higher && v.free <= v.reserve):
 			c.take(p, v, h.cached)
 		case h.endpoint.serves(now):
