cluster, gateway: an owner spends of a limit the parts of entries that leave decisions to it, no others

Cause: an owner took every connected entry for one that leaves decisions to it. An entry that is cut off decides alone after 0.6 s, and its connection stays for seconds; one that comes back decides alone until its first answer. Change: an entry's question says whether it leaves decisions to the owner, which counts it for 0.5 s. An endpoint's limit ends by the grant's own time, not by what is kept of requests that end endpoints: one without a print never ended a limit. The counters of what endpoints ask for are there from the start.

--- a/admission/asked.go
+++ b/admission/asked.go
@@ -16,21 +16,13 @@
 	if ok && h.Word.Rest > 0 {
 		s.step(now, s.service(now, k.Service), &event.Rested{Entry: entry, Endpoint: h.Endpoint, For: h.Word.Rest}, out)
 	}
-	if !ok || !k.asked.Hear(now, s.sentAt(h.Request), h.Word) {
+	if !ok || !k.asked.Hear(now, s.service(now, k.Service).pool.GrantedAt(h.Request), h.Word) {
 		return false
 	}
 	s.tell(now, k, out)
 	return true
 }
 
-// sentAt returns a moment before which a request was not sent; 0 if it is not known.
-func (s *State) sentAt(id event.RequestID) event.Time {
-	if r, ok := s.runs[id]; ok && !r.adopted {
-		return r.began
-	}
-	return 0
-}
-
 // Learn takes what another who decides believes of an endpoint.
 func (s *State) Learn(now event.Time, b backpressure.State, out *event.Effects) {
 	if k, ok := s.endpoints[b.Endpoint]; ok && k.asked.Learn(now, b) {
--- a/admission/runs.go
+++ b/admission/runs.go
@@ -27,7 +27,6 @@
 	endpoint event.EndpointID
 	attempt  int
 	began    event.Time
-	adopted  bool       // by an entry's word: it may have begun earlier
 	over     event.Time // 0 while it is under way
 	until    event.Time // it is kept
 }
--- a/admission/state.go
+++ b/admission/state.go
@@ -254,7 +254,7 @@
 
 // Adopt books a request that runs by the word of an entry.
 func (s *State) Adopt(now event.Time, entry event.BoxID, r message.Running, out *event.Effects) {
-	s.keepRun(r.Ticket.ID, &run{print: r.Print, endpoint: r.Endpoint, attempt: r.Ticket.Attempt, began: now, adopted: true, until: now.Add(r.Ticket.Deadline + unclearFor)})
+	s.keepRun(r.Ticket.ID, &run{print: r.Print, endpoint: r.Endpoint, attempt: r.Ticket.Attempt, began: now, until: now.Add(r.Ticket.Deadline + unclearFor)})
 	s.step(now, s.service(now, r.Ticket.Service), &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
 }
 
--- a/cluster/asked.go
+++ b/cluster/asked.go
@@ -100,14 +100,29 @@
 	out.Sends = append(out.Sends, Send{id, &message.Envelope{View: &message.View{Asked: list}}})
 }
 
-// sharePart spends as much of endpoints' limits as belongs to the entries that are connected: the others may be
-// deciding alone, by their own parts.
+// obeysFor is how long an entry is taken to leave decisions to the owner after it said so: some of its questions,
+// and less than it waits for an answer before it decides alone.
+const obeysFor = 500 * event.Millisecond
+
+// hearObeys takes whether an entry that asks leaves decisions to this owner. One that reads no limits spends no part.
+func (e *entry) hearObeys(now event.Time, p *message.Ping) {
+	if p.Owned || e.reads < level.Asked {
+		e.obeyed = now
+	}
+}
+
+func (e *entry) obeys(now event.Time) bool {
+	return e.session != 0 && e.obeyed != 0 && now.Sub(e.obeyed) < obeysFor
+}
+
+// sharePart spends as much of endpoints' limits as belongs to the entries that leave decisions to this owner: the
+// others may be deciding alone, by their own parts.
 func (o *owner) sharePart(now event.Time) {
-	connected := 0
+	obey := 0
 	for _, e := range o.entries {
-		if e.session != 0 {
-			connected++
+		if e.obeys(now) {
+			obey++
 		}
 	}
-	o.admission.SetPart(now, float64(connected)/float64(o.count(now)), &o.effects)
+	o.admission.SetPart(now, float64(obey)/float64(o.count(now)), &o.effects)
 }
--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -118,6 +118,7 @@
 	frozen   map[string]*State
 	decode   func([]byte) (*routing.Table, error)
 	ending   *simEnding // endpoints that end; nil for one that does not
+	limiting *simLimit  // what the endpoint that does not end asks for; nil for nothing
 }
 
 func newFleetSim(t testing.TB, n int, seed uint64) *fleetSim {
@@ -274,6 +275,7 @@
 	e.link = &fleetLink{id: gateway.LinkID(f.sessions), session: f.sessions, box: e.dial, size: newWireSize()}
 	e.linkFree = f.now // what was on the way of a connection before is lost
 	e.client.Dialed(now, e.link.id, e.dial)
+	e.client.Reads(e.link.id, level.Newest)
 }
 
 // carryOut does what an entry asks of the world.
@@ -374,6 +376,9 @@
 		}
 	}
 	e.calls = slices.DeleteFunc(e.calls, func(c *fleetCall) bool { return c.leaves != 0 && f.now >= c.leaves })
+	if f.limiting != nil {
+		f.limiting.answer(f, e, now)
+	}
 	e.ends = slices.DeleteFunc(e.ends, func(end fleetEnd) bool {
 		if f.now < end.at {
 			return false
@@ -388,6 +393,9 @@
 
 func (f *fleetSim) call(e *fleetEntry, now event.Time, amount int, repeat bool) {
 	f.calls++
+	if f.limiting != nil {
+		amount, repeat = 1, false // no other bound than the endpoint's limit
+	}
 	c := &fleetCall{
 		id: event.RequestID(fmt.Sprintf("%s-%d", e.name, f.calls)), sent: f.now, amount: amount, repeat: repeat,
 		decision: make(chan gateway.Decision, 1),
@@ -417,7 +425,7 @@
 			case f.ending != nil:
 				f.ending.decided(f, e, now, c, d)
 			case d.Granted:
-				f.dispatch(e, now, c)
+				f.dispatch(e, now, c, d)
 			}
 			return true
 		default:
@@ -426,8 +434,12 @@
 	})
 }
 
-func (f *fleetSim) dispatch(e *fleetEntry, now event.Time, c *fleetCall) {
+func (f *fleetSim) dispatch(e *fleetEntry, now event.Time, c *fleetCall, d gateway.Decision) {
 	end := message.Finish{Finished: event.Finished{ID: c.id, Pool: "s"}, Endpoint: "e"}
+	if f.limiting != nil {
+		f.limiting.dispatch(f, e, now, c, d)
+		return
+	}
 	if f.random.IntN(40) == 0 || e.client.Table(now) == nil {
 		end.Void, end.Unused, end.Unsent = true, true, true
 		e.client.Finish(now, end)
--- /dev/null
+++ b/cluster/limit_sim_test.go
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"lynxramp.org/backpressure"
+	"lynxramp.org/event"
+	"lynxramp.org/gateway"
+	"lynxramp.org/message"
+)
+
+// The simulation of this file has an endpoint that names a limit and takes it back, beside entries and control
+// boxes that are harmed. What it checks is what the endpoint gets.
+
+// Bounds on what an endpoint gets that names a limit.
+const (
+	limitWindow = 4 * event.Second
+	limitPart   = 1.5
+	limitSlack  = 5
+	// limitKnown is how long after its answer named the limit an entry counts as one that knows it.
+	limitKnown = 500 * event.Millisecond
+)
+
+// simLimit is an endpoint that names a limit.
+type simLimit struct {
+	random   *rand.Rand
+	word     backpressure.Word
+	named    event.Time // when it first did; 0 before
+	arrivals []event.Time
+	all      int // arrivals, of entries that do not know of the limit too
+	told     map[*gateway.OwnerClient]event.Time
+	answers  []simAnswer
+	stopped  int
+}
+
+// simAnswer is an answer on its way to an entry.
+type simAnswer struct {
+	at, sent event.Time // sent by the entry's own clock
+	entry    *fleetEntry
+	client   *gateway.OwnerClient
+	id       event.RequestID
+	// began is what the endpoint asked for when it took the request: some answers have that, others what it asks
+	// for when they come.
+	began *backpressure.Word
+}
+
+// dispatch sends a request that was granted, unless the gate stops it.
+func (l *simLimit) dispatch(f *fleetSim, e *fleetEntry, now event.Time, c *fleetCall, d gateway.Decision) {
+	gate := e.client.Gate()
+	end := message.Finish{Finished: event.Finished{ID: c.id, Pool: "s", Void: true, Unused: true}, Endpoint: "e", Unsent: true}
+	if l.random.IntN(40) == 0 {
+		e.client.Finish(now, end) // its caller left
+		return
+	}
+	if gate.Stops(now, d.Endpoint, d.Permit) != backpressure.StoppedNot {
+		l.stopped++
+		e.client.Heard(now, gate.Belief(now, d.Endpoint))
+		e.client.Finish(now, end)
+		return
+	}
+	l.all++
+	if at, ok := l.told[e.client]; l.named == 0 || ok && f.now.Sub(at) >= limitKnown {
+		l.arrivals = append(l.arrivals, f.now)
+	}
+	end.Void, end.Unused, end.Unsent = false, false, false
+	run := event.Span(l.random.IntN(800)) * event.Millisecond
+	e.ends = append(e.ends, fleetEnd{at: f.now.Add(run), f: end})
+	a := simAnswer{at: f.now.Add(run * event.Span(l.random.IntN(100)) / 100), sent: now, entry: e, client: e.client, id: c.id}
+	if word := l.word; l.random.IntN(2) == 0 {
+		a.began = &word
+	}
+	l.answers = append(l.answers, a)
+}
+
+// answer has an entry hear the answers that have come to it, with what the endpoint asks for now.
+func (l *simLimit) answer(f *fleetSim, e *fleetEntry, now event.Time) {
+	var left []simAnswer
+	for _, a := range l.answers {
+		if a.entry != e || f.now < a.at {
+			left = append(left, a)
+			continue
+		}
+		if a.client != e.client {
+			continue // its life is over
+		}
+		gate, word := e.client.Gate(), l.word
+		if a.began != nil {
+			word = *a.began
+		}
+		if !word.Asks() && !gate.Knows("e") {
+			continue
+		}
+		if word.Limited {
+			if l.named == 0 {
+				l.named = f.now
+			}
+			if _, ok := l.told[e.client]; !ok {
+				l.told[e.client] = f.now
+			}
+		}
+		gate.Hear(now, a.sent, "e", word)
+		e.client.Heard(now, backpressure.Heard{Endpoint: "e", Request: a.id, Word: word})
+	}
+	l.answers = left
+}
+
+// mostSince returns the most arrivals in a window, of those from a moment on.
+func (l *simLimit) mostSince(from event.Time) (most int, at event.Time) {
+	first := 0
+	for i, arrived := range l.arrivals {
+		for l.arrivals[first] < from && first < i || arrived.Sub(l.arrivals[first]) > limitWindow {
+			first++
+		}
+		if arrived >= from && i-first+1 > most {
+			most, at = i-first+1, arrived
+		}
+	}
+	return most, at
+}
+
+// TestLimitHoldsThroughEveryInterleaving: whatever happens to owners, entries and the ways between them, an
+// endpoint gets no more from the entries that know its limit than that allows, and more again when it is over.
+func TestLimitHoldsThroughEveryInterleaving(t *testing.T) {
+	cases := []limitCase{
+		{4, 106}, // an owner spent the parts of entries that were cut off and decided alone
+	}
+	for entries, seeds := range map[int]uint64{4: 24, 22: 12, 103: 6} {
+		for seed := range seeds * moreSeeds(t) {
+			cases = append(cases, limitCase{entries, seed + 1})
+		}
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d entries, seed %d", c.entries, c.seed), func(t *testing.T) {
+			t.Parallel()
+			c.run(t)
+		})
+	}
+}
+
+// limitCase is a run of the simulation.
+type limitCase struct {
+	entries int
+	seed    uint64
+}
+
+func (c limitCase) run(t *testing.T) {
+	f := newFleetSim(t, c.entries, c.seed)
+	l := &simLimit{random: rand.New(rand.NewPCG(c.seed-1, 5)), told: make(map[*gateway.OwnerClient]event.Time)}
+	f.limiting = l
+	f.runFleet(4 * event.Second)
+	rate := 0.5 * math.Exp2(6*l.random.Float64())
+	l.word = backpressure.Word{Limited: true, Rate: rate}
+	between := []int{1800, 6000}[(c.seed-1)%2] // ms at the most: much harm, or time to use the limit in full
+	for range 25 {
+		f.runFleet(event.Span(f.random.IntN(between)) * event.Millisecond / 10 * 10)
+		f.harm()
+		f.demand = 1000 * (20 + 4*rate) // that many requests a second, and others come elsewhere
+	}
+	most, at := l.mostSince(l.named.Add(simContact))
+	allowed := rate*limitWindow.Seconds()*limitPart + limitSlack
+	t.Logf("limit %.1f: %d in a window, allowed %.1f; %d in all, %d grants stopped", rate, most, allowed, l.all, l.stopped)
+	if float64(most) > allowed {
+		t.Errorf("%d requests in %v to %v, %.1f are allowed", most, limitWindow, event.Span(at), allowed)
+	}
+	l.word = backpressure.Word{}
+	f.demand = 3 * fleetTeam.Rate
+	f.runFleet(12 * event.Second) // what is harmed comes back, and a request hears the end
+	before := l.all
+	f.runFleet(4 * event.Second)
+	if n := l.all - before; float64(n) < 4*10 {
+		t.Errorf("%d requests in 4 s, 12 s after the limit was over", n)
+	}
+}
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -31,6 +31,7 @@
 	build   string
 	session SessionID // 0 while it is away
 	left    event.Time
+	obeyed  event.Time // when it last said that it leaves decisions to this owner; 0 for never in its session
 	// isForgotten says that what it had running was taken as ended since it left.
 	isForgotten bool
 	ends        endsProgress
@@ -98,7 +99,7 @@
 		delete(o.sessions, e.session)
 		out.Closes = append(out.Closes, e.session)
 	}
-	e.session, e.isForgotten = b.Session, false
+	e.session, e.isForgotten, e.obeyed = b.Session, false, 0
 	if newLife {
 		e.ends = endsProgress{}
 		o.admission.EntryDied(now, name, &o.effects)
@@ -137,6 +138,7 @@
 		return
 	}
 	o.hearWord(now, one.entry, &p.Ping)
+	o.entries[one.entry].hearObeys(now, &p.Ping)
 	if !s.owns(now) {
 		return
 	}
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -176,7 +176,7 @@
 	err = conn.Serve(func(m *message.Envelope) {
 		reads := owner.Reads()
 		a.input <- func(now event.Time) {
-			a.client.reads = reads
+			a.client.Reads(one, reads)
 			a.client.Received(now, one, m)
 		}
 	})
--- a/gateway/asked.go
+++ b/gateway/asked.go
@@ -26,7 +26,7 @@
 	}
 	w, err := g.config.Word(r.StatusCode, r.Header)
 	if err != nil {
-		g.meters.asked("unread")
+		g.meters.asked(wordUnread).Inc()
 		if g.wordBudget.Allow(time.Now(), 1) {
 			g.log.Warn("what an endpoint asks for can't be read", zap.String("endpoint", string(a.decision.Endpoint)),
 				zap.String("request", c.callerID), logx.Err(err))
@@ -64,19 +64,19 @@
 	agent := c.gateway.agent
 	a.outcome, a.untried = outcomeStopped, true
 	a.err = errors.Errorf("stopped by what the endpoint asks for: %s", why)
-	c.gateway.meters.stopped(why)
+	c.gateway.meters.stopped(why).Inc()
 	agent.Heard(agent.client.gate.Belief(agent.clock.Now(), a.decision.Endpoint))
 }
 
 func (g *Gateway) countWord(w backpressure.Word) {
 	if w.Limited {
-		g.meters.asked("limit")
+		g.meters.asked(wordLimit).Inc()
 	}
 	if w.Rest > 0 {
-		g.meters.asked("rest")
+		g.meters.asked(wordRest).Inc()
 	}
 	if w.Leaving {
-		g.meters.asked("leaving")
+		g.meters.asked(wordLeaving).Inc()
 	}
 }
 
@@ -114,6 +114,15 @@
 	}
 }
 
+// Gate returns what stands before every request that the entry sends. Any goroutine may use it.
+func (a *OwnerClient) Gate() *backpressure.Gate { return &a.gate }
+
+// Heard takes what an endpoint asked for in an answer, or what a grant's owner did not know.
+func (a *OwnerClient) Heard(now event.Time, h backpressure.Heard) {
+	a.heard(now, h)
+	a.settle(now)
+}
+
 // heard takes what an endpoint asked for in an answer, or what a grant's owner did not know.
 func (a *OwnerClient) heard(now event.Time, h backpressure.Heard) {
 	if a.owned && a.reads >= level.Asked {
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -32,6 +32,12 @@
 	for _, name := range g.config.Names.Reserved {
 		m.reserved(name).Set(0)
 	}
+	for _, word := range []string{wordLimit, wordRest, wordLeaving, wordUnread} {
+		m.asked(word)
+	}
+	for _, why := range []backpressure.Stopped{backpressure.StoppedByLimit, backpressure.StoppedByLeaving, backpressure.StoppedByRest} {
+		m.stopped(why)
+	}
 	return m
 }
 
@@ -62,14 +68,22 @@
 	m.set.GetOrCreateCounter(`lynxramp_gateway_attempts_total{outcome="` + o.String() + `"}`).Inc()
 }
 
-// asked counts a thing that an endpoint asked for in an answer.
-func (m *meters) asked(what string) {
-	m.set.GetOrCreateCounter(`lynxramp_gateway_endpoint_words_total{word="` + what + `"}`).Inc()
+// The things that endpoints ask for, as figures have them.
+const (
+	wordLimit   = "limit"
+	wordRest    = "rest"
+	wordLeaving = "leaving"
+	wordUnread  = "unread"
+)
+
+// asked counts the answers in which an endpoint asked for a thing.
+func (m *meters) asked(word string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_endpoint_words_total{word="` + word + `"}`)
 }
 
-// stopped counts a grant that was not used.
-func (m *meters) stopped(why backpressure.Stopped) {
-	m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`).Inc()
+// stopped counts the grants that were not used.
+func (m *meters) stopped(why backpressure.Stopped) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`)
 }
 
 // decided takes how long a request waited for its decision, and who decided.
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -10,6 +10,7 @@
 
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/level"
 	"lynxramp.org/message"
 )
 
@@ -59,7 +60,7 @@
 func (a *OwnerClient) Dialed(now event.Time, link LinkID, address string) {
 	a.dialing = false
 	a.dialAt = now.Add(redialWait)
-	a.link, a.address = link, address
+	a.link, a.address, a.reads = link, address, 0
 	if int64(now) >= a.fresh.Load() {
 		// It was out of touch for longer than it may use what it was lent.
 		a.lent.Drop()
@@ -78,21 +79,28 @@
 	a.log.Debug("asks control box", zap.String("address", address), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
 }
 
+// Reads takes what the other side of a connection reads.
+func (a *OwnerClient) Reads(link LinkID, l level.Level) {
+	if link == a.link {
+		a.reads = l
+	}
+}
+
 // lose gives up the connection to the owner.
 func (a *OwnerClient) lose(now event.Time, why string, err error) {
 	a.out.Closes = append(a.out.Closes, a.link)
 	a.link = 0
 	a.fetch.linkLost()
-	level := zap.DebugLevel
+	lineLevel := zap.DebugLevel
 	if a.owned {
 		a.lostAt = now
-		level = zap.WarnLevel
+		lineLevel = zap.WarnLevel
 	}
 	a.owned = false
 	a.unasked = nil
 	a.dialAt = now
 	a.batch = message.Batch{}
-	a.log.Log(level, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)),
+	a.log.Log(lineLevel, "owner lost", zap.String("why", why), logx.Err(err), zap.Duration("answered_ago", now.Sub(a.ponged)),
 		zap.Int64("bytes", a.came), zap.Uint64("version", a.version()))
 }
 
--- a/gateway/owner_word.go
+++ b/gateway/owner_word.go
@@ -28,7 +28,7 @@
 // ask asks the owner whether it still is.
 func (a *OwnerClient) ask(now event.Time) {
 	a.pinged = now
-	ping := &message.Ping{Sent: now, Running: a.tellRunning(), Revision: a.revision}
+	ping := &message.Ping{Sent: now, Running: a.tellRunning(), Revision: a.revision, Owned: a.owned}
 	ping.Has, ping.Spent = a.lent.Changes()
 	ping.More = a.lent.More()
 	a.send(&message.Envelope{Ping: ping})
--- a/message/message.go
+++ b/message/message.go
@@ -87,6 +87,8 @@
 	// Running is more of what ran then.
 	More    bool
 	Running []Running
+	// Owned says that the sender leaves decisions to this owner. Entries that read level.Asked say it.
+	Owned bool
 }
 
 // Pong answers a Ping: the sender owned the pools when it was sent, and Version
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -63,6 +63,7 @@
 		service:  a.Ticket.Service,
 		output:   a.Ticket.OutputTokens,
 		call:     a.Ticket.OutputTokens == 0,
+		adopted:  true,
 	})
 	s.refresh(now, e)
 }
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// GrantedAt returns when a request was granted that runs; 0 if another granted it, or it does not run.
+func (s *State) GrantedAt(id event.RequestID) event.Time {
+	if g, ok := s.grants[id]; ok && !g.adopted {
+		return g.at
+	}
+	return 0
+}
+
 // thousandths is in how many parts the places of a pool are counted.
 const thousandths = 1000
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -80,6 +80,7 @@
 	prompt   int     // tokens to be read
 	fill     float64 // work of reading them, seconds at speed 1
 	alone    bool    // no other prompt was to be read before it
+	adopted  bool    // by an entry's word: it may have begun earlier
 	paced    bool    // by one who knows of the endpoint's limits
 }
 
