--- a/cluster/folders_test.go
+++ b/cluster/folders_test.go
@@ -18,7 +18,7 @@
 // folderLevels are the builds whose folders are kept, and the level that the forms in them have.
 var folderLevels = map[string]level.Level{
 	"d61e540": level.Listed, "50d3523": level.Listed, "e994de1": level.Parts, "53e223b": level.Parts, "de049ca": level.Suspects,
-	"9c63b0b": level.Told,
+	"9c63b0b": level.Told, "a229638": level.Starts,
 }
 
 // openRecorded opens a copy of a folder that the build of a commit has written.
--- a/message/forms_test.go
+++ b/message/forms_test.go
@@ -23,7 +23,7 @@
 // and then nothing. They were recorded with link.Dial of that commit.
 var recorded = map[string]level.Level{
 	"d61e540": level.Listed, "50d3523": level.Packed, "e994de1": level.Parts, "53e223b": level.Parts, "de049ca": level.Suspects,
-	"9c63b0b": level.Told,
+	"9c63b0b": level.Told, "a229638": level.Starts,
 }
 
 // replay serves a connection whose other side sends recorded bytes, and returns the messages that come.
@@ -92,7 +92,7 @@
 
 func checkView(t *testing.T, commit string, v *View, reads level.Level) {
 	t.Helper()
-	endpoints, err := v.Endpoints.Unpack()
+	endpoints, err := v.List()
 	if err != nil || len(endpoints) != 1 || endpoints[0].Address != "127.0.0.9:80" || !v.Whole || v.Version != 4 {
 		t.Errorf("%s: %+v, %v: %+v", commit, v, err, endpoints)
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -19,11 +19,11 @@
 	firstWork, moreWork float64
 	readSince           event.Time
 	readUntil           event.Time // by plan, where beginnings are not told
-	free                int        // places for the highest tier; 0 if it does not serve
-	reserve             int        // of these, not for lower tiers
-	places              int        // in all, in thousandths; 0 if it does not serve
 	dataCentre          string
-	isResting           bool // it wants nothing of some entries
+	free                int32 // places for the highest tier; 0 if it does not serve
+	reserve             int32 // of these, not for lower tiers
+	places              int32 // in all, in thousandths; 0 if it does not serve
+	isResting           bool  // it wants nothing of some entries
 }
 
 // refresh makes an endpoint's view fit what is known of it at now.
@@ -36,11 +36,10 @@
 		firstWork: first, moreWork: e.reading.work - first, readSince: e.reading.since, readUntil: e.reading.until,
 	}
 	if e.Concurrency > 0 && e.serves(now) {
-		v.free = max(0, e.room()-e.inflight)
-		v.places = e.room() * thousandths
+		free, places := max(0, e.room()-e.inflight), e.room()*thousandths
 		if e.limit.isSet {
-			v.free = min(v.free, e.limit.pacer.Room(now))
-			v.places = min(v.places, s.limitedPlaces(&e.limit))
+			free = min(free, e.limit.pacer.Room(now))
+			places = min(places, s.limitedPlaces(&e.limit))
 		}
 		if len(e.rests) > 0 {
 			e.endRests(now)
@@ -48,18 +47,22 @@
 		}
 		if v.isResting {
 			s.resting++
-			v.places = s.restedPlaces(e, v.places)
+			places = s.restedPlaces(e, places)
 		}
-		s.places += v.places
+		v.free, v.places = narrow(free), narrow(places)
+		s.places += int(v.places)
 		if !s.pool.Discovered {
-			v.reserve = e.Concurrency / reservePart
+			v.reserve = narrow(e.Concurrency / reservePart)
 		}
 	}
 }
 
+// narrow makes a count fit a view, which is small so that many are looked at fast.
+func narrow(n int) int32 { return int32(min(n, math.MaxInt32)) }
+
 // takeOut takes a view out of the pool's sums.
 func (s *State) takeOut(v *view) {
-	s.places -= v.places
+	s.places -= int(v.places)
 	if v.isResting {
 		s.resting--
 	}
