backpressure, sched, cluster: what an endpoint asked for costs nothing when it is over; limits of any size

Found by reading: an endpoint that had once named a limit had each of its answers told to the owner for good; a limit of 1e300 overflowed the room that a Pacer has; a pool that begins, whose part of limits is still nothing, refused what could be in time; lines of a flapping endpoint were bounded by tick, not by second. Each has a test.

--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// TestHugeLimitLetsAllThrough: a limit may be any number.
+func TestHugeLimitLetsAllThrough(t *testing.T) {
+	var p Pacer
+	p.Set(0, 1e300, 1)
+	if n := p.Room(event.Time(event.Second)); n < 1000 {
+		t.Errorf("room for %d requests", n)
+	}
+}
+
 // TestGateStopsGrantsOfWhoKnowsNoLimit: what was granted without knowing the limit is not sent, but a trickle where
 // the owner's build knows none.
 func TestGateStopsGrantsOfWhoKnowsNoLimit(t *testing.T) {
@@ -115,7 +124,7 @@
 	g.Hear(0, 0, "e", limitOf(2))
 	gone := func(event.EndpointID) bool { return false }
 	g.Sweep(event.Time(forgetAfter), gone)
-	if !g.Knows("e") {
+	if !g.IsLimited("e") {
 		t.Error("forgotten too early")
 	}
 	g.Sweep(event.Time(forgetAfter+1), gone)
@@ -124,6 +133,18 @@
 	}
 }
 
+// TestGateForgetsWhatIsOver: an entry that was asked for something pays for that no more than one that was not.
+func TestGateForgetsWhatIsOver(t *testing.T) {
+	var g Gate
+	g.Hear(1, 1, "limited", limitOf(2))
+	g.Hear(1, 1, "resting", Word{Rest: event.Second})
+	g.Hear(3, 2, "limited", Word{})
+	g.Sweep(event.Time(2*event.Second), func(event.EndpointID) bool { return true })
+	if g.IsAsked() {
+		t.Error("what is over is kept")
+	}
+}
+
 // TestLeavingIsNeverTakenBack: neither a later answer nor an owner that has not heard it makes a leaving endpoint
 // ready again.
 func TestLeavingIsNeverTakenBack(t *testing.T) {
--- a/backpressure/gate.go
+++ b/backpressure/gate.go
@@ -54,15 +54,16 @@
 // IsAsked reports whether anything is believed of any endpoint.
 func (g *Gate) IsAsked() bool { return g.count.Load() > 0 }
 
-// Knows reports whether anything is believed of an endpoint, whose every answer counts then.
-func (g *Gate) Knows(endpoint event.EndpointID) bool {
+// IsLimited reports whether an endpoint is believed to name a limit: each of its answers counts then, also one
+// that asks for nothing.
+func (g *Gate) IsLimited(endpoint event.EndpointID) bool {
 	if !g.IsAsked() {
 		return false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, ok := g.all[endpoint]
-	return ok
+	one, ok := g.all[endpoint]
+	return ok && one.Limited
 }
 
 // Hear takes a word of an endpoint in the answer to a request sent at a moment, and reports whether it changed
@@ -194,6 +195,8 @@
 	return list[:min(len(list), most)]
 }
 
+func (one *gated) asks(now event.Time) bool { return one.Limited || one.Leaving || now < one.restTo }
+
 func (one *gated) isOwn(now event.Time) bool {
 	return now < one.restTo || (one.Limited || one.Leaving) && one.ownAt != 0 && now.Sub(one.ownAt) < ownFor
 }
@@ -234,7 +237,8 @@
 	return list
 }
 
-// Sweep forgets endpoints that are gone for long. One that is gone for a moment may come back.
+// Sweep forgets endpoints that ask for nothing any more, and those that are gone for long: one that is gone for a
+// moment may come back.
 func (g *Gate) Sweep(now event.Time, isThere func(event.EndpointID) bool) {
 	if !g.IsAsked() {
 		return
@@ -245,7 +249,7 @@
 		if isThere(id) {
 			one.seenAt = now
 		}
-		if now.Sub(one.seenAt) > forgetAfter {
+		if !one.asks(now) || now.Sub(one.seenAt) > forgetAfter {
 			delete(g.all, id)
 		}
 	}
--- a/backpressure/pacer.go
+++ b/backpressure/pacer.go
@@ -10,6 +10,9 @@
 	leastRate = 0.1
 	// burstTime is how long an unspent limit adds up, beyond one request: some ticks of whoever spends it.
 	burstTime = 0.1 // seconds
+	// mostRate is what is spent of a limit that allows more: a limit may be any number, and this is far above what
+	// an endpoint takes.
+	mostRate = 1e6
 )
 
 // Pacer spends a rate of requests. The zero Pacer has no rate and spends nothing.
@@ -22,7 +25,7 @@
 // Set has a part of a limit spent from now on. What is saved stays.
 func (p *Pacer) Set(now event.Time, limit, part float64) {
 	p.save(now)
-	p.rate = max(limit, leastRate) * part
+	p.rate = min(max(limit, leastRate), mostRate) * part
 	p.saved = min(p.saved, p.most())
 }
 
--- a/cluster/asked.go
+++ b/cluster/asked.go
@@ -19,7 +19,7 @@
 const (
 	// askedMost bounds the endpoints in one message: 16 kB.
 	askedMost = 400
-	// askedLines bounds the lines that a tick writes about endpoints.
+	// askedLines bounds the lines about endpoints, in lines a second.
 	askedLines = 20
 )
 
@@ -27,6 +27,19 @@
 type asking struct {
 	now  map[event.EndpointID]bool // those that do
 	news map[event.EndpointID]bool // of which the entries are not yet told
+	// listed has those of now by id, made once for all sessions that begin alike; nil if it is to be made anew.
+	listed []event.EndpointID
+	// lines were written since linesFrom, and leftOut not.
+	lines, leftOut int
+	linesFrom      event.Time
+}
+
+// list returns those that ask for something, by id.
+func (a *asking) list() []event.EndpointID {
+	if a.listed == nil {
+		a.listed = slices.Sorted(maps.Keys(a.now))
+	}
+	return a.listed
 }
 
 // hearWords takes in words of endpoints that an entry heard.
@@ -45,6 +58,7 @@
 		a.now, a.news = make(map[event.EndpointID]bool), make(map[event.EndpointID]bool)
 	}
 	a.news[id] = true
+	a.listed = nil
 	if asks {
 		a.now[id] = true
 	} else {
@@ -56,10 +70,11 @@
 func (a *asking) gone(id event.EndpointID) {
 	delete(a.now, id)
 	delete(a.news, id)
+	a.listed = nil
 }
 
 // tellAsked tells all entries what changed since the last tick, as much as one message may have.
-func (o *owner) tellAsked(out *Effects) {
+func (o *owner) tellAsked(now event.Time, out *Effects) {
 	if len(o.asking.news) == 0 {
 		return
 	}
@@ -71,13 +86,10 @@
 		delete(o.asking.news, id)
 		state := o.admission.Asked(id)
 		list = append(list, state)
-		if len(list) <= askedLines {
+		if o.asking.mayWrite(now, out) {
 			out.note("endpoint asks", Field{"endpoint", string(id)}, Field{"limited", state.Limited}, Field{"limit_per_s", state.Rate}, Field{"leaving", state.Leaving})
 		}
 	}
-	if more := len(list) - askedLines; more > 0 {
-		out.note("endpoints ask, without a line", Field{"count", more})
-	}
 	m := &message.Envelope{View: &message.View{Asked: list}}
 	for _, id := range o.inOrder() {
 		if o.sessions[id].reads >= level.Asked {
@@ -86,6 +98,22 @@
 	}
 }
 
+// mayWrite reports whether there is room for another line.
+func (a *asking) mayWrite(now event.Time, out *Effects) bool {
+	if now.Sub(a.linesFrom) >= event.Second {
+		if a.leftOut > 0 {
+			out.note("endpoints asked, lines left out", Field{"count", a.leftOut})
+		}
+		a.lines, a.leftOut, a.linesFrom = 0, 0, now
+	}
+	if a.lines == askedLines {
+		a.leftOut++
+		return false
+	}
+	a.lines++
+	return true
+}
+
 // tellAskedTo tells an entry the next part of what was asked for when its session began.
 func (o *owner) tellAskedTo(id SessionID, one *session, out *Effects) {
 	n := min(len(one.asked), askedMost)
--- a/cluster/limit_sim_test.go
+++ b/cluster/limit_sim_test.go
@@ -92,7 +92,7 @@
 		if a.began != nil {
 			word = *a.began
 		}
-		if !word.Asks() && !gate.Knows("e") {
+		if !word.Asks() && !gate.IsLimited("e") {
 			continue
 		}
 		if word.Limited {
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -201,7 +201,7 @@
 	o.sharePart(now)
 	o.admission.Tick(now, &o.effects)
 	o.tellNews(s, out)
-	o.tellAsked(out)
+	o.tellAsked(now, out)
 	o.tellSuspects(out)
 	o.tellBudgets(now, out)
 	o.raiseLevel(now, s, out)
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -3,7 +3,6 @@
 package cluster
 
 import (
-	"maps"
 	"slices"
 
 	"lynxramp.org/event"
@@ -119,7 +118,7 @@
 	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
 	o.tellConfig(b.Session, one, s, out)
 	if b.Reads >= level.Asked {
-		one.asked = slices.Sorted(maps.Keys(o.asking.now))
+		one.asked = o.asking.list()
 		o.tellAskedTo(b.Session, one, out)
 	}
 	out.note("entry connected", Field{"entry", string(name)}, Field{"running", len(b.Hello.Running)},
--- a/gateway/asked.go
+++ b/gateway/asked.go
@@ -33,7 +33,7 @@
 		}
 	}
 	endpoint := a.decision.Endpoint
-	if !w.Asks() && !g.agent.client.gate.Knows(endpoint) {
+	if !w.Asks() && !g.agent.client.gate.IsLimited(endpoint) {
 		return w
 	}
 	now := g.agent.clock.Now()
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -76,11 +76,19 @@
 // usualHold is how long a request is taken to hold its place until some have ended, in seconds.
 const usualHold = 1.0
 
-// limitedPlaces returns how many places, in thousandths, a limit keeps busy.
-func (s *State) limitedPlaces(l *limit) int {
+// maxLimitedPlaces is far above what an endpoint has: a limit may be any number.
+const maxLimitedPlaces = 1e5
+
+// limitedPlaces returns how many places, in thousandths, a limit keeps busy. A pool that has just begun counts the
+// whole limit: its part grows as entries find their owner.
+func (s *State) limitedPlaces(now event.Time, l *limit) int {
 	hold := usualHold
 	if s.held.samples >= holdingSamples {
 		hold = s.held.mean
 	}
-	return max(1, int(l.pacer.Rate()*hold*thousandths))
+	rate := l.pacer.Rate()
+	if now.Sub(s.started) < SettleTime {
+		rate = max(rate, min(l.rate, maxLimitedPlaces))
+	}
+	return max(1, int(min(rate*hold, maxLimitedPlaces)*thousandths))
 }
--- a/sched/limit_test.go
+++ b/sched/limit_test.go
@@ -70,3 +70,20 @@
 		s.Step(now, &event.Finished{ID: out.Grants[0].ID, Void: true, Unused: true}, &out)
 	}
 }
+
+// TestNewPoolRefusesNothingForItsPart: a pool that begins, which may spend nothing yet, keeps what can be in time.
+func TestNewPoolRefusesNothingForItsPart(t *testing.T) {
+	s := discovered(1, 10)
+	var out event.Effects
+	s.Step(0, &event.PartChanged{}, &out)
+	s.Step(0, &event.EndpointSeen{Endpoint: s.endpoints[0].Endpoint, Address: "10.0.0.1:80", Limited: true, Limit: 1e300}, &out)
+	s.Step(0, call(1, nil), &out)
+	if len(out.Refusals)+len(out.Grants) != 0 {
+		t.Fatalf("grants %+v, refusals %+v", out.Grants, out.Refusals)
+	}
+	s.Step(event.Time(200*event.Millisecond), &event.PartChanged{Part: 1}, &out)
+	s.Step(event.Time(220*event.Millisecond), &event.Tick{}, &out)
+	if len(out.Grants) != 1 {
+		t.Errorf("grants %+v", out.Grants)
+	}
+}
--- a/sched/view.go
+++ b/sched/view.go
@@ -39,7 +39,7 @@
 		free, places := max(0, e.room()-e.inflight), e.room()*thousandths
 		if e.limit.isSet {
 			free = min(free, e.limit.pacer.Room(now))
-			places = min(places, s.limitedPlaces(&e.limit))
+			places = min(places, s.limitedPlaces(now, &e.limit))
 		}
 		if len(e.rests) > 0 {
 			e.endRests(now)
