--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -18,6 +18,7 @@
 	voters   *metrics.Gauge
 	sessions *metrics.Gauge
 	suspects *metrics.Gauge
+	asking   *metrics.Gauge
 	grants   *metrics.Counter
 	refusals *metrics.Counter
 	steps    *metrics.Histogram
@@ -34,6 +35,7 @@
 		voters:   set.NewGauge("lynxramp_control_voters", nil),
 		sessions: set.NewGauge("lynxramp_control_sessions", nil),
 		suspects: set.NewGauge("lynxramp_control_suspects", nil),
+		asking:   set.NewGauge("lynxramp_control_asking_endpoints", nil),
 		grants:   set.NewCounter("lynxramp_control_grants_total"),
 		refusals: set.NewCounter("lynxramp_control_refusals_total"),
 		steps:    set.NewHistogram("lynxramp_control_step_seconds"),
@@ -47,11 +49,13 @@
 func (m *meters) stepped(began time.Time, s *State, out *Effects) {
 	m.steps.UpdateDuration(began)
 	m.levels.update(began, s)
-	owner, sessions, suspects := 0.0, 0.0, 0.0
+	owner, sessions, suspects, asking := 0.0, 0.0, 0.0, 0.0
 	if s.owner != nil {
 		owner, sessions, suspects = 1, float64(len(s.owner.sessions)), float64(len(s.owner.suspects))
+		asking = float64(len(s.owner.asking.now))
 	}
 	m.suspects.Set(suspects)
+	m.asking.Set(asking)
 	m.owner.Set(owner)
 	m.sessions.Set(sessions)
 	m.term.Set(float64(s.node.Term()))
--- a/sched/rest.go
+++ b/sched/rest.go
@@ -43,9 +43,9 @@
 	}
 }
 
-// restsFrom reports whether an endpoint wants nothing of an entry now.
+// restsFrom reports whether an endpoint that isResting wants nothing of an entry now.
 func (v *view) restsFrom(now event.Time, entry event.BoxID) bool {
-	return v.isResting && now < v.endpoint.rests[entry]
+	return now < v.endpoint.rests[entry]
 }
 
 // restedPlaces returns how many of some places are left to the entries that are not asked for rest.
--- a/sched/view.go
+++ b/sched/view.go
@@ -216,7 +216,7 @@
 		if v.free == 0 || higher && v.free <= v.reserve || k.avoids(v.endpoint) {
 			continue
 		}
-		if v.restsFrom(now, k.entry) {
+		if v.isResting && v.restsFrom(now, k.entry) {
 			c.rests = true
 			continue
 		}
@@ -233,7 +233,7 @@
 		if v.free == 0 || k.avoids(v.endpoint) {
 			continue
 		}
-		if v.restsFrom(now, k.entry) {
+		if v.isResting && v.restsFrom(now, k.entry) {
 			c.rests = true
 			continue
 		}
@@ -257,7 +257,7 @@
 	for _, h := range s.prefix.search(k.Prefix, k.PromptTokens) {
 		v := &s.views[h.endpoint.index]
 		switch {
-		case v.restsFrom(now, k.entry):
+		case v.isResting && v.restsFrom(now, k.entry):
 		case v.free > 0 && !(higher && v.free <= v.reserve):
 			c.take(p, v, h.cached)
 		case h.endpoint.serves(now):
