--- a/budget/book.go
+++ b/budget/book.go
@@ -42,7 +42,6 @@
 	isDue                 bool       // a new Record is wanted
 	recording             []*account // that the Record on its way speaks of
 	restUntil             event.Time // no Record is made before
-	firstLooks            int        // accounts that first answers looked at since the last tick
 	isResting             bool
 }
 
@@ -197,7 +196,6 @@
 
 // Tick takes for spent what can't be used any more by those it was lent to.
 func (b *Book) Tick(now event.Time) {
-	b.firstLooks = 0
 	if now >= b.began.Add(b.fresh) {
 		for _, a := range b.inheriting {
 			a.expire(now)
--- a/budget/bounds.go
+++ b/budget/bounds.go
@@ -11,8 +11,6 @@
 	// is lent of all of them; else of those that it used within the span lend.
 	looks int
 	lend  event.Span
-	// first is the most accounts that the first answers to entries look at between two ticks.
-	first int
 	// credits is the most accounts times entries with which each entry is lent of all.
 	credits int
 	// message and record bound, in bytes, the accounts in a message of a session and in a
@@ -22,12 +20,9 @@
 
 // usualBounds are those of a deployment. A message of 15 kB takes 12 ms of a link of
 // 1.25 MB/s, behind which an entry takes an owner that is silent for 0.5 s for lost; a Record
-// of 48 kB takes 38 ms of it. First answers that look at 16,384 accounts take 9 ms of a tick of
-// 50 ms (0.54 us each in BenchmarkGreetings of package cluster): those of 770 entries with 333
-// accounts each at once held the signs of life of an owner that begins up for 138 ms.
+// of 48 kB takes 38 ms of it.
 var usualBounds = bounds{
 	looks:   512,
-	first:   1 << 14,
 	credits: 1 << 18,      // of 0.2 kB each, of a box's 280 MB
 	lend:    4 * usedSpan, // so that an entry is lent what it uses now and then
 	message: 15 << 10,
--- a/budget/lend.go
+++ b/budget/lend.go
@@ -249,7 +249,7 @@
 // here. It looks at some of its accounts, and the next call at those after them.
 func (b *Book) Lend(now event.Time, entry event.BoxID, entries int) Lent {
 	h, ok := b.holders[entry]
-	if !ok || !b.isRecorded || h.isAwaited || h.whole && !b.mayBegin(h) {
+	if !ok || !b.isRecorded || h.isAwaited {
 		// This answer lets the entry serve on. What an earlier owner lent must not be
 		// used any longer for that.
 		return Lent{Whole: true}
@@ -284,16 +284,6 @@
 	return out
 }
 
-// mayBegin reports whether an entry may be lent for the first time in its session: not too many are between two
-// ticks, however many come at once and whatever accounts they have.
-func (b *Book) mayBegin(h *holder) bool {
-	if b.firstLooks >= b.bounds.first {
-		return false
-	}
-	b.firstLooks += min(max(len(b.limits), len(h.ring)), b.bounds.looks)
-	return true
-}
-
 // takeIn gives an entry a credit of each account, where there are few.
 func (b *Book) takeIn(h *holder) {
 	if !b.isSmall() || h.listed == b.listed {
