--- a/sched/limit_test.go
+++ b/sched/limit_test.go
@@ -87,3 +87,26 @@
 		t.Errorf("grants %+v", out.Grants)
 	}
 }
+
+// TestLimitedEndpointsServeMoreThanGoneOnes: a load that some endpoints can take little of is served better than the
+// same load without them.
+func TestLimitedEndpointsServeMoreThanGoneOnes(t *testing.T) {
+	for _, limited := range []int{7, 9} {
+		play := func(limit float64) *loadResult {
+			return playSeeds(3, func(l *load) {
+				l.endpoints, l.usual, l.burst, l.length = 18, 0.7, 1, event.Time(20*event.Second)
+				l.limited, l.limit = limited, limit
+			})
+		}
+		gone, some, more := play(-1), play(1.1), play(2.5)
+		t.Logf("%d endpoints gone: %v", limited, gone)
+		t.Logf("1.1 a second: %v", some)
+		t.Logf("2.5 a second: %v", more)
+		if some.share() <= gone.share() || more.share() <= some.share() {
+			t.Errorf("%d endpoints: worth %.3f gone, %.3f with 1.1 a second, %.3f with 2.5", limited, gone.share(), some.share(), more.share())
+		}
+		if n := gone.held + some.held + more.held; n > 0 {
+			t.Errorf("%d callers were held until their time was over", n)
+		}
+	}
+}
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -43,7 +43,8 @@
 	length    event.Time
 	guess     float64 // deviation of the logarithm of guess over length
 	baseline  bool    // placed where the fewest run, in the order of arrival
-	// limited is how many endpoints name a limit of limit requests a second; none is lost then.
+	// limited is how many endpoints name a limit of limit requests a second, or are away all the time if limit is
+	// below 0; no others are lost then.
 	limited int
 	limit   float64
 }
