settings, fleet, platform: contracts turn features on; keys of roll-outs and of the queue order

Cause: roll-outs, the memory account and the order of waiting requests are to take effect only where a deployment asks for them. Change: settings keys contracts, bounds.expose_share, expose_slack, rollback and queue_order, all validated; the dialect decodes contracts into fleet.Features.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// ParseFeedback parses the feedback of an endpoint in response headers; its error names the
 	// last malformed header.
 	ParseFeedback func(status int, h http.Header) (backpressure.Feedback, error)
+	// Features decodes the platform's contracts in force; nil means no features.
+	Features func(contracts []string) Features
 	// OperatorHandler returns a control box's handler for operators and endpoints.
 	OperatorHandler func(*cluster.Server) http.Handler
 	// ReadyPath is the path of an entry's readiness check.
@@ -66,6 +68,22 @@
 	MetricsPath string
 }
 
+// Features are the parts of the product that a deployment turns on.
+type Features struct {
+	// Rollouts turns on the operators' roll-outs of versions.
+	Rollouts bool
+	// HeldMemory turns on the account of the memory that an entry holds for slow readers.
+	HeldMemory bool
+}
+
+// features returns the features of a deployment.
+func (d Dialect) features(f settings.Fleet) Features {
+	if d.Features == nil {
+		return Features{}
+	}
+	return d.Features(f.Contracts)
+}
+
 // Run runs a box with the given settings file until SIGTERM or SIGINT.
 func Run(file string, d Dialect) error {
 	f, err := settings.LoadFleet(file)
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -26,7 +26,10 @@
 	DataDir     string         `yaml:"data"`
 	Resources   FleetResources `yaml:"resources"`
 	Bounds      FleetBounds    `yaml:"bounds"`
-	Log         Log            `yaml:"log"`
+	// Contracts names the platform's contracts in force. The adapter decodes them into the
+	// features of the deployment; it ignores names that it does not know.
+	Contracts []string `yaml:"contracts"`
+	Log       Log      `yaml:"log"`
 }
 
 // FleetListen has the addresses of a box, as IP:port.
@@ -72,8 +75,27 @@
 	RetryMin    int              `yaml:"retry_min"`
 	// Placement is the placement policy; empty is PlacementForecast.
 	Placement Placement `yaml:"placement"`
+	// QueueOrder is the order of waiting requests within a rank; empty is QueueArrival.
+	QueueOrder QueueOrder `yaml:"queue_order"`
+	// During a roll-out, an unproved version gets at most the fraction ExposeShare of its
+	// service's requests, plus ExposeSlack requests.
+	ExposeShare float64 `yaml:"expose_share"`
+	ExposeSlack int     `yaml:"expose_slack"`
+	// RollbackTimeout is how long after the verdict requests may still reach a bad version.
+	RollbackTimeout catalog.Duration `yaml:"rollback"`
 }
 
+// QueueOrder is an order of waiting requests within a rank and team.
+type QueueOrder string
+
+// The queue orders.
+const (
+	// QueueArrival serves requests in the order of arrival.
+	QueueArrival QueueOrder = "arrival"
+	// QueueExpectedWork serves requests with less expected work first, with ageing.
+	QueueExpectedWork QueueOrder = "expected_work"
+)
+
 // Placement is a policy that chooses the endpoint of a request.
 type Placement string
 
@@ -93,6 +115,7 @@
 	defaultStopTimeout       = 8 * time.Second
 	defaultConfigValidity    = 5 * time.Second
 	defaultRateWindow        = 10 * time.Second
+	defaultRollbackTimeout   = 5 * time.Second
 )
 
 // LoadFleet reads the settings of a box in a fleet.
@@ -145,6 +168,17 @@
 	default:
 		d.addAt("bounds.placement", "%q is neither %q nor %q", b.Placement, PlacementForecast, PlacementLeastOutstanding)
 	}
+	switch b.QueueOrder {
+	case "", QueueArrival, QueueExpectedWork:
+	default:
+		d.addAt("bounds.queue_order", "%q is neither %q nor %q", b.QueueOrder, QueueArrival, QueueExpectedWork)
+	}
+	if !(b.ExposeShare >= 0 && b.ExposeShare <= 1) {
+		d.addAt("bounds.expose_share", "%v is not between 0 and 1", b.ExposeShare)
+	}
+	if b.ExposeSlack < 0 {
+		d.addAt("bounds.expose_slack", "%d is negative", b.ExposeSlack)
+	}
 	if b.RetryRatio < 0 || b.RetryMin < 0 {
 		d.addAt("bounds.retry_ratio", "a retry budget must not be negative")
 	}
@@ -154,6 +188,7 @@
 	for path, value := range map[string]catalog.Duration{
 		"bounds.beat": b.HeartbeatInterval, "bounds.stop": b.StopTimeout, "bounds.fresh": b.ConfigValidity,
 		"bounds.quota_window": b.QuotaWindow, "bounds.retry_window": b.RetryWindow,
+		"bounds.rollback": b.RollbackTimeout,
 	} {
 		if value < 0 {
 			d.addAt(path, "%s is negative", time.Duration(value))
@@ -169,4 +204,6 @@
 	b.ConfigValidity = orDefault(b.ConfigValidity, catalog.Duration(defaultConfigValidity))
 	b.QuotaWindow = orDefault(b.QuotaWindow, catalog.Duration(defaultRateWindow))
 	b.RetryWindow = orDefault(b.RetryWindow, catalog.Duration(defaultRateWindow))
+	b.RollbackTimeout = orDefault(b.RollbackTimeout, catalog.Duration(defaultRollbackTimeout))
+	b.QueueOrder = orDefault(b.QueueOrder, QueueArrival)
 }
