admission, gateway: callers that come back are recognised by their request

Cause: an entry took a request for a retry if its timeout was below 0.98 of the longest recent one of its route. Change: the scheduler that refuses a call keeps its fingerprint for 6 s and recognises one call of it as returned, whichever entry it comes through.

--- a/admission/counted.go
+++ b/admission/counted.go
@@ -92,7 +92,11 @@
 		}
 	}
 	for i := range out.Refusals[refusals:] {
-		s.releaseUnrun(now, out.Refusals[refusals+i].ID)
+		id := out.Refusals[refusals+i].ID
+		if c, ok := s.charges[id]; ok {
+			s.refusedCalls.add(now, c.submission.Print)
+		}
+		s.releaseUnrun(now, id)
 	}
 	for _, id := range out.Dropped[dropped:] {
 		s.releaseUnrun(now, id)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,7 +59,6 @@
 	agent         *Agent
 	log           *zap.Logger
 	upstream      *upstream
-	maxTimeouts   *maxTimeouts
 	inFlightLimit int64        // requests
 	inFlight      atomic.Int64 // requests
 	streams       atomic.Int64 // requests in flight whose route is a stream
@@ -79,7 +78,7 @@
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), maxTimeouts: newMaxTimeouts(), inFlightLimit: inFlightLimit(c.Descriptors), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.meters = newMeters(g)
 	g.failedLimiter, g.briefLimiter, g.sampledLimiter = logx.NewRateLimiter(failedLines), logx.NewRateLimiter(briefLines), logx.NewRateLimiter(sampledLines)
@@ -114,7 +113,6 @@
 			return
 		case <-ticker.C:
 			g.upstream.sweep()
-			g.maxTimeouts.sweep(time.Now())
 			g.logSuppressed()
 		}
 	}
@@ -161,7 +159,6 @@
 	attempts        int           // how often it was sent to an endpoint
 	tried           []event.EndpointID
 	wasGranted      bool // an endpoint was granted before
-	wasRefused      bool // the caller was refused before and has retried
 	// mayHaveRun is set once an endpoint received the request and did not state that it did not
 	// run it.
 	mayHaveRun bool
@@ -254,7 +251,6 @@
 	c.timeout = c.route.Timeout
 	if ms, err := strconv.ParseFloat(c.r.Header.Get(g.config.Headers.Deadline), 64); err == nil && ms > 0 {
 		c.timeout = time.Duration(min(float64(c.timeout), ms*float64(time.Millisecond)))
-		c.wasRefused = g.maxTimeouts.observe(c.arrived, c.route.Name, c.timeout)
 	}
 	if !c.readBody() {
 		return false
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -74,7 +74,7 @@
 			ID: c.id, Team: c.teamName(), Rank: c.rank(), Service: c.service, Pool: c.service,
 			PromptTokens: c.promptTokens, OutputTokens: c.expectedOutputTokens(), Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.queueTimeout(left),
-			Placed: c.wasGranted, Returned: c.wasRefused, Avoid: c.tried, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
+			Placed: c.wasGranted, Avoid: c.tried, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 		},
 		Quota: c.quotaUnits(), Repeat: isRetry, Print: c.fingerprint,
 	}
