admission, gateway: impatient callers don't stop an endpoint that responds to others

Cause: a request whose time ran out, or whose caller disconnected, before the first byte counted as a failure of its endpoint, which then got nothing for 1 to 4 s and one request at a time after that. Change: Finish.NoResponse says that the endpoint gave no response on an intact connection. It counts as a failure only if the endpoint responded to nobody since the request was granted; a dark endpoint is still stopped.

--- a/admission/state.go
+++ b/admission/state.go
@@ -63,6 +63,7 @@
 	// chargesByEntry indexes charges by entry, of which an owner has hundreds.
 	chargesByEntry map[event.BoxID]map[event.RequestID]*charge
 	runs           map[event.RequestID]*run
+	refusedCalls   refusedCalls
 	sweepAt        event.Time // next sweep of runs
 	limitShare     float64    // share of the endpoints' rate limits that is used here
 }
@@ -73,6 +74,7 @@
 	feedback     backpressure.Tracker
 	backoffUntil event.Time
 	failures     int
+	respondedAt  event.Time // when its last response was reported
 }
 
 // isDraining reports whether an endpoint accepts no new requests, by its registration or its feedback.
@@ -193,6 +195,9 @@
 
 // admit charges a request that passed all checks and submits it to its service's pool.
 func (s *State) admit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
+	if _, known := s.charges[m.Ticket.ID]; !known && s.refusedCalls.take(now, m.Print) {
+		m.Ticket.Returned = true
+	}
 	s.addCharge(now, entry, m)
 	s.step(now, s.service(now, m.Ticket.Service), &event.Submitted{Entry: entry, Ticket: m.Ticket}, out)
 }
@@ -208,6 +213,9 @@
 
 // Begin records that the response to a granted request began.
 func (s *State) Begin(now event.Time, b *event.Begun, out *event.Effects) {
+	if r, ok := s.runs[b.ID]; ok {
+		s.recordResponse(now, r.endpoint)
+	}
 	s.step(now, s.service(now, b.Pool), b, out)
 }
 
@@ -217,6 +225,9 @@
 		s.refundSubmission(now, f.ID)
 	}
 	s.removeCharge(f.ID)
+	if f.FirstAfter > 0 || f.Ran != message.OutcomeUnknown {
+		s.recordResponse(now, f.Endpoint)
+	}
 	s.updateBackoff(now, f, out)
 	s.step(now, s.service(now, f.Pool), &f.Finished, out)
 	s.recordOutcome(now, f, out)
@@ -228,6 +239,8 @@
 	k, ok := s.endpoints[f.Endpoint]
 	switch {
 	case !ok:
+	case f.NoResponse && s.respondedToOthers(f, k):
+		// It is slow, or the caller impatient. A backoff would take all its capacity out of use.
 	case f.Suspect && !f.Void && !s.hasAnother(now, k):
 		// The only endpoint of its service stays in use: it was reached, and may serve the next request.
 	case f.Suspect:
@@ -241,6 +254,19 @@
 	}
 }
 
+// respondedToOthers reports whether an endpoint responded to another request while it ran one without a response.
+func (s *State) respondedToOthers(f *message.Finish, k *endpointState) bool {
+	r, ok := s.runs[f.ID]
+	return ok && k.respondedAt > r.startedAt
+}
+
+// recordResponse records that an endpoint responded to a request.
+func (s *State) recordResponse(now event.Time, id event.EndpointID) {
+	if k, ok := s.endpoints[id]; ok {
+		k.respondedAt = now
+	}
+}
+
 // hasAnother reports whether the service of an endpoint has another usable endpoint.
 func (s *State) hasAnother(now event.Time, k *endpointState) bool {
 	for _, other := range s.endpoints {
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -5,6 +5,8 @@
 import (
 	"io"
 	"maps"
+	"net"
+	"os"
 	"slices"
 	"syscall"
 
@@ -46,6 +48,12 @@
 	return false
 }
 
+// isCancelled reports whether an error means that this side stopped waiting: the deadline passed, or the
+// connection was closed because the caller disconnected.
+func isCancelled(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+}
+
 // unsavedTermination is a termination and the time at which it was observed.
 type unsavedTermination struct {
 	termination poison.Termination
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -306,6 +306,7 @@
 		Suspect:  (a.outcome == outcomeNotSent && !a.notTried) || (a.outcome == outcomeUnknown && a.firstByteAfter == 0),
 	}
 	f.Print, f.Ran = c.fingerprint, a.runResult()
+	f.NoResponse = a.outcome == outcomeUnknown && a.firstByteAfter == 0 && isCancelled(a.err)
 	if !a.sent.IsZero() && a.err != nil && endsConnection(a.err) {
 		c.gateway.agent.RecordTermination(poison.Termination{
 			Print: c.fingerprint, Endpoint: a.decision.Endpoint, Request: c.id, Attempt: a.previousSends, Ran: time.Since(a.sent),
--- a/message/message.go
+++ b/message/message.go
@@ -202,10 +202,13 @@
 	Unsent bool
 	// Suspect is set if the endpoint was unreachable or responded under another
 	// identity.
-	Suspect  bool
-	Endpoint event.EndpointID
-	Print    poison.Fingerprint
-	Ran      Outcome
+	Suspect bool
+	// NoResponse is set if the request's time ran out, or its caller disconnected, before the endpoint
+	// responded on an intact connection. Then Suspect is set, too.
+	NoResponse bool
+	Endpoint   event.EndpointID
+	Print      poison.Fingerprint
+	Ran        Outcome
 }
 
 // Outcome is the outcome of a run, as far as it bears on whether the request is poisonous.
