sched: the customers' loads in the simulation, before the order by expected work

The replay had one load only. The loads of the two customers of docs/CONTENTION.md are added, and the setting bounds.queue_order reaches the scheduler, which doesn't use it yet.

--- a/admission/state.go
+++ b/admission/state.go
@@ -40,6 +40,8 @@
 	RetryMin    int
 	// LeastOutstanding selects the baseline policy; see event.Pool.
 	LeastOutstanding bool
+	// ExpectedWork selects the order of waiting requests by expected work; see event.Pool.
+	ExpectedWork bool
 }
 
 // service has the pool of a service and the count of its recent requests.
@@ -115,7 +117,10 @@
 func (s *State) service(now event.Time, name string) *service {
 	v, ok := s.services[name]
 	if !ok {
-		pool := event.Pool{Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: defaultProfile, LeastOutstanding: s.limits.LeastOutstanding}
+		pool := event.Pool{
+			Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: defaultProfile,
+			LeastOutstanding: s.limits.LeastOutstanding, ExpectedWork: s.limits.ExpectedWork,
+		}
 		v = &service{
 			pool:     sched.New(now, pool, s.seed),
 			requests: budget.NewWindow(event.Duration(float64(s.limits.RetryWindow) * requestWindowRatio)),
--- a/event/event.go
+++ b/event/event.go
@@ -248,6 +248,9 @@
 	// LeastOutstanding selects the baseline policy: each request goes to the endpoint
 	// with the fewest running, in order of arrival within its rank, without a forecast.
 	LeastOutstanding bool
+	// ExpectedWork selects the order of waiting requests by their own expected work,
+	// and refusals by it; otherwise they are in order of arrival.
+	ExpectedWork bool
 	// Discovered is set when endpoints register themselves (EndpointUpdated) instead
 	// of being listed in Endpoints.
 	Discovered bool
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -125,6 +125,7 @@
 		RetryMin:    b.RetryMin,
 
 		LeastOutstanding: b.Placement == settings.PlacementLeastOutstanding,
+		ExpectedWork:     b.QueueOrder == settings.QueueExpectedWork,
 	}
 }
 
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -48,6 +48,9 @@
 	// no other endpoints go down.
 	limited int
 	limit   float64
+	// expectedWork selects the order of waiting requests by expected work.
+	expectedWork bool
+	customer     *customerLoad // nil for the worst load
 }
 
 // worstLoad returns the parameters of the overload.
@@ -65,6 +68,7 @@
 	isLong   bool    // among the tenth of its kind with the longest responses
 	tries    int
 	placed   bool
+	group    sizeGroup // by its actual size
 }
 
 // loadResult has the totals of a simulation, by kind where it is an array.
@@ -79,6 +83,7 @@
 	cutOff            int     // responses cut off by the deadline
 	wastedSeconds     float64 // run time of these
 	runSeconds        float64
+	customer          customerResult
 }
 
 // earnedShare returns the ratio of earned to possible value over all kinds.
@@ -105,6 +110,7 @@
 	r.cutOff += o.cutOff
 	r.wastedSeconds += o.wastedSeconds
 	r.runSeconds += o.runSeconds
+	r.customer.add(&o.customer)
 }
 
 // worstShare returns the smallest ratio of earned to possible value among the kinds and
@@ -180,24 +186,26 @@
 	}
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
+
 // runLoad simulates a load and returns its totals.
 func runLoad(l load) *loadResult {
 	r := &simulation{
-		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), requests: make(map[event.RequestID]*loadRequest),
+		load: l, random: newRandom(l.seed), requests: make(map[event.RequestID]*loadRequest),
 		engines: make(map[event.EndpointID]*loadEngine),
 		s: New(0, event.Pool{Name: pool, MaxWaiting: 4000, Discovered: true, Profile: event.Profile{
 			PrefillRate: 40000, TokenGap: 5 * event.Millisecond, CallTime: 30 * event.Millisecond,
-		}, LeastOutstanding: l.baseline}, l.seed),
+		}, LeastOutstanding: l.baseline, ExpectedWork: l.expectedWork}, l.seed),
 	}
 	for i := range l.endpoints {
 		r.updateEndpoint(i, false)
 	}
-	if l.limited == 0 {
+	if l.limited == 0 && l.customer == nil {
 		r.at(event.Time(3*event.Second), func() { r.setQuarterDown(true) })
 		r.at(event.Time(6*event.Second), func() { r.setQuarterDown(false) })
 	}
-	for i := range loadKinds {
-		r.scheduleArrival(&loadKinds[i], 0)
+	for i := range r.kinds() {
+		r.scheduleArrival(&r.kinds()[i], 0)
 	}
 	r.tick()
 	for len(r.timers) > 0 {
@@ -214,6 +222,9 @@
 func loadEndpoint(i int) event.EndpointID { return event.EndpointID(fmt.Sprintf("e%03d", i)) }
 
 func (r *simulation) slowness(id event.EndpointID) float64 {
+	if r.load.customer != nil {
+		return r.load.customer.slowness(id)
+	}
 	n := 0
 	_, _ = fmt.Sscanf(string(id), "e%d", &n)
 	return loadSlowness[n%len(loadSlowness)]
@@ -221,7 +232,7 @@
 
 func (r *simulation) updateEndpoint(i int, down bool) {
 	r.step(&event.EndpointUpdated{
-		Endpoint: event.Endpoint{ID: loadEndpoint(i), Concurrency: 10, Speed: 1}, Address: "10.0.0.1:80", Down: down || i < r.load.limited && r.load.limit < 0,
+		Endpoint: event.Endpoint{ID: loadEndpoint(i), Concurrency: r.slots(), Speed: 1}, Address: "10.0.0.1:80", Down: down || i < r.load.limited && r.load.limit < 0,
 		Limited: i < r.load.limited && r.load.limit > 0, Limit: r.load.limit,
 	})
 }
@@ -249,6 +260,9 @@
 	if at >= event.Time(2*event.Second) && at < event.Time(7*event.Second) {
 		rate *= r.load.burst
 	}
+	if r.load.customer != nil {
+		rate = r.load.baseLoad * kind.perSecond * r.load.customer.factor(at)
+	}
 	at = at.Add(event.Duration(r.random.ExpFloat64() / rate * float64(event.Second)))
 	if at >= r.load.length {
 		return
@@ -273,6 +287,9 @@
 	if r.now >= event.Time(4*event.Second) && r.now < event.Time(9*event.Second) && r.random.IntN(4) == 0 {
 		team = 0
 	}
+	if r.load.customer != nil {
+		team = r.load.customer.team(r, team)
+	}
 	k := &loadRequest{kind: kind, firstTry: r.now, length: length}
 	size := float64(prompt) + 10*float64(length)
 	k.weight = min(4, 0.3+0.7*size/(kind.prompt+10*kind.output))
@@ -281,6 +298,7 @@
 		Team: fmt.Sprintf("t%02d", team), Rank: kind.rank, Service: pool, Pool: pool, PromptTokens: prompt, OutputTokens: guess,
 	}
 	i := r.kindIndex(kind)
+	r.countAsked(k, size)
 	r.result.possible[i] += kind.value * k.weight
 	if k.isLong {
 		r.result.possibleLong[i] += kind.value * k.weight
@@ -289,8 +307,8 @@
 }
 
 func (r *simulation) kindIndex(kind *loadKind) int {
-	for i := range loadKinds {
-		if &loadKinds[i] == kind {
+	for i := range r.kinds() {
+		if &r.kinds()[i] == kind {
 			return i
 		}
 	}
@@ -303,7 +321,7 @@
 	r.seq++
 	k.ticket.ID = event.RequestID(fmt.Sprintf("r%d", r.seq))
 	k.ticket.Deadline = k.firstTry.Add(k.kind.deadline).Sub(r.now)
-	k.ticket.Target = k.kind.target
+	k.ticket.Target = r.targetLeft(k)
 	k.ticket.Returned = k.tries > 1
 	k.ticket.Patience = min(k.ticket.Deadline/2, k.kind.target*9/10)
 	r.requests[k.ticket.ID] = k
@@ -317,6 +335,7 @@
 	if k, ok := r.requests[id]; ok && !k.placed {
 		delete(r.requests, id)
 		r.result.timedOut++
+		r.stats(k).timedOut++
 		r.step(&event.Withdrawn{Entry: "entry", ID: id, Pool: pool})
 	}
 }
@@ -327,11 +346,14 @@
 	delete(r.requests, f.ID)
 	if f.Reason == event.ReasonDeadline {
 		r.result.timedOut++
+		r.stats(k).timedOut++
 		return
 	}
 	r.result.refused++
+	r.stats(k).refused++
 	if k.tries > 1 {
 		r.result.refusedTwice++
+		r.stats(k).refusedTwice++
 		r.result.refusedTwiceValue += k.kind.value * k.weight
 		return
 	}
@@ -365,7 +387,7 @@
 	granted := r.now
 	r.at(r.now.Add(loadLatency), func() {
 		run := func() { r.run(e, k, g.ID, granted) }
-		if e.running == loadCapacity {
+		if e.running == r.slots() {
 			e.waiting = append(e.waiting, run)
 			return
 		}
@@ -413,9 +435,11 @@
 		return
 	}
 	value := k.kind.value
-	if begin.Sub(k.firstTry) > k.kind.target {
+	late := begin.Sub(k.firstTry) > k.kind.target
+	if late {
 		value = k.kind.lateValue
 	}
+	r.countServed(k, late)
 	i := r.kindIndex(k.kind)
 	r.result.earned[i] += value * k.weight
 	if k.isLong {
