sched: order, refusal and Retry-After by expected work

With the order of arrival, a request is refused by the mean of its class, as early if it is short as if it is long; late requests are refused while slots fall idle soon after; and Retry-After doesn't say when there is capacity.

Those that miss their target go behind those in time and are refused once they can't end before their deadline. Retry-After is the expected wait of the request, teams are charged slot time, and refusals have their expected run time and its error in the log.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -324,3 +324,26 @@
 		t.Errorf("%d of 3 requests granted at the only endpoint after it failed once", got)
 	}
 }
+
+// TestQueueOrderReachesPools guards against an order of waiting requests that takes no effect:
+// with ExpectedWork, a refusal states the expected run time of its request.
+func TestQueueOrderReachesPools(t *testing.T) {
+	for _, expectedWork := range [...]bool{false, true} {
+		limits := testLimits
+		limits.ExpectedWork = expectedWork
+		s := New(limits, 1, committingAllocator{budget.NewAllocator(0, 5*event.Second)}, emptyPoisonTracker())
+		s.SetTable(0, manyTable(1, "a"))
+		var out event.Effects
+		s.SetEndpoint(0, message.Endpoint{Endpoint: registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 1}}, &out)
+		for i := range 50 {
+			ticket := event.Ticket{
+				ID: event.RequestID(fmt.Sprint(i)), Service: "s", Pool: "s", PromptTokens: 100, OutputTokens: 1000,
+				Target: event.Second, Patience: event.Second, Deadline: 5 * event.Second,
+			}
+			s.Submit(0, "entry", &message.Submission{Ticket: ticket}, &out)
+		}
+		if len(out.Refusals) == 0 || (out.Refusals[0].Inputs.Run > 0) != expectedWork {
+			t.Errorf("expected work %v: %d refusals, %+v", expectedWork, len(out.Refusals), out.Refusals)
+		}
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -332,6 +332,42 @@
 	Running int      // requests at the endpoint, including this one
 	Spent   int      // of the team's quota in its window
 	Limit   int      // of the team's quota
+	// Run is the expected run time, RunError the standard deviation of the logarithm of run
+	// times over expected ones, and Work the group by expected run time; zero if unknown.
+	Run      Duration
+	RunError float64
+	Work     WorkGroup
+}
+
+// WorkGroup is a group of the requests of a kind by expected run time.
+type WorkGroup uint8
+
+// Groups by expected run time.
+const (
+	// WorkUnknown is the zero value: the scheduler does not distinguish groups.
+	WorkUnknown WorkGroup = iota
+	// WorkUsual is none of the following.
+	WorkUsual
+	// WorkLarge has the 20% below the largest 10%.
+	WorkLarge
+	// WorkLargest has the largest 10%.
+	WorkLargest
+	// WorkGroups is the number of groups.
+	WorkGroups
+)
+
+// String returns the group as written in logs and metrics.
+func (g WorkGroup) String() string {
+	switch g {
+	case WorkUsual:
+		return "usual"
+	case WorkLarge:
+		return "large"
+	case WorkLargest:
+		return "largest"
+	default:
+		return "unknown"
+	}
 }
 
 // Reason is the reason for a refusal.
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxramp.org/backpressure"
+	"lynxramp.org/event"
 )
 
 // meters are the gateway's metrics; docs/METRICS.md lists them.
@@ -38,6 +39,9 @@
 	for _, why := range []backpressure.StopReason{backpressure.StoppedByLimit, backpressure.StoppedByDrain, backpressure.StoppedByCooldown} {
 		m.stoppedGrants(why)
 	}
+	for work := range event.WorkGroups {
+		m.refusals(event.ReasonShed, work)
+	}
 	return m
 }
 
@@ -53,6 +57,11 @@
 	m.set.GetOrCreateCounter(`lynxramp_gateway_requests_total{status="` + strconv.Itoa(status) + `",rank="` + rank + `"}`).Inc()
 }
 
+// refusals is the counter of requests that a scheduler refused.
+func (m *meters) refusals(reason event.Reason, work event.WorkGroup) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_refusals_total{reason="` + reason.String() + `",work="` + work.String() + `"}`)
+}
+
 // observeFirstByte records the time from since to the first byte of a response.
 func (m *meters) observeFirstByte(since time.Time, rank string) {
 	m.set.GetOrCreateHistogram(`lynxramp_gateway_first_byte_seconds{rank="` + rank + `"}`).UpdateDuration(since)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -188,8 +188,10 @@
 				zap.Int("running", d.Inputs.Running), zap.Duration("expected_first", d.Inputs.Wait))
 			return d, true
 		}
+		c.gateway.meters.refusals(d.Reason, d.Inputs.Work).Inc()
 		c.addStep(stepRefused, zap.Stringer("reason", d.Reason), zap.Bool("alone", d.Degraded), zap.Duration("retry_after", d.RetryAfter),
 			zap.Int("ahead", d.Inputs.Ahead), zap.Duration("expected_wait", d.Inputs.Wait),
+			zap.Duration("expected_run", d.Inputs.Run), zap.Float64("run_error", d.Inputs.RunError),
 			zap.Int("spent", d.Inputs.Spent), zap.Int("limit", d.Inputs.Limit))
 		if last != nil && last.wasSent() {
 			if d.Reason == event.ReasonCooldown {
--- a/sched/class.go
+++ b/sched/class.go
@@ -43,6 +43,8 @@
 	refused   decayingCounter
 	meanWork  float64     // in seconds at speed 1
 	runTime   meanRunTime // how long its requests run
+	workRatio workRatio   // of its requests
+	sizes     workSizes
 }
 
 // classes maps a rank to its class.
--- a/sched/customer_load_test.go
+++ b/sched/customer_load_test.go
@@ -268,12 +268,58 @@
 	return sum
 }
 
-// TestCustomerLoads reports both orders on the loads of the customers.
-func TestCustomerLoads(t *testing.T) {
+// TestExpectedWorkUnderCustomerLoads guards against an order by expected work that earns less
+// than the order of arrival under the loads of the customers, takes from the most urgent kind,
+// or starves large requests.
+func TestExpectedWorkUnderCustomerLoads(t *testing.T) {
 	const seeds = 4
 	for name, c := range map[string]*customerLoad{"climate": climateLoad(), "postal": postalLoad()} {
-		arrival, expectedWork := runCustomer(c, seeds, false), runCustomer(c, seeds, true)
-		t.Logf("%s, arrival: %s", name, customerTable(arrival))
-		t.Logf("%s, expected_work: %s", name, customerTable(expectedWork))
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			arrival, expectedWork := runCustomer(c, seeds, false), runCustomer(c, seeds, true)
+			t.Logf("arrival: %s", customerTable(arrival))
+			t.Logf("expected_work: %s", customerTable(expectedWork))
+			if expectedWork.earnedShare() < arrival.earnedShare()+0.005 {
+				t.Errorf("worth %.3f, %.3f with the order of arrival", expectedWork.earnedShare(), arrival.earnedShare())
+			}
+			checkKinds(t, arrival, expectedWork)
+		})
+	}
+}
+
+func checkKinds(t *testing.T, arrival, expectedWork *loadResult) {
+	t.Helper()
+	for i := range expectedWork.possible {
+		before, after := arrival.customer.total(i), expectedWork.customer.total(i)
+		if after.rate() < before.rate()-0.005 {
+			t.Errorf("kind %d: %.3f served, %.3f with the order of arrival", i, after.rate(), before.rate())
+		}
+		for _, group := range [...]sizeGroup{groupLarge, groupLargest} {
+			if ratio := expectedWork.customer.groupRatio(i, group); ratio < 0.6 {
+				t.Errorf("kind %d: group %d is served at %.2f of the rate of its kind, at least half is required", i, group, ratio)
+			}
+		}
+		if after.timedOut > after.asked/1000 {
+			t.Errorf("kind %d: %d of %d requests waited until their deadline", i, after.timedOut, after.asked)
+		}
+	}
+	if before, after := arrival.customer.total(2).rate(), expectedWork.customer.total(2).rate(); after < before+0.1 {
+		t.Errorf("%.3f of the least urgent kind served, %.3f with the order of arrival", after, before)
+	}
+}
+
+// TestExpectedWorkUnderWorstLoad guards against an order by expected work that suits only the
+// loads of the customers.
+func TestExpectedWorkUnderWorstLoad(t *testing.T) {
+	const seeds = 6
+	arrival := runSeeds(seeds, nil)
+	expectedWork := runSeeds(seeds, func(l *load) { l.expectedWork = true })
+	t.Log("arrival:", arrival)
+	t.Log("expected_work:", expectedWork)
+	if expectedWork.earnedShare() < arrival.earnedShare()-0.005 {
+		t.Errorf("value %.3f, %.3f with the order of arrival", expectedWork.earnedShare(), arrival.earnedShare())
+	}
+	if expectedWork.worstShare() < 0.6 {
+		t.Errorf("worst kind or its longest responses earn %.3f", expectedWork.worstShare())
 	}
 }
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -250,12 +250,25 @@
 
 // BenchmarkDiscovered measures a request's end and the grant that follows in a full pool
 // of discovered endpoints.
-func BenchmarkDiscovered(b *testing.B) {
+func BenchmarkDiscovered(b *testing.B) { benchmarkDiscovered(b, false) }
+
+// BenchmarkDiscoveredByWork is BenchmarkDiscovered with the order by expected work and its
+// forecasts.
+func BenchmarkDiscoveredByWork(b *testing.B) { benchmarkDiscovered(b, true) }
+
+func benchmarkDiscovered(b *testing.B, expectedWork bool) {
 	for _, size := range [...]struct{ endpoints, waiting int }{{18, 200}, {110, 2000}, {1100, 2000}, {1100, 20000}} {
 		b.Run(fmt.Sprintf("endpoints=%d/waiting=%d", size.endpoints, size.waiting), func(b *testing.B) {
 			s := discoveredPool(size.endpoints, 10)
+			if expectedWork {
+				s = workPool(size.endpoints, 10)
+			}
 			noTimeout := func(k *event.Ticket) {
 				k.Patience = 0
+				if expectedWork {
+					k.Patience, k.Target = 1800*event.Second, 1800*event.Second
+					k.OutputTokens = 10 + len(k.ID)*7919%400
+				}
 				k.Deadline = 3600 * event.Second
 				k.Team = fmt.Sprint("team", len(k.ID)%7)
 				k.DataCentre = "z1"
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -37,6 +37,15 @@
 //   - placement (costModel, isWorthWaiting): by the expected time to first token and to
 //     the end of the response at each endpoint, against the target and the deadline.
 //
+// With Pool.ExpectedWork (setting bounds.queue_order) order, refusal and Retry-After go by the
+// expected work of each request instead:
+//
+//   - order (orderByWork): within a team by arrival plus agingFactor times the expected run
+//     time; large requests of a class are exempt while too few of them are served (workSizes).
+//   - refusal (reviewWaiting): a request that is expected to miss its target goes behind those
+//     of its rank that can meet theirs, and is refused when it is expected to miss its deadline.
+//   - Retry-After (retryAfterOwnWait): the expected wait of the request itself.
+//
 // Quotas are enforced by package admission. An entry without an owner runs the same
 // scheduler; package gateway decides which part of the capacity it uses.
 //
--- a/sched/place.go
+++ b/sched/place.go
@@ -51,7 +51,7 @@
 
 func (s *State) grant(now event.Time, k *ticket, e *endpoint, est estimate, out *event.Effects) {
 	s.queue.remove(k)
-	s.queue.charge(k, float64(k.PromptTokens-est.cached+k.OutputTokens))
+	s.queue.charge(k, s.chargeOf(k, est))
 	g := &grant{
 		endpoint:        e,
 		entry:           k.entry,
@@ -68,6 +68,9 @@
 		prefillWork:     est.prefillWork,
 		paced:           e.rateLimit.everSet,
 	}
+	if s.pool.ExpectedWork {
+		g.expectedWork = s.profileWork(k)
+	}
 	e.rateLimit.take(now)
 	s.prefix.add(e, k.Prefix)
 	switch {
@@ -81,6 +84,9 @@
 	s.refreshView(now, e)
 	s.grantRate.add(now, 1)
 	s.queue.tier(k.Rank, k.precedence).grantedWork.add(now, k.runTime)
+	if s.pool.ExpectedWork {
+		k.class.sizes.granted[k.group].add(now, 1)
+	}
 	granted := g.effect(k.ID)
 	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Duration(est.latency * float64(event.Second))}
 	out.Grants = append(out.Grants, granted)
@@ -112,6 +118,10 @@
 }
 
 func (s *State) refuse(now event.Time, k *ticket, reason event.Reason, out *event.Effects) {
+	if s.pool.ExpectedWork && reason == event.ReasonShed {
+		s.refuseWithRetry(now, k, reason, s.retryAfterOwnWait(now, k), out)
+		return
+	}
 	s.refuseWithRetry(now, k, reason, s.retryAfter(now), out)
 }
 
@@ -119,16 +129,30 @@
 func (s *State) refuseWithRetry(now event.Time, k *ticket, reason event.Reason, retryAfter event.Duration, out *event.Effects) {
 	s.queue.remove(k)
 	k.class.refused.add(now, 1)
+	if s.pool.ExpectedWork {
+		k.class.sizes.refused[k.group].add(now, 1)
+	}
 	s.refused[Group{Team: k.Team, Rank: k.Rank, Reason: reason}]++
 	out.Refusals = append(out.Refusals, event.Refused{
 		Entry:      k.entry,
 		ID:         k.ID,
 		Reason:     reason,
 		RetryAfter: retryAfter,
-		Inputs:     event.Inputs{Ahead: s.queue.len(), Wait: s.expectedWait(now, k)},
+		Inputs:     s.refusalInputs(now, k),
 	})
 }
 
+// refusalInputs returns the figures that a refusal is based on.
+func (s *State) refusalInputs(now event.Time, k *ticket) event.Inputs {
+	inputs := event.Inputs{Ahead: s.queue.len(), Wait: s.expectedWait(now, k)}
+	if s.pool.ExpectedWork {
+		inputs.Run = event.Duration(k.runTime * float64(event.Second))
+		inputs.RunError = k.class.workRatio.deviation()
+		inputs.Work = k.group
+	}
+	return inputs
+}
+
 // retryAfter returns the time the queue takes to drain, with jitter so that
 // requests refused together are not retried together.
 func (s *State) retryAfter(now event.Time) event.Duration {
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -26,6 +26,7 @@
 	runTime        float64    // expected, in seconds
 	workBefore     float64    // team.enqueuedWork when it was added
 	precedence     precedence
+	group          event.WorkGroup // by expected run time; only with Pool.ExpectedWork
 }
 
 // avoids reports whether the ticket must not be granted to an endpoint.
@@ -55,11 +56,18 @@
 	// enqueuedWork and dequeuedWork are the total seconds of work ever added
 	// and removed.
 	enqueuedWork, dequeuedWork float64
+	// before is the ticket found by visitBefore, which is a field so that a search allocates nothing.
+	before      *ticket
+	visitBefore func(*ticket) bool
 }
 
 // dequeue removes a ticket's work. If the ticket was the last one added, its
 // add is undone instead.
-func (m *team) dequeue(k *ticket) {
+func (m *team) dequeue(k *ticket, byWork bool) {
+	if byWork {
+		m.advance(k)
+		return
+	}
 	if k.workBefore+k.runTime == m.enqueuedWork {
 		m.enqueuedWork = k.workBefore
 		return
@@ -115,6 +123,7 @@
 	tiers  []*tier // highest rank first
 	byID   map[event.RequestID]*ticket
 	expiry *btree.BTreeG[*ticket]
+	byWork bool // ordered by expected work
 }
 
 func newQueue() queue {
@@ -150,6 +159,10 @@
 	m, ok := t.teams[name]
 	if !ok {
 		m = &team{name: name, waiting: btree.NewG(treeDegree, ticketLess)}
+		m.visitBefore = func(k *ticket) bool {
+			m.before = k
+			return false
+		}
 		t.teams[name] = m
 	}
 	return m
@@ -158,14 +171,18 @@
 // add enqueues a ticket behind the earlier work of its team.
 func (q *queue) add(k *ticket) {
 	m := q.tier(k.Rank, k.precedence).team(k.Team)
-	k.workBefore = m.enqueuedWork
-	m.enqueuedWork += k.runTime
+	if q.byWork {
+		k.workBefore = m.position(k)
+	} else {
+		k.workBefore = m.enqueuedWork
+		m.enqueuedWork += k.runTime
+	}
 	q.insert(k)
 }
 
 // remove deletes a ticket from the queue permanently.
 func (q *queue) remove(k *ticket) {
-	q.tier(k.Rank, k.precedence).team(k.Team).dequeue(k)
+	q.tier(k.Rank, k.precedence).team(k.Team).dequeue(k, q.byWork)
 	q.detach(k)
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -85,6 +85,7 @@
 	prefillWork     float64 // work of its prefill, in seconds at speed 1
 	firstPrefill    bool    // no other prefill was pending when it was granted
 	adopted         bool    // reported by an entry: it may have begun earlier
+	expectedWork    float64 // at speed 1, in seconds
 	paced           bool    // granted after the endpoint first set a rate limit
 }
 
@@ -181,6 +182,10 @@
 	s.refuseExpired(now, out)
 	s.schedule(now, out)
 	s.shedOverflow(now, out)
+	if s.pool.ExpectedWork {
+		s.reviewWaiting(now, e, out)
+		return
+	}
 	s.refuseOverdue(now, e, out)
 }
 
@@ -192,6 +197,7 @@
 
 func (s *State) setPool(now event.Time, p event.Pool) {
 	s.pool = p
+	s.queue.byWork = p.ExpectedWork
 	for id, e := range s.byID {
 		if p.Discovered {
 			break
@@ -275,6 +281,9 @@
 	if k.Target == 0 {
 		k.orderTime = k.orderTime.Add(event.Duration(sizePenalty * referenceWork(k) * float64(event.Second)))
 	}
+	if s.pool.ExpectedWork {
+		s.orderByWork(now, k)
+	}
 	s.queue.add(k)
 }
 
@@ -344,6 +353,9 @@
 		if !e.Void {
 			s.classes.forRank(g.originalRank).runTime.observe(now.Sub(g.at))
 			s.runTime.observe(now.Sub(g.at))
+			if s.pool.ExpectedWork {
+				s.classes.forRank(g.originalRank).workRatio.observe(now.Sub(g.at).Seconds(), g.expectedWork)
+			}
 		}
 	}
 	s.release(now, e.ID)
