settings: limits of held memory

Change: keys held.share, held.response_kb, held.rate and held.pause with defaults (0.3 of memory_mb, 1024, 16384 bytes/s, 1.5 s), all checked: an error names the key and the value.

--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -26,6 +26,7 @@
 	DataDir     string         `yaml:"data"`
 	Resources   FleetResources `yaml:"resources"`
 	Bounds      FleetBounds    `yaml:"bounds"`
+	Held        FleetHeld      `yaml:"held"`
 	// Contracts names the platform's contracts in force. The adapter decodes them into the
 	// features of the deployment; it ignores names that it does not know.
 	Contracts []string `yaml:"contracts"`
@@ -53,6 +54,29 @@
 	Descriptors int `yaml:"descriptors"`
 }
 
+// FleetHeld limits the memory that an entry holds for callers and endpoints, where the deployment turns the account of
+// it on.
+type FleetHeld struct {
+	// Share is the fraction of MemoryMB that may be held in all.
+	Share float64 `yaml:"share"`
+	// ResponseKB is how many kibibytes of one response may wait for its caller.
+	ResponseKB int `yaml:"response_kb"`
+	// Rate is how many bytes a second a caller must take to keep its response when memory is short, and
+	// Pause how long it may take nothing.
+	Rate  int              `yaml:"rate"`
+	Pause catalog.Duration `yaml:"pause"`
+}
+
+// Bounds of FleetHeld.
+const (
+	// maxHeldShare leaves memory for the process itself, which takes a third of an entry of 88 MB.
+	maxHeldShare = 0.5
+	// minResponseKB is two blocks of 16 KiB, maxResponseKB the memory of a whole entry.
+	minResponseKB, maxResponseKB = 32, 64 << 10
+	// maxHeldPause is less than the 2 s for which an endpoint may be left unread.
+	maxHeldPause = 2 * time.Second
+)
+
 // FleetBounds are limits that hold for the whole deployment.
 type FleetBounds struct {
 	// ToleratedFailures is how many control boxes may fail at the same time.
@@ -116,6 +140,10 @@
 	defaultConfigValidity    = 5 * time.Second
 	defaultRateWindow        = 10 * time.Second
 	defaultRollbackTimeout   = 5 * time.Second
+	defaultHeldShare         = 0.3
+	defaultHeldResponseKB    = 1024
+	defaultHeldRate          = 16 << 10
+	defaultHeldPause         = 1500 * time.Millisecond
 )
 
 // LoadFleet reads the settings of a box in a fleet.
@@ -156,6 +184,7 @@
 		d.addAt("unprotected", "connections of a fleet are not authenticated; confirm with true")
 	}
 	d.checkFleetBounds(f.Bounds)
+	d.checkFleetHeld(f.Held)
 	d.checkLog(f.Log)
 }
 
@@ -196,7 +225,26 @@
 	}
 }
 
+func (d *decoder) checkFleetHeld(h FleetHeld) {
+	if !(h.Share >= 0 && h.Share <= maxHeldShare) {
+		d.addAt("held.share", "%v is not between 0 and %v", h.Share, maxHeldShare)
+	}
+	if h.ResponseKB != 0 && (h.ResponseKB < minResponseKB || h.ResponseKB > maxResponseKB) {
+		d.addAt("held.response_kb", "%d is not between %d and %d", h.ResponseKB, minResponseKB, maxResponseKB)
+	}
+	if h.Rate < 0 {
+		d.addAt("held.rate", "%d is negative", h.Rate)
+	}
+	if h.Pause < 0 || time.Duration(h.Pause) > maxHeldPause {
+		d.addAt("held.pause", "%s is not between 0s and %s", time.Duration(h.Pause), maxHeldPause)
+	}
+}
+
 func (f *Fleet) setDefaults() {
+	f.Held.Share = orDefault(f.Held.Share, defaultHeldShare)
+	f.Held.ResponseKB = orDefault(f.Held.ResponseKB, defaultHeldResponseKB)
+	f.Held.Rate = orDefault(f.Held.Rate, defaultHeldRate)
+	f.Held.Pause = orDefault(f.Held.Pause, catalog.Duration(defaultHeldPause))
 	f.Log.Level = orDefault(f.Log.Level, defaultLogLevel)
 	b := &f.Bounds
 	b.HeartbeatInterval = orDefault(b.HeartbeatInterval, catalog.Duration(defaultHeartbeatInterval))
