gateway, fleet: a slow caller loses its own response only, within an account of held memory

Cause: a stream was written to its caller by the goroutine that reads it from the endpoint, so a slow caller stopped the reading and kept the endpoint's slot. While a caller keeps up, the reading goroutine writes to it directly, after asking the socket whether the write would wait; otherwise the response is held in blocks of 16 KiB, written by a goroutine that exists until the caller has caught up. The end of the endpoint's response is reported to the scheduler at once. A caller that takes too little while its buffer or the account is full is cut without an end marker and its request cancelled; the endpoint is left unread for 2 s at most. An endpoint must take 64 kB of a long request body within 5 s. Send buffers of callers and receive buffers of endpoints are bounded.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -43,9 +43,11 @@
 		Decode:           d.Decode,
 		Log:              log,
 	})
+	held := heldMemory(f, d)
 	g := gateway.New(gateway.Config{
 		Agent: agent, Headers: d.Headers, ParseFeedback: d.ParseFeedback, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Instance: instance,
 		MaxHeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldBytesFraction), Descriptors: f.Resources.Descriptors,
+		HeldMemory: held,
 	})
 	go agent.Run(run)
 	go g.Run(run)
@@ -54,7 +56,11 @@
 		return err
 	}
 	defer ready.Close()
-	callers, err := serve(f.Listen.Callers, newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors))
+	callerServer := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
+	if held != nil {
+		callerServer.ConnContext = gateway.ConnContext
+	}
+	callers, err := serve(f.Listen.Callers, callerServer)
 	if err != nil {
 		return err
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -66,10 +66,9 @@
 
 // receiveBody reads the body into c.body. Its bytes count as held as soon as they arrive.
 func (c *call) receiveBody(body io.Reader, limit int64) error {
-	c.body = make([]byte, 0, initialBodyBuffer)
 	for {
-		if len(c.body) == cap(c.body) {
-			c.body = append(c.body, 0)[:len(c.body)]
+		if len(c.body) == cap(c.body) && !c.growBody(limit) {
+			return errTooMuchHeld
 		}
 		n, err := body.Read(c.body[len(c.body):cap(c.body)])
 		c.body = c.body[:len(c.body)+n]
@@ -77,7 +76,7 @@
 		switch {
 		case int64(len(c.body)) > limit:
 			return errBodyTooLong
-		case held > c.gateway.config.MaxHeldBytes:
+		case c.gateway.memory == nil && held > c.gateway.config.MaxHeldBytes:
 			return errTooMuchHeld
 		case err == io.EOF:
 			return nil
@@ -87,8 +86,22 @@
 	}
 }
 
+// growBody makes room for more of the body. It returns false if there is no memory for it.
+func (c *call) growBody(limit int64) bool {
+	if c.gateway.memory != nil {
+		return c.growHeldBody(limit)
+	}
+	if c.body == nil {
+		c.body = make([]byte, 0, initialBodyBuffer)
+		return true
+	}
+	c.body = append(c.body, 0)[:len(c.body)]
+	return true
+}
+
 // releaseBody releases the body and its share of the held bytes.
 func (c *call) releaseBody() {
+	c.releaseHeldBody()
 	c.gateway.bodyBytes.Add(-int64(len(c.body)))
 	c.body = nil
 }
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,10 +21,12 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	timeout time.Duration
+	// isInterrupted is set once nothing more may be written.
+	isInterrupted atomic.Bool
 }
 
 func newCallerWriter(w http.ResponseWriter, timeout time.Duration) *callerWriter {
-	return &callerWriter{w, http.NewResponseController(w), timeout}
+	return &callerWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
 // Unwrap lets http.ResponseController reach the connection.
@@ -31,13 +34,28 @@
 
 // extendDeadline restarts the write timeout. A connection without support for deadlines is limited by the
 // request's deadline only.
-func (w *callerWriter) extendDeadline() { _ = w.control.SetWriteDeadline(time.Now().Add(w.timeout)) }
+func (w *callerWriter) extendDeadline() {
+	if !w.isInterrupted.Load() {
+		_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
+	}
+}
+
+// interrupt makes the write in progress and all later ones fail. It may be called by any goroutine.
+func (w *callerWriter) interrupt() {
+	w.isInterrupted.Store(true)
+	_ = w.control.SetWriteDeadline(time.Unix(1, 0))
+}
 
 // Write implements io.Writer.
 func (w *callerWriter) Write(p []byte) (int, error) {
 	done := 0
 	for {
 		w.extendDeadline()
+		if w.isInterrupted.Load() {
+			// The deadline may have been extended after the interruption.
+			_ = w.control.SetWriteDeadline(time.Unix(1, 0))
+			return done, errCallerTooSlow
+		}
 		n, err := w.ResponseWriter.Write(p[done:min(len(p), done+callerWriteChunk)])
 		done += n
 		if err != nil || done == len(p) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,9 @@
 	ParseFeedback func(status int, h http.Header) (backpressure.Feedback, error)
 	// MaxHeldBytes limits the total size of the request bodies held at once.
 	MaxHeldBytes int64
+	// HeldMemory turns on the account of held memory, which replaces MaxHeldBytes; nil is off. The server
+	// must have ConnContext as its hook then.
+	HeldMemory *HeldMemory
 	// Descriptors is the process's limit of file descriptors; 0 sets no limit from them.
 	Descriptors int
 	Log         *zap.Logger
@@ -72,18 +75,21 @@
 	draining           atomic.Bool
 	refusesStreams     atomic.Bool // new streams are refused
 	meters             meters
+	memory             *heldMemory // nil without the account of held memory
 
 	// Limits of log lines, see record.go.
-	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter *logx.RateLimiter
+	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter *logx.RateLimiter
 }
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), maxTimeouts: newMaxTimeouts(), inFlightLimit: inFlightLimit(c.Descriptors), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
+	g.memory = newHeldMemory(c.HeldMemory)
+	g.upstream.memory = g.memory
 	g.meters = newMeters(g)
 	g.failedLimiter, g.briefLimiter, g.sampledLimiter = logx.NewRateLimiter(failedLines), logx.NewRateLimiter(briefLines), logx.NewRateLimiter(sampledLines)
-	g.feedbackLimiter = logx.NewRateLimiter(feedbackLines)
+	g.feedbackLimiter, g.cutLimiter = logx.NewRateLimiter(feedbackLines), logx.NewRateLimiter(cutLines)
 	return g
 }
 
@@ -115,6 +121,7 @@
 		case <-ticker.C:
 			g.upstream.sweep()
 			g.maxTimeouts.sweep(time.Now())
+			g.reclaimMemory()
 			g.logSuppressed()
 		}
 	}
@@ -143,7 +150,7 @@
 // call is one request from its arrival to its last byte.
 type call struct {
 	gateway         *Gateway
-	w               http.ResponseWriter
+	w               *callerWriter
 	r               *http.Request
 	table           *routing.Table
 	route           *routing.Route
@@ -169,9 +176,13 @@
 	record     requestRecord
 
 	// Once the head of a response was sent:
-	headSent    bool
-	lastEventID string
-	eventsSent  int
+	headSent   bool
+	relay      *relay // nil without the account of held memory
+	relayError error  // of passing the response on
+	// Bytes that the account holds for the body, and for whole responses.
+	bodyMemory, responseBytes int64
+	lastEventID               string
+	eventsSent                int
 }
 
 // ServeHTTP implements http.Handler.
@@ -191,6 +202,8 @@
 	c.removeReservedHeaders()
 	defer c.logSteps()
 	defer c.releaseBody()
+	c.newRelay()
+	defer c.closeRelay()
 	if !c.admit() {
 		return
 	}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"lynxramp.org/backpressure"
+	"lynxramp.org/heldmem"
 )
 
 // meters are the gateway's metrics; docs/METRICS.md lists them.
@@ -18,6 +19,10 @@
 	set := metrics.NewSet()
 	set.NewGauge("lynxramp_gateway_held_requests", func() float64 { return float64(g.inFlight.Load()) })
 	set.NewGauge("lynxramp_gateway_held_bytes", func() float64 { return float64(g.bodyBytes.Load()) })
+	for _, k := range heldmem.Kinds {
+		set.NewGauge(`lynxramp_gateway_held_memory_bytes{kind="`+k.String()+`"}`, func() float64 { return g.memory.held(k) })
+	}
+	set.NewGauge("lynxramp_gateway_held_memory_limit_bytes", func() float64 { return g.memory.limit() })
 	set.NewGauge("lynxramp_gateway_ready", func() float64 { return float64(boolToInt(g.Ready())) })
 	set.NewGauge("lynxramp_gateway_configuration_version", func() float64 {
 		if t := g.agent.LastTable(); t != nil {
@@ -35,6 +40,9 @@
 	for _, kind := range []string{feedbackLimit, feedbackCooldown, feedbackDraining, feedbackInvalid} {
 		m.feedback(kind)
 	}
+	for why := range cutReasons {
+		m.cutCallers(why)
+	}
 	for _, why := range []backpressure.StopReason{backpressure.StoppedByLimit, backpressure.StoppedByDrain, backpressure.StoppedByCooldown} {
 		m.stoppedGrants(why)
 	}
@@ -86,6 +94,11 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`)
 }
 
+// cutCallers counts the callers whose response was given up because they read too slowly.
+func (m *meters) cutCallers(why cutReason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_cut_callers_total{why="` + why.String() + `"}`)
+}
+
 // observeDecision records how long a request waited for its decision, and who decided.
 func (m *meters) observeDecision(since time.Time, degraded bool) {
 	by := "owner"
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -41,7 +41,7 @@
 
 // receiveWhole buffers a response to its end and forwards it, unless it is a server error.
 func (c *call) receiveWhole(x *exchange, a *attempt, started time.Time) {
-	data, all, err := x.readAll(maxBufferedResponse)
+	data, all, err := c.readResponse(x)
 	switch {
 	case err != nil:
 		a.outcome = outcomeUnknown
@@ -63,9 +63,20 @@
 		return
 	}
 	a.outcome = outcomeDone
+	if c.relay != nil {
+		c.reportAttempt(a) // the slot is free, also while the caller reads
+	}
 	c.forward(kept)
 }
 
+// readResponse reads the body of a response; false if it is too long to be buffered.
+func (c *call) readResponse(x *exchange) ([]byte, bool, error) {
+	if c.relay != nil {
+		return c.readWhole(x)
+	}
+	return x.readAll(maxBufferedResponse)
+}
+
 // forward sends an endpoint's complete response to the caller.
 func (c *call) forward(r *response) {
 	h := c.w.Header()
@@ -74,7 +85,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(r.body)))
 	}
 	c.w.WriteHeader(r.status)
-	_, _ = c.w.Write(r.body) // the caller may have disconnected
+	c.forwardWhole(r.body)
 	c.gateway.meters.countResponse(r.status, c.rankLabel())
 	c.gateway.meters.observeFirstByte(c.arrived, c.rankLabel())
 	c.record.failed = c.record.failed || r.status >= http.StatusInternalServerError || c.isLate(time.Now())
@@ -107,6 +118,10 @@
 	}
 	c.w.WriteHeader(x.response.StatusCode)
 	c.headSent = true
+	if c.relay != nil {
+		c.forwardLongRelayed(x, a, prefix)
+		return
+	}
 	caller := callerErrorWriter{c.w}
 	_, err := caller.Write(prefix)
 	if err == nil {
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -90,9 +90,9 @@
 
 // logSuppressed logs how many lines were suppressed, and how many failed requests have no line at all.
 func (g *Gateway) logSuppressed() {
-	failed, sampled, unlogged, feedback := g.failedLimiter.TakeDropped(), g.sampledLimiter.TakeDropped(), g.briefLimiter.TakeDropped(), g.feedbackLimiter.TakeDropped()
-	if failed+sampled+unlogged+feedback > 0 {
+	failed, sampled, unlogged, feedback, cut := g.failedLimiter.TakeDropped(), g.sampledLimiter.TakeDropped(), g.briefLimiter.TakeDropped(), g.feedbackLimiter.TakeDropped(), g.cutLimiter.TakeDropped()
+	if failed+sampled+unlogged+feedback+cut > 0 {
 		g.log.Info("log lines suppressed", zap.Uint64("of_failed", failed), zap.Uint64("of_others", sampled), zap.Uint64("failed_without_a_line", unlogged),
-			zap.Uint64("of_what_endpoints_ask", feedback))
+			zap.Uint64("of_what_endpoints_ask", feedback), zap.Uint64("of_cut_callers", cut))
 	}
 }
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -292,9 +292,15 @@
 
 // newTestGatewayWithClock is newTestGateway with a given clock.
 func newTestGatewayWithClock(t *testing.T, clock event.Clock, endpoints ...*fakeEndpoint) *testGateway {
+	t.Helper()
+	return newConfiguredGateway(t, clock, testTable(1, "key"), nil, endpoints...)
+}
+
+// newConfiguredGateway is newTestGateway with a given clock, configuration and account of held memory; nil is none.
+func newConfiguredGateway(t *testing.T, clock event.Clock, table *routing.Table, held *HeldMemory, endpoints ...*fakeEndpoint) *testGateway {
 	t.Helper()
 	o := &fakeOwner{}
-	o.publish(testTable(1, "key"))
+	o.publish(table)
 	for i, s := range endpoints {
 		o.endpoints = append(o.endpoints, registry.Endpoint{ID: fmt.Sprintf("e%d", i+1), Service: "s", Address: s.address, Slots: 4})
 	}
@@ -310,9 +316,13 @@
 	agent.clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	go agent.Run(ctx)
-	g := New(Config{Agent: agent, Headers: testNames, ParseFeedback: testFeedback, MaxHeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Instance: 7})
-	server := httptest.NewServer(g)
+	g := New(Config{Agent: agent, Headers: testNames, ParseFeedback: testFeedback, MaxHeldBytes: 1 << 20, HeldMemory: held, Log: zap.NewNop(), Entry: "entry", Instance: 7})
+	server := httptest.NewUnstartedServer(g)
+	if held != nil {
+		server.Config.ConnContext = ConnContext
+	}
 	server.Config.ErrorLog = zap.NewStdLog(zap.NewNop())
+	server.Start()
 	t.Cleanup(func() {
 		server.Close()
 		cancel()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -85,6 +85,7 @@
 	// isFramed is set if the response's end is marked by its length or by chunks. Any other response ends
 	// with its connection, as if the endpoint had terminated.
 	isFramed bool
+	reported bool // to the scheduler
 }
 
 // wasSent reports whether the endpoint may have received the request.
@@ -113,6 +114,9 @@
 func (c *call) run() {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.remaining())
 	defer cancel()
+	if c.relay != nil {
+		c.relay.setCancel(cancel)
+	}
 	unsent, stopped := 0, 0
 	isRetry := false
 	var last *attempt
@@ -267,6 +271,7 @@
 // abortResponse ends a response that cannot be resumed. It closes the connection without the marker that
 // would make the response look complete.
 func (c *call) abortResponse(why string, cause error) {
+	c.flushBeforeAbort()
 	c.gateway.meters.countResponse(0, c.rankLabel())
 	c.record.failed = true
 	c.addStep(stepCut, zap.String("why", why), zap.Int("events", c.eventsSent), zap.String("last_event", c.lastEventID),
@@ -277,6 +282,9 @@
 // abortCancelled ends the call of a caller that disconnected. It aborts the connection: if the handler just
 // returned, net/http would send a 200 that no endpoint made.
 func (c *call) abortCancelled() {
+	if c.wasCut() {
+		c.abortResponse("the caller does not take its response", errCallerTooSlow)
+	}
 	c.gateway.meters.countResponse(0, c.rankLabel())
 	c.record.failed = true
 	c.addStep(stepCancelled, zap.String("why", "the caller disconnected"), zap.Int("attempts", c.attempts), zap.Int("events", c.eventsSent))
@@ -293,6 +301,10 @@
 
 // reportAttempt reports the result of an attempt to the scheduler: the owner, or the entry itself while degraded.
 func (c *call) reportAttempt(a *attempt) {
+	if a.reported {
+		return
+	}
+	a.reported = true
 	failed := a.outcome != outcomeDone || a.err != nil
 	c.gateway.meters.countAttempt(a.outcome)
 	f := message.Finish{
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,6 +35,7 @@
 				a.outcome = outcomeCut
 			}
 			a.err = err
+			c.markCut(a)
 			break
 		}
 		now := time.Now()
@@ -52,13 +53,16 @@
 		}
 		if !c.forwardEvent(control, data, id) {
 			x.abort()
-			a.err = errCallerDisconnected
+			a.err = c.callerError()
 			a.outcome = outcomeDone
 			break
 		}
 	}
 	a.tokens = c.eventsSent * c.stride()
 	a.tokenGap = median(gaps) / time.Duration(c.stride())
+	if c.relay != nil && a.outcome == outcomeDone {
+		c.endRelayed(x, a)
+	}
 }
 
 // maxGaps limits the gaps between events that are measured in a stream.
@@ -89,6 +93,9 @@
 	if !c.headSent {
 		c.sendStreamHead(x)
 	}
+	if c.relay != nil {
+		return // it ends once the caller has taken everything
+	}
 	c.gateway.meters.countResponse(x.response.StatusCode, c.rankLabel())
 	c.addStep(stepEnded, zap.Int("status", x.response.StatusCode), zap.Int("events", c.eventsSent), zap.Int("attempts", c.attempts))
 }
@@ -107,14 +114,18 @@
 
 // forwardEvent writes an event to the caller and flushes it.
 func (c *call) forwardEvent(control *http.ResponseController, event []byte, id string) bool {
-	if _, err := c.w.Write(event); err != nil {
+	if c.relay != nil {
+		if c.relayError = c.pass(event); c.relayError != nil {
+			return false
+		}
+	} else if _, err := c.w.Write(event); err != nil {
 		return false
 	}
 	c.eventsSent++
 	if id != "" {
 		c.lastEventID = id
 	}
-	return control.Flush() == nil
+	return c.relay != nil || control.Flush() == nil
 }
 
 // isAfter reports whether an event follows the last one that the caller received. IDs rise; one that is not
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -45,6 +45,7 @@
 // upstream is a pool of connections to endpoints.
 type upstream struct {
 	maxConnections int          // in use and idle; 0 is no limit
+	memory         *heldMemory  // nil without the account of held memory
 	open           atomic.Int64 // connections, in use and idle
 	mu             sync.Mutex
 	idle           map[string][]*upstreamConn // by address and endpoint, oldest first
@@ -119,6 +120,9 @@
 	}
 	u.evictIdle()
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: link.KeepAlive}
+	if u.memory != nil {
+		dialer.Control = boundBuffers
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(errNotSent, err.Error())
@@ -219,6 +223,7 @@
 	response    *http.Response
 	idleTimeout time.Duration // for the connection after the exchange
 	bodyWritten chan error    // receives the result of writing a long body
+	bodyTimeout time.Duration // in which an endpoint must take a part of the body; 0 is no limit
 	stopCancel  func() bool
 }
 
@@ -226,6 +231,9 @@
 // connection is closed, which cancels the request at the endpoint.
 func (u *upstream) send(ctx context.Context, c *upstreamConn, o *upstreamRequest, idHeader string) (*exchange, error) {
 	x := &exchange{conn: c, idleTimeout: defaultIdleTimeout}
+	if u.memory != nil {
+		x.bodyTimeout = u.memory.bodyTimeout
+	}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := c.SetDeadline(deadline); err != nil {
@@ -264,8 +272,7 @@
 	if isSeparate {
 		x.bodyWritten = make(chan error, 1)
 		go func() {
-			_, err := x.conn.Write(o.body)
-			x.bodyWritten <- err
+			x.bodyWritten <- x.writeBody(o.body)
 		}()
 	}
 	return nil
