gateway, settings: 4 MiB for one response, no cut that doesn't help; docs of held memory

Cause: with 1 MiB for one response a replica was left unread for 1.2 s though the account had room. A body refused by the bodies' own limit cut slow callers, which frees nothing for it, and was refused 300 ms late. Change: held.response_kb is 4096 by default. A caller that waits for memory is not given up in the step that cut another. A body that the bodies' own limit refuses gets its 503 at once.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -12,4 +12,7 @@
 // endpoint states that it did not run it. A response is forwarded only if it is complete, valid HTTP and
 // carries the ID of this request. A stream is forwarded in complete events, so that it can be resumed at
 // another endpoint.
+//
+// Where the account of held memory is on (package heldmem), a relay stands between the goroutine that reads a response
+// and the caller: an endpoint is read at its own pace, and a caller that is too slow loses its own response only.
 package gateway
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -118,7 +118,7 @@
 
 // flushRelay waits until the caller has taken what is held of its response.
 func (c *call) flushRelay() error {
-	return c.relay.flush(c.r.Context(), c.gateway.draining.Load)
+	return c.relay.flush(c.r.Context(), c.gateway.refusesStreams.Load)
 }
 
 // abortRelayed ends a response whose caller does not take it.
@@ -294,6 +294,9 @@
 	if m.account.TryHold(k, n) {
 		return true
 	}
+	if k == heldmem.KindBody && m.account.FullOfBodies(n) {
+		return false
+	}
 	for end := time.Now().Add(timeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(holdPoll) {
 		m.account.Reclaim(clock.Now(), n)
 		if m.account.TryHold(k, n) {
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -317,6 +317,19 @@
 	}
 }
 
+// TestRefusedResumptionIsNotJoined guards against the response of an endpoint that refuses to resume a stream being
+// joined to it.
+func TestRefusedResumptionIsNotJoined(t *testing.T) {
+	t.Parallel()
+	r := newHeldGateway(t, heldLimits(), newFakeEndpoint(t, events(2, true)), newFakeEndpoint(t, whole(404, "not here")))
+	_, a := r.start(t, "/stream/x", testReceiveBuffer)
+	got, err := io.ReadAll(a.Body)
+	if string(got) != eventText(1)+eventText(2) || err == nil {
+		t.Errorf("got %q, error %v, want two events of an incomplete response", got, err)
+	}
+	r.checkNothingHeld(t)
+}
+
 // TestSlowCallerOfWholeResponse: the slot of a whole or long response is free although its caller pauses, and the
 // caller then gets everything.
 func TestSlowCallerOfWholeResponse(t *testing.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -227,8 +227,8 @@
 	}()
 	end := began.Add(b.memory.patience - b.blocked)
 	for {
-		b.memory.account.Reclaim(b.clock.Now(), 0)
-		if b.isOverdue() {
+		reclaimed := b.memory.account.Reclaim(b.clock.Now(), 0)
+		if reclaimed == 0 && b.isOverdue() {
 			b.giveUp(granted, b.blocked+time.Since(began))
 		}
 		timer := time.NewTimer(min(reclaimInterval, time.Until(end)))
--- a/heldmem/account.go
+++ b/heldmem/account.go
@@ -102,8 +102,18 @@
 	if k == KindBody {
 		side = bodies
 	}
-	sideLimit := int64(shareOfOneSide * float64(a.limits.Total))
-	return min(a.limits.Total-responses-bodies, sideLimit-side)
+	return min(a.limits.Total-responses-bodies, a.sideLimit()-side)
+}
+
+// sideLimit is the number of bytes that bodies may take together, and that responses may.
+func (a *Account) sideLimit() int64 { return int64(shareOfOneSide * float64(a.limits.Total)) }
+
+// FullOfBodies reports whether n more bytes of bodies exceed what bodies may take together. Cutting responses does not
+// help then.
+func (a *Account) FullOfBodies(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held[KindBody]+n > a.sideLimit()
 }
 
 // grant grants memory to the requests that wait, in order of arrival, as far as the limit allows.
--- a/heldmem/account_test.go
+++ b/heldmem/account_test.go
@@ -173,6 +173,9 @@
 	if a.TryHold(KindBody, 751) || !a.TryHold(KindBody, 750) {
 		t.Error("bodies can't hold exactly three quarters")
 	}
+	if !a.FullOfBodies(1) {
+		t.Error("the account is not full of bodies")
+	}
 	if a.TryHold(KindResponse, 251) || !a.TryHold(KindResponse, 250) {
 		t.Error("responses can't hold exactly the rest")
 	}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -141,7 +141,7 @@
 	defaultRateWindow        = 10 * time.Second
 	defaultRollbackTimeout   = 5 * time.Second
 	defaultHeldShare         = 0.3
-	defaultHeldResponseKB    = 1024
+	defaultHeldResponseKB    = 4096
 	defaultHeldRate          = 16 << 10
 	defaultHeldPause         = 1500 * time.Millisecond
 )
