gateway: an endpoint that takes no request body has an error of its own

Cause: its connection is closed here, and net.ErrClosed would look like a caller that disconnected. Change: the attempt ends with errBodyNotTaken. Result: go test -race ./gateway passes.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -224,6 +224,7 @@
 	idleTimeout time.Duration // for the connection after the exchange
 	bodyWritten chan error    // receives the result of writing a long body
 	bodyTimeout time.Duration // in which an endpoint must take a part of the body; 0 is no limit
+	bodyStalled atomic.Bool   // the endpoint did not
 	stopCancel  func() bool
 }
 
@@ -247,6 +248,9 @@
 	}
 	if err := x.readHead(o); err != nil {
 		x.abort()
+		if x.bodyStalled.Load() {
+			return nil, errBodyNotTaken // not the error of a connection that was closed for the caller
+		}
 		return nil, err
 	}
 	if x.response.Header.Get(idHeader) != o.id {
--- a/gateway/upstream_body.go
+++ b/gateway/upstream_body.go
@@ -16,6 +16,9 @@
 	endpointBodyTimeout = 5 * time.Second
 )
 
+// errBodyNotTaken is returned if an endpoint takes a request body too slowly.
+var errBodyNotTaken = errors.New("the endpoint does not take the request body")
+
 // writeBody writes a long body to the endpoint. With a limit on progress, an endpoint that takes it too slowly has its
 // connection closed, which also ends the wait for its response.
 func (x *exchange) writeBody(body []byte) error {
@@ -24,10 +27,10 @@
 		return err
 	}
 	for len(body) > 0 {
-		stalled := time.AfterFunc(x.bodyTimeout, func() { _ = x.conn.Close() })
+		stalled := time.AfterFunc(x.bodyTimeout, x.closeStalled)
 		n, err := x.conn.Write(body[:min(len(body), bodyChunk)])
 		if !stalled.Stop() {
-			return errors.New("the endpoint does not take the request body")
+			return errBodyNotTaken
 		}
 		if err != nil {
 			return err
@@ -37,6 +40,11 @@
 	return nil
 }
 
+func (x *exchange) closeStalled() {
+	x.bodyStalled.Store(true)
+	_ = x.conn.Close()
+}
+
 // boundBuffers bounds the buffers of a connection to an endpoint before it is made. Without a bound, the kernel keeps up
 // to 4 MB of a request body that the endpoint does not read.
 func boundBuffers(_, _ string, raw syscall.RawConn) error {
