--- a/gateway/run.go
+++ b/gateway/run.go
@@ -85,6 +85,7 @@
 	// isFramed is set if the response's end is marked by its length or by chunks. Any other response ends
 	// with its connection, as if the endpoint had terminated.
 	isFramed bool
+	reported bool // to the scheduler
 }
 
 // wasSent reports whether the endpoint may have received the request.
@@ -113,6 +114,9 @@
 func (c *call) run() {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.remaining())
 	defer cancel()
+	if c.relay != nil {
+		c.relay.setCancel(cancel)
+	}
 	unsent, stopped := 0, 0
 	isRetry := false
 	var last *attempt
@@ -269,6 +273,7 @@
 // abortResponse ends a response that cannot be resumed. It closes the connection without the marker that
 // would make the response look complete.
 func (c *call) abortResponse(why string, cause error) {
+	c.flushBeforeAbort()
 	c.gateway.meters.countResponse(0, c.rankLabel())
 	c.record.failed = true
 	c.addStep(stepCut, zap.String("why", why), zap.Int("events", c.eventsSent), zap.String("last_event", c.lastEventID),
@@ -279,6 +284,9 @@
 // abortCancelled ends the call of a caller that disconnected. It aborts the connection: if the handler just
 // returned, net/http would send a 200 that no endpoint made.
 func (c *call) abortCancelled() {
+	if c.wasCut() {
+		c.abortResponse("the caller does not take its response", errCallerTooSlow)
+	}
 	c.gateway.meters.countResponse(0, c.rankLabel())
 	c.record.failed = true
 	c.addStep(stepCancelled, zap.String("why", "the caller disconnected"), zap.Int("attempts", c.attempts), zap.Int("events", c.eventsSent))
@@ -295,6 +303,10 @@
 
 // reportAttempt reports the result of an attempt to the scheduler: the owner, or the entry itself while degraded.
 func (c *call) reportAttempt(a *attempt) {
+	if a.reported {
+		return
+	}
+	a.reported = true
 	failed := a.outcome != outcomeDone || a.err != nil
 	c.gateway.meters.countAttempt(a.outcome)
 	f := message.Finish{
@@ -403,6 +415,8 @@
 		a.outcome = outcomeUnknown
 		a.err = errors.New("success response lacks the endpoint's signature")
 		x.abort()
+	case c.headSent && !ok:
+		c.receiveRefusedResumption(x, a)
 	case ok && c.route.Kind == routing.KindStream:
 		c.receiveStream(x, a, started)
 	default:
@@ -410,6 +424,18 @@
 	}
 }
 
+// receiveRefusedResumption reads a response without success to a stream that was to be resumed. Its body must not be
+// joined to the events that the caller has received.
+func (c *call) receiveRefusedResumption(x *exchange, a *attempt) {
+	a.outcome = outcomeFailed
+	a.err = errors.Errorf("endpoint responded with status %d instead of resuming the stream", x.response.StatusCode)
+	if _, all, err := x.readAll(maxBufferedResponse); err == nil && all {
+		x.finish(c.gateway.upstream)
+		return
+	}
+	x.abort()
+}
+
 // receiveNotRun reads a response that states that the endpoint did not run the request.
 func (c *call) receiveNotRun(x *exchange, a *attempt) {
 	a.outcome = outcomeNotRun
