platform, gateway, event: decode the load reports of endpoints

Endpoints report their load in a response header, some with a slowdown. No part of the code read it. platform.ParseLoad decodes it once, and the entry passes a slowdown on with its age in Begun or Finished. Nothing decides by it yet.

--- a/event/event.go
+++ b/event/event.go
@@ -118,6 +118,10 @@
 	Pool string
 	// After is the time from sending the request to the beginning of the response.
 	After Duration
+	// Slowdown is how many times as long as usual the endpoint says that work takes there; 0 if its response
+	// did not say. SlowdownAge is the time since the response was received.
+	Slowdown    float64
+	SlowdownAge Duration
 }
 
 // Finished reports that a granted request no longer uses its endpoint.
@@ -137,6 +141,9 @@
 	FirstAfter Duration
 	// TokenGap is the typical time between the response's tokens; 0 if unknown.
 	TokenGap Duration
+	// Slowdown and SlowdownAge are as in Begun; 0 if a Begun event carried them.
+	Slowdown    float64
+	SlowdownAge Duration
 }
 
 // Adopted is a request that runs at an endpoint without this scheduler's grant,
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -44,7 +44,7 @@
 		Log:              log,
 	})
 	g := gateway.New(gateway.Config{
-		Agent: agent, Headers: d.Headers, ParseFeedback: d.ParseFeedback, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Instance: instance,
+		Agent: agent, Headers: d.Headers, ParseFeedback: d.ParseFeedback, ParseLoad: d.ParseLoad, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Instance: instance,
 		MaxHeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldBytesFraction), Descriptors: f.Resources.Descriptors,
 	})
 	go agent.Run(run)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// ParseFeedback parses the feedback of an endpoint in response headers; its error names the
 	// last malformed header.
 	ParseFeedback func(status int, h http.Header) (backpressure.Feedback, error)
+	// ParseLoad parses the load report of an endpoint in response headers; false means none.
+	ParseLoad func(h http.Header) (backpressure.Load, bool, error)
 	// Features decodes the platform's contracts in force; nil means no features.
 	Features func(contracts []string) Features
 	// OperatorHandler returns a control box's handler for operators and endpoints.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// ParseFeedback reads the feedback in an endpoint's response; its error names the last header
 	// that cannot be parsed. If it is nil, responses carry no feedback.
 	ParseFeedback func(status int, h http.Header) (backpressure.Feedback, error)
+	// ParseLoad reads the load report in an endpoint's response; false means that there is none. If
+	// ParseLoad is nil, responses carry no reports.
+	ParseLoad func(h http.Header) (backpressure.Load, bool, error)
 	// MaxHeldBytes limits the total size of the request bodies held at once.
 	MaxHeldBytes int64
 	// Descriptors is the process's limit of file descriptors; 0 sets no limit from them.
@@ -74,7 +77,7 @@
 	meters             meters
 
 	// Limits of log lines, see record.go.
-	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter *logx.RateLimiter
+	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, loadLimiter *logx.RateLimiter
 }
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
@@ -83,7 +86,7 @@
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.meters = newMeters(g)
 	g.failedLimiter, g.briefLimiter, g.sampledLimiter = logx.NewRateLimiter(failedLines), logx.NewRateLimiter(briefLines), logx.NewRateLimiter(sampledLines)
-	g.feedbackLimiter = logx.NewRateLimiter(feedbackLines)
+	g.feedbackLimiter, g.loadLimiter = logx.NewRateLimiter(feedbackLines), logx.NewRateLimiter(loadLines)
 	return g
 }
 
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -35,6 +35,9 @@
 	for _, kind := range []string{feedbackLimit, feedbackCooldown, feedbackDraining, feedbackInvalid} {
 		m.feedback(kind)
 	}
+	for _, kind := range []string{loadBasic, loadSlowdown, loadInvalid} {
+		m.loadReports(kind)
+	}
 	for _, why := range []backpressure.StopReason{backpressure.StoppedByLimit, backpressure.StoppedByDrain, backpressure.StoppedByCooldown} {
 		m.stoppedGrants(why)
 	}
@@ -81,6 +84,18 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_endpoint_words_total{word="` + kind + `"}`)
 }
 
+// Kinds of load reports, as used in metric labels.
+const (
+	loadBasic    = "basic"    // without a slowdown
+	loadSlowdown = "slowdown" // with one
+	loadInvalid  = "invalid"
+)
+
+// loadReports counts the responses with a kind of load report.
+func (m *meters) loadReports(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_load_reports_total{kind="` + kind + `"}`)
+}
+
 // stoppedGrants counts the grants that were not used because of feedback.
 func (m *meters) stoppedGrants(why backpressure.StopReason) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -24,6 +24,8 @@
 	sampledLines = 60
 	// feedbackLines is the number of lines a second about endpoints' feedback.
 	feedbackLines = 20
+	// loadLines is the number of lines a second about invalid load reports.
+	loadLines = 2
 )
 
 // The steps of a request, as log messages.
@@ -91,8 +93,9 @@
 // logSuppressed logs how many lines were suppressed, and how many failed requests have no line at all.
 func (g *Gateway) logSuppressed() {
 	failed, sampled, unlogged, feedback := g.failedLimiter.TakeDropped(), g.sampledLimiter.TakeDropped(), g.briefLimiter.TakeDropped(), g.feedbackLimiter.TakeDropped()
-	if failed+sampled+unlogged+feedback > 0 {
+	load := g.loadLimiter.TakeDropped()
+	if failed+sampled+unlogged+feedback+load > 0 {
 		g.log.Info("log lines suppressed", zap.Uint64("of_failed", failed), zap.Uint64("of_others", sampled), zap.Uint64("failed_without_a_line", unlogged),
-			zap.Uint64("of_what_endpoints_ask", feedback))
+			zap.Uint64("of_what_endpoints_ask", feedback), zap.Uint64("of_load_reports", load))
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -82,6 +82,7 @@
 	tokenGap       time.Duration // median time between tokens
 	tokens         int
 	failure        *response // kept for the caller if outcomeFailed
+	load           receivedLoad
 	// isFramed is set if the response's end is marked by its length or by chunks. Any other response ends
 	// with its connection, as if the endpoint had terminated.
 	isFramed bool
@@ -305,6 +306,7 @@
 		Unsent:   !a.wasSent(),
 		Suspect:  (a.outcome == outcomeNotSent && !a.notTried) || (a.outcome == outcomeUnknown && a.firstByteAfter == 0),
 	}
+	f.Slowdown, f.SlowdownAge = a.load.take()
 	f.Print, f.Ran = c.fingerprint, a.runResult()
 	if !a.sent.IsZero() && a.err != nil && endsConnection(a.err) {
 		c.gateway.agent.RecordTermination(poison.Termination{
@@ -388,6 +390,7 @@
 	names := &c.gateway.config.Headers
 	r := x.response
 	feedback := c.receiveFeedback(a, r)
+	c.receiveLoad(a, r)
 	a.isFramed = r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
 	// An endpoint that asks for a cooldown has rejected the request.
 	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" || feedback.Rest > 0 {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,7 +40,9 @@
 		now := time.Now()
 		if received == 0 {
 			a.firstByteAfter = now.Sub(started)
-			c.gateway.agent.Begin(event.Begun{ID: c.id, Pool: c.service, After: a.firstByteAfter})
+			begun := event.Begun{ID: c.id, Pool: c.service, After: a.firstByteAfter}
+			begun.Slowdown, begun.SlowdownAge = a.load.take()
+			c.gateway.agent.Begin(begun)
 			c.sendStreamHead(x)
 		} else if len(gaps) < maxGaps {
 			gaps = append(gaps, now.Sub(last))
