sched: place requests by the slowdown that endpoints report

Cause: no part of the code read the load that endpoints report, so requests were placed on endpoints that other work had slowed by 2.5 times.

Change: each endpoint has the state of its reports. Its usual speed is learned from measured times divided by the reported slowdown, its present speed is the usual one divided by the expected slowdown. Endpoints without the figure are scheduled as before. Requests that become late together are queued again in the order of arrival, no longer in that of a map.

--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -19,6 +19,7 @@
 	sessions *metrics.Gauge
 	suspects *metrics.Gauge
 	feedback *metrics.Gauge
+	slowed   *metrics.Gauge
 	grants   *metrics.Counter
 	refusals *metrics.Counter
 	steps    *metrics.Histogram
@@ -36,6 +37,7 @@
 		sessions: set.NewGauge("lynxramp_control_sessions", nil),
 		suspects: set.NewGauge("lynxramp_control_suspects", nil),
 		feedback: set.NewGauge("lynxramp_control_asking_endpoints", nil),
+		slowed:   set.NewGauge("lynxramp_control_slowed_endpoints", nil),
 		grants:   set.NewCounter("lynxramp_control_grants_total"),
 		refusals: set.NewCounter("lynxramp_control_refusals_total"),
 		steps:    set.NewHistogram("lynxramp_control_step_seconds"),
@@ -49,13 +51,15 @@
 func (m *meters) recordStep(began time.Time, s *State, out *Effects) {
 	m.steps.UpdateDuration(began)
 	m.formats.update(began, s)
-	owner, sessions, suspects, feedback := 0.0, 0.0, 0.0, 0.0
+	owner, sessions, suspects, feedback, slowed := 0.0, 0.0, 0.0, 0.0, 0.0
 	if s.owner != nil {
 		owner, sessions, suspects = 1, float64(len(s.owner.sessions)), float64(len(s.owner.suspects))
 		feedback = float64(len(s.owner.feedback.active))
+		slowed = float64(s.owner.admission.SlowedEndpoints())
 	}
 	m.suspects.Set(suspects)
 	m.feedback.Set(feedback)
+	m.slowed.Set(slowed)
 	m.owner.Set(owner)
 	m.sessions.Set(sessions)
 	m.term.Set(float64(s.node.Term()))
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -51,6 +51,7 @@
 	suspects         []poison.Fingerprint // as last sent to entries, with their revision
 	suspectsRevision uint64
 	feedback         feedbackTracker // of endpoints
+	slowdowns        slowdownLogger
 }
 
 // maxExpiredPerTick bounds the disconnected entries whose requests one tick treats as terminated.
@@ -202,6 +203,7 @@
 	o.sendFeedback(now, out)
 	o.sendSuspects(out)
 	o.logBudgets(now, out)
+	o.logSlowdowns(now, out)
 	o.raiseFormatVersion(now, s, out)
 }
 
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -27,6 +27,7 @@
 	})
 	set.NewGauge("lynxramp_gateway_configuration_told_version", func() float64 { return float64(g.agent.client.announcedVersion.Load()) })
 	set.NewGauge("lynxramp_gateway_configuration_bytes", func() float64 { return float64(g.agent.client.nodeBytes.Load()) })
+	set.NewGauge("lynxramp_gateway_slowed_endpoints", func() float64 { return float64(g.agent.client.slowedEndpoints.Load()) })
 	metrics.RegisterSet(set)
 	m := meters{set: set}
 	for _, name := range g.config.Headers.Reserved {
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -14,6 +14,7 @@
 	"lynxramp.org/backpressure"
 	"lynxramp.org/budget"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/logx"
 	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/poison"
@@ -127,7 +128,9 @@
 	degradedPoison *poison.Tracker
 	// gate has the endpoints' feedback. Calls use it concurrently.
 	gate               backpressure.Gate
-	nextGateSweep      event.Time  // time of the next sweep
+	nextGateSweep      event.Time   // time of the next sweep
+	slowedEndpoints    atomic.Int64 // that are treated as slowed while degraded
+	slowdownLimiter    *logx.RateLimiter
 	ownerFormatVersion level.Level // highest format version that the owner supports
 	batch              message.Batch
 	effects            event.Effects
@@ -163,6 +166,8 @@
 		firstTable:   make(chan struct{}),
 		nextTry:      int(c.Instance % uint64(len(c.ControlAddresses)+1)),
 		fetch:        configFetch{window: maxWindow},
+
+		slowdownLimiter: logx.NewRateLimiter(slowdownLines),
 	}
 	a.entryCount.Store(1)
 	return a
@@ -341,6 +346,7 @@
 		a.degraded.EntryHeartbeat(now, a.config.Entry, &a.effects)
 		a.degraded.Tick(now, &a.effects)
 		a.logPoisonChanges()
+		a.logSlowdowns(now)
 	}
 	a.sweepGate(now)
 	a.deliverDecisions(now)
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -169,6 +169,7 @@
 func (a *OwnerClient) ownerFound(now event.Time) {
 	a.hasOwner = true
 	a.degraded = nil
+	a.slowedEndpoints.Store(0)
 	a.unsubmitted = a.waitingByArrival()
 	a.reportTerminations(now)
 	a.reportFeedback(now)
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -24,7 +24,7 @@
 	s.setLimit(now, e, seen)
 	s.refreshView(now, e)
 	if e.Concurrency > 0 && e.isAvailable(now) {
-		s.maxSpeed = max(s.maxSpeed, e.speed())
+		s.maxSpeed = max(s.maxSpeed, e.presentSpeed(now))
 	}
 }
 
@@ -93,9 +93,9 @@
 	profile := s.profile()
 	switch {
 	case f.TokenGap > 0:
-		g.endpoint.observeSlowness(now, f.TokenGap.Seconds()/profile.TokenGap.Seconds())
+		g.observeSlowness(now, f.TokenGap.Seconds()/profile.TokenGap.Seconds())
 	case g.tokenless && f.FirstAfter > 0 && !f.Failed:
-		g.endpoint.observeSlowness(now, f.FirstAfter.Seconds()/profile.CallTime.Seconds())
+		g.observeSlowness(now, f.FirstAfter.Seconds()/profile.CallTime.Seconds())
 	}
 }
 
@@ -107,6 +107,8 @@
 		return
 	}
 	e := g.endpoint
+	s.applySlowdown(now, g, b.Slowdown, b.SlowdownAge, true)
+	g.startSlowdown(now)
 	if s.pool.Discovered {
 		s.observePrefill(now, e, g, b.After)
 	}
@@ -118,13 +120,13 @@
 // slowdown from a response that has begun.
 func (s *State) observePrefill(now event.Time, e *endpoint, g *grant, firstToken event.Duration) {
 	if g.firstPrefill && firstToken > 0 {
-		s.prefill.observe(float64(g.prefillTokens)/e.speed(), firstToken.Seconds())
+		s.prefill.observe(float64(g.prefillTokens)/e.presentSpeed(now), firstToken.Seconds())
 	}
 	if g.prefillWork < minPrefillSample || s.prefill.rate() == 0 || e.prefillQueue.head() != g {
 		return
 	}
 	elapsed := now.Sub(e.prefillQueue.headSince).Seconds() - s.prefill.overhead()
-	e.prefillSlowdown.observe(now, elapsed*e.speed()/g.prefillWork)
+	e.prefillSlowdown.observe(now, elapsed*e.presentSpeed(now)/g.prefillWork)
 }
 
 // isWorthWaiting reports whether k would miss its target at the best endpoint
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -33,10 +33,12 @@
 	backoffUntil    event.Time
 	prefillQueue    prefillQueue
 	prefillSlowdown prefillSlowdown // relative to slowness
+	slowdown        slowdown        // as the endpoint reports it
 	grants          map[event.RequestID]*grant
 	cachedHashes    cachedHashes
 	// slowness is the measured time per unit of work relative to the pool's
-	// profile; 0 if unknown.
+	// profile, divided by the slowdown that the endpoint reported at the time; 0
+	// if unknown.
 	slowness   float64
 	slownessAt event.Time
 }
@@ -76,8 +78,25 @@
 	return e.Concurrency
 }
 
-// speed returns the endpoint's speed relative to the reference engine: measured
-// if possible, else as configured.
+// presentSlowness returns the time per unit of work that is expected at now: the
+// usual time, times the reported slowdown.
+func (e *endpoint) presentSlowness(now event.Time) float64 {
+	if !e.slowdown.isReported {
+		return 1 / e.speed()
+	}
+	return e.slowdown.factor(now) / e.speed()
+}
+
+// presentSpeed returns the speed that is expected at now.
+func (e *endpoint) presentSpeed(now event.Time) float64 {
+	if !e.slowdown.isReported {
+		return e.speed()
+	}
+	return e.speed() / e.slowdown.factor(now)
+}
+
+// speed returns the endpoint's usual speed relative to the reference engine:
+// measured if possible, else as configured.
 func (e *endpoint) speed() float64 {
 	if e.slowness > 0 {
 		return 1 / e.slowness
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -68,6 +68,7 @@
 			late = append(late, k)
 		}
 	}
+	sortByArrival(late) // the order in which they are queued again must not depend on the order of a map
 	for _, k := range late {
 		s.queue.remove(k)
 		k.precedence = precedenceLate
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -26,6 +26,8 @@
 	target, deadline         event.Duration
 	value, lateValue         float64 // of an answer that meets its target, and of a later one
 	promptSigma, outputSigma float64 // standard deviation of the logarithm
+	// callTime is the run time of a call without tokens at speed 1; 0 for a stream.
+	callTime event.Duration
 }
 
 var loadKinds = [...]loadKind{
@@ -48,6 +50,18 @@
 	// no other endpoints go down.
 	limited int
 	limit   float64
+	// kinds are the kinds of requests, at most as many as loadKinds, which are the default.
+	kinds []loadKind
+	// slots is how many requests an endpoint runs at once; 0 means loadCapacity.
+	slots int
+	// slowness are the factors of the endpoints, in turn; nil means loadSlowness.
+	slowness []float64
+	// swing is how far the load oscillates around its mean, with a period of loadSwingPeriod.
+	swing float64
+	// turns slows endpoints by turns.
+	turns slowTurns
+	// report is what an endpoint says of its slowdown; nil means that it reports none.
+	report slowdownReport
 }
 
 // worstLoad returns the parameters of the overload.
@@ -79,6 +93,7 @@
 	cutOff            int     // responses cut off by the deadline
 	wastedSeconds     float64 // run time of these
 	runSeconds        float64
+	placement         placementResult
 }
 
 // earnedShare returns the ratio of earned to possible value over all kinds.
@@ -105,6 +120,7 @@
 	r.cutOff += o.cutOff
 	r.wastedSeconds += o.wastedSeconds
 	r.runSeconds += o.runSeconds
+	r.placement.add(&o.placement)
 }
 
 // worstShare returns the smallest ratio of earned to possible value among the kinds and
@@ -141,6 +157,9 @@
 	requests map[event.RequestID]*loadRequest
 	engines  map[event.EndpointID]*loadEngine
 	result   loadResult
+	kinds    []loadKind
+	// decisions, if set, is called with each decision.
+	decisions func(now event.Time, g event.Granted, refused *event.Refused)
 }
 
 type timer struct {
@@ -172,6 +191,7 @@
 func (r *simulation) step(e event.Event) {
 	var out event.Effects
 	r.s.Step(r.now, e, &out)
+	r.observeDecisions(&out)
 	for _, g := range out.Grants {
 		r.granted(g)
 	}
@@ -181,23 +201,30 @@
 }
 
 // runLoad simulates a load and returns its totals.
-func runLoad(l load) *loadResult {
+func runLoad(l load) *loadResult { return runLoadWith(l, nil) }
+
+// runLoadWith is runLoad with a function that is called with each decision.
+func runLoadWith(l load, decisions func(event.Time, event.Granted, *event.Refused)) *loadResult {
 	r := &simulation{
+		kinds: l.kinds, decisions: decisions,
 		load: l, random: rand.New(rand.NewPCG(l.seed, 7)), requests: make(map[event.RequestID]*loadRequest),
 		engines: make(map[event.EndpointID]*loadEngine),
 		s: New(0, event.Pool{Name: pool, MaxWaiting: 4000, Discovered: true, Profile: event.Profile{
 			PrefillRate: 40000, TokenGap: 5 * event.Millisecond, CallTime: 30 * event.Millisecond,
 		}, LeastOutstanding: l.baseline}, l.seed),
 	}
+	if r.kinds == nil {
+		r.kinds = loadKinds[:]
+	}
 	for i := range l.endpoints {
 		r.updateEndpoint(i, false)
 	}
-	if l.limited == 0 {
+	if l.limited == 0 && l.turns == (slowTurns{}) {
 		r.at(event.Time(3*event.Second), func() { r.setQuarterDown(true) })
 		r.at(event.Time(6*event.Second), func() { r.setQuarterDown(false) })
 	}
-	for i := range loadKinds {
-		r.scheduleArrival(&loadKinds[i], 0)
+	for i := range r.kinds {
+		r.scheduleArrival(&r.kinds[i], 0)
 	}
 	r.tick()
 	for len(r.timers) > 0 {
@@ -216,12 +243,22 @@
 func (r *simulation) slowness(id event.EndpointID) float64 {
 	n := 0
 	_, _ = fmt.Sscanf(string(id), "e%d", &n)
+	if list := r.load.slowness; list != nil {
+		return list[n%len(list)]
+	}
 	return loadSlowness[n%len(loadSlowness)]
 }
 
+func (r *simulation) slots() int {
+	if r.load.slots > 0 {
+		return r.load.slots
+	}
+	return loadCapacity
+}
+
 func (r *simulation) updateEndpoint(i int, down bool) {
 	r.step(&event.EndpointUpdated{
-		Endpoint: event.Endpoint{ID: loadEndpoint(i), Concurrency: 10, Speed: 1}, Address: "10.0.0.1:80", Down: down || i < r.load.limited && r.load.limit < 0,
+		Endpoint: event.Endpoint{ID: loadEndpoint(i), Concurrency: r.slots(), Speed: 1}, Address: "10.0.0.1:80", Down: down || i < r.load.limited && r.load.limit < 0,
 		Limited: i < r.load.limited && r.load.limit > 0, Limit: r.load.limit,
 	})
 }
@@ -238,6 +275,7 @@
 
 func (r *simulation) tick() {
 	r.step(&event.Tick{})
+	r.sampleLoad()
 	if r.now < r.load.length.Add(16*event.Second) {
 		r.at(r.now.Add(50*event.Millisecond), r.tick)
 	}
@@ -249,6 +287,7 @@
 	if at >= event.Time(2*event.Second) && at < event.Time(7*event.Second) {
 		rate *= r.load.burst
 	}
+	rate *= r.load.swingAt(at)
 	at = at.Add(event.Duration(r.random.ExpFloat64() / rate * float64(event.Second)))
 	if at >= r.load.length {
 		return
@@ -266,6 +305,9 @@
 }
 
 func (r *simulation) newRequest(kind *loadKind) *loadRequest {
+	if kind.callTime > 0 {
+		return r.newCall(kind)
+	}
 	prompt := max(60, int(r.logNormal(kind.prompt, kind.promptSigma)))
 	length := min(kind.maxOutput, max(6, int(r.logNormal(kind.output, kind.outputSigma))))
 	guess := min(kind.maxOutput, max(1, int(r.logNormal(float64(length), r.load.guessSigma)*math.Exp(r.load.guessSigma*r.load.guessSigma/2))))
@@ -289,8 +331,8 @@
 }
 
 func (r *simulation) kindIndex(kind *loadKind) int {
-	for i := range loadKinds {
-		if &loadKinds[i] == kind {
+	for i := range r.kinds {
+		if &r.kinds[i] == kind {
 			return i
 		}
 	}
@@ -325,6 +367,7 @@
 func (r *simulation) refused(f event.Refused) {
 	k := r.requests[f.ID]
 	delete(r.requests, f.ID)
+	r.countRefusal()
 	if f.Reason == event.ReasonDeadline {
 		r.result.timedOut++
 		return
@@ -341,7 +384,11 @@
 
 // loadEngine simulates an endpoint that runs ten requests at once and queues the others.
 type loadEngine struct {
+	id           event.EndpointID
 	slowness     float64
+	turns        []slowTurn
+	granted      int     // requests granted and not ended
+	outstanding  float64 // mean work of the kinds of these requests, in seconds at speed 1
 	running      int
 	waiting      []func()
 	prefillUntil event.Time // end of the last prefill
@@ -359,13 +406,15 @@
 	k.placed = true
 	e, ok := r.engines[g.Endpoint]
 	if !ok {
-		e = &loadEngine{slowness: r.slowness(g.Endpoint)}
+		e = &loadEngine{id: g.Endpoint, slowness: r.slowness(g.Endpoint), turns: r.load.turnsOf(g.Endpoint)}
 		r.engines[g.Endpoint] = e
 	}
+	e.granted++
+	e.outstanding += k.kind.meanWork()
 	granted := r.now
 	r.at(r.now.Add(loadLatency), func() {
 		run := func() { r.run(e, k, g.ID, granted) }
-		if e.running == loadCapacity {
+		if e.running == r.slots() {
 			e.waiting = append(e.waiting, run)
 			return
 		}
@@ -376,18 +425,30 @@
 // run starts a request on an engine.
 func (r *simulation) run(e *loadEngine, k *loadRequest, id event.RequestID, granted event.Time) {
 	e.running++
+	if k.kind.callTime > 0 {
+		r.runCall(e, k, id, granted)
+		return
+	}
 	prefill := event.Duration(float64(k.ticket.PromptTokens) / 56600 * e.slowness * float64(event.Second))
-	begin := max(r.now, e.prefillUntil).Add(prefill + 16*event.Millisecond)
+	begin := e.after(max(r.now, e.prefillUntil), prefill+16*event.Millisecond)
 	e.prefillUntil = begin
 	gap := event.Duration(5.5 * e.slowness * float64(event.Millisecond))
 	deadline := k.firstTry.Add(k.kind.deadline)
-	end := begin.Add(gap * event.Duration(k.length))
+	end := e.after(begin, gap*event.Duration(k.length))
+	gap = event.Duration(float64(gap) * e.factor(begin.Add(end.Sub(begin)/2)))
 	if begin < deadline {
-		r.at(begin.Add(loadLatency), func() { r.step(&event.Begun{ID: id, Pool: pool, After: r.now.Sub(granted)}) })
+		slowdown := r.reported(e, begin)
+		r.at(begin.Add(loadLatency), func() {
+			r.step(&event.Begun{ID: id, Pool: pool, After: r.now.Sub(granted), Slowdown: slowdown})
+		})
 	}
 	r.at(min(end, deadline), func() {
 		e.free()
-		r.at(r.now.Add(loadLatency), func() { r.end(id, k, granted, begin, gap, end <= deadline) })
+		r.at(r.now.Add(loadLatency), func() {
+			e.granted--
+			e.outstanding -= k.kind.meanWork()
+			r.end(id, k, granted, begin, gap, end <= deadline)
+		})
 	})
 }
 
@@ -402,18 +463,28 @@
 }
 
 func (r *simulation) end(id event.RequestID, k *loadRequest, granted, begin event.Time, gap event.Duration, completed bool) {
-	delete(r.requests, id)
 	f := &event.Finished{ID: id, Pool: pool, Tokens: k.length, FirstAfter: begin.Sub(granted), TokenGap: gap, Failed: !completed}
+	r.finish(k, f, granted, begin, completed)
+}
+
+// finish ends a request with its Finished event. Its response began at a time.
+func (r *simulation) finish(k *loadRequest, f *event.Finished, granted, begin event.Time, completed bool) {
+	delete(r.requests, f.ID)
 	r.result.runSeconds += r.now.Sub(granted).Seconds()
 	if !completed {
-		f.Tokens = int(max(0, r.now.Sub(begin)) / gap)
+		if f.TokenGap > 0 {
+			f.Tokens = int(max(0, r.now.Sub(begin)) / f.TokenGap)
+		}
 		r.result.cutOff++
 		r.result.wastedSeconds += r.now.Sub(granted).Seconds()
 		r.step(f)
 		return
 	}
 	value := k.kind.value
+	r.result.placement.completed++
+	r.result.placement.completion += r.now.Sub(granted).Seconds()
 	if begin.Sub(k.firstTry) > k.kind.target {
+		r.result.placement.late++
 		value = k.kind.lateValue
 	}
 	i := r.kindIndex(k.kind)
--- a/sched/place.go
+++ b/sched/place.go
@@ -32,7 +32,7 @@
 		case k.Target == 0 && c.minTime > c.timeLeft && s.outputLength(k.Service).hasEnoughSamples():
 			// Not even the fastest endpoint can meet the deadline.
 			s.refuse(now, k, event.ReasonDeadline, out)
-		case c.waitForHolder, s.isWorthWaiting(k, &c), k.Target == 0 && c.est.total*startMargin > c.timeLeft && s.outputLength(k.Service).hasEnoughSamples():
+		case c.waitForHolder, s.isWorthWaiting(k, &c), s.isFasterSoon(now, k, &c), k.Target == 0 && c.est.total*startMargin > c.timeLeft && s.outputLength(k.Service).hasEnoughSamples():
 			s.queue.detach(k)
 			s.skipped = append(s.skipped, k)
 		default:
--- /dev/null
+++ b/sched/report.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import (
+	"math"
+
+	"lynxramp.org/event"
+)
+
+// slowdownSpan is the beginning of the time over which the slowdown of an endpoint is averaged for a request. The zero
+// value means that the endpoint had reported none.
+type slowdownSpan struct {
+	isSet bool
+	from  event.Time
+	sum   float64 // integral of the slowdown at that time
+}
+
+// applySlowdown applies the slowdown in the response to a grant; 0 if the response had none. A response counts once: the
+// end of a stream adds nothing to its beginning.
+func (s *State) applySlowdown(now event.Time, g *grant, reported float64, age event.Duration, hasResponse bool) {
+	d := &g.endpoint.slowdown
+	if reported != 0 {
+		s.countSlowdown(d.report(now, reported, age))
+	} else if !g.hasResponded {
+		d.endedWithoutReport(hasResponse)
+	}
+	g.hasResponded = true
+}
+
+// startSlowdown starts the time over which the slowdown of the grant's endpoint is averaged.
+func (g *grant) startSlowdown(now event.Time) {
+	if d := &g.endpoint.slowdown; d.isReported {
+		g.slowdown = slowdownSpan{isSet: true, from: now, sum: d.integral(now)}
+	}
+}
+
+// meanSlowdown returns the logarithm of the endpoint's mean slowdown during the run of the grant, by its reports.
+func (g *grant) meanSlowdown(now event.Time) float64 {
+	d := &g.endpoint.slowdown
+	if !g.slowdown.isSet || now <= g.slowdown.from {
+		return d.last
+	}
+	return (d.integral(now) - g.slowdown.sum) / now.Sub(g.slowdown.from).Seconds()
+}
+
+// observeSlowness adds a sample of the measured slowness of the grant's endpoint. What the endpoint reported for the
+// time of the run is taken out of it, as far as its reports agree with its measurements.
+func (g *grant) observeSlowness(now event.Time, sample float64) {
+	e := g.endpoint
+	d := &e.slowdown
+	if !d.isReported || sample <= 0 {
+		e.observeSlowness(now, sample)
+		return
+	}
+	reported := g.meanSlowdown(now)
+	d.agreement.observe(reported, math.Log(sample))
+	e.observeSlowness(now, sample/math.Exp(d.agreement.slope()*reported))
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -86,6 +86,8 @@
 	firstPrefill    bool    // no other prefill was pending when it was granted
 	adopted         bool    // reported by an entry: it may have begun earlier
 	paced           bool    // granted after the endpoint first set a rate limit
+	hasResponded    bool    // its response began, or it ended
+	slowdown        slowdownSpan
 }
 
 // State is the scheduler of one pool. It is not safe for concurrent use.
@@ -103,9 +105,11 @@
 	skipped           []*ticket // requests skipped in the current step
 	views             []view    // of endpoints, in the same order
 	prefill           prefillFit
-	maxSpeed          float64     // of available endpoints; 0 if there is none
-	capacityUnits     int         // sum over available endpoints
-	cooldownEndpoints int         // number of endpoints with cooldowns
+	maxSpeed          float64 // of available endpoints; 0 if there is none
+	capacityUnits     int     // sum over available endpoints
+	cooldownEndpoints int     // number of endpoints with cooldowns
+	slowedEndpoints   int     // number of endpoints that are slowed by their reports
+	slowdownLog       slowdownLog
 	limitShare        float64     // share of the endpoints' rate limits that this pool may spend
 	runTime           meanRunTime // over all requests
 	meanWork          float64     // of submitted requests, in seconds at speed 1; 0 before the first
@@ -238,7 +242,7 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 	clear(s.views)
-	s.capacityUnits, s.cooldownEndpoints = 0, 0
+	s.capacityUnits, s.cooldownEndpoints, s.slowedEndpoints = 0, 0, 0
 	for i, e := range s.endpoints {
 		e.index = i
 	}
@@ -326,6 +330,8 @@
 	s.grants[id] = g
 	g.endpoint.grants[id] = g
 	g.endpoint.inflight++
+	g.endpoint.slowdown.countGrant()
+	g.startSlowdown(g.at)
 }
 
 // finish ends a grant and updates the estimates. An endpoint that did not
@@ -340,6 +346,7 @@
 		if !e.Failed && !e.Void {
 			s.outputLength(g.service).observe(e.Tokens, g.requestedOutput)
 		}
+		s.applySlowdown(now, g, e.Slowdown, e.SlowdownAge, e.FirstAfter > 0)
 		s.observeSpeed(now, g, e)
 		if !e.Void {
 			s.classes.forRank(g.originalRank).runTime.observe(now.Sub(g.at))
@@ -391,7 +398,7 @@
 	}
 	s.refreshView(now, e)
 	if e.isAvailable(now) {
-		s.maxSpeed = max(s.maxSpeed, e.speed())
+		s.maxSpeed = max(s.maxSpeed, e.presentSpeed(now))
 	}
 }
 
--- a/sched/view.go
+++ b/sched/view.go
@@ -25,17 +25,22 @@
 	capacityUnits        int32 // capacity in units; 0 if unavailable
 	hasCooldowns         bool  // some entries are in cooldown
 	isRateLimited        bool  // limited in requests per second
+	isSlowed             bool  // by its reports, requests take much longer than usual
 }
 
 // refreshView recomputes the view of an endpoint at now.
 func (s *State) refreshView(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
+	wasSlowed := v.isSlowed
 	s.subtractView(v)
 	headWork := e.prefillQueue.headWork()
 	*v = view{
-		endpoint: e, slowness: 1 / e.speed(), prefillSlowness: e.prefillSlowdown.get(now) / e.speed(), dataCentre: e.DataCentre,
+		endpoint: e, slowness: e.presentSlowness(now), prefillSlowness: e.prefillSlowdown.get(now) / e.presentSpeed(now), dataCentre: e.DataCentre,
 		headWork: headWork, queuedWork: e.prefillQueue.work - headWork, headSince: e.prefillQueue.headSince, plannedUntil: e.prefillQueue.plannedUntil,
 	}
+	if e.slowdown.isReported {
+		s.updateSlowed(now, v, wasSlowed)
+	}
 	if e.Concurrency > 0 && e.isAvailable(now) {
 		free, units := max(0, e.capacity()-e.inflight), e.capacity()*unitsPerRequest
 		if e.rateLimit.isSet {
@@ -69,6 +74,9 @@
 	if v.hasCooldowns {
 		s.cooldownEndpoints--
 	}
+	if v.isSlowed {
+		s.slowedEndpoints--
+	}
 }
 
 // refreshViews recomputes all views. An endpoint can become unavailable by the
@@ -85,7 +93,7 @@
 	s.maxSpeed = 0
 	for _, e := range s.endpoints {
 		if e.Concurrency > 0 && e.isAvailable(now) {
-			s.maxSpeed = max(s.maxSpeed, e.speed())
+			s.maxSpeed = max(s.maxSpeed, e.presentSpeed(now))
 		}
 	}
 }
