--- a/gateway/ends_test.go
+++ b/gateway/ends_test.go
@@ -162,24 +162,31 @@
 	return sums
 }
 
+// clientWithTable returns a client that has an owner and a configuration with one service.
+func clientWithTable(t *testing.T) *OwnerClient {
+	t.Helper()
+	tree := hashtree.Build(&routing.Table{Version: 1, Services: []routing.Service{{Name: "s"}}}, nil)
+	a := ownedClient()
+	a.Received(0, 1, &message.Envelope{View: &message.View{Version: 1, Root: tree.Root()}})
+	for a.table.Load() == nil {
+		nodes := &message.Nodes{}
+		for _, sum := range requestedNodes(a) {
+			packed, _ := tree.Node(sum)
+			nodes.List = append(nodes.List, message.Node{Sum: sum, Packed: packed})
+		}
+		if len(nodes.List) == 0 {
+			t.Fatal("no nodes are requested")
+		}
+		a.Received(0, 1, &message.Envelope{Nodes: nodes})
+	}
+	return a
+}
+
 // TestDegradedEntryRefusesSuspects: a degraded entry refuses the requests in the last owner's list of suspects. A
 // new list replaces the previous one.
 func TestDegradedEntryRefusesSuspects(t *testing.T) {
-	tree := hashtree.Build(&routing.Table{Version: 1, Services: []routing.Service{{Name: "s"}}}, nil)
 	for _, lists := range [][][]poison.Fingerprint{{{"p"}}, {{"p"}, nil}} {
-		a := ownedClient()
-		a.Received(0, 1, &message.Envelope{View: &message.View{Version: 1, Root: tree.Root()}})
-		for a.table.Load() == nil {
-			nodes := &message.Nodes{}
-			for _, sum := range requestedNodes(a) {
-				packed, _ := tree.Node(sum)
-				nodes.List = append(nodes.List, message.Node{Sum: sum, Packed: packed})
-			}
-			if len(nodes.List) == 0 {
-				t.Fatal("no nodes are requested")
-			}
-			a.Received(0, 1, &message.Envelope{Nodes: nodes})
-		}
+		a := clientWithTable(t)
 		for _, list := range lists {
 			a.Received(0, 1, &message.Envelope{View: &message.View{Suspects: &message.Suspects{List: list}}})
 		}
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -50,6 +50,20 @@
 	return f, err
 }
 
+// testLoad reads the load reports of the test endpoints.
+func testLoad(h http.Header) (l backpressure.Load, ok bool, err error) {
+	switch text := h.Get("X-Load"); text {
+	case "":
+		return l, false, nil
+	case "basic":
+		return backpressure.Load{Running: 1, Slots: 4}, true, nil
+	default:
+		l.HasSlowdown = true
+		l.Slowdown, err = strconv.ParseFloat(text, 64)
+		return l, err == nil, err
+	}
+}
+
 // fakeEndpoint responds to each request on its connections by a script.
 type fakeEndpoint struct {
 	address  string
@@ -174,6 +188,7 @@
 	// beforeRetry is called before a decision on a retry.
 	beforeRetry  func()
 	hold         bool // decides nothing
+	begun        []event.Begun
 	finished     []message.Finish
 	terminations []poison.Termination
 	feedback     []backpressure.Report
@@ -238,6 +253,7 @@
 }
 
 func (o *fakeOwner) decide(c *link.Conn[message.Envelope], b *message.Batch) {
+	o.begun = append(o.begun, b.Begun...)
 	o.finished = append(o.finished, b.Finish...)
 	o.terminations = append(o.terminations, b.Ends...)
 	o.feedback = append(o.feedback, b.Heard...)
@@ -310,7 +326,7 @@
 	agent.clock = clock
 	ctx, cancel := context.WithCancel(context.Background())
 	go agent.Run(ctx)
-	g := New(Config{Agent: agent, Headers: testNames, ParseFeedback: testFeedback, MaxHeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Instance: 7})
+	g := New(Config{Agent: agent, Headers: testNames, ParseFeedback: testFeedback, ParseLoad: testLoad, MaxHeldBytes: 1 << 20, Log: zap.NewNop(), Entry: "entry", Instance: 7})
 	server := httptest.NewServer(g)
 	server.Config.ErrorLog = zap.NewStdLog(zap.NewNop())
 	t.Cleanup(func() {
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -34,8 +34,12 @@
 //     where responses differ much in length.
 //   - Retry-After (retryAfter): the time the queue takes to drain, with jitter of up
 //     to a quarter, and at least one second.
-//   - placement (costModel, isWorthWaiting): by the expected time to first token and to
-//     the end of the response at each endpoint, against the target and the deadline.
+//   - placement (costModel, isWorthWaiting, isFasterSoon): by the expected time to first
+//     token and to the end of the response at each endpoint, against the target and the
+//     deadline.
+//   - present speed (slowdown, agreement): the usual speed of an endpoint is measured; the
+//     slowdown that it reports in its responses counts until it is old, as far as it
+//     agrees with the measured times.
 //
 // Quotas are enforced by package admission. An entry without an owner runs the same
 // scheduler; package gateway decides which part of the capacity it uses.
