sched: grant plain calls ahead where endpoints report their slowdown

Cause: a plain call holds its slot at the scheduler while the grant and the end are on their way, and the endpoint's slot is idle in that time. Calls were refused with idle slots at their endpoints.

Change: an endpoint that reports its slowdown may be granted its slots times the ratio of the time that calls hold a slot to the time that they take, at most 1.75. Nothing is granted ahead for 10 s after an endpoint rejected such a call.

The times on the way of a deployment are not measured.

--- a/sched/doc.go
+++ b/sched/doc.go
@@ -10,10 +10,11 @@
 //
 // Binding is late. An endpoint is granted no more requests than it can run at
 // once; the others wait here, where they can still be reordered, withdrawn or
-// refused. When the queue overflows, its last request is shed: in the lowest tier,
-// of the team with the most tokens served, the last in order. No request is shed
-// while one of a lower tier waits, because both ends of the queue belong to the
-// same order.
+// refused. Only plain calls are granted ahead of the end of others, where endpoints
+// report their slowdown (transit). When the queue overflows, its last request is
+// shed: in the lowest tier, of the team with the most tokens served, the last in
+// order. No request is shed while one of a lower tier waits, because both ends of the
+// queue belong to the same order.
 //
 // Discovered endpoints (Pool.Discovered) have no slot, and their requests have a
 // target for the time to first token. Within a rank, requests that were granted
--- a/sched/load_slow_test.go
+++ b/sched/load_slow_test.go
@@ -117,10 +117,12 @@
 	r.at(min(end, deadline), func() {
 		e.free()
 		slowdown := r.reported(e, r.now)
-		r.at(r.now.Add(loadLatency), func() {
+		r.at(r.now.Add(r.load.oneWay()), func() {
 			e.granted--
 			e.outstanding -= k.kind.meanWork()
-			f := &event.Finished{ID: id, Pool: pool, FirstAfter: r.now.Sub(granted), Failed: end > deadline, Slowdown: slowdown}
+			// The entry measures from when it sends the call.
+			took := end.Sub(granted.Add(r.load.oneWay()))
+			f := &event.Finished{ID: id, Pool: pool, FirstAfter: took, Failed: end > deadline, Slowdown: slowdown}
 			r.finish(k, f, granted, end, end <= deadline)
 		})
 	})
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -52,6 +52,8 @@
 	limit   float64
 	// kinds are the kinds of requests, at most as many as loadKinds, which are the default.
 	kinds []loadKind
+	// latency is the one-way latency between an endpoint and the owner; 0 means loadLatency.
+	latency event.Duration
 	// slots is how many requests an endpoint runs at once; 0 means loadCapacity.
 	slots int
 	// slowness are the factors of the endpoints, in turn; nil means loadSlowness.
@@ -249,6 +251,13 @@
 	return loadSlowness[n%len(loadSlowness)]
 }
 
+func (l *load) oneWay() event.Duration {
+	if l.latency > 0 {
+		return l.latency
+	}
+	return loadLatency
+}
+
 func (r *simulation) slots() int {
 	if r.load.slots > 0 {
 		return r.load.slots
@@ -412,7 +421,7 @@
 	e.granted++
 	e.outstanding += k.kind.meanWork()
 	granted := r.now
-	r.at(r.now.Add(loadLatency), func() {
+	r.at(r.now.Add(r.load.oneWay()), func() {
 		run := func() { r.run(e, k, g.ID, granted) }
 		if e.running == r.slots() {
 			e.waiting = append(e.waiting, run)
@@ -438,13 +447,13 @@
 	gap = event.Duration(float64(gap) * e.factor(begin.Add(end.Sub(begin)/2)))
 	if begin < deadline {
 		slowdown := r.reported(e, begin)
-		r.at(begin.Add(loadLatency), func() {
+		r.at(begin.Add(r.load.oneWay()), func() {
 			r.step(&event.Begun{ID: id, Pool: pool, After: r.now.Sub(granted), Slowdown: slowdown})
 		})
 	}
 	r.at(min(end, deadline), func() {
 		e.free()
-		r.at(r.now.Add(loadLatency), func() {
+		r.at(r.now.Add(r.load.oneWay()), func() {
 			e.granted--
 			e.outstanding -= k.kind.meanWork()
 			r.end(id, k, granted, begin, gap, end <= deadline)
--- a/sched/state.go
+++ b/sched/state.go
@@ -110,6 +110,7 @@
 	cooldownEndpoints int     // number of endpoints with cooldowns
 	slowedEndpoints   int     // number of endpoints that are slowed by their reports
 	slowdownLog       slowdownLog
+	transit           transit
 	limitShare        float64     // share of the endpoints' rate limits that this pool may spend
 	runTime           meanRunTime // over all requests
 	meanWork          float64     // of submitted requests, in seconds at speed 1; 0 before the first
@@ -348,6 +349,7 @@
 		}
 		s.applySlowdown(now, g, e.Slowdown, e.SlowdownAge, e.FirstAfter > 0)
 		s.observeSpeed(now, g, e)
+		s.observeTransit(now, g, e)
 		if !e.Void {
 			s.classes.forRank(g.originalRank).runTime.observe(now.Sub(g.at))
 			s.runTime.observe(now.Sub(g.at))
--- a/sched/view.go
+++ b/sched/view.go
@@ -42,7 +42,8 @@
 		s.updateSlowed(now, v, wasSlowed)
 	}
 	if e.Concurrency > 0 && e.isAvailable(now) {
-		free, units := max(0, e.capacity()-e.inflight), e.capacity()*unitsPerRequest
+		capacity := s.capacityAhead(now, e)
+		free, units := max(0, int(capacity)-e.inflight), int(capacity*unitsPerRequest)
 		if e.rateLimit.isSet {
 			v.isRateLimited = true
 			free = min(free, e.rateLimit.pacer.Available(now))
