--- a/admission/slowdown.go
+++ b/admission/slowdown.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"lynxramp.org/event"
 	"lynxramp.org/sched"
 )
 
@@ -43,3 +44,12 @@
 	}
 	return sum
 }
+
+// Ahead calls f for each service whose plain calls may be granted ahead, in the order of names.
+func (s *State) Ahead(now event.Time, f func(service string, a sched.AheadStatus)) {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		if a, ok := s.services[name].pool.Ahead(now); ok {
+			f(name, a)
+		}
+	}
+}
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -204,6 +204,7 @@
 	o.sendSuspects(out)
 	o.logBudgets(now, out)
 	o.logSlowdowns(now, out)
+	o.logAhead(now, out)
 	o.raiseFormatVersion(now, s, out)
 }
 
--- a/cluster/slowdown.go
+++ b/cluster/slowdown.go
@@ -4,16 +4,21 @@
 
 import (
 	"lynxramp.org/event"
+	"lynxramp.org/sched"
 )
 
 // maxSlowdownLogLines bounds the log lines about slowed endpoints, in lines per second.
 const maxSlowdownLogLines = 10
 
+// aheadLogInterval is how often it is logged how far plain calls are granted ahead.
+const aheadLogInterval = 10 * event.Second
+
 // slowdownLogger logs which endpoints the owner treats as slowed, at a bounded rate. The zero value has logged
 // nothing.
 type slowdownLogger struct {
 	lines, suppressed int // since windowStart
 	windowStart       event.Time
+	aheadLoggedAt     event.Time
 }
 
 // logSlowdowns logs the endpoints that began or ceased to be treated as slowed.
@@ -25,7 +30,7 @@
 			out.logInfo("suppressed log lines on slowed endpoints", Field{"count", l.suppressed}, Field{"slowed", o.admission.SlowedEndpoints()},
 				Field{"reports_used", counts.Used}, Field{"reports_ignored", counts.Ignored})
 		}
-		*l = slowdownLogger{windowStart: now}
+		l.lines, l.suppressed, l.windowStart = 0, 0, now
 	}
 	changes, suppressed := o.admission.TakeSlowdownChanges()
 	l.suppressed += suppressed
@@ -39,3 +44,15 @@
 			Field{"reported", c.Reported}, Field{"age_ms", c.Age.Milliseconds()}, Field{"expected", c.Expected}, Field{"agreement", c.Agreement})
 	}
 }
+
+// logAhead logs how far plain calls are granted ahead of the end of others.
+func (o *owner) logAhead(now event.Time, out *Effects) {
+	if now.Sub(o.slowdowns.aheadLoggedAt) < aheadLogInterval {
+		return
+	}
+	o.slowdowns.aheadLoggedAt = now
+	o.admission.Ahead(now, func(service string, a sched.AheadStatus) {
+		out.logInfo("plain calls granted ahead", Field{"service", service}, Field{"held_ms", a.Held.Milliseconds()},
+			Field{"taken_ms", a.Taken.Milliseconds()}, Field{"ratio", a.Ratio})
+	})
+}
--- a/sched/transit.go
+++ b/sched/transit.go
@@ -70,3 +70,22 @@
 	}
 	return slots * s.transit.aheadRatio(now)
 }
+
+// AheadStatus is how far plain calls are granted ahead, with the times that it is based on.
+type AheadStatus struct {
+	Held, Taken event.Duration // mean times that a call holds a slot here, and that it takes at its endpoint
+	Ratio       float64        // of the calls that an endpoint may be granted, to its slots
+}
+
+// Ahead returns how far plain calls are granted ahead; false if there are too few samples.
+func (s *State) Ahead(now event.Time) (AheadStatus, bool) {
+	t := &s.transit
+	if t.samples < minAheadSamples {
+		return AheadStatus{}, false
+	}
+	return AheadStatus{
+		Held:  event.Duration(t.held * float64(event.Second)),
+		Taken: event.Duration(t.taken * float64(event.Second)),
+		Ratio: t.aheadRatio(now),
+	}, true
+}
