--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -78,16 +78,8 @@
 	return e.Concurrency
 }
 
-// presentSlowness returns the time per unit of work that is expected at now: the
-// usual time, times the reported slowdown.
-func (e *endpoint) presentSlowness(now event.Time) float64 {
-	if !e.slowdown.isReported {
-		return 1 / e.speed()
-	}
-	return e.slowdown.factor(now) / e.speed()
-}
-
-// presentSpeed returns the speed that is expected at now.
+// presentSpeed returns the speed that is expected at now: the usual speed, divided
+// by the slowdown that the endpoint reports.
 func (e *endpoint) presentSpeed(now event.Time) float64 {
 	if !e.slowdown.isReported {
 		return e.speed()
--- a/sched/report.go
+++ b/sched/report.go
@@ -57,3 +57,14 @@
 	d.agreement.observe(reported, math.Log(sample))
 	e.observeSlowness(now, sample/math.Exp(d.agreement.slope()*reported))
 }
+
+// placementSpeed returns the speed by which requests are placed on an endpoint. One that reports its slowdown and has
+// not been measured for slownessMaxAge gets one request at a time as if it were the fastest, so that a wrong measurement
+// does not last.
+func (s *State) placementSpeed(now event.Time, e *endpoint) float64 {
+	speed := e.presentSpeed(now)
+	if !e.slowdown.isReported || e.inflight > 0 || now.Sub(e.slownessAt) <= slownessMaxAge {
+		return speed
+	}
+	return max(speed, s.maxSpeed)
+}
--- a/sched/slowdown_test.go
+++ b/sched/slowdown_test.go
@@ -128,6 +128,27 @@
 	}
 }
 
+// TestUnobservedEndpointIsTriedAgain guards against an endpoint that is never used again after a wrong measurement, and
+// against sending it more than one call before it is measured.
+func TestUnobservedEndpointIsTriedAgain(t *testing.T) {
+	s, now := trainedPool(t, 2, 6)
+	s.byID["e000"].slowness = 20
+	s.Step(now, &event.Tick{}, &event.Effects{})
+	if got := grantsOf(s, now, 0, 3); got["e001"] != 3 {
+		t.Fatalf("grants %v, want all at the endpoint that is not slow", got)
+	}
+	for i := range 3 {
+		finishCall(s, now, plainCall(i).Ticket.ID, 60*event.Millisecond, 1, &event.Effects{})
+	}
+	now = now.Add(slownessMaxAge + event.Second)
+	s.Step(now, &event.Tick{}, &event.Effects{})
+	s.byID["e001"].slownessAt = now
+	s.Step(now, &event.Tick{}, &event.Effects{})
+	if got := grantsOf(s, now, 10, 4); got["e000"] != 1 || got["e001"] != 3 {
+		t.Errorf("grants %v after %v without a measurement, want one call at e000", got, slownessMaxAge)
+	}
+}
+
 // TestCallWaitsForFasterSlot guards against granting a call to a free slot at a slowed endpoint while a slot at a faster
 // one is freed within a few milliseconds, and against leaving slots unused when calls queue.
 func TestCallWaitsForFasterSlot(t *testing.T) {
--- a/sched/view.go
+++ b/sched/view.go
@@ -34,8 +34,9 @@
 	wasSlowed := v.isSlowed
 	s.subtractView(v)
 	headWork := e.prefillQueue.headWork()
+	speed := s.placementSpeed(now, e)
 	*v = view{
-		endpoint: e, slowness: e.presentSlowness(now), prefillSlowness: e.prefillSlowdown.get(now) / e.presentSpeed(now), dataCentre: e.DataCentre,
+		endpoint: e, slowness: 1 / speed, prefillSlowness: e.prefillSlowdown.get(now) / speed, dataCentre: e.DataCentre,
 		headWork: headWork, queuedWork: e.prefillQueue.work - headWork, headSince: e.prefillQueue.headSince, plannedUntil: e.prefillQueue.plannedUntil,
 	}
 	if e.slowdown.isReported {
