--- a/gateway/run.go
+++ b/gateway/run.go
@@ -304,7 +304,7 @@
 		},
 		Endpoint: a.decision.Endpoint,
 		Unsent:   !a.wasSent(),
-		Suspect:  c.isSuspect(a),
+		Suspect:  (a.outcome == outcomeNotSent && !a.notTried) || (a.outcome == outcomeUnknown && a.firstByteAfter == 0),
 	}
 	f.Slowdown, f.SlowdownAge = a.load.take()
 	f.Print, f.Ran = c.fingerprint, a.runResult()
