sched: a slowed endpoint recovers by a retrial; calls are spread over equal endpoints

Equal endpoints got calls one after the other until each was full, so most of them reported nothing.

Change: a report ages to what the endpoint reports while it is not slowed. A slowed endpoint that runs nothing is tried again with one request after a second. What runs at an endpoint that reports counts up to a fifth of the latency.

--- a/sched/report.go
+++ b/sched/report.go
@@ -8,6 +8,11 @@
 	"lynxramp.org/event"
 )
 
+// spreadWeight is how much longer, as a fraction of its latency, a request is assumed to take at an endpoint whose slots
+// are all taken than at an idle one, where endpoints report their slowdown. It spreads requests over endpoints of similar
+// speed, so that each of them reports.
+const spreadWeight = 0.2
+
 // slowdownSpan is the beginning of the time over which the slowdown of an endpoint is averaged for a request. The zero
 // value means that the endpoint had reported none.
 type slowdownSpan struct {
@@ -58,13 +63,22 @@
 	e.observeSlowness(now, sample/math.Exp(d.agreement.slope()*reported))
 }
 
-// placementSpeed returns the speed by which requests are placed on an endpoint. One that reports its slowdown and has
-// not been measured for slownessMaxAge gets one request at a time as if it were the fastest, so that a wrong measurement
-// does not last.
+// placementSpeed returns the speed by which requests are placed on an endpoint. One that is due for a retrial gets one
+// request at a time as if it were the fastest.
 func (s *State) placementSpeed(now event.Time, e *endpoint) float64 {
 	speed := e.presentSpeed(now)
-	if !e.slowdown.isReported || e.inflight > 0 || now.Sub(e.slownessAt) <= slownessMaxAge {
-		return speed
+	if e.isDueForRetrial(now) {
+		return max(speed, s.maxSpeed)
+	}
+	return speed
+}
+
+// isDueForRetrial reports whether an endpoint that reports its slowdown runs nothing and is judged by old figures: it was
+// slowed by its newest report, or has not been measured for slownessMaxAge.
+func (e *endpoint) isDueForRetrial(now event.Time) bool {
+	d := &e.slowdown
+	if !d.isReported || e.inflight > 0 {
+		return false
 	}
-	return max(speed, s.maxSpeed)
+	return d.last > d.usual && now.Sub(d.at) > retrialAfter || now.Sub(e.slownessAt) > slownessMaxAge
 }
--- a/sched/slowdown.go
+++ b/sched/slowdown.go
@@ -11,7 +11,7 @@
 // This file holds what endpoints report of their present slowdown: how many times as long as usual work takes there.
 // All figures are natural logarithms of the slowdown, so that 2 times as slow and 2 times as fast weigh the same.
 //
-// The expected slowdown is the last report while it is new, and the mean of the endpoint's reports once it is old. It
+// The expected slowdown is the newest report while it is new, and what the endpoint usually reports once it is old. It
 // is scaled by the agreement, which is how well the reports explain the run times measured so far. So a report that
 // is always the same, too large or unrelated to the run times has no effect once there are measurements.
 
@@ -27,12 +27,15 @@
 	// minSlowdown bounds the effect in the other direction: an endpoint that is found to be faster than ever
 	// attracts requests.
 	minSlowdown = 0.5
-	// slowdownMeanTime is the time constant of the mean of an endpoint's reports: several times as long as a slowdown
-	// and the pause before the next one.
-	slowdownMeanTime = 5 * event.Second
+	// usualRiseTime is the time constant with which what an endpoint usually reports follows larger reports: much longer
+	// than a slowdown. usualFallWeight is the weight of a smaller report: an endpoint is not slowed most of the time.
+	usualRiseTime   = 5 * event.Second
+	usualFallWeight = 0.5
 	// maxRetrials is how many requests a slowed endpoint may be granted as if its last report had aged, until one of
 	// them brings a new report.
 	maxRetrials = 2
+	// retrialAfter is the age of the newest report from which a slowed endpoint without requests is tried again.
+	retrialAfter = event.Second
 	// slowedThreshold is the expected slowdown from which an endpoint counts as slowed.
 	slowedThreshold = 1.4
 )
@@ -42,8 +45,7 @@
 	isReported bool
 	last       float64    // newest report
 	at         event.Time // when the entry received it
-	mean       float64    // of the reports; at first no slowdown
-	reports    int
+	usual      float64    // what the endpoint reports while it is not slowed
 	// retrials is the number of requests granted since the newest report that may still bring one.
 	retrials  int
 	isSilent  bool    // a response without a report followed the newest report
@@ -64,20 +66,27 @@
 		return false
 	}
 	value := math.Log(min(max(reported, minSlowdown), maxSlowdown))
-	d.reports++
-	weight := 1 / float64(d.reports+1) // no slowdown, the first mean, counts as one report
-	if d.isReported {
-		weight = max(weight, -math.Expm1(-at.Sub(d.at).Seconds()/slowdownMeanTime.Seconds()))
-		d.sum += d.betweenReports(value, at.Sub(d.at).Seconds())
+	if !d.isReported {
+		d.agreement, d.usual = newAgreement(), value
 	} else {
-		d.agreement = newAgreement()
+		seconds := at.Sub(d.at).Seconds()
+		d.sum += d.betweenReports(value, seconds)
+		d.updateUsual(value, seconds)
 	}
 	d.isReported = true
 	d.last, d.at, d.retrials, d.isSilent = value, at, 0, false
-	d.mean += weight * (value - d.mean)
 	return true
 }
 
+// updateUsual updates what the endpoint usually reports by a report, some seconds after the previous one.
+func (d *slowdown) updateUsual(value, seconds float64) {
+	weight := usualFallWeight
+	if value > d.usual {
+		weight = -math.Expm1(-seconds / usualRiseTime.Seconds())
+	}
+	d.usual += weight * (value - d.usual)
+}
+
 // decayed returns the integral of a deviation that decays for some seconds.
 func decayed(deviation, seconds float64) float64 {
 	constant := slowdownDecay.Seconds()
@@ -87,22 +96,22 @@
 // betweenReports returns the integral of the slowdown from the newest report to the next one, some seconds later. In
 // the first half it follows the newest report, in the second half the next one.
 func (d *slowdown) betweenReports(next, seconds float64) float64 {
-	return d.mean*seconds + decayed(d.last-d.mean, seconds/2) + decayed(next-d.mean, seconds/2)
+	return d.usual*seconds + decayed(d.last-d.usual, seconds/2) + decayed(next-d.usual, seconds/2)
 }
 
 // integral returns the integral of the slowdown up to now, in seconds.
 func (d *slowdown) integral(now event.Time) float64 {
 	seconds := max(0, now.Sub(d.at).Seconds())
-	return d.sum + d.mean*seconds + decayed(d.last-d.mean, seconds)
+	return d.sum + d.usual*seconds + decayed(d.last-d.usual, seconds)
 }
 
 // expected returns the logarithm of the slowdown that is expected at now, by the reports alone.
 func (d *slowdown) expected(now event.Time) float64 {
 	age := max(0, now.Sub(d.at))
-	if d.last > d.mean && d.awaitsRetrials(age) {
+	if d.last > d.usual && d.awaitsRetrials(age) {
 		return d.last
 	}
-	return d.mean + (d.last-d.mean)*math.Exp(-age.Seconds()/slowdownDecay.Seconds())
+	return d.usual + (d.last-d.usual)*math.Exp(-age.Seconds()/slowdownDecay.Seconds())
 }
 
 // awaitsRetrials reports whether enough requests were granted since the newest report. Until one of them brings a
@@ -120,17 +129,17 @@
 	return math.Exp(d.agreement.slope() * d.expected(now))
 }
 
-// usualFactor returns the factor that the mean of the reports stands for.
+// usualFactor returns the factor of an endpoint that is not slowed.
 func (d *slowdown) usualFactor() float64 {
 	if !d.isReported {
 		return 1
 	}
-	return math.Exp(d.agreement.slope() * d.mean)
+	return math.Exp(d.agreement.slope() * d.usual)
 }
 
 // isSlowed reports whether a request is expected to take much longer at now than it usually does.
 func (d *slowdown) isSlowed(now event.Time) bool {
-	return d.isReported && d.factor(now) > slowedThreshold*min(1, d.usualFactor())
+	return d.isReported && d.factor(now) > slowedThreshold*d.usualFactor()
 }
 
 // reported returns the newest report as a factor.
--- a/sched/slowdown_test.go
+++ b/sched/slowdown_test.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// TestCallsAreSpread guards against one of several equal endpoints that gets all calls until its slots are taken, so that
+// the others report nothing.
+func TestCallsAreSpread(t *testing.T) {
+	s, now := trainedPool(t, 3, 6)
+	if got := grantsOf(s, now, 0, 6); got["e000"] != 2 || got["e001"] != 2 || got["e002"] != 2 {
+		t.Errorf("grants %v, want two at each of three equal endpoints", got)
+	}
+}
+
 // TestCallWaitsForFasterSlot guards against granting a call to a free slot at a slowed endpoint while a slot at a faster
 // one is freed within a few milliseconds, and against leaving slots unused when calls queue.
 func TestCallWaitsForFasterSlot(t *testing.T) {
--- a/sched/view.go
+++ b/sched/view.go
@@ -20,12 +20,13 @@
 	headSince            event.Time
 	plannedUntil         event.Time // planned end, for pools without Begun events
 	dataCentre           string
-	free                 int32 // free capacity for the highest rank; 0 if unavailable
-	reserved             int32 // part of free that lower ranks may not use
-	capacityUnits        int32 // capacity in units; 0 if unavailable
-	hasCooldowns         bool  // some entries are in cooldown
-	isRateLimited        bool  // limited in requests per second
-	isSlowed             bool  // by its reports, requests take much longer than usual
+	spread               float64 // factor on the latency of a request in its cost, by what runs there
+	free                 int32   // free capacity for the highest rank; 0 if unavailable
+	reserved             int32   // part of free that lower ranks may not use
+	capacityUnits        int32   // capacity in units; 0 if unavailable
+	hasCooldowns         bool    // some entries are in cooldown
+	isRateLimited        bool    // limited in requests per second
+	isSlowed             bool    // by its reports, requests take much longer than usual
 }
 
 // refreshView recomputes the view of an endpoint at now.
@@ -41,6 +42,7 @@
 	}
 	if e.slowdown.isReported {
 		s.updateSlowed(now, v, wasSlowed)
+		v.spread = spreadWeight * float64(e.inflight) / float64(max(1, e.Concurrency))
 	}
 	if e.Concurrency > 0 && e.isAvailable(now) {
 		capacity := s.capacityAhead(now, e)
@@ -191,6 +193,7 @@
 	if p.toFirstToken {
 		latency = firstToken
 	}
+	cost += v.spread * latency
 	if late := latency*estimateMargin - p.timeLeft; late > 0 {
 		cost += latePenalty * late
 	}
