--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,9 @@
 	// ParseFeedback reads the feedback in an endpoint's response; its error names the last header
 	// that cannot be parsed. If it is nil, responses carry no feedback.
 	ParseFeedback func(status int, h http.Header) (backpressure.Feedback, error)
+	// ParseLoad reads the load report in an endpoint's response; false means that there is none. If
+	// ParseLoad is nil, responses carry no reports.
+	ParseLoad func(h http.Header) (backpressure.Load, bool, error)
 	// MaxHeldBytes limits the total size of the request bodies held at once.
 	MaxHeldBytes int64
 	// HeldMemory turns on the account of held memory, which replaces MaxHeldBytes; nil is off. The server
@@ -77,7 +80,7 @@
 	memory             *heldMemory // nil without the account of held memory
 
 	// Limits of log lines, see record.go.
-	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter *logx.RateLimiter
+	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter, loadLimiter *logx.RateLimiter
 }
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
@@ -88,7 +91,7 @@
 	g.upstream.memory = g.memory
 	g.meters = newMeters(g)
 	g.failedLimiter, g.briefLimiter, g.sampledLimiter = logx.NewRateLimiter(failedLines), logx.NewRateLimiter(briefLines), logx.NewRateLimiter(sampledLines)
-	g.feedbackLimiter, g.cutLimiter = logx.NewRateLimiter(feedbackLines), logx.NewRateLimiter(cutLines)
+	g.feedbackLimiter, g.cutLimiter, g.loadLimiter = logx.NewRateLimiter(feedbackLines), logx.NewRateLimiter(cutLines), logx.NewRateLimiter(loadLines)
 	return g
 }
 
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -33,6 +33,7 @@
 	})
 	set.NewGauge("lynxramp_gateway_configuration_told_version", func() float64 { return float64(g.agent.client.announcedVersion.Load()) })
 	set.NewGauge("lynxramp_gateway_configuration_bytes", func() float64 { return float64(g.agent.client.nodeBytes.Load()) })
+	set.NewGauge("lynxramp_gateway_slowed_endpoints", func() float64 { return float64(g.agent.client.slowedEndpoints.Load()) })
 	metrics.RegisterSet(set)
 	m := meters{set: set}
 	for _, name := range g.config.Headers.Reserved {
@@ -44,6 +45,9 @@
 	for why := range cutReasons {
 		m.cutCallers(why)
 	}
+	for _, kind := range []string{loadBasic, loadSlowdown, loadInvalid} {
+		m.loadReports(kind)
+	}
 	for _, why := range []backpressure.StopReason{backpressure.StoppedByLimit, backpressure.StoppedByDrain, backpressure.StoppedByCooldown} {
 		m.stoppedGrants(why)
 	}
@@ -98,6 +102,18 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_endpoint_words_total{word="` + kind + `"}`)
 }
 
+// Kinds of load reports, as used in metric labels.
+const (
+	loadBasic    = "basic"    // without a slowdown
+	loadSlowdown = "slowdown" // with one
+	loadInvalid  = "invalid"
+)
+
+// loadReports counts the responses with a kind of load report.
+func (m *meters) loadReports(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_load_reports_total{kind="` + kind + `"}`)
+}
+
 // stoppedGrants counts the grants that were not used because of feedback.
 func (m *meters) stoppedGrants(why backpressure.StopReason) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`)
--- a/sched/customer_load_test.go
+++ b/sched/customer_load_test.go
@@ -208,6 +208,9 @@
 	if r.load.customer != nil {
 		return r.load.customer.kinds[:]
 	}
+	if r.load.kinds != nil {
+		return r.load.kinds
+	}
 	return loadKinds[:]
 }
 
@@ -215,6 +218,9 @@
 	if r.load.customer != nil {
 		return r.load.customer.slots
 	}
+	if r.load.slots > 0 {
+		return r.load.slots
+	}
 	return loadCapacity
 }
 
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -33,10 +33,12 @@
 	backoffUntil    event.Time
 	prefillQueue    prefillQueue
 	prefillSlowdown prefillSlowdown // relative to slowness
+	slowdown        slowdown        // as the endpoint reports it
 	grants          map[event.RequestID]*grant
 	cachedHashes    cachedHashes
 	// slowness is the measured time per unit of work relative to the pool's
-	// profile; 0 if unknown.
+	// profile, divided by the slowdown that the endpoint reported at the time; 0
+	// if unknown.
 	slowness   float64
 	slownessAt event.Time
 }
@@ -76,8 +78,17 @@
 	return e.Concurrency
 }
 
-// speed returns the endpoint's speed relative to the reference engine: measured
-// if possible, else as configured.
+// presentSpeed returns the speed that is expected at now: the usual speed, divided
+// by the slowdown that the endpoint reports.
+func (e *endpoint) presentSpeed(now event.Time) float64 {
+	if !e.slowdown.isReported {
+		return e.speed()
+	}
+	return e.speed() / e.slowdown.factor(now)
+}
+
+// speed returns the endpoint's usual speed relative to the reference engine:
+// measured if possible, else as configured.
 func (e *endpoint) speed() float64 {
 	if e.slowness > 0 {
 		return 1 / e.slowness
--- a/sched/load_test.go
+++ b/sched/load_test.go
@@ -26,6 +26,8 @@
 	target, deadline         event.Duration
 	value, lateValue         float64 // of an answer that meets its target, and of a later one
 	promptSigma, outputSigma float64 // standard deviation of the logarithm
+	// callTime is the run time of a call without tokens at speed 1; 0 for a stream.
+	callTime event.Duration
 }
 
 var loadKinds = [...]loadKind{
@@ -51,6 +53,20 @@
 	// expectedWork selects the order of waiting requests by expected work.
 	expectedWork bool
 	customer     *customerLoad // nil for the worst load
+	// kinds are the kinds of requests, at most as many as loadKinds, which are the default.
+	kinds []loadKind
+	// latency is the one-way latency between an endpoint and the owner; 0 means loadLatency.
+	latency event.Duration
+	// slots is how many requests an endpoint runs at once; 0 means loadCapacity.
+	slots int
+	// slowness are the factors of the endpoints, in turn; nil means loadSlowness.
+	slowness []float64
+	// swing is how far the load oscillates around its mean, with a period of loadSwingPeriod.
+	swing float64
+	// turns slows endpoints by turns.
+	turns slowTurns
+	// report is what an endpoint says of its slowdown; nil means that it reports none.
+	report slowdownReport
 }
 
 // worstLoad returns the parameters of the overload.
@@ -84,6 +100,7 @@
 	wastedSeconds     float64 // run time of these
 	runSeconds        float64
 	customer          customerResult
+	placement         placementResult
 }
 
 // earnedShare returns the ratio of earned to possible value over all kinds.
@@ -111,6 +128,7 @@
 	r.wastedSeconds += o.wastedSeconds
 	r.runSeconds += o.runSeconds
 	r.customer.add(&o.customer)
+	r.placement.add(&o.placement)
 }
 
 // worstShare returns the smallest ratio of earned to possible value among the kinds and
@@ -147,6 +165,8 @@
 	requests map[event.RequestID]*loadRequest
 	engines  map[event.EndpointID]*loadEngine
 	result   loadResult
+	// decisions, if set, is called with each decision.
+	decisions func(now event.Time, g event.Granted, refused *event.Refused)
 }
 
 type timer struct {
@@ -178,6 +198,7 @@
 func (r *simulation) step(e event.Event) {
 	var out event.Effects
 	r.s.Step(r.now, e, &out)
+	r.observeDecisions(&out)
 	for _, g := range out.Grants {
 		r.granted(g)
 	}
@@ -189,10 +210,14 @@
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
 
 // runLoad simulates a load and returns its totals.
-func runLoad(l load) *loadResult {
+func runLoad(l load) *loadResult { return runLoadWith(l, nil) }
+
+// runLoadWith is runLoad with a function that is called with each decision.
+func runLoadWith(l load, decisions func(event.Time, event.Granted, *event.Refused)) *loadResult {
 	r := &simulation{
 		load: l, random: newRandom(l.seed), requests: make(map[event.RequestID]*loadRequest),
-		engines: make(map[event.EndpointID]*loadEngine),
+		decisions: decisions,
+		engines:   make(map[event.EndpointID]*loadEngine),
 		s: New(0, event.Pool{Name: pool, MaxWaiting: 4000, Discovered: true, Profile: event.Profile{
 			PrefillRate: 40000, TokenGap: 5 * event.Millisecond, CallTime: 30 * event.Millisecond,
 		}, LeastOutstanding: l.baseline, ExpectedWork: l.expectedWork}, l.seed),
@@ -200,7 +225,7 @@
 	for i := range l.endpoints {
 		r.updateEndpoint(i, false)
 	}
-	if l.limited == 0 && l.customer == nil {
+	if l.limited == 0 && l.customer == nil && l.turns == (slowTurns{}) {
 		r.at(event.Time(3*event.Second), func() { r.setQuarterDown(true) })
 		r.at(event.Time(6*event.Second), func() { r.setQuarterDown(false) })
 	}
@@ -227,9 +252,19 @@
 	}
 	n := 0
 	_, _ = fmt.Sscanf(string(id), "e%d", &n)
+	if list := r.load.slowness; list != nil {
+		return list[n%len(list)]
+	}
 	return loadSlowness[n%len(loadSlowness)]
 }
 
+func (l *load) oneWay() event.Duration {
+	if l.latency > 0 {
+		return l.latency
+	}
+	return loadLatency
+}
+
 func (r *simulation) updateEndpoint(i int, down bool) {
 	r.step(&event.EndpointUpdated{
 		Endpoint: event.Endpoint{ID: loadEndpoint(i), Concurrency: r.slots(), Speed: 1}, Address: "10.0.0.1:80", Down: down || i < r.load.limited && r.load.limit < 0,
@@ -249,6 +284,7 @@
 
 func (r *simulation) tick() {
 	r.step(&event.Tick{})
+	r.sampleLoad()
 	if r.now < r.load.length.Add(16*event.Second) {
 		r.at(r.now.Add(50*event.Millisecond), r.tick)
 	}
@@ -263,6 +299,7 @@
 	if r.load.customer != nil {
 		rate = r.load.baseLoad * kind.perSecond * r.load.customer.factor(at)
 	}
+	rate *= r.load.swingAt(at)
 	at = at.Add(event.Duration(r.random.ExpFloat64() / rate * float64(event.Second)))
 	if at >= r.load.length {
 		return
@@ -280,6 +317,9 @@
 }
 
 func (r *simulation) newRequest(kind *loadKind) *loadRequest {
+	if kind.callTime > 0 {
+		return r.newCall(kind)
+	}
 	prompt := max(60, int(r.logNormal(kind.prompt, kind.promptSigma)))
 	length := min(kind.maxOutput, max(6, int(r.logNormal(kind.output, kind.outputSigma))))
 	guess := min(kind.maxOutput, max(1, int(r.logNormal(float64(length), r.load.guessSigma)*math.Exp(r.load.guessSigma*r.load.guessSigma/2))))
@@ -344,6 +384,7 @@
 func (r *simulation) refused(f event.Refused) {
 	k := r.requests[f.ID]
 	delete(r.requests, f.ID)
+	r.countRefusal()
 	if f.Reason == event.ReasonDeadline {
 		r.result.timedOut++
 		r.stats(k).timedOut++
@@ -363,7 +404,11 @@
 
 // loadEngine simulates an endpoint that runs ten requests at once and queues the others.
 type loadEngine struct {
+	id           event.EndpointID
 	slowness     float64
+	turns        []slowTurn
+	granted      int     // requests granted and not ended
+	outstanding  float64 // mean work of the kinds of these requests, in seconds at speed 1
 	running      int
 	waiting      []func()
 	prefillUntil event.Time // end of the last prefill
@@ -381,11 +426,13 @@
 	k.placed = true
 	e, ok := r.engines[g.Endpoint]
 	if !ok {
-		e = &loadEngine{slowness: r.slowness(g.Endpoint)}
+		e = &loadEngine{id: g.Endpoint, slowness: r.slowness(g.Endpoint), turns: r.load.turnsOf(g.Endpoint)}
 		r.engines[g.Endpoint] = e
 	}
+	e.granted++
+	e.outstanding += k.kind.meanWork()
 	granted := r.now
-	r.at(r.now.Add(loadLatency), func() {
+	r.at(r.now.Add(r.load.oneWay()), func() {
 		run := func() { r.run(e, k, g.ID, granted) }
 		if e.running == r.slots() {
 			e.waiting = append(e.waiting, run)
@@ -398,18 +445,30 @@
 // run starts a request on an engine.
 func (r *simulation) run(e *loadEngine, k *loadRequest, id event.RequestID, granted event.Time) {
 	e.running++
+	if k.kind.callTime > 0 {
+		r.runCall(e, k, id, granted)
+		return
+	}
 	prefill := event.Duration(float64(k.ticket.PromptTokens) / 56600 * e.slowness * float64(event.Second))
-	begin := max(r.now, e.prefillUntil).Add(prefill + 16*event.Millisecond)
+	begin := e.after(max(r.now, e.prefillUntil), prefill+16*event.Millisecond)
 	e.prefillUntil = begin
 	gap := event.Duration(5.5 * e.slowness * float64(event.Millisecond))
 	deadline := k.firstTry.Add(k.kind.deadline)
-	end := begin.Add(gap * event.Duration(k.length))
+	end := e.after(begin, gap*event.Duration(k.length))
+	gap = event.Duration(float64(gap) * e.factor(begin.Add(end.Sub(begin)/2)))
 	if begin < deadline {
-		r.at(begin.Add(loadLatency), func() { r.step(&event.Begun{ID: id, Pool: pool, After: r.now.Sub(granted)}) })
+		slowdown := r.reported(e, begin)
+		r.at(begin.Add(r.load.oneWay()), func() {
+			r.step(&event.Begun{ID: id, Pool: pool, After: r.now.Sub(granted), Slowdown: slowdown})
+		})
 	}
 	r.at(min(end, deadline), func() {
 		e.free()
-		r.at(r.now.Add(loadLatency), func() { r.end(id, k, granted, begin, gap, end <= deadline) })
+		r.at(r.now.Add(r.load.oneWay()), func() {
+			e.granted--
+			e.outstanding -= k.kind.meanWork()
+			r.end(id, k, granted, begin, gap, end <= deadline)
+		})
 	})
 }
 
@@ -424,19 +483,29 @@
 }
 
 func (r *simulation) end(id event.RequestID, k *loadRequest, granted, begin event.Time, gap event.Duration, completed bool) {
-	delete(r.requests, id)
 	f := &event.Finished{ID: id, Pool: pool, Tokens: k.length, FirstAfter: begin.Sub(granted), TokenGap: gap, Failed: !completed}
+	r.finish(k, f, granted, begin, completed)
+}
+
+// finish ends a request with its Finished event. Its response began at a time.
+func (r *simulation) finish(k *loadRequest, f *event.Finished, granted, begin event.Time, completed bool) {
+	delete(r.requests, f.ID)
 	r.result.runSeconds += r.now.Sub(granted).Seconds()
 	if !completed {
-		f.Tokens = int(max(0, r.now.Sub(begin)) / gap)
+		if f.TokenGap > 0 {
+			f.Tokens = int(max(0, r.now.Sub(begin)) / f.TokenGap)
+		}
 		r.result.cutOff++
 		r.result.wastedSeconds += r.now.Sub(granted).Seconds()
 		r.step(f)
 		return
 	}
 	value := k.kind.value
+	r.result.placement.completed++
+	r.result.placement.completion += r.now.Sub(granted).Seconds()
 	late := begin.Sub(k.firstTry) > k.kind.target
 	if late {
+		r.result.placement.late++
 		value = k.kind.lateValue
 	}
 	r.countServed(k, late)
--- a/sched/view.go
+++ b/sched/view.go
@@ -20,24 +20,33 @@
 	headSince            event.Time
 	plannedUntil         event.Time // planned end, for pools without Begun events
 	dataCentre           string
-	free                 int32 // free capacity for the highest rank; 0 if unavailable
-	reserved             int32 // part of free that lower ranks may not use
-	capacityUnits        int32 // capacity in units; 0 if unavailable
-	hasCooldowns         bool  // some entries are in cooldown
-	isRateLimited        bool  // limited in requests per second
+	spread               float64 // factor on the latency of a request in its cost, by what runs there
+	free                 int32   // free capacity for the highest rank; 0 if unavailable
+	reserved             int32   // part of free that lower ranks may not use
+	capacityUnits        int32   // capacity in units; 0 if unavailable
+	hasCooldowns         bool    // some entries are in cooldown
+	isRateLimited        bool    // limited in requests per second
+	isSlowed             bool    // by its reports, requests take much longer than usual
 }
 
 // refreshView recomputes the view of an endpoint at now.
 func (s *State) refreshView(now event.Time, e *endpoint) {
 	v := &s.views[e.index]
+	wasSlowed := v.isSlowed
 	s.subtractView(v)
 	headWork := e.prefillQueue.headWork()
+	speed := s.placementSpeed(now, e)
 	*v = view{
-		endpoint: e, slowness: 1 / e.speed(), prefillSlowness: e.prefillSlowdown.get(now) / e.speed(), dataCentre: e.DataCentre,
+		endpoint: e, slowness: 1 / speed, prefillSlowness: e.prefillSlowdown.get(now) / speed, dataCentre: e.DataCentre,
 		headWork: headWork, queuedWork: e.prefillQueue.work - headWork, headSince: e.prefillQueue.headSince, plannedUntil: e.prefillQueue.plannedUntil,
 	}
+	if e.slowdown.isReported {
+		s.updateSlowed(now, v, wasSlowed)
+		v.spread = spreadWeight * float64(e.inflight) / float64(max(1, e.Concurrency))
+	}
 	if e.Concurrency > 0 && e.isAvailable(now) {
-		free, units := max(0, e.capacity()-e.inflight), e.capacity()*unitsPerRequest
+		capacity := s.capacityAhead(now, e)
+		free, units := max(0, int(capacity)-e.inflight), int(capacity*unitsPerRequest)
 		if e.rateLimit.isSet {
 			v.isRateLimited = true
 			free = min(free, e.rateLimit.pacer.Available(now))
@@ -69,6 +78,9 @@
 	if v.hasCooldowns {
 		s.cooldownEndpoints--
 	}
+	if v.isSlowed {
+		s.slowedEndpoints--
+	}
 }
 
 // refreshViews recomputes all views. An endpoint can become unavailable by the
@@ -85,7 +97,7 @@
 	s.maxSpeed = 0
 	for _, e := range s.endpoints {
 		if e.Concurrency > 0 && e.isAvailable(now) {
-			s.maxSpeed = max(s.maxSpeed, e.speed())
+			s.maxSpeed = max(s.maxSpeed, e.presentSpeed(now))
 		}
 	}
 }
@@ -181,6 +193,7 @@
 	if p.toFirstToken {
 		latency = firstToken
 	}
+	cost += v.spread * latency
 	if late := latency*estimateMargin - p.timeLeft; late > 0 {
 		cost += latePenalty * late
 	}
