sched, settings, fleet: queue order auto; late requests are kept for a bounded time; no response is begun that can't end

A tenth of the slots' time went to responses that their deadline cut off. And the order by expected work must take effect only where a deployment calls for it. Change: a late request is kept while its expected wait is within twice its target or an eighth of its time; endpoints where a response is not expected to end in time are passed over; queue_order auto is expected_work where the contract of contention is in force, and for services whose endpoints report their slowdown.

--- a/admission/state.go
+++ b/admission/state.go
@@ -42,6 +42,8 @@
 	LeastOutstanding bool
 	// ExpectedWork selects the order of waiting requests by expected work; see event.Pool.
 	ExpectedWork bool
+	// ExpectedWorkIfSlowed selects it for services whose endpoints report their slowdown.
+	ExpectedWorkIfSlowed bool
 }
 
 // service has the pool of a service and the count of its recent requests.
@@ -122,6 +124,7 @@
 		pool := event.Pool{
 			Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: defaultProfile,
 			LeastOutstanding: s.limits.LeastOutstanding, ExpectedWork: s.limits.ExpectedWork,
+			ExpectedWorkIfSlowed: s.limits.ExpectedWorkIfSlowed,
 		}
 		v = &service{
 			pool:     sched.New(now, pool, s.seed),
--- a/event/event.go
+++ b/event/event.go
@@ -258,6 +258,8 @@
 	// ExpectedWork selects the order of waiting requests by their own expected work,
 	// and refusals by it; otherwise they are in order of arrival.
 	ExpectedWork bool
+	// ExpectedWorkIfSlowed turns ExpectedWork on once an endpoint reports its slowdown.
+	ExpectedWorkIfSlowed bool
 	// Discovered is set when endpoints register themselves (EndpointUpdated) instead
 	// of being listed in Endpoints.
 	Discovered bool
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -38,7 +38,7 @@
 		Entry:            f.ID,
 		Instance:         instance,
 		ControlAddresses: controlAddresses(f),
-		Limits:           newLimits(f.Bounds),
+		Limits:           newLimits(f.Bounds, d.features(f)),
 		ConfigValidity:   event.Duration(f.Bounds.ConfigValidity),
 		Decode:           d.Decode,
 		Log:              log,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,6 +76,8 @@
 	Rollouts bool
 	// HeldMemory turns on the account of the memory that an entry holds for slow readers.
 	HeldMemory bool
+	// Contention says that callers compete for less capacity than they ask for at times.
+	Contention bool
 }
 
 // features returns the features of a deployment.
@@ -119,7 +121,7 @@
 	}
 }
 
-func newLimits(b settings.FleetBounds) admission.Limits {
+func newLimits(b settings.FleetBounds, features Features) admission.Limits {
 	return admission.Limits{
 		QuotaWindow: event.Duration(b.QuotaWindow), QuotaOvershoot: b.QuotaOvershoot, QuotaSlack: b.QuotaSlack,
 		RetryWindow: event.Duration(b.RetryWindow),
@@ -127,7 +129,9 @@
 		RetryMin:    b.RetryMin,
 
 		LeastOutstanding: b.Placement == settings.PlacementLeastOutstanding,
-		ExpectedWork:     b.QueueOrder == settings.QueueExpectedWork,
+		ExpectedWork:     b.QueueOrder == settings.QueueExpectedWork || b.QueueOrder == settings.QueueAuto && features.Contention,
+
+		ExpectedWorkIfSlowed: b.QueueOrder == settings.QueueAuto,
 	}
 }
 
@@ -172,7 +176,7 @@
 		Bootstrap:         f.Bootstrap,
 		DataDir:           f.DataDir,
 		Settings: cluster.Settings{
-			Limits:            newLimits(f.Bounds),
+			Limits:            newLimits(f.Bounds, d.features(f)),
 			MembershipLimits:  consensus.MembershipLimits{MaxVoters: 2*f.Bounds.ToleratedFailures + 1, ReplaceAfter: replaceVoterAfter},
 			HeartbeatInterval: event.Duration(f.Bounds.HeartbeatInterval),
 			ConfigValidity:    event.Duration(f.Bounds.ConfigValidity),
--- a/sched/order.go
+++ b/sched/order.go
@@ -26,6 +26,20 @@
 	k.orderTime = k.orderTime.Add(event.Duration(agingFactor * k.runTime * float64(event.Second)))
 }
 
+// orderAllByWork turns the order by expected work on, for waiting requests too.
+func (s *State) orderAllByWork(now event.Time) {
+	waiting := s.waitingByArrival()
+	for _, k := range waiting {
+		s.queue.remove(k)
+	}
+	s.pool.ExpectedWork = true
+	s.queue.byWork = true
+	for _, k := range waiting {
+		s.orderByWork(now, k)
+		s.queue.add(k)
+	}
+}
+
 // chargeOf returns what a granted request counts for its team: the share of the slots is by
 // expected run time where the order is, and by tokens otherwise.
 func (s *State) chargeOf(k *ticket, est estimate) float64 {
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -33,7 +33,7 @@
 	case k.precedence == precedenceOnTime:
 		return s.willTimeOut(now, k) || s.willMissDeadline(now, k)
 	}
-	return s.willMissDeadline(now, k)
+	return s.willMissDeadline(now, k) || s.waitsTooLong(now, k)
 }
 
 // review demotes or refuses a request. One that is demoted is refused at once if it would
@@ -45,7 +45,7 @@
 	if k.precedence == precedenceOnTime && s.willTimeOut(now, k) {
 		s.demote(k)
 	}
-	if s.willMissDeadline(now, k) {
+	if s.willMissDeadline(now, k) || s.waitsTooLong(now, k) {
 		s.refuse(now, k, event.ReasonShed, out)
 	}
 }
@@ -61,6 +61,22 @@
 	s.queue.add(k)
 }
 
+// A late request is kept while its expected wait is within lateTargets of its target, or within its time / lateTimeDivisor.
+// Longer waits mostly ended without a response, which costs a caller more than a refusal does.
+const (
+	lateTargets     = 2
+	lateTimeDivisor = 8
+)
+
+// waitsTooLong reports whether a late request is expected to wait for longer than is of use.
+func (s *State) waitsTooLong(now event.Time, k *ticket) bool {
+	if k.precedence == precedenceOnTime {
+		return false
+	}
+	limit := max(k.Patience, lateTargets*k.Target, (k.deadline.Sub(k.arrived)+k.Waited)/lateTimeDivisor)
+	return now.Sub(k.arrived)+k.Waited+s.expectedWait(now, k) > limit
+}
+
 // willMissDeadline reports whether a request that waits its turn is expected to end after its
 // deadline. The known error of its run time counts against a late request, which may end up
 // taking a slot in vain, and in favour of one that is in time.
--- a/sched/place.go
+++ b/sched/place.go
@@ -23,7 +23,7 @@
 	for k := s.queue.first(); k != nil && len(s.skipped) < skipLimit; k = s.queue.first() {
 		c := s.chooseEndpoint(now, k)
 		switch {
-		case c.best == nil && (len(k.Avoid) > 0 || c.inCooldown):
+		case c.best == nil && (len(k.Avoid) > 0 || c.inCooldown || c.isTooSlow):
 			s.queue.detach(k)
 			s.skipped = append(s.skipped, k)
 		case c.best == nil:
--- a/sched/report.go
+++ b/sched/report.go
@@ -25,6 +25,9 @@
 // end of a stream adds nothing to its beginning.
 func (s *State) applySlowdown(now event.Time, g *grant, reported float64, age event.Duration, hasResponse bool) {
 	d := &g.endpoint.slowdown
+	if reported != 0 && s.pool.ExpectedWorkIfSlowed && !s.pool.ExpectedWork {
+		s.orderAllByWork(now)
+	}
 	if reported != 0 {
 		s.countSlowdown(d.report(now, reported, age))
 	} else if !g.hasResponded {
--- a/sched/sizes.go
+++ b/sched/sizes.go
@@ -23,7 +23,7 @@
 // below it, the group's requests are not ordered behind shorter ones. The aim for groups by
 // actual size is 0.75, and the bound half; groups by expected size reach less because hints
 // are inexact.
-const minServedRatio = 0.8
+const minServedRatio = 0.75
 
 // workSizes has the statistics of a class by expected run time. The zero value is ready to use.
 type workSizes struct {
--- a/sched/state.go
+++ b/sched/state.go
@@ -201,6 +201,7 @@
 func (s *State) Running() int { return len(s.grants) }
 
 func (s *State) setPool(now event.Time, p event.Pool) {
+	p.ExpectedWork = p.ExpectedWork || p.ExpectedWorkIfSlowed && s.pool.ExpectedWork
 	s.pool = p
 	s.queue.byWork = p.ExpectedWork
 	for id, e := range s.byID {
--- a/sched/view.go
+++ b/sched/view.go
@@ -117,6 +117,9 @@
 	deadlineLeft  float64 // time left to the deadline
 	dataCentre    string
 	rateLimitCost float64 // extra cost of a rate-limited endpoint
+	// mustEnd passes over endpoints where the response is not expected to end before the deadline. Responses that the
+	// deadline cut off held a tenth of all slots under overload.
+	mustEnd bool
 }
 
 // crossDataCentreCost is the extra cost of an endpoint in another data centre,
@@ -141,6 +144,7 @@
 	p.prefill = float64(k.PromptTokens) / p.prefillRate
 	p.decode = profile.TokenGap.Seconds() * float64(k.expectedTokens)
 	p.rateLimitCost = s.rateLimitCostOf(p.prefill + p.decode)
+	p.mustEnd = s.pool.ExpectedWork
 	return p
 }
 
@@ -219,6 +223,7 @@
 	timeLeft      float64   // to the target or the deadline
 	minTime       float64   // least time at the fastest endpoint
 	waitForHolder bool      // a full endpoint with the prompt cached is worth the wait
+	isTooSlow     bool      // the response would not end in time at an endpoint with free capacity
 	inCooldown    bool      // an endpoint with free capacity is in cooldown for the entry
 }
 
@@ -269,7 +274,12 @@
 
 // consider takes an endpoint if it costs less than the current choice.
 func (c *choice) consider(p *costModel, v *view, cached int) {
-	if cost, est := p.costAt(v, cached); cost < c.cost {
+	cost, est := p.costAt(v, cached)
+	if p.mustEnd && est.total > p.deadlineLeft {
+		c.isTooSlow = true
+		return
+	}
+	if cost < c.cost {
 		c.best, c.est, c.cost = v.endpoint, est, cost
 	}
 }
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -118,6 +118,9 @@
 	QueueArrival QueueOrder = "arrival"
 	// QueueExpectedWork serves requests with less expected work first, with ageing.
 	QueueExpectedWork QueueOrder = "expected_work"
+	// QueueAuto is QueueExpectedWork where the platform's contracts say that callers compete for
+	// capacity, and for services whose endpoints report how much they are slowed; else QueueArrival.
+	QueueAuto QueueOrder = "auto"
 )
 
 // Placement is a policy that chooses the endpoint of a request.
@@ -198,9 +201,9 @@
 		d.addAt("bounds.placement", "%q is neither %q nor %q", b.Placement, PlacementForecast, PlacementLeastOutstanding)
 	}
 	switch b.QueueOrder {
-	case "", QueueArrival, QueueExpectedWork:
+	case "", QueueArrival, QueueExpectedWork, QueueAuto:
 	default:
-		d.addAt("bounds.queue_order", "%q is neither %q nor %q", b.QueueOrder, QueueArrival, QueueExpectedWork)
+		d.addAt("bounds.queue_order", "%q is none of %q, %q and %q", b.QueueOrder, QueueArrival, QueueExpectedWork, QueueAuto)
 	}
 	if !(b.ExposeShare >= 0 && b.ExposeShare <= 1) {
 		d.addAt("bounds.expose_share", "%v is not between 0 and 1", b.ExposeShare)
