--- a/sched/agreement.go
+++ b/sched/agreement.go
@@ -4,7 +4,7 @@
 
 // Parameters of an agreement.
 const (
-	agreementWeight = 0.03 // of a new sample
+	agreementWeight = 0.05 // of a new sample
 	// priorVariance is the weight of the assumption that reports are true, in the units of the variance of the
 	// reports. An endpoint that takes 2.5 times as long for 15% of the time has a variance of 0.1.
 	priorVariance = 0.03
--- a/sched/report.go
+++ b/sched/report.go
@@ -9,9 +9,13 @@
 )
 
 // spreadWeight is how much longer, as a fraction of its latency, a request is assumed to take at an endpoint whose slots
-// are all taken than at an idle one, where endpoints report their slowdown. It spreads requests over endpoints of similar
+// are all taken than at an idle one, in a pool whose endpoints report their slowdown. It spreads requests over endpoints of similar
 // speed, so that each of them reports.
-const spreadWeight = 0.2
+const spreadWeight = 0.4
+
+// retrialAdvantage is how much faster than the fastest endpoint one is assumed to be that is due for a retrial, so that it
+// is chosen in spite of small differences.
+const retrialAdvantage = 1.1
 
 // slowdownSpan is the beginning of the time over which the slowdown of an endpoint is averaged for a request. The zero
 // value means that the endpoint had reported none.
@@ -63,22 +67,33 @@
 	e.observeSlowness(now, sample/math.Exp(d.agreement.slope()*reported))
 }
 
-// placementSpeed returns the speed by which requests are placed on an endpoint. One that is due for a retrial gets one
-// request at a time as if it were the fastest.
+// placementSpeed returns the speed by which requests are placed on an endpoint. In a pool whose endpoints report their
+// slowdown, one that was never measured counts as fast as the fastest, because the speed of a plain service is not known
+// beforehand, and one that is due for a retrial gets one request at a time as if it were the fastest.
 func (s *State) placementSpeed(now event.Time, e *endpoint) float64 {
 	speed := e.presentSpeed(now)
-	if e.isDueForRetrial(now) {
+	switch {
+	case s.slowdownLog.counts.Used == 0:
+		return speed
+	case e.isDueForRetrial(now):
+		return max(speed, s.maxSpeed*retrialAdvantage)
+	case e.slowness == 0:
 		return max(speed, s.maxSpeed)
+	default:
+		return speed
 	}
-	return speed
 }
 
-// isDueForRetrial reports whether an endpoint that reports its slowdown runs nothing and is judged by old figures: it was
-// slowed by its newest report, or has not been measured for slownessMaxAge.
+// isDueForRetrial reports whether an endpoint runs nothing and is judged by old figures: it was slowed by its newest
+// report, or has not been measured for remeasureAfter.
 func (e *endpoint) isDueForRetrial(now event.Time) bool {
 	d := &e.slowdown
-	if !d.isReported || e.inflight > 0 {
+	switch {
+	case e.inflight > 0:
 		return false
+	case e.slowness == 0, now.Sub(e.slownessAt) > remeasureAfter:
+		return true
+	default:
+		return d.isReported && d.last > d.usual && now.Sub(d.at) > retrialAfter
 	}
-	return d.last > d.usual && now.Sub(d.at) > retrialAfter || now.Sub(e.slownessAt) > slownessMaxAge
 }
--- a/sched/slowdown.go
+++ b/sched/slowdown.go
@@ -29,13 +29,15 @@
 	minSlowdown = 0.5
 	// usualRiseTime is the time constant with which what an endpoint usually reports follows larger reports: much longer
 	// than a slowdown. usualFallWeight is the weight of a smaller report: an endpoint is not slowed most of the time.
-	usualRiseTime   = 5 * event.Second
+	usualRiseTime   = 3 * event.Second
 	usualFallWeight = 0.5
 	// maxRetrials is how many requests a slowed endpoint may be granted as if its last report had aged, until one of
 	// them brings a new report.
 	maxRetrials = 2
 	// retrialAfter is the age of the newest report from which a slowed endpoint without requests is tried again.
 	retrialAfter = event.Second
+	// remeasureAfter is the age of the last measured run time from which an endpoint without requests is tried again.
+	remeasureAfter = 4 * event.Second
 	// slowedThreshold is the expected slowdown from which an endpoint counts as slowed.
 	slowedThreshold = 1.4
 )
--- a/sched/slowdown_test.go
+++ b/sched/slowdown_test.go
@@ -140,12 +140,12 @@
 	for i := range 3 {
 		finishCall(s, now, plainCall(i).Ticket.ID, 60*event.Millisecond, 1, &event.Effects{})
 	}
-	now = now.Add(slownessMaxAge + event.Second)
+	now = now.Add(remeasureAfter + event.Second)
 	s.Step(now, &event.Tick{}, &event.Effects{})
 	s.byID["e001"].slownessAt = now
 	s.Step(now, &event.Tick{}, &event.Effects{})
 	if got := grantsOf(s, now, 10, 4); got["e000"] != 1 || got["e001"] != 3 {
-		t.Errorf("grants %v after %v without a measurement, want one call at e000", got, slownessMaxAge)
+		t.Errorf("grants %v after %v without a measurement, want one call at e000", got, remeasureAfter)
 	}
 }
 
@@ -253,22 +253,15 @@
 	return float64(got) / float64(all), r
 }
 
-// TestFalseReportsChangeLittle guards against an endpoint that gets more or less than its share by false reports, and
-// against value lost by them.
+// TestFalseReportsChangeLittle guards against an endpoint that gets more or less by false reports than it gets with true
+// ones or without any, and against value lost by them.
 func TestFalseReportsChangeLittle(t *testing.T) {
 	const seeds = 3
-	for kind, bounds := range map[string]struct {
-		newLoad            func(uint64) load
-		minShare, maxShare float64 // of the honest share
-	}{
-		"plain": {plainLoad, 0.6, 1.5},
-		// One of 57 equal endpoints gets few requests, which small errors of the estimates change much.
-		"stream": {streamLoad, 0.35, 2.5},
-	} {
+	for kind, newLoad := range map[string]func(uint64) load{"plain": plainLoad, "stream": streamLoad} {
 		simulate := func(first slowdownReport) (share, earned float64) {
 			sum := &loadResult{}
 			for seed := range uint64(seeds) {
-				l := bounds.newLoad(seed)
+				l := newLoad(seed)
 				l.baseLoad *= 0.6
 				l.slowness = []float64{1}
 				l.length = event.Time(17 * event.Second)
@@ -284,12 +277,15 @@
 			}
 			return share, sum.earnedShare()
 		}
-		wantShare, wantEarned := simulate(honest)
+		honestShare, wantEarned := simulate(honest)
+		silentShare, _ := simulate(lyingReports["missing"])
+		least, most := 0.6*min(honestShare, silentShare), 1.5*max(honestShare, silentShare)
+		t.Logf("%s: share %.4f of the grants if honest, %.4f without reports; value %.4f", kind, honestShare, silentShare, wantEarned)
 		for name, report := range lyingReports {
 			share, earned := simulate(report)
-			t.Logf("%s, %s: share %.4f of the grants, %.4f if honest; value %.4f and %.4f", kind, name, share, wantShare, earned, wantEarned)
-			if share < bounds.minShare*wantShare || share > bounds.maxShare*wantShare || earned < wantEarned-0.01 {
-				t.Errorf("%s, %s: share %.4f of the grants, want about %.4f; value %.4f, want %.4f", kind, name, share, wantShare, earned, wantEarned)
+			t.Logf("%s, %s: share %.4f of the grants, value %.4f", kind, name, share, earned)
+			if share < least || share > most || earned < wantEarned-0.01 {
+				t.Errorf("%s, %s: share %.4f of the grants, want %.4f to %.4f; value %.4f, want %.4f", kind, name, share, least, most, earned, wantEarned)
 			}
 		}
 	}
--- a/sched/view.go
+++ b/sched/view.go
@@ -20,7 +20,7 @@
 	headSince            event.Time
 	plannedUntil         event.Time // planned end, for pools without Begun events
 	dataCentre           string
-	spread               float64 // factor on the latency of a request in its cost, by what runs there
+	spread               float64 // factor on the times of a request in its cost, by what runs there
 	free                 int32   // free capacity for the highest rank; 0 if unavailable
 	reserved             int32   // part of free that lower ranks may not use
 	capacityUnits        int32   // capacity in units; 0 if unavailable
@@ -37,12 +37,14 @@
 	headWork := e.prefillQueue.headWork()
 	speed := s.placementSpeed(now, e)
 	*v = view{
-		endpoint: e, slowness: 1 / speed, prefillSlowness: e.prefillSlowdown.get(now) / speed, dataCentre: e.DataCentre,
+		endpoint: e, slowness: 1 / speed, prefillSlowness: e.prefillSlowdown.get(now) / speed, dataCentre: e.DataCentre, spread: 1,
 		headWork: headWork, queuedWork: e.prefillQueue.work - headWork, headSince: e.prefillQueue.headSince, plannedUntil: e.prefillQueue.plannedUntil,
 	}
 	if e.slowdown.isReported {
 		s.updateSlowed(now, v, wasSlowed)
-		v.spread = spreadWeight * float64(e.inflight) / float64(max(1, e.Concurrency))
+	}
+	if s.slowdownLog.counts.Used > 0 {
+		v.spread += spreadWeight * float64(e.inflight) / float64(max(1, e.Concurrency))
 	}
 	if e.Concurrency > 0 && e.isAvailable(now) {
 		capacity := s.capacityAhead(now, e)
@@ -175,6 +177,12 @@
 	prefillAhead := v.prefillAhead(p.now)
 	total += prefillAhead
 	firstToken += prefillAhead
+	est = estimate{prefill: prefill, prefillWork: prefillWork, total: total, latency: total, cached: cached}
+	if p.toFirstToken {
+		est.latency = firstToken
+	}
+	total *= v.spread
+	firstToken *= v.spread
 	cost = total * timeWeight
 	if p.dataCentre != "" && v.dataCentre != "" && p.dataCentre != v.dataCentre {
 		cost += crossDataCentreCost
@@ -193,14 +201,13 @@
 	if p.toFirstToken {
 		latency = firstToken
 	}
-	cost += v.spread * latency
 	if late := latency*estimateMargin - p.timeLeft; late > 0 {
 		cost += latePenalty * late
 	}
 	if late := total*estimateMargin - p.deadlineLeft; p.toFirstToken && late > 0 {
 		cost += latePenalty * late
 	}
-	return cost, estimate{prefill: prefill, prefillWork: prefillWork, total: total, latency: latency, cached: cached}
+	return cost, est
 }
 
 // prefillAhead returns the seconds until the endpoint has processed its pending
