gateway, cluster: tests report the usual speed before a slowdown

The first report of an endpoint counts as its usual one, so a test that begins with a slowdown saw no slowed endpoint.

--- a/cluster/slowdown_test.go
+++ b/cluster/slowdown_test.go
@@ -24,18 +24,21 @@
 			ID: fmt.Sprintf("e%02d", i), Service: fmt.Sprintf("s%d", i%4), Address: "10.0.0.1:80", Slots: 1,
 		}}, &effects)
 	}
-	for i := range 40 {
-		service := fmt.Sprintf("s%d", i%4)
-		o.admission.Submit(0, "entry", &message.Submission{Ticket: event.Ticket{
-			ID: event.RequestID(fmt.Sprint(i)), Service: service, Pool: service, Deadline: event.Second,
-		}}, &effects)
-	}
-	for _, g := range effects.Grants {
-		f := &message.Finish{Finished: event.Finished{ID: g.ID, FirstAfter: event.Millisecond, Slowdown: 2.5}, Endpoint: g.Endpoint}
-		var n int
-		_, _ = fmt.Sscanf(string(g.Endpoint), "e%d", &n)
-		f.Pool = fmt.Sprintf("s%d", n%4)
-		o.admission.Finish(0, f, &event.Effects{})
+	for round, slowdown := range []float64{1, 2.5} {
+		effects.Reset()
+		for i := range 40 {
+			service := fmt.Sprintf("s%d", i%4)
+			o.admission.Submit(0, "entry", &message.Submission{Ticket: event.Ticket{
+				ID: event.RequestID(fmt.Sprint(round, "-", i)), Service: service, Pool: service, Deadline: event.Second,
+			}}, &effects)
+		}
+		for _, g := range effects.Grants {
+			n := 0
+			_, _ = fmt.Sscanf(string(g.Endpoint), "e%d", &n)
+			o.admission.Finish(0, &message.Finish{Finished: event.Finished{
+				ID: g.ID, Pool: fmt.Sprintf("s%d", n%4), FirstAfter: event.Millisecond, Slowdown: slowdown,
+			}, Endpoint: g.Endpoint}, &event.Effects{})
+		}
 	}
 	if n := o.admission.SlowedEndpoints(); n != 40 {
 		t.Fatalf("%d slowed endpoints, want 40", n)
--- a/gateway/load_test.go
+++ b/gateway/load_test.go
@@ -99,6 +99,10 @@
 			ID: event.RequestID(id), Pool: "s", FirstAfter: took, Slowdown: slowdown,
 		}, Endpoint: at})
 	}
+	for range 2 { // one call at each endpoint
+		id := string(call("usual").Endpoint)
+		finish("usual", event.EndpointID(id), 60*event.Millisecond, 1)
+	}
 	slowed := call("first").Endpoint
 	finish("first", slowed, 150*event.Millisecond, 2.5)
 	for i := range 3 {
