--- a/sched/overload.go
+++ b/sched/overload.go
@@ -61,11 +61,11 @@
 	s.queue.add(k)
 }
 
-// A late request is kept while its expected wait is within lateTargets of its target, or within its time / lateTimeDivisor.
+// A late request is kept while its expected wait is within lateTargets of its target, or within a quarter of its time.
 // Longer waits mostly ended without a response, which costs a caller more than a refusal does.
 const (
 	lateTargets     = 2
-	lateTimeDivisor = 8
+	lateTimeDivisor = 4
 )
 
 // waitsTooLong reports whether a late request is expected to wait for longer than is of use.
