--- /dev/null
+++ b/rollout/ledger.go
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"lynxramp.org/event"
+)
+
+// maxServices bounds the services of a Ledger. The oldest ended order is removed for a new
+// one above it.
+const maxServices = 4096
+
+// Ledger is the state of all orders in the replicated log: the newest Record of each service,
+// and that of the order before it. The zero value is empty. It is not safe for concurrent use.
+type Ledger struct {
+	lines map[string]*line
+}
+
+// line has the records of one service. Fields with names are replicated.
+type line struct {
+	Newest Record `json:"newest"`
+	// Previous is the last record of the order before: it may be sent again.
+	Previous *Record `json:"previous,omitempty"`
+
+	// newestAt and previousAt are when this box applied the records, by its own clock.
+	newestAt, previousAt event.Time
+	isUndated            bool // the times are not known yet
+}
+
+// Apply applies a committed Record at the time when this box received it. Records that are
+// older than what the Ledger has change nothing, and an ended order does not change.
+func (l *Ledger) Apply(now event.Time, r Record) {
+	if l.lines == nil {
+		l.lines = make(map[string]*line)
+	}
+	known, ok := l.lines[r.Service]
+	switch {
+	case !ok:
+		l.evict()
+		l.lines[r.Service] = &line{Newest: r, newestAt: now}
+	case r.Number > known.Newest.Number:
+		previous := known.Newest
+		known.Previous, known.previousAt = &previous, known.newestAt
+		known.Newest, known.newestAt = r, now
+	case r.Number == known.Newest.Number && known.Newest.mayBecome(r):
+		known.Newest, known.newestAt = r, now
+	}
+}
+
+// mayBecome reports whether a later record of the same order replaces r.
+func (r Record) mayBecome(next Record) bool {
+	return !r.Phase.IsFinal() && next.Phase >= r.Phase && next.Ceiling >= r.Ceiling && next.Elapsed >= r.Elapsed
+}
+
+// evict makes room for one more service.
+func (l *Ledger) evict() {
+	if len(l.lines) < maxServices {
+		return
+	}
+	oldest := ""
+	for service, known := range l.lines {
+		if known.Newest.Phase.IsFinal() && (oldest == "" || known.Newest.Number < l.lines[oldest].Newest.Number) {
+			oldest = service
+		}
+	}
+	delete(l.lines, oldest)
+}
+
+// MarkReceived sets the receive time of what was loaded from a snapshot.
+func (l *Ledger) MarkReceived(now event.Time) {
+	for _, known := range l.lines {
+		if known.isUndated {
+			known.newestAt, known.previousAt, known.isUndated = now, now, false
+		}
+	}
+}
+
+// Get returns the newest Record of a service.
+func (l *Ledger) Get(service string) (Record, bool) {
+	known, ok := l.lines[service]
+	if !ok {
+		return Record{}, false
+	}
+	return known.Newest, true
+}
+
+// Services returns the services with an order, sorted.
+func (l *Ledger) Services() []string { return slices.Sorted(maps.Keys(l.lines)) }
+
+// MarshalJSON encodes the Ledger for a snapshot. Equal ledgers have equal encodings.
+func (l *Ledger) MarshalJSON() ([]byte, error) {
+	list := make([]*line, 0, len(l.lines))
+	for _, service := range l.Services() {
+		list = append(list, l.lines[service])
+	}
+	return json.Marshal(list)
+}
+
+// UnmarshalJSON decodes what MarshalJSON encoded. MarkReceived must be called after it.
+func (l *Ledger) UnmarshalJSON(data []byte) error {
+	var list []*line
+	if err := json.Unmarshal(data, &list); err != nil {
+		return fmt.Errorf("ledger of roll-outs: %w", err)
+	}
+	lines := make(map[string]*line, len(list))
+	for i, known := range list {
+		if known == nil {
+			return fmt.Errorf("ledger of roll-outs: record %d is null", i)
+		}
+		known.isUndated = true
+		lines[known.Newest.Service] = known
+	}
+	l.lines = lines
+	return nil
+}
--- /dev/null
+++ b/rollout/tracker.go
@@ -0,0 +1,330 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"maps"
+	"slices"
+
+	"lynxramp.org/event"
+)
+
+const (
+	// resendTime is how long after its start an order that ended is recognized when it is
+	// sent again. Orders are sent again for 5 s at most.
+	resendTime = 10 * event.Second
+	// proposalTimeout is the time after which a proposal that is not committed is lost: an
+	// owner that commits nothing for this long has no lease.
+	proposalTimeout = 10 * event.Second
+)
+
+// Tracker is the owner's state of all orders. It is a reducer and not safe for concurrent use.
+type Tracker struct {
+	limits     Limits
+	services   map[string]*service
+	lastNumber uint64
+}
+
+// service is the state of one service.
+type service struct {
+	name string
+	// capacity and running are by version: slots of its endpoints, and requests on them.
+	capacity, running map[string]int
+	// base is the version that is in use without an order, if hasBase is set.
+	base    string
+	hasBase bool
+
+	newest, previous *order // committed; nil for none
+	proposed         *order // not committed yet; nil for none
+}
+
+// order is an order with the time of its start.
+type order struct {
+	record    Record // the last committed one
+	startedAt event.Time
+	progress  *progress // nil once the order ended
+}
+
+func (o *order) elapsed(now event.Time) event.Duration { return now.Sub(o.startedAt) }
+
+// isResent reports whether an order is o, sent again.
+func (o *order) isResent(now event.Time, sent Order) bool {
+	return o != nil && o.record.Order == sent && (o.progress != nil || o.elapsed(now) < resendTime)
+}
+
+// NewTracker returns the Tracker of a new owner with the state that earlier owners committed.
+// Every earlier owner must have stopped by now.
+func NewTracker(now event.Time, l *Ledger, limits Limits) *Tracker {
+	t := &Tracker{limits: limits, services: make(map[string]*service)}
+	for name, known := range l.lines {
+		s := t.service(name)
+		s.newest = t.inherit(now, known.Newest, known.newestAt, known.isUndated)
+		if known.Previous != nil {
+			s.previous = t.inherit(now, *known.Previous, known.previousAt, known.isUndated)
+			s.previous.progress = nil
+		}
+		t.lastNumber = max(t.lastNumber, known.Newest.Number)
+	}
+	return t
+}
+
+// inherit returns an order of an earlier owner, of which this box applied the record at the
+// given time.
+func (t *Tracker) inherit(now event.Time, r Record, at event.Time, isUndated bool) *order {
+	if isUndated {
+		at = now
+	}
+	o := &order{record: r, startedAt: at.Add(-r.Elapsed)}
+	if !r.Phase.IsFinal() {
+		o.progress = newProgress(t.limits, o)
+	}
+	return o
+}
+
+// service returns the state of a service, and creates it on first use.
+func (t *Tracker) service(name string) *service {
+	s, ok := t.services[name]
+	if !ok {
+		s = &service{name: name, capacity: make(map[string]int), running: make(map[string]int)}
+		t.services[name] = s
+	}
+	return s
+}
+
+// Submit submits an order. With ResultPropose the record is to be proposed, and the order
+// acknowledged once it is committed; proposing it more than once does no harm.
+func (t *Tracker) Submit(now event.Time, sent Order) (Record, Result) {
+	s := t.service(sent.Service)
+	switch {
+	case s.newest.isResent(now, sent):
+		return s.newest.record, ResultKnown
+	case s.previous.isResent(now, sent):
+		return s.previous.record, ResultKnown
+	case s.newest != nil && s.newest.progress != nil:
+		return s.newest.record, ResultConflict
+	case s.isProposed(now) && s.proposed.record.Order == sent:
+		return s.proposed.record, ResultPropose
+	case s.isProposed(now):
+		return s.proposed.record, ResultConflict
+	}
+	t.lastNumber++
+	r := Record{Order: sent, Number: t.lastNumber, Phase: s.firstPhase(sent.Version)}
+	if r.Phase == PhaseCanary {
+		r.Ceiling = t.limits.ceiling(0, sent.canaryTime(), 0)
+	}
+	s.proposed = &order{record: r, startedAt: now}
+	return r, ResultPropose
+}
+
+// isProposed reports whether an order is proposed and may still be committed.
+func (s *service) isProposed(now event.Time) bool {
+	return s.proposed != nil && s.proposed.elapsed(now) < proposalTimeout
+}
+
+// firstPhase returns the phase in which an order begins. The version that the last order
+// completed is proved, and may be the only one with endpoints.
+func (s *service) firstPhase(version string) Phase {
+	if s.newest != nil && s.newest.record.Phase == PhaseCompleted && s.newest.record.Version == version {
+		return PhaseCompleted
+	}
+	return PhaseCanary
+}
+
+// Withdraw reports that the record of a submitted order was not appended to the log, and
+// never will be.
+func (t *Tracker) Withdraw(r Record) {
+	s, ok := t.services[r.Service]
+	if ok && s.proposed != nil && s.proposed.record.Number == r.Number {
+		s.proposed = nil
+	}
+}
+
+// Committed must be called for each committed record, also for those of earlier owners.
+func (t *Tracker) Committed(now event.Time, r Record) {
+	s := t.service(r.Service)
+	t.lastNumber = max(t.lastNumber, r.Number)
+	switch {
+	case s.newest == nil || r.Number > s.newest.record.Number:
+		s.begin(t, now, r)
+	case r.Number == s.newest.record.Number && s.newest.record.mayBecome(r):
+		s.newest.record = r
+		s.newest.committed(r)
+	}
+}
+
+// begin starts a committed order.
+func (s *service) begin(t *Tracker, now event.Time, r Record) {
+	begun := t.inherit(now, r, now, false)
+	if s.proposed != nil && s.proposed.record.Number == r.Number {
+		begun.startedAt = s.proposed.startedAt
+		begun.grantNothingSpent()
+		s.proposed = nil
+	}
+	s.previous = s.newest
+	s.newest = begun
+}
+
+// grantNothingSpent is called for an order that this owner proposed: none of its ceiling is
+// spent.
+func (o *order) grantNothingSpent() {
+	if o.progress != nil {
+		o.progress.spent = 0
+	}
+}
+
+// committed updates the state of an order from a record.
+func (o *order) committed(r Record) {
+	if r.Phase.IsFinal() {
+		o.progress = nil
+		return
+	}
+	o.progress.committed(r)
+}
+
+// active returns the state of a service and of its order in progress; nil if there is none.
+func (t *Tracker) active(name string) (*service, *progress) {
+	s, ok := t.services[name]
+	if !ok || s.newest == nil {
+		return s, nil
+	}
+	return s, s.newest.progress
+}
+
+// SetCapacity sets the slots of the endpoints of a version that can serve.
+func (t *Tracker) SetCapacity(name, version string, slots int) {
+	setCount(t.service(name).capacity, version, slots)
+}
+
+// SetRunning sets the number of requests that run on endpoints of a version.
+func (t *Tracker) SetRunning(name, version string, n int) {
+	setCount(t.service(name).running, version, n)
+}
+
+func setCount(counts map[string]int, version string, n int) {
+	if n <= 0 {
+		delete(counts, version)
+		return
+	}
+	counts[version] = n
+}
+
+// others returns the sum of the counts of all versions but one.
+func others(counts map[string]int, version string) int {
+	sum := 0
+	for v, n := range counts {
+		if v != version {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// Granted counts a request that was granted to an endpoint of a version.
+func (t *Tracker) Granted(_ event.Time, name, version string) {
+	s, p := t.active(name)
+	if p == nil {
+		return
+	}
+	p.requests++
+	if version == s.newest.record.Version {
+		p.spent++
+		p.granted++
+	}
+}
+
+// Allowance returns how many requests may be granted to the unproved version now.
+func (t *Tracker) Allowance(name string) int {
+	_, p := t.active(name)
+	if p == nil || p.phase != PhaseCanary || p.isBad {
+		return 0
+	}
+	return max(0, p.ceiling-p.spent)
+}
+
+// Mode returns how the endpoints of a version may be used.
+func (t *Tracker) Mode(name, version string) Mode {
+	s, p := t.active(name)
+	switch {
+	case s == nil:
+		return ModeNormal
+	case p != nil:
+		return p.mode(version == s.newest.record.Version)
+	case s.newest != nil:
+		return s.modeAfter(s.newest.record, version)
+	case s.hasBase:
+		return s.modeBeside(s.base, version)
+	default:
+		return ModeNormal
+	}
+}
+
+// mode returns the mode of a version during the order.
+func (p *progress) mode(isTarget bool) Mode {
+	switch {
+	case p.isBad && isTarget:
+		return ModeBlocked
+	case p.isBad:
+		return ModeNormal
+	case p.phase == PhaseCanary && isTarget:
+		return ModeCanary
+	case p.phase == PhaseShifting && !isTarget:
+		return ModeBlocked
+	default:
+		return ModeNormal
+	}
+}
+
+// modeAfter returns the mode of a version after an order that ended.
+func (s *service) modeAfter(r Record, version string) Mode {
+	switch {
+	case r.Phase == PhaseCompleted:
+		return s.modeBeside(r.Version, version)
+	case version == r.Version:
+		return ModeBlocked
+	default:
+		return ModeNormal
+	}
+}
+
+// modeBeside returns the mode of a version without an order of its own, beside one that is
+// proved. It is blocked while the proved one has endpoints. Endpoints that report no version
+// are never blocked this way: they may be of any.
+func (s *service) modeBeside(proved, version string) Mode {
+	if version != proved && version != "" && s.capacity[proved] > 0 {
+		return ModeBlocked
+	}
+	return ModeNormal
+}
+
+// Cancel rolls back the order in progress of a service that the configuration removed.
+func (t *Tracker) Cancel(name string) {
+	if _, p := t.active(name); p != nil {
+		p.condemn(ReasonRemoved)
+	}
+}
+
+// Tick advances all orders, and returns the records to propose.
+func (t *Tracker) Tick(now event.Time) []Record {
+	var records []Record
+	for _, name := range slices.Sorted(maps.Keys(t.services)) {
+		s := t.services[name]
+		s.updateBase()
+		if s.newest == nil || s.newest.progress == nil {
+			continue
+		}
+		if r, ok := s.tick(now, s.newest); ok {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// updateBase notes the version in use while there is only one and no order.
+func (s *service) updateBase() {
+	if len(s.capacity) != 1 || s.newest != nil || s.proposed != nil {
+		return
+	}
+	for version := range s.capacity {
+		s.base, s.hasBase = version, true
+	}
+}
