rollout: the verdict by sequential likelihood ratios

The ratio of failures of the skeleton knew neither routes, endpoints nor times. The verdict is now a mixture of likelihood ratios over what may be bad, since when, and on which route, with a bounded share of each endpoint. Ledgers keep the start of an order instead of the time of its record.

--- /dev/null
+++ b/rollout/control.go
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: MIT
+
+package rollout
+
+import (
+	"math"
+
+	"lynxramp.org/event"
+)
+
+const (
+	// priorFailures and priorResponses are the failure rate of a route with no control
+	// response yet. 14% is a usual rate, so the first failures are no evidence.
+	priorFailures, priorResponses = 1.0, 8.0
+	// minFailureRate bounds the evidence of one failure.
+	minFailureRate = 0.01
+	// recentResponses is the number of control responses of a route above which the counts are
+	// halved: the comparison is with the same time, not with the whole order.
+	recentResponses = 256
+
+	// slownessBins are half octaves of the time relative to the expected one, from
+	// 2^minOctave.
+	slownessBins   = 28
+	binsPerOctave  = 2
+	minOctave      = -4
+	priorSlowness  = 6.0  // weight of the prior distribution, in responses
+	priorBinDecay  = 0.6  // of the prior, for each bin away from the expected time
+	minProbability = 0.01 // bounds the evidence of one slow response
+	// gapSmoothing is the weight of a response in the usual time between tokens of a route.
+	gapSmoothing = 0.05
+)
+
+// alternative is a way in which a version may be bad.
+type alternative struct {
+	// addedFailures is the probability that a response fails that would not fail otherwise.
+	addedFailures float64
+	// shift is the added slowness, in bins; 0 for failures.
+	shift int
+}
+
+// alternatives are the ways that are tested, failures first. The test also finds what is
+// between and beyond them.
+var alternatives = [...]alternative{
+	{addedFailures: 0.18},
+	{addedFailures: 0.5},
+	{shift: 1 * binsPerOctave},
+	{shift: 2 * binsPerOctave},
+	{shift: 3 * binsPerOctave},
+}
+
+const (
+	alternativeCount = len(alternatives)
+	failAlternatives = 2 // the first ones
+)
+
+// control has the recent responses of the other versions on one route.
+type control struct {
+	failures, responses float64
+	slowness            [slownessBins]float64
+	timed               float64 // sum of slowness
+	// gap is the usual time between tokens, for responses without an expected one; 0 if
+	// unknown.
+	gap float64
+}
+
+// add adds a response of another version.
+func (c *control) add(s Sample) {
+	c.responses++
+	if s.Failed {
+		c.failures++
+	}
+	if c.responses > recentResponses {
+		c.responses, c.failures = c.responses/2, c.failures/2
+	}
+	if bin, ok := c.bin(s); ok {
+		c.addSlowness(bin)
+	}
+	if !s.Failed && s.TokenGap > 0 {
+		c.addGap(float64(s.TokenGap))
+	}
+}
+
+func (c *control) addSlowness(bin float64) {
+	c.slowness[clampBin(int(math.Floor(bin)))]++
+	c.timed++
+	if c.timed <= recentResponses {
+		return
+	}
+	c.timed /= 2
+	for i := range c.slowness {
+		c.slowness[i] /= 2
+	}
+}
+
+func (c *control) addGap(gap float64) {
+	if c.gap == 0 {
+		c.gap = gap
+		return
+	}
+	c.gap *= math.Pow(gap/c.gap, gapSmoothing)
+}
+
+// failureRate returns the failure rate of the other versions.
+func (c *control) failureRate() float64 {
+	return max(minFailureRate, (c.failures+priorFailures)/(c.responses+priorResponses))
+}
+
+// bin returns how slow a response was, in bins; false if unknown. It is the slower of the
+// time to the first byte and the time between tokens. Failed responses are not timed: many
+// fail at once.
+func (c *control) bin(s Sample) (float64, bool) {
+	if s.Failed {
+		return 0, false
+	}
+	ratio := max(relative(s.First, float64(s.ExpectedFirst)), relative(s.TokenGap, c.expectedGap(s)))
+	if ratio <= 0 {
+		return 0, false
+	}
+	return (math.Log2(ratio) - minOctave) * binsPerOctave, true
+}
+
+func (c *control) expectedGap(s Sample) float64 {
+	if s.ExpectedGap > 0 {
+		return float64(s.ExpectedGap)
+	}
+	return c.gap
+}
+
+// relative returns a time relative to the expected one; 0 if either is unknown.
+func relative(measured event.Duration, expected float64) float64 {
+	if measured <= 0 || expected <= 0 {
+		return 0
+	}
+	return float64(measured) / expected
+}
+
+// probability returns that of a bin for the other versions.
+func (c *control) probability(bin int) float64 {
+	if bin < 0 || bin >= slownessBins {
+		return minProbability
+	}
+	distance := math.Abs(float64(bin - minOctave*-binsPerOctave))
+	prior := (1 - priorBinDecay) / (1 + priorBinDecay) * math.Pow(priorBinDecay, distance)
+	p := (c.slowness[bin] + priorSlowness*prior) / (c.timed + priorSlowness)
+	return max(minProbability, p)
+}
+
+// shifted returns the probability of a bin for a version that is slower by a shift. It is
+// blurred by a bin, as the true shift is between those that are tested.
+func (c *control) shifted(bin, shift int) float64 {
+	b := bin - shift
+	return (c.probability(b-1) + 2*c.probability(b) + c.probability(b+1)) / 4
+}
+
+func clampBin(bin int) int { return min(max(bin, 0), slownessBins-1) }
+
+// likelihoods returns the logarithms of the likelihood ratios of a response of the new
+// version: that of each alternative over that of the other versions. cold is the slowness
+// that is allowed, in bins.
+func (c *control) likelihoods(s Sample, cold float64) (ratios [alternativeCount]float64) {
+	usual := c.failureRate()
+	bin, isTimed := c.bin(s)
+	at := clampBin(int(math.Floor(bin - cold)))
+	for i, a := range alternatives {
+		switch {
+		case a.shift == 0:
+			ratios[i] = failureRatio(usual, a.addedFailures, s.Failed)
+		case isTimed:
+			ratios[i] = math.Log(c.shifted(at, a.shift) / c.shifted(at, 0))
+		}
+	}
+	return ratios
+}
+
+// failureRatio returns the logarithm of the likelihood ratio of a response with added
+// failures.
+func failureRatio(usual, added float64, failed bool) float64 {
+	if failed {
+		return math.Log((usual + (1-usual)*added) / usual)
+	}
+	return math.Log(1 - added)
+}
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -2,12 +2,67 @@
 
 package rollout
 
-import "lynxramp.org/event"
+import (
+	"strings"
 
-const minSamples = 8
+	"lynxramp.org/event"
+)
 
+const (
+	// maxEndpoints and maxRoutes bound the memory of an order: some 0.6 MB. Further ones
+	// are counted together, as one.
+	maxEndpoints = 64
+	maxRoutes    = 16
+	// maxBlocks is the number of points in time from which a version may be bad that are
+	// tested, and blockSize the number of responses between them at first.
+	maxBlocks = 12
+	blockSize = 6
+	// coldResponses is how many of the first responses of an endpoint may be slower by
+	// coldBins: its caches are cold. The allowance shrinks evenly.
+	coldResponses = 8
+	coldBins      = 2.0
+)
+
+// instanceSeparator separates the name of an endpoint from its start time. An endpoint that
+// restarts stays one endpoint.
+const instanceSeparator = "/"
+
+// evidence compares the responses of a version with those of the others over the same time.
 type evidence struct {
-	samples, failed, controlSamples, controlFailed int
+	routes    map[string]int // index in controls
+	controls  []*control
+	endpoints map[string]*endpoint
+	// list has the endpoints in the order of their first response: sums of numbers depend
+	// on their order, and decisions must repeat.
+	list []*endpoint
+	// blocks has the number of responses between the points in time, the newest last.
+	blocks []int
+
+	counts    Counts
+	isChanged bool // since the last judgement
+	judgedAt  event.Time
+	last      judgement
+}
+
+// Counts are the numbers of responses that were compared.
+type Counts struct {
+	Responses, Failed               int
+	ControlResponses, ControlFailed int
+}
+
+// endpoint has the evidence of one endpoint of the new version.
+type endpoint struct {
+	instance  event.EndpointID
+	responses int // of this instance
+	total     int
+	cells     [maxRoutes]*cell
+}
+
+// cell has the logarithms of the likelihood ratios of one endpoint and route, summed by block.
+type cell [maxBlocks][alternativeCount]float64
+
+func newEvidence() evidence {
+	return evidence{routes: make(map[string]int), endpoints: make(map[string]*endpoint), blocks: []int{0}}
 }
 
 // Observe adds the outcome of a request.
@@ -24,22 +79,113 @@
 	if s.Failed {
 		failed = 1
 	}
-	if isTarget {
-		e.samples++
-		e.failed += failed
+	route := e.route(s.Route)
+	c := e.controls[route]
+	if !isTarget {
+		e.counts.ControlResponses++
+		e.counts.ControlFailed += failed
+		c.add(s)
 		return
 	}
-	e.controlSamples++
-	e.controlFailed += failed
+	e.counts.Responses++
+	e.counts.Failed += failed
+	e.isChanged = true
+	e.advance()
+	e.endpoint(s.Endpoint).add(route, len(e.blocks)-1, c, s)
+}
+
+// route returns the index of a route. The last one is shared by all above the bound.
+func (e *evidence) route(name string) int {
+	if i, ok := e.routes[name]; ok {
+		return i
+	}
+	if len(e.controls) < maxRoutes {
+		e.controls = append(e.controls, &control{})
+	}
+	i := len(e.controls) - 1
+	if len(e.routes) < maxRoutes-1 {
+		e.routes[name] = i
+	}
+	return i
 }
 
-// judge looks for evidence against the version.
-func (p *progress) judge() {
-	e := &p.evidence
-	if e.samples >= minSamples && e.failed*4 > e.samples && e.failed*e.controlSamples > 2*e.controlFailed*e.samples {
-		p.condemn(ReasonFails)
+// endpoint returns the state of an endpoint. The last one is shared by all above the bound.
+func (e *evidence) endpoint(id event.EndpointID) *endpoint {
+	name, _, _ := strings.Cut(string(id), instanceSeparator)
+	n, ok := e.endpoints[name]
+	switch {
+	case !ok && len(e.list) == maxEndpoints:
+		return e.list[maxEndpoints-1]
+	case !ok:
+		n = &endpoint{}
+		e.endpoints[name] = n
+		e.list = append(e.list, n)
 	}
+	if n.instance != id {
+		n.instance, n.responses = id, 0
+	}
+	return n
 }
 
-// isProved reports whether there is enough evidence for the version.
-func (p *progress) isProved() bool { return p.evidence.samples >= minSamples }
+// add adds a response to a block.
+func (n *endpoint) add(route, block int, c *control, s Sample) {
+	if n.cells[route] == nil {
+		n.cells[route] = &cell{}
+	}
+	cold := coldBins * max(0, 1-float64(n.responses)/coldResponses)
+	sums := &n.cells[route][block]
+	for i, ratio := range c.likelihoods(s, cold) {
+		sums[i] += ratio
+	}
+	n.responses++
+	n.total++
+}
+
+// advance counts a response in the newest block, and begins a new block when it is full.
+func (e *evidence) advance() {
+	newest := len(e.blocks) - 1
+	if e.blocks[newest] < blockSize {
+		e.blocks[newest]++
+		return
+	}
+	if len(e.blocks) == maxBlocks {
+		e.merge(e.leastUseful())
+	}
+	e.blocks = append(e.blocks, 1)
+}
+
+// leastUseful returns the first of the two adjacent blocks that are shortest relative to the
+// responses since: points in time that are long ago need less resolution.
+func (e *evidence) leastUseful() int {
+	best, bestSize := 0, 0.0
+	since := e.blocks[len(e.blocks)-1]
+	for i := len(e.blocks) - 2; i > 0; i-- {
+		size := float64(e.blocks[i-1]+e.blocks[i]) / float64(since+blockSize)
+		if best == 0 && bestSize == 0 || size < bestSize {
+			best, bestSize = i-1, size
+		}
+		since += e.blocks[i]
+	}
+	return best
+}
+
+// merge merges a block with the next one.
+func (e *evidence) merge(at int) {
+	e.blocks[at] += e.blocks[at+1]
+	e.blocks = append(e.blocks[:at+1], e.blocks[at+2:]...)
+	for _, n := range e.list {
+		for _, c := range n.cells {
+			if c != nil {
+				c.merge(at)
+			}
+		}
+	}
+}
+
+func (c *cell) merge(at int) {
+	for i, sum := range c[at+1] {
+		c[at][i] += sum
+	}
+	copy(c[at+1:], c[at+2:])
+	c[maxBlocks-1] = [alternativeCount]float64{}
+}
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -27,9 +27,10 @@
 	// Previous is the last record of the order before: it may be sent again.
 	Previous *Record `json:"previous,omitempty"`
 
-	// newestAt and previousAt are when this box applied the records, by its own clock.
-	newestAt, previousAt event.Time
-	isUndated            bool // the times are not known yet
+	// startedAt and previousStartedAt are when the orders started at the latest, by the clock
+	// of this box and the elapsed times of the records. Records may be applied late.
+	startedAt, previousStartedAt event.Time
+	isUndated                    bool // the times are not known yet
 }
 
 // Apply applies a committed Record at the time when this box received it. Records that are
@@ -42,19 +43,34 @@
 	switch {
 	case !ok:
 		l.evict()
-		l.lines[r.Service] = &line{Newest: r, newestAt: now}
+		l.lines[r.Service] = &line{Newest: r, startedAt: now.Add(-r.Elapsed)}
 	case r.Number > known.Newest.Number:
 		previous := known.Newest
-		known.Previous, known.previousAt = &previous, known.newestAt
-		known.Newest, known.newestAt = r, now
-	case r.Number == known.Newest.Number && known.Newest.mayBecome(r):
-		known.Newest, known.newestAt = r, now
+		known.Previous, known.previousStartedAt = &previous, known.startedAt
+		known.Newest, known.startedAt = r, now.Add(-r.Elapsed)
+	case known.Newest.mayBecome(r):
+		known.Newest = known.Newest.merge(r)
+		known.startedAt = min(known.startedAt, now.Add(-r.Elapsed))
 	}
 }
 
-// mayBecome reports whether a later record of the same order replaces r.
+// isSameOrder reports whether two records are of one order.
+func (r Record) isSameOrder(other Record) bool {
+	return r.Number == other.Number && r.Order == other.Order
+}
+
+// mayBecome reports whether a later record of the same order changes r.
 func (r Record) mayBecome(next Record) bool {
-	return !r.Phase.IsFinal() && next.Phase >= r.Phase && next.Ceiling >= r.Ceiling && next.Elapsed >= r.Elapsed
+	return r.isSameOrder(next) && !r.Phase.IsFinal() && next.Phase >= r.Phase
+}
+
+// merge returns r, changed by a later record. A record may be proposed before an earlier one
+// is committed, so the figures may be older.
+func (r Record) merge(next Record) Record {
+	next.Elapsed = max(next.Elapsed, r.Elapsed)
+	next.Ceiling = max(next.Ceiling, r.Ceiling)
+	next.Requests = max(next.Requests, r.Requests)
+	return next
 }
 
 // evict makes room for one more service.
@@ -75,11 +91,20 @@
 func (l *Ledger) MarkReceived(now event.Time) {
 	for _, known := range l.lines {
 		if known.isUndated {
-			known.newestAt, known.previousAt, known.isUndated = now, now, false
+			known.date(now)
 		}
 	}
 }
 
+// date sets the times of what was loaded from a snapshot.
+func (n *line) date(now event.Time) {
+	n.isUndated = false
+	n.startedAt = now.Add(-n.Newest.Elapsed)
+	if n.Previous != nil {
+		n.previousStartedAt = now.Add(-n.Previous.Elapsed)
+	}
+}
+
 // Get returns the newest Record of a service.
 func (l *Ledger) Get(service string) (Record, bool) {
 	known, ok := l.lines[service]
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -8,7 +8,7 @@
 
 const (
 	// minShiftTime and shiftFraction give the time that is left for the shifting phase: the
-	// larger of minShiftTime and that fraction of the duration.
+	// larger of minShiftTime and that fraction of the duration, but at most half of it.
 	minShiftTime  = 2500 * event.Millisecond
 	shiftFraction = 0.25
 	// completionMargin is how long before the deadline an order is completed at the latest,
@@ -65,6 +65,8 @@
 	// spent is what may have been granted to the version by all owners, granted what this
 	// owner granted, and requests a lower bound of what was granted to the service.
 	spent, granted, requests int
+	// proposedCeiling is the highest ceiling that this owner knows of.
+	proposedCeiling int
 	// isBad is set by a verdict, before it is committed.
 	isBad  bool
 	reason Reason
@@ -78,11 +80,18 @@
 // newProgress returns the state of an order of an earlier owner, which spent all it could.
 func newProgress(limits Limits, o *order) *progress {
 	r := o.record
-	return &progress{limits: limits, phase: r.Phase, ceiling: r.Ceiling, recordedElapsed: r.Elapsed, spent: r.Ceiling, requests: r.Requests}
+	return &progress{
+		limits: limits, phase: r.Phase, ceiling: r.Ceiling, recordedElapsed: r.Elapsed, spent: r.Ceiling, requests: r.Requests,
+		proposedCeiling: r.Ceiling, evidence: newEvidence(),
+	}
 }
 
 // committed updates the state from a committed record.
 func (p *progress) committed(r Record) {
+	if r.Ceiling > p.proposedCeiling {
+		// An earlier owner proposed it, and may have spent it.
+		p.spent, p.proposedCeiling = r.Ceiling+p.granted, r.Ceiling
+	}
 	p.phase, p.ceiling, p.recordedElapsed = r.Phase, r.Ceiling, r.Elapsed
 	p.requests = max(p.requests, r.Requests)
 	p.proposed = nil
@@ -97,7 +106,8 @@
 
 // shiftTime returns how long before the deadline the canary phase ends.
 func (o Order) shiftTime() event.Duration {
-	return max(minShiftTime, event.Duration(shiftFraction*float64(o.Duration)))
+	shift := max(minShiftTime, event.Duration(shiftFraction*float64(o.Duration)))
+	return min(shift, o.Duration/2)
 }
 
 // canaryTime returns the duration of the canary phase.
@@ -107,12 +117,13 @@
 func (s *service) tick(now event.Time, o *order) (Record, bool) {
 	p := o.progress
 	elapsed := o.elapsed(now)
-	phase := s.nextPhase(o, elapsed)
+	phase := s.nextPhase(now, o)
 	r := p.makeRecord(o, phase, elapsed)
 	if !p.isDue(now, r) {
 		return Record{}, false
 	}
 	p.proposed, p.proposedAt = &r, now
+	p.proposedCeiling = max(p.proposedCeiling, r.Ceiling)
 	return r, true
 }
 
@@ -139,9 +150,10 @@
 }
 
 // nextPhase returns the phase that an order should have now.
-func (s *service) nextPhase(o *order, elapsed event.Duration) Phase {
+func (s *service) nextPhase(now event.Time, o *order) Phase {
 	p := o.progress
-	p.judge()
+	p.judge(now)
+	elapsed := o.elapsed(now)
 	isLate := elapsed >= o.record.Duration-completionMargin
 	switch {
 	case p.isBad:
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -3,7 +3,7 @@
 package rollout
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 
 	"lynxramp.org/event"
@@ -31,8 +31,9 @@
 	// capacity and running are by version: slots of its endpoints, and requests on them.
 	capacity, running map[string]int
 	// base is the version that is in use without an order, if hasBase is set.
-	base    string
-	hasBase bool
+	base      string
+	hasBase   bool
+	baseSince event.Time
 
 	newest, previous *order // committed; nil for none
 	proposed         *order // not committed yet; nil for none
@@ -43,6 +44,9 @@
 	record    Record // the last committed one
 	startedAt event.Time
 	progress  *progress // nil once the order ended
+	// final has the figures at the end, if this owner decided it.
+	final    Evidence
+	hasFinal bool
 }
 
 func (o *order) elapsed(now event.Time) event.Duration { return now.Sub(o.startedAt) }
@@ -52,29 +56,26 @@
 	return o != nil && o.record.Order == sent && (o.progress != nil || o.elapsed(now) < resendTime)
 }
 
-// NewTracker returns the Tracker of a new owner with the state that earlier owners committed.
-// Every earlier owner must have stopped by now.
+// NewTracker returns the Tracker of a new owner. The Ledger must have all records that were
+// committed before, and every earlier owner must have stopped.
 func NewTracker(now event.Time, l *Ledger, limits Limits) *Tracker {
 	t := &Tracker{limits: limits, services: make(map[string]*service)}
+	l.MarkReceived(now)
 	for name, known := range l.lines {
 		s := t.service(name)
-		s.newest = t.inherit(now, known.Newest, known.newestAt, known.isUndated)
+		s.newest = t.inherit(known.Newest, known.startedAt)
 		if known.Previous != nil {
-			s.previous = t.inherit(now, *known.Previous, known.previousAt, known.isUndated)
-			s.previous.progress = nil
+			s.previous = &order{record: *known.Previous, startedAt: known.previousStartedAt}
+			s.noteProved(*known.Previous)
 		}
 		t.lastNumber = max(t.lastNumber, known.Newest.Number)
 	}
 	return t
 }
 
-// inherit returns an order of an earlier owner, of which this box applied the record at the
-// given time.
-func (t *Tracker) inherit(now event.Time, r Record, at event.Time, isUndated bool) *order {
-	if isUndated {
-		at = now
-	}
-	o := &order{record: r, startedAt: at.Add(-r.Elapsed)}
+// inherit returns an order of an earlier owner.
+func (t *Tracker) inherit(r Record, startedAt event.Time) *order {
+	o := &order{record: r, startedAt: startedAt}
 	if !r.Phase.IsFinal() {
 		o.progress = newProgress(t.limits, o)
 	}
@@ -134,7 +135,7 @@
 // never will be.
 func (t *Tracker) Withdraw(r Record) {
 	s, ok := t.services[r.Service]
-	if ok && s.proposed != nil && s.proposed.record.Number == r.Number {
+	if ok && s.proposed != nil && s.proposed.record.isSameOrder(r) {
 		s.proposed = nil
 	}
 }
@@ -146,21 +147,24 @@
 	switch {
 	case s.newest == nil || r.Number > s.newest.record.Number:
 		s.begin(t, now, r)
-	case r.Number == s.newest.record.Number && s.newest.record.mayBecome(r):
-		s.newest.record = r
-		s.newest.committed(r)
+	case s.newest.record.mayBecome(r):
+		s.newest.record = s.newest.record.merge(r)
+		s.newest.committed(s.newest.record)
 	}
 }
 
 // begin starts a committed order.
 func (s *service) begin(t *Tracker, now event.Time, r Record) {
-	begun := t.inherit(now, r, now, false)
-	if s.proposed != nil && s.proposed.record.Number == r.Number {
+	begun := t.inherit(r, now.Add(-r.Elapsed))
+	if s.proposed != nil && s.proposed.record.isSameOrder(r) {
 		begun.startedAt = s.proposed.startedAt
 		begun.grantNothingSpent()
 		s.proposed = nil
 	}
 	s.previous = s.newest
+	if s.previous != nil {
+		s.noteProved(s.previous.record)
+	}
 	s.newest = begun
 }
 
@@ -175,6 +179,7 @@
 // committed updates the state of an order from a record.
 func (o *order) committed(r Record) {
 	if r.Phase.IsFinal() {
+		o.final, o.hasFinal = o.progress.figures(), true
 		o.progress = nil
 		return
 	}
@@ -281,6 +286,8 @@
 		return s.modeBeside(r.Version, version)
 	case version == r.Version:
 		return ModeBlocked
+	case s.hasBase:
+		return s.modeBeside(s.base, version)
 	default:
 		return ModeNormal
 	}
@@ -306,9 +313,8 @@
 // Tick advances all orders, and returns the records to propose.
 func (t *Tracker) Tick(now event.Time) []Record {
 	var records []Record
-	for _, name := range slices.Sorted(maps.Keys(t.services)) {
-		s := t.services[name]
-		s.updateBase()
+	for _, s := range t.services {
+		s.updateBase(now)
 		if s.newest == nil || s.newest.progress == nil {
 			continue
 		}
@@ -316,15 +322,41 @@
 			records = append(records, r)
 		}
 	}
+	slices.SortFunc(records, func(r, q Record) int { return cmp.Compare(r.Number, q.Number) })
 	return records
 }
 
+// baseTime is how long a version must be the only one of a service that had no order, until
+// others are blocked. A new owner may know some endpoints later than others.
+const baseTime = 10 * event.Second
+
 // updateBase notes the version in use while there is only one and no order.
-func (s *service) updateBase() {
-	if len(s.capacity) != 1 || s.newest != nil || s.proposed != nil {
+func (s *service) updateBase(now event.Time) {
+	if s.newest != nil || s.hasBase {
+		return
+	}
+	version, ok := onlyKey(s.capacity)
+	if !ok || s.proposed != nil || version != s.base {
+		s.base, s.baseSince = version, now
 		return
 	}
-	for version := range s.capacity {
-		s.base, s.hasBase = version, true
+	s.hasBase = now.Sub(s.baseSince) >= baseTime
+}
+
+// onlyKey returns the key of a map with one.
+func onlyKey(counts map[string]int) (string, bool) {
+	if len(counts) != 1 {
+		return "", false
+	}
+	for version := range counts {
+		return version, true
+	}
+	return "", false
+}
+
+// noteProved notes the version of an order that was completed.
+func (s *service) noteProved(r Record) {
+	if r.Phase == PhaseCompleted {
+		s.base, s.hasBase = r.Version, true
 	}
 }
