sched, event: endpoints of unproved versions get an allowance, blocked ones nothing

Cause: during a roll-out only the owner's allowance may reach a new version, and it must not change forecasts or refusals. Change: event.Endpoint.Mode and CanaryAllowanceChanged; retries go to a proved version while it has capacity; grants carry the time to the first byte that is usual at speed 1, so that a slow version is not compared with its own measured speed. Result: tests of sched pass.

--- /dev/null
+++ b/admission/rollout.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+
+package admission
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/message"
+	"lynxramp.org/rollout"
+)
+
+// This file passes grants and their outcomes to the roll-outs, and their allowance to the pools.
+
+// Rollouts bounds the requests of unproved versions and judges them; rollout.Tracker implements it.
+type Rollouts interface {
+	Granted(now event.Time, service, version string)
+	Observe(now event.Time, s rollout.Sample)
+	Allowance(service string) int
+}
+
+// SetRollouts turns on the roll-outs that an owner tracks.
+func (s *State) SetRollouts(r Rollouts) { s.rollouts = r }
+
+// RunningAt returns the number of granted requests at an endpoint that have not ended.
+func (s *State) RunningAt(id event.EndpointID) int {
+	k, ok := s.endpoints[id]
+	if !ok {
+		return 0
+	}
+	v, ok := s.services[k.Service]
+	if !ok {
+		return 0
+	}
+	return v.pool.RunningAt(id)
+}
+
+// countGrant counts a grant for the roll-out of its service. A grant that is sent again counts once.
+func (s *State) countGrant(now event.Time, c *charge, g *event.Granted) {
+	if s.rollouts == nil || c.granted {
+		return
+	}
+	if k, ok := s.endpoints[g.Endpoint]; ok {
+		c.version = k.Version
+	}
+	c.usualFirst = g.Inputs.UsualFirst
+	s.rollouts.Granted(now, c.service, c.version)
+}
+
+// updateAllowance passes the allowance of a service to its pool. The pool may grant waiting requests then.
+func (s *State) updateAllowance(now event.Time, v *service, out *event.Effects) {
+	if s.rollouts == nil || !v.pool.HasRestricted() {
+		return
+	}
+	if n := s.rollouts.Allowance(v.name); n != v.pool.CanaryAllowance() {
+		s.step(now, v, &event.CanaryAllowanceChanged{Count: n}, out)
+	}
+}
+
+// observeRollout passes the outcome of a request to the roll-out of its service. Requests that an endpoint
+// didn't run, or that their caller gave up, show nothing. The charge has the version, as the endpoint may be
+// gone; requests that an earlier owner granted have none.
+func (s *State) observeRollout(now event.Time, f *message.Finish) {
+	c, ok := s.charges[f.ID]
+	if s.rollouts == nil || !ok || !c.granted || f.Unsent || f.Void || f.Abandoned {
+		return
+	}
+	s.rollouts.Observe(now, rollout.Sample{
+		Service: c.service, Version: c.version, Endpoint: f.Endpoint, Route: c.submission.Ticket.Route,
+		Failed: f.Failed, First: f.FirstAfter, ExpectedFirst: c.usualFirst, TokenGap: f.TokenGap,
+	})
+}
--- /dev/null
+++ b/cluster/rollout.go
@@ -0,0 +1,296 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"lynxramp.org/event"
+	"lynxramp.org/level"
+	"lynxramp.org/message"
+	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
+)
+
+// This file runs roll-outs: it records orders and their phases in the log, answers operators, and restricts
+// the endpoints of unproved and bad versions. Package rollout decides.
+
+// versionKey identifies the endpoints of a service that have a version.
+type versionKey struct{ service, version string }
+
+// rolloutOwner is the owner's state of roll-outs.
+type rolloutOwner struct {
+	tracker *rollout.Tracker
+	// counted are the versions with a capacity or running requests at the last tick.
+	counted map[versionKey]versionCount
+	// modes are the modes of the versions that are restricted, as last applied.
+	modes map[versionKey]event.EndpointMode
+	// unsent is set if modes changed since they were last sent to the entries.
+	unsent bool
+}
+
+// versionCount has the free slots and the running requests of a version.
+type versionCount struct{ slots, running int }
+
+// supportsRollouts reports whether roll-outs are on and all members read their records.
+func (s *State) supportsRollouts() bool {
+	return s.settings.Rollouts != nil && s.machine.formatVersion >= level.Rollouts
+}
+
+// startRollouts begins to track roll-outs, once all members support them.
+func (o *owner) startRollouts(now event.Time, s *State) {
+	if o.rollouts != nil || !s.supportsRollouts() {
+		return
+	}
+	o.rollouts = &rolloutOwner{
+		tracker: rollout.NewTracker(now, &s.machine.rollouts, *s.settings.Rollouts),
+		counted: make(map[versionKey]versionCount),
+		modes:   make(map[versionKey]event.EndpointMode),
+	}
+	o.countVersions(s)
+	o.updateModes(now, s)
+	o.admission.SetRollouts(o.rollouts.tracker)
+}
+
+// submitRollout records an order of an operator. It is answered once its record is committed.
+func (s *State) submitRollout(now event.Time, e *RolloutSubmitted, out *Effects) {
+	if !s.owns(now) {
+		s.answerNotLeader(e.CallID, out)
+		return
+	}
+	if s.owner == nil || s.owner.rollouts == nil {
+		out.Answers = append(out.Answers, Answer{CallID: e.CallID, Status: StatusUnknown})
+		return
+	}
+	tracker := s.owner.rollouts.tracker
+	if !s.hasService(e.Order.Service) && !s.isCommitted(e.Order) {
+		out.Answers = append(out.Answers, Answer{CallID: e.CallID, Status: StatusUnknownService})
+		return
+	}
+	r, result := tracker.Submit(now, e.Order)
+	switch result {
+	case rollout.ResultKnown:
+		out.Answers = append(out.Answers, Answer{CallID: e.CallID, Status: StatusDone, Rollout: r})
+	case rollout.ResultConflict:
+		out.logInfo("rollout rejected: another order is in progress", Field{"service", e.Order.Service},
+			Field{"version", e.Order.Version}, Field{"in_progress", r.Version}, Field{"number", r.Number})
+		out.Answers = append(out.Answers, Answer{CallID: e.CallID, Status: StatusConflict, Rollout: r})
+	case rollout.ResultPropose:
+		s.proposeOrder(now, e, r, out)
+	}
+}
+
+// proposeOrder proposes the first record of an order.
+func (s *State) proposeOrder(now event.Time, e *RolloutSubmitted, r rollout.Record, out *Effects) {
+	index, err := s.node.Propose(now, encodeRollout(r), &out.Ready)
+	if err != nil {
+		s.owner.rollouts.tracker.Withdraw(r)
+		s.answerNotLeader(e.CallID, out)
+		return
+	}
+	s.pendingCalls[index] = pendingCall{call: e.CallID, term: s.node.Term()}
+}
+
+// hasService reports whether the configuration has a service.
+func (s *State) hasService(name string) bool {
+	return s.config.table != nil && s.config.table.Service(name) != nil
+}
+
+// isCommitted reports whether an order is the newest of its service.
+func (s *State) isCommitted(order rollout.Order) bool {
+	r, ok := s.machine.rollouts.Get(order.Service)
+	return ok && r.Order == order
+}
+
+// readRollout answers with the newest order of a service, as committed.
+func (s *State) readRollout(now event.Time, e *RolloutRequested, out *Effects) {
+	if !s.owns(now) {
+		s.answerNotLeader(e.CallID, out)
+		return
+	}
+	r, ok := s.machine.rollouts.Get(e.Service)
+	if !ok {
+		out.Answers = append(out.Answers, Answer{CallID: e.CallID, Status: StatusNoRollout, ValidUntil: s.node.LeaseEnd(now)})
+		return
+	}
+	out.Answers = append(out.Answers, Answer{CallID: e.CallID, Status: StatusDone, Rollout: r, ValidUntil: s.node.LeaseEnd(now)})
+}
+
+// rolloutCommitted applies a committed record of a roll-out.
+func (o *owner) rolloutCommitted(now event.Time, c rolloutChange, s *State, out *Effects) {
+	if o.rollouts == nil {
+		return
+	}
+	o.rollouts.tracker.Committed(now, c.record)
+	after, _ := s.machine.rollouts.Get(c.record.Service)
+	switch {
+	case after.Number != c.before.Number:
+		out.logInfo("rollout ordered", rolloutFields(after)...)
+	case after.Phase != c.before.Phase:
+		out.logInfo("rollout phase changed", append(rolloutFields(after), Field{"from", c.before.Phase.String()})...)
+	default:
+		return
+	}
+	o.updateModes(now, s)
+}
+
+// rolloutFields are the fields of a record in log lines.
+func rolloutFields(r rollout.Record) []Field {
+	return []Field{
+		{"service", r.Service}, {"version", r.Version}, {"number", r.Number}, {"phase", r.Phase.String()},
+		{"elapsed_ms", r.Elapsed.Milliseconds()}, {"duration_ms", r.Duration.Milliseconds()},
+		{"ceiling", r.Ceiling}, {"requests", r.Requests},
+	}
+}
+
+// tickRollouts advances all orders.
+func (o *owner) tickRollouts(now event.Time, s *State, out *Effects) {
+	if o.rollouts == nil || !s.owns(now) {
+		return
+	}
+	o.countVersions(s)
+	o.cancelRemoved(s)
+	for _, r := range o.rollouts.tracker.Tick(now) {
+		if _, err := s.node.Propose(now, encodeRollout(r), &out.Ready); err != nil {
+			out.logInfo("rollout record not proposed: no longer the leader", Field{"service", r.Service}, Field{"error", err.Error()})
+			return
+		}
+	}
+	o.updateModes(now, s)
+	o.sendRestrictions(out)
+}
+
+// cancelRemoved ends the orders of services that the configuration no longer has.
+func (o *owner) cancelRemoved(s *State) {
+	for _, service := range s.machine.rollouts.Services() {
+		if s.config.table != nil && !s.hasService(service) {
+			o.rollouts.tracker.Cancel(service)
+		}
+	}
+}
+
+// countVersions tells the tracker the capacity of each version and what runs on it.
+func (o *owner) countVersions(s *State) {
+	counts := make(map[versionKey]versionCount)
+	for id, e := range s.machine.registry.Endpoints {
+		key := versionKey{e.Service, e.Version}
+		c := counts[key]
+		c.running += o.admission.RunningAt(event.EndpointID(id))
+		if !e.Leaving && !o.down[id] {
+			c.slots += e.Slots
+		}
+		counts[key] = c
+	}
+	p := o.rollouts
+	for key := range p.counted {
+		if _, ok := counts[key]; !ok {
+			counts[key] = versionCount{}
+		}
+	}
+	for key, c := range counts {
+		if c != p.counted[key] {
+			p.tracker.SetCapacity(key.service, key.version, c.slots)
+			p.tracker.SetRunning(key.service, key.version, c.running)
+		}
+	}
+	maps.DeleteFunc(counts, func(_ versionKey, c versionCount) bool { return c == versionCount{} })
+	p.counted = counts
+}
+
+// modeOf returns the mode of an endpoint.
+func (o *owner) modeOf(e registry.Endpoint) event.EndpointMode {
+	if o.rollouts == nil {
+		return event.ModeNormal
+	}
+	return o.rollouts.modeOf(versionKey{e.Service, e.Version})
+}
+
+func (p *rolloutOwner) modeOf(key versionKey) event.EndpointMode {
+	switch p.tracker.Mode(key.service, key.version) {
+	case rollout.ModeCanary:
+		return event.ModeCanary
+	case rollout.ModeBlocked:
+		return event.ModeBlocked
+	default:
+		return event.ModeNormal
+	}
+}
+
+// updateModes applies the modes of all versions to the endpoints whose mode changed.
+func (o *owner) updateModes(now event.Time, s *State) {
+	p := o.rollouts
+	current := make(map[versionKey]event.EndpointMode)
+	seen := make(map[versionKey]bool)
+	for _, e := range s.machine.registry.Endpoints {
+		key := versionKey{e.Service, e.Version}
+		if seen[key] {
+			continue
+		}
+		seen[key] = true
+		if mode := p.modeOf(key); mode != event.ModeNormal {
+			current[key] = mode
+		}
+	}
+	if maps.Equal(current, p.modes) {
+		return
+	}
+	before := p.modes
+	p.modes, p.unsent = current, true
+	for _, id := range slices.Sorted(maps.Keys(s.machine.registry.Endpoints)) {
+		e := s.machine.registry.Endpoints[id]
+		key := versionKey{e.Service, e.Version}
+		if before[key] == current[key] {
+			continue
+		}
+		o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
+		if o.hasEntriesBelow(level.Rollouts) {
+			o.changedEndpoints[id] = true // they are sent the mode with the endpoint
+		}
+	}
+}
+
+// messageEndpoint returns an endpoint with what the owner knows of it.
+func (o *owner) messageEndpoint(e registry.Endpoint) message.Endpoint {
+	return message.Endpoint{Endpoint: e, Down: o.down[e.ID], Mode: o.modeOf(e)}
+}
+
+// hasEntriesBelow reports whether the session of any entry has a lower format version.
+func (o *owner) hasEntriesBelow(l level.Level) bool {
+	for _, sess := range o.sessions {
+		if sess.formatVersion < l {
+			return true
+		}
+	}
+	return false
+}
+
+// restrictions returns the restricted versions for entries; nil if roll-outs are off.
+func (o *owner) restrictions() *message.Restrictions {
+	if o.rollouts == nil {
+		return nil
+	}
+	list := make([]message.Restriction, 0, len(o.rollouts.modes))
+	for key, mode := range o.rollouts.modes {
+		list = append(list, message.Restriction{Service: key.service, Version: key.version, Mode: mode})
+	}
+	slices.SortFunc(list, func(a, b message.Restriction) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return &message.Restrictions{List: list}
+}
+
+// sendRestrictions sends all entries the restricted versions, if they changed.
+func (o *owner) sendRestrictions(out *Effects) {
+	if !o.rollouts.unsent {
+		return
+	}
+	o.rollouts.unsent = false
+	m := &message.Envelope{View: &message.View{Restrictions: o.restrictions()}}
+	for _, id := range o.sessionIDs() {
+		if o.sessions[id].formatVersion >= level.Rollouts {
+			out.Sends = append(out.Sends, Send{id, m})
+		}
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -93,6 +93,10 @@
 	DataCentre string
 	// Avoid lists endpoints that must not be chosen: they had the request before.
 	Avoid []EndpointID
+	// Route is the name of the configuration's route.
+	Route string
+	// ProvedOnly excludes endpoints in ModeCanary.
+	ProvedOnly bool
 }
 
 // Event is a pointer to one of the event types of this package.
@@ -168,6 +172,10 @@
 // scheduler may use, from 0 to 1.
 type LimitShareChanged struct{ Share float64 }
 
+// CanaryAllowanceChanged sets how many requests may be granted to endpoints in ModeCanary.
+// Each such grant takes one.
+type CanaryAllowanceChanged struct{ Count int }
+
 // CooldownRequested reports that an endpoint asked an entry to send it nothing for
 // a while.
 type CooldownRequested struct {
@@ -199,21 +207,22 @@
 // PoolChanged replaces the settings of a pool.
 type PoolChanged struct{ Pool Pool }
 
-func (*Submitted) IsEvent()         {}
-func (*Withdrawn) IsEvent()         {}
-func (*Finished) IsEvent()          {}
-func (*Begun) IsEvent()             {}
-func (*EntryHeartbeat) IsEvent()    {}
-func (*SlotReported) IsEvent()      {}
-func (*DrainListUpdated) IsEvent()  {}
-func (*Tick) IsEvent()              {}
-func (*PoolChanged) IsEvent()       {}
-func (*Adopted) IsEvent()           {}
-func (*EntryRemoved) IsEvent()      {}
-func (*EndpointUpdated) IsEvent()   {}
-func (*EndpointRemoved) IsEvent()   {}
-func (*LimitShareChanged) IsEvent() {}
-func (*CooldownRequested) IsEvent() {}
+func (*Submitted) IsEvent()              {}
+func (*Withdrawn) IsEvent()              {}
+func (*Finished) IsEvent()               {}
+func (*Begun) IsEvent()                  {}
+func (*EntryHeartbeat) IsEvent()         {}
+func (*SlotReported) IsEvent()           {}
+func (*DrainListUpdated) IsEvent()       {}
+func (*Tick) IsEvent()                   {}
+func (*PoolChanged) IsEvent()            {}
+func (*Adopted) IsEvent()                {}
+func (*EntryRemoved) IsEvent()           {}
+func (*EndpointUpdated) IsEvent()        {}
+func (*EndpointRemoved) IsEvent()        {}
+func (*LimitShareChanged) IsEvent()      {}
+func (*CanaryAllowanceChanged) IsEvent() {}
+func (*CooldownRequested) IsEvent()      {}
 
 // Report is a slot's periodic report about its endpoint.
 type Report struct {
@@ -273,6 +282,34 @@
 	Draining bool
 	// DataCentre is the location of the endpoint; empty for no preference.
 	DataCentre string
+	// Mode restricts the endpoint during a roll-out.
+	Mode EndpointMode
+}
+
+// EndpointMode says which new requests an endpoint may get during a roll-out.
+type EndpointMode uint8
+
+// The modes of an endpoint.
+const (
+	// ModeNormal: no restriction.
+	ModeNormal EndpointMode = iota
+	// ModeCanary: its version is unproved. It gets at most the requests of CanaryAllowanceChanged, and
+	// only from an owner.
+	ModeCanary
+	// ModeBlocked: it gets none.
+	ModeBlocked
+)
+
+// String returns the mode as used in logs.
+func (m EndpointMode) String() string {
+	switch m {
+	case ModeCanary:
+		return "canary"
+	case ModeBlocked:
+		return "blocked"
+	default:
+		return "normal"
+	}
 }
 
 // Effects are the decisions to carry out, in the order of each slice. The caller
@@ -329,6 +366,9 @@
 	Running int      // requests at the endpoint, including this one
 	Spent   int      // of the team's quota in its window
 	Limit   int      // of the team's quota
+	// UsualFirst is the expected time to the beginning of the response at an endpoint of usual
+	// speed that has the same prompts pending.
+	UsualFirst Duration
 }
 
 // Reason is the reason for a refusal.
--- /dev/null
+++ b/sched/canary.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+
+package sched
+
+import "lynxramp.org/event"
+
+// This file implements the endpoints of a version that is being rolled out and is not proved yet
+// (event.ModeCanary). They get at most the allowance, they don't count in forecasts, and a request
+// that was sent before goes to them only if there is no other endpoint.
+
+// setCanaryAllowance sets how many requests may be granted to endpoints in canary mode, and reports
+// whether waiting requests may be granted now that could not be before.
+func (s *State) setCanaryAllowance(count int) bool {
+	isFirst := s.canaryAllowance <= 0 && count > 0
+	s.canaryAllowance = count
+	return isFirst
+}
+
+// CanaryAllowance returns how many requests may be granted to endpoints in canary mode.
+func (s *State) CanaryAllowance() int { return s.canaryAllowance }
+
+// mayUseCanary reports whether a request may be granted to endpoints in canary mode.
+func (s *State) mayUseCanary(k *ticket) bool {
+	return s.canaryAllowance > 0 && !k.ProvedOnly && (k.Attempt == 0 || s.capacityUnits == 0)
+}
+
+// takeCanary counts a grant to an endpoint.
+func (s *State) takeCanary(e *endpoint) {
+	if e.Mode == event.ModeCanary {
+		s.canaryAllowance--
+	}
+}
+
+// countRestricted updates the number of restricted endpoints when the mode of one changes.
+func (s *State) countRestricted(before, after event.EndpointMode) {
+	if before != event.ModeNormal {
+		s.restricted--
+	}
+	if after != event.ModeNormal {
+		s.restricted++
+	}
+}
+
+// HasRestricted reports whether any endpoint is restricted by a roll-out.
+func (s *State) HasRestricted() bool { return s.restricted > 0 }
+
+// RunningAt returns the number of granted requests at an endpoint that have not ended.
+func (s *State) RunningAt(id event.EndpointID) int {
+	if e, ok := s.byID[id]; ok {
+		return e.inflight
+	}
+	return 0
+}
+
+// usualFirst returns the expected time to the beginning of the response of a request at an endpoint
+// of speed 1 that has the prompts of e pending and so many tokens of its prompt cached. A version that slows its endpoints down is found by
+// comparison with it, as the estimate of an endpoint follows its measured speed.
+func (s *State) usualFirst(now event.Time, k *ticket, e *endpoint, cached int) event.Duration {
+	p := s.costModel(now, k)
+	usual := s.views[e.index]
+	usual.slowness, usual.prefillSlowness = 1, 1
+	_, est := p.costAt(&usual, cached)
+	return event.Duration(est.latency * float64(event.Second))
+}
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -15,6 +15,7 @@
 // updateEndpoint adds a discovered endpoint or applies its new state.
 func (s *State) updateEndpoint(now event.Time, seen *event.EndpointUpdated) {
 	e := s.ensureEndpoint(seen.Endpoint.ID)
+	s.countRestricted(e.Mode, seen.Endpoint.Mode)
 	e.Endpoint = seen.Endpoint
 	e.report.Address = seen.Address
 	e.report.Down = seen.Down
@@ -23,7 +24,9 @@
 	e.lastReport = farFuture
 	s.setLimit(now, e, seen)
 	s.refreshView(now, e)
-	if e.Concurrency > 0 && e.isAvailable(now) {
+	switch {
+	case e.Concurrency == 0 || !e.isAvailable(now):
+	case e.Mode == event.ModeNormal || s.maxSpeed == 0:
 		s.maxSpeed = max(s.maxSpeed, e.speed())
 	}
 }
@@ -43,6 +46,7 @@
 	for hash := range e.cachedHashes.old {
 		s.prefix.remove(hash, e)
 	}
+	s.countRestricted(e.Mode, event.ModeNormal)
 	s.dropEndpoint(e)
 	s.updateMaxSpeed(now)
 }
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -250,10 +250,25 @@
 
 // BenchmarkDiscovered measures a request's end and the grant that follows in a full pool
 // of discovered endpoints.
-func BenchmarkDiscovered(b *testing.B) {
+func BenchmarkDiscovered(b *testing.B) { benchmarkDiscovered(b, func(*State, int) {}) }
+
+// BenchmarkDiscoveredRollout is BenchmarkDiscovered with a roll-out under way: a fifth more endpoints, of an
+// unproved version and with an allowance.
+func BenchmarkDiscoveredRollout(b *testing.B) {
+	benchmarkDiscovered(b, func(s *State, endpoints int) {
+		var out event.Effects
+		for i := range max(1, endpoints/5) {
+			s.Step(0, canaryEndpoint(fmt.Sprintf("new%04d", i), 10, event.ModeCanary), &out)
+		}
+		s.Step(0, &event.CanaryAllowanceChanged{Count: 1 << 30}, &out)
+	})
+}
+
+func benchmarkDiscovered(b *testing.B, prepare func(s *State, endpoints int)) {
 	for _, size := range [...]struct{ endpoints, waiting int }{{18, 200}, {110, 2000}, {1100, 2000}, {1100, 20000}} {
 		b.Run(fmt.Sprintf("endpoints=%d/waiting=%d", size.endpoints, size.waiting), func(b *testing.B) {
 			s := discoveredPool(size.endpoints, 10)
+			prepare(s, size.endpoints)
 			noTimeout := func(k *event.Ticket) {
 				k.Patience = 0
 				k.Deadline = 3600 * event.Second
@@ -261,7 +276,7 @@
 				k.DataCentre = "z1"
 			}
 			var out event.Effects
-			for i := range 10*size.endpoints + size.waiting {
+			for i := 0; s.Waiting() < size.waiting; i++ {
 				s.Step(0, submission(i, noTimeout), &out)
 			}
 			running := make([]event.RequestID, 0, len(out.Grants))
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -64,7 +64,7 @@
 
 // isAvailable reports whether the endpoint may be granted new requests.
 func (e *endpoint) isAvailable(now event.Time) bool {
-	return e.hasReport && !e.Draining && !e.platformDraining && now >= e.backoffUntil && !e.report.Draining && !e.report.Down && now.Sub(e.lastReport) <= ReportTimeout
+	return e.hasReport && e.Mode != event.ModeBlocked && !e.Draining && !e.platformDraining && now >= e.backoffUntil && !e.report.Draining && !e.report.Down && now.Sub(e.lastReport) <= ReportTimeout
 }
 
 // capacity returns how many requests the endpoint may run at once: at most one
--- a/sched/place.go
+++ b/sched/place.go
@@ -50,6 +50,10 @@
 }
 
 func (s *State) grant(now event.Time, k *ticket, e *endpoint, est estimate, out *event.Effects) {
+	usualFirst := event.Duration(0)
+	if s.restricted > 0 {
+		usualFirst = s.usualFirst(now, k, e, est.cached)
+	}
 	s.queue.remove(k)
 	s.queue.charge(k, float64(k.PromptTokens-est.cached+k.OutputTokens))
 	g := &grant{
@@ -69,6 +73,7 @@
 		paced:           e.rateLimit.everSet,
 	}
 	e.rateLimit.take(now)
+	s.takeCanary(e)
 	s.prefix.add(e, k.Prefix)
 	switch {
 	case !s.pool.Discovered:
@@ -82,7 +87,7 @@
 	s.grantRate.add(now, 1)
 	s.queue.tier(k.Rank, k.precedence).grantedWork.add(now, k.runTime)
 	granted := g.effect(k.ID)
-	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Duration(est.latency * float64(event.Second))}
+	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Duration(est.latency * float64(event.Second)), UsualFirst: usualFirst}
 	out.Grants = append(out.Grants, granted)
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -116,6 +116,8 @@
 	drainingHosts     map[string]bool // IP addresses, by the platform's list
 	topRank           int             // highest recent rank
 	topRankAt         event.Time      // when it was last submitted
+	canaryAllowance   int             // requests that may be granted to endpoints in canary mode
+	restricted        int             // endpoints in another mode than event.ModeNormal
 }
 
 // New returns the scheduler of a pool. It takes ownership of the pool's
@@ -168,6 +170,10 @@
 		s.startCooldown(now, e)
 	case *event.LimitShareChanged:
 		s.SetLimitShare(now, e.Share)
+	case *event.CanaryAllowanceChanged:
+		if !s.setCanaryAllowance(e.Count) {
+			return
+		}
 	case *event.EndpointRemoved:
 		s.removeEndpoint(now, e.ID)
 	case *event.DrainListUpdated:
--- a/sched/view.go
+++ b/sched/view.go
@@ -25,6 +25,7 @@
 	capacityUnits        int32 // capacity in units; 0 if unavailable
 	hasCooldowns         bool  // some entries are in cooldown
 	isRateLimited        bool  // limited in requests per second
+	isCanary             bool  // in event.ModeCanary; free is its capacity regardless of the allowance
 }
 
 // refreshView recomputes the view of an endpoint at now.
@@ -51,6 +52,9 @@
 			s.cooldownEndpoints++
 			units = s.capacityOutsideCooldown(e, units)
 		}
+		if e.Mode == event.ModeCanary {
+			v.isCanary, units = true, 0 // forecasts must hold without it
+		}
 		v.free, v.capacityUnits = clampInt32(free), clampInt32(units)
 		s.capacityUnits += int(v.capacityUnits)
 		if !s.pool.Discovered {
@@ -80,14 +84,23 @@
 	s.updateMaxSpeed(now)
 }
 
-// updateMaxSpeed recomputes the speed of the fastest available endpoint.
+// updateMaxSpeed recomputes the speed of the fastest available endpoint. Endpoints in canary mode
+// count only if there are no others.
 func (s *State) updateMaxSpeed(now event.Time) {
 	s.maxSpeed = 0
+	canarySpeed := 0.0
 	for _, e := range s.endpoints {
-		if e.Concurrency > 0 && e.isAvailable(now) {
+		switch {
+		case e.Concurrency == 0 || !e.isAvailable(now):
+		case e.Mode == event.ModeCanary:
+			canarySpeed = max(canarySpeed, e.speed())
+		default:
 			s.maxSpeed = max(s.maxSpeed, e.speed())
 		}
 	}
+	if s.maxSpeed == 0 {
+		s.maxSpeed = canarySpeed
+	}
 }
 
 // costModel computes the cost of a request at endpoints that differ in speed
@@ -221,9 +234,10 @@
 		s.chooseLeastOutstanding(now, k, &c)
 		return c
 	}
+	mayUseCanary := s.mayUseCanary(k)
 	for i := range s.views {
 		v := &s.views[i]
-		if v.free == 0 || belowTop && v.free <= v.reserved || k.avoids(v.endpoint) {
+		if v.free == 0 || v.isCanary && !mayUseCanary || belowTop && v.free <= v.reserved || k.avoids(v.endpoint) {
 			continue
 		}
 		if v.hasCooldowns && v.inCooldownFor(now, k.entry) {
@@ -239,9 +253,10 @@
 // chooseLeastOutstanding finds the endpoint with free capacity that runs the
 // fewest requests.
 func (s *State) chooseLeastOutstanding(now event.Time, k *ticket, c *choice) {
+	mayUseCanary := s.mayUseCanary(k)
 	for i := range s.views {
 		v := &s.views[i]
-		if v.free == 0 || k.avoids(v.endpoint) {
+		if v.free == 0 || v.isCanary && !mayUseCanary || k.avoids(v.endpoint) {
 			continue
 		}
 		if v.hasCooldowns && v.inCooldownFor(now, k.entry) {
@@ -269,6 +284,7 @@
 		v := &s.views[h.endpoint.index]
 		switch {
 		case v.hasCooldowns && v.inCooldownFor(now, k.entry):
+		case v.isCanary && (v.free == 0 || !s.mayUseCanary(k)): // its capacity is not waited for
 		case v.free > 0 && !(belowTop && v.free <= v.reserved):
 			c.consider(p, v, h.cached)
 		case h.endpoint.isAvailable(now):
