sched: endpoints of an unproved version get their allowance first, in equal numbers

Change: with an allowance, the canary with the fewest grants goes first, unless the request would miss its target there only.

--- a/sched/canary.go
+++ b/sched/canary.go
@@ -5,7 +5,7 @@
 import "lynxramp.org/event"
 
 // This file implements the endpoints of a version that is being rolled out and is not proved yet
-// (event.ModeCanary). They get at most the allowance, they don't count in forecasts, and a request
+// (event.ModeCanary). They get the allowance before other endpoints, they don't count in forecasts, and a request
 // that was sent before goes to them only if there is no other endpoint.
 
 // setCanaryAllowance sets how many requests may be granted to endpoints in canary mode, and reports
@@ -28,9 +28,31 @@
 func (s *State) takeCanary(e *endpoint) {
 	if e.Mode == event.ModeCanary {
 		s.canaryAllowance--
+		e.canaryGrants++
 	}
 }
 
+// considerCanary takes an endpoint in canary mode if it was granted fewer requests than the present choice, or as
+// many and costs less. The evidence of one endpoint says little, so all get the same number.
+func (c *choice) considerCanary(p *costModel, v *view) {
+	if c.canary != nil && v.endpoint.canaryGrants > c.canary.canaryGrants {
+		return
+	}
+	cost, est := p.costAt(v, 0)
+	if c.canary == nil || v.endpoint.canaryGrants < c.canary.canaryGrants || cost < c.canaryCost {
+		c.canary, c.canaryEst, c.canaryCost = v.endpoint, est, cost
+	}
+}
+
+// preferCanary chooses the endpoint in canary mode, if there is one: by cost alone, endpoints that are not measured
+// yet would often get nothing, and the version would stay unproved. The request is not made late for that.
+func (c *choice) preferCanary() {
+	if c.canary == nil || c.best != nil && c.canaryEst.latency > c.timeLeft && c.est.latency <= c.timeLeft {
+		return
+	}
+	c.best, c.est, c.cost, c.waitForHolder = c.canary, c.canaryEst, c.canaryCost, false
+}
+
 // countRestricted updates the number of restricted endpoints when the mode of one changes.
 func (s *State) countRestricted(before, after event.EndpointMode) {
 	if before != event.ModeNormal {
--- a/sched/canary_test.go
+++ b/sched/canary_test.go
@@ -133,3 +133,44 @@
 		t.Errorf("usual %v, then %v; expected %v, then %v", first.Inputs.UsualFirst, last.Inputs.UsualFirst, first.Inputs.Wait, last.Inputs.Wait)
 	}
 }
+
+// TestCanariesShareTheAllowance guards against an unproved version without evidence: its endpoints must get the
+// allowance although others are measured as faster, and each of them the same number of requests.
+func TestCanariesShareTheAllowance(t *testing.T) {
+	for _, leastOutstanding := range []bool{false, true} {
+		s := discoveredPool(4, 8)
+		s.pool.LeastOutstanding = leastOutstanding
+		var out event.Effects
+		for i := range 3 {
+			s.Step(0, canaryEndpoint(fmt.Sprint("new", i), 10, event.ModeCanary), &out)
+		}
+		s.Step(0, &event.CanaryAllowanceChanged{Count: 12}, &out)
+		byEndpoint := make(map[event.EndpointID]int)
+		for i := range 40 {
+			out.Reset()
+			s.Step(0, submission(i, nil), &out)
+			for _, g := range out.Grants {
+				byEndpoint[g.Endpoint]++
+				s.Step(0, &event.Finished{ID: g.ID, Pool: pool, TokenGap: 5 * event.Millisecond}, &out)
+			}
+		}
+		if byEndpoint["new0"] != 4 || byEndpoint["new1"] != 4 || byEndpoint["new2"] != 4 {
+			t.Errorf("least outstanding %v: grants %v, want 4 at each new endpoint", leastOutstanding, byEndpoint)
+		}
+	}
+}
+
+// TestCanaryMakesNoRequestLate guards against a request that misses its target at a slow canary while another
+// endpoint would meet it.
+func TestCanaryMakesNoRequestLate(t *testing.T) {
+	s := discoveredPool(2, 8)
+	var out event.Effects
+	s.Step(0, canaryEndpoint("new", 10, event.ModeCanary), &out)
+	s.byID["new"].observeSlowness(0, 20)
+	s.refreshView(0, s.byID["new"])
+	s.Step(0, &event.CanaryAllowanceChanged{Count: 12}, &out)
+	s.Step(0, submission(1, func(k *event.Ticket) { k.PromptTokens = 2000 }), &out)
+	if len(out.Grants) != 1 || out.Grants[0].Endpoint == "new" {
+		t.Errorf("grants %+v", out.Grants)
+	}
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -33,6 +33,7 @@
 	backoffUntil    event.Time
 	prefillQueue    prefillQueue
 	prefillSlowdown prefillSlowdown // relative to slowness
+	canaryGrants    int             // granted in canary mode
 	grants          map[event.RequestID]*grant
 	cachedHashes    cachedHashes
 	// slowness is the measured time per unit of work relative to the pool's
--- a/sched/view.go
+++ b/sched/view.go
@@ -220,6 +220,11 @@
 	minTime       float64   // least time at the fastest endpoint
 	waitForHolder bool      // a full endpoint with the prompt cached is worth the wait
 	inCooldown    bool      // an endpoint with free capacity is in cooldown for the entry
+	// canary is the endpoint in canary mode that was granted fewest requests so far, of those with free
+	// capacity; nil if there is none. The other fields are the estimate and cost there.
+	canary     *endpoint
+	canaryEst  estimate
+	canaryCost float64
 }
 
 // chooseEndpoint finds the endpoint with free capacity where k costs least: run
@@ -244,9 +249,14 @@
 			c.inCooldown = true
 			continue
 		}
+		if v.isCanary {
+			c.considerCanary(&p, v)
+			continue
+		}
 		c.consider(&p, v, 0)
 	}
 	s.considerHolders(&p, k, belowTop, &c, now)
+	c.preferCanary()
 	return c
 }
 
@@ -263,10 +273,15 @@
 			c.inCooldown = true
 			continue
 		}
+		if v.isCanary {
+			c.considerCanary(&costModel{prefillRate: 1}, v) // by count alone
+			continue
+		}
 		if c.best == nil || v.endpoint.inflight < c.best.inflight {
 			c.best = v.endpoint
 		}
 	}
+	c.preferCanary()
 }
 
 // consider takes an endpoint if it costs less than the current choice.
@@ -284,7 +299,7 @@
 		v := &s.views[h.endpoint.index]
 		switch {
 		case v.hasCooldowns && v.inCooldownFor(now, k.entry):
-		case v.isCanary && (v.free == 0 || !s.mayUseCanary(k)): // its capacity is not waited for
+		case v.isCanary: // it was considered without its cache
 		case v.free > 0 && !(belowTop && v.free <= v.reserved):
 			c.consider(p, v, h.cached)
 		case h.endpoint.isAvailable(now):
