cluster, registry, level, platform: orders of roll-outs are durable, and restrict the endpoints of a version

Cause: an order to roll out a version was answered with 404, and endpoints of a bad version got half of the requests. Entries that read the level get the restricted versions before the endpoints, older ones get restricted endpoints as draining. Tests changed: decoded heartbeats have the version; the upgrade simulation also makes versions and orders, and starts at level.Feedback.

--- a/admission/counted.go
+++ b/admission/counted.go
@@ -20,6 +20,9 @@
 	repeat     bool // a retry, which is spent from the service's retry budget
 	granted    bool
 	chargedAt  event.Time
+	// version is that of the endpoint that was granted, usualFirst the expected time to the first byte.
+	version    string
+	usualFirst event.Duration
 }
 
 // addCharge records the charge of an admitted submission.
@@ -87,6 +90,7 @@
 	for i := range out.Grants[grants:] {
 		g := &out.Grants[grants+i]
 		if c, ok := s.charges[g.ID]; ok {
+			s.countGrant(now, c, g)
 			c.granted = true
 			s.recordGrant(now, c.submission, g.Endpoint)
 		}
@@ -97,6 +101,7 @@
 	for _, id := range out.Dropped[dropped:] {
 		s.releaseUnrun(now, id)
 	}
+	s.updateAllowance(now, v, out)
 }
 
 // releaseUnrun refunds a request that was refused or dropped, and cancels its trial.
--- a/admission/state.go
+++ b/admission/state.go
@@ -44,6 +44,7 @@
 
 // service has the pool of a service and the count of its recent requests.
 type service struct {
+	name     string
 	pool     *sched.State
 	requests *budget.Window
 }
@@ -65,6 +66,7 @@
 	runs           map[event.RequestID]*run
 	sweepAt        event.Time // next sweep of runs
 	limitShare     float64    // share of the endpoints' rate limits that is used here
+	rollouts       Rollouts   // nil while roll-outs are off
 }
 
 // endpointState is an endpoint as registered, with its feedback and failures.
@@ -117,6 +119,7 @@
 	if !ok {
 		pool := event.Pool{Name: name, MaxWaiting: maxWaiting, Discovered: true, Profile: defaultProfile, LeastOutstanding: s.limits.LeastOutstanding}
 		v = &service{
+			name:     name,
 			pool:     sched.New(now, pool, s.seed),
 			requests: budget.NewWindow(event.Duration(float64(s.limits.RetryWindow) * requestWindowRatio)),
 		}
@@ -145,7 +148,7 @@
 func (s *State) updatePool(now event.Time, k *endpointState, out *event.Effects) {
 	s.step(now, s.service(now, k.Service), &event.EndpointUpdated{
 		Endpoint: event.Endpoint{
-			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Draining: k.isDraining(), DataCentre: k.DataCentre,
+			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Draining: k.isDraining(), DataCentre: k.DataCentre, Mode: k.Mode,
 		},
 		Address:  k.Address,
 		Down:     k.Down || now < k.backoffUntil,
@@ -216,6 +219,7 @@
 	if f.Unsent {
 		s.refundSubmission(now, f.ID)
 	}
+	s.observeRollout(now, f)
 	s.removeCharge(f.ID)
 	s.updateBackoff(now, f, out)
 	s.step(now, s.service(now, f.Pool), &f.Finished, out)
--- a/cluster/endpoints.go
+++ b/cluster/endpoints.go
@@ -21,6 +21,9 @@
 	if s.machine.formatVersion < level.Instances {
 		reported.Born = 0
 	}
+	if !s.supportsRollouts() {
+		reported.Version = ""
+	}
 	return reported
 }
 
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -9,6 +9,7 @@
 	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
 	"lynxramp.org/routing"
 )
 
@@ -101,6 +102,16 @@
 		Box        event.BoxID
 		Connection uint64
 	}
+	// RolloutSubmitted carries an operator's order to roll out a version.
+	RolloutSubmitted struct {
+		CallID CallID
+		Order  rollout.Order
+	}
+	// RolloutRequested asks for the newest roll-out of a service.
+	RolloutRequested struct {
+		CallID  CallID
+		Service string
+	}
 	// StopRequested reports that the process is to stop.
 	StopRequested struct{}
 )
@@ -123,6 +134,8 @@
 func (*DocumentDecoded) isEvent()     {}
 func (*PeerConnected) isEvent()       {}
 func (*PeerDisconnected) isEvent()    {}
+func (*RolloutSubmitted) isEvent()    {}
+func (*RolloutRequested) isEvent()    {}
 func (*StopRequested) isEvent()       {}
 
 // Status is the result of a call.
@@ -138,6 +151,10 @@
 	StatusUnknown
 	// StatusUnknownService: the configuration does not have the endpoint's service.
 	StatusUnknownService
+	// StatusConflict: another order for the service is in progress.
+	StatusConflict
+	// StatusNoRollout: there never was an order for the service.
+	StatusNoRollout
 )
 
 // Answer is the answer to a call.
@@ -149,6 +166,7 @@
 	// is to choose a box.
 	HeartbeatAddress string
 	Document         Document
+	Rollout          rollout.Record
 	// ValidUntil is the end of the lease under which the answer was given.
 	ValidUntil event.Time
 }
--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -118,6 +118,7 @@
 	decode          func([]byte) (*routing.Table, error)
 	crashing        *crashSim        // endpoints that crash; nil for a single one that does not
 	limited         *limitedEndpoint // state of the single endpoint's rate limit; nil if it has none
+	rollout         *rolloutSim      // endpoints of two versions; nil for a single one without a version
 }
 
 func newFleetSim(t testing.TB, n int, seed uint64) *fleetSim {
@@ -216,6 +217,10 @@
 		f.crashing.sendHeartbeats(f)
 		return
 	}
+	if f.rollout != nil {
+		f.rollout.sendHeartbeats(f)
+		return
+	}
 	for _, name := range f.order {
 		if b := f.boxes[name]; b.state != nil {
 			f.heartbeat(b, registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1 << 20, Sequence: f.sequence})
@@ -392,8 +397,8 @@
 
 func (f *fleetSim) sendRequest(e *fleetEntry, now event.Time, amount int, repeat bool) {
 	f.requests++
-	if f.limited != nil {
-		amount, repeat = 1, false // only the endpoint's rate limit applies
+	if f.limited != nil || f.rollout != nil {
+		amount, repeat = 1, false // only the endpoint's rate limit, or the exposure, is checked
 	}
 	c := &fleetCall{
 		id: event.RequestID(fmt.Sprintf("%s-%d", e.name, f.requests)), sent: f.now, amount: amount, repeat: repeat,
@@ -439,6 +444,10 @@
 		f.limited.dispatch(f, e, now, c, d)
 		return
 	}
+	if f.rollout != nil {
+		f.rollout.dispatch(f, e, now, c, d)
+		return
+	}
 	if f.random.IntN(40) == 0 || e.client.Table(now) == nil {
 		result.Void, result.Unused, result.Unsent = true, true, true
 		e.client.Finish(now, result)
--- a/cluster/levels.go
+++ b/cluster/levels.go
@@ -227,7 +227,7 @@
 }
 
 // formatVersionRaised applies a new format version of the group.
-func (s *State) formatVersionRaised(out *Effects) {
+func (s *State) formatVersionRaised(now event.Time, out *Effects) {
 	out.logInfo("format version of the group changed", Field{"level", uint8(s.machine.formatVersion)})
 	for _, box := range slices.Sorted(maps.Keys(s.formats.peers)) {
 		s.setPeerEncoding(box, s.formats.peers[box], out)
@@ -235,6 +235,7 @@
 	if s.owner != nil {
 		clear(s.owner.packed) // packed in the previous format
 		s.owner.useFormatVersion(s)
+		s.owner.startRollouts(now, s)
 	}
 }
 
--- a/cluster/levels_test.go
+++ b/cluster/levels_test.go
@@ -13,9 +13,11 @@
 
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
+	"lynxramp.org/event"
 	"lynxramp.org/level"
 	"lynxramp.org/poison"
 	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
 )
 
 // fullMachine returns a state machine that has applied all kinds of commands of a format version.
@@ -44,6 +46,10 @@
 	if l >= level.Instances {
 		commands = append(commands, encodeEndpoint(registry.Endpoint{ID: "g", Born: 7, Service: "s", Address: "127.0.0.1:3", Sequence: 1}))
 	}
+	if l >= level.Rollouts {
+		commands = append(commands, encodeEndpoint(registry.Endpoint{ID: "h", Service: "s", Address: "127.0.0.1:4", Version: "v2", Sequence: 1}),
+			encodeRollout(rollout.Record{Order: rollout.Order{Service: "s", Version: "v2", Duration: event.Second}, Number: 1, Ceiling: 3}))
+	}
 	for i, c := range commands {
 		if _, err := m.apply(consensus.Index(i+1), c); err != nil {
 			t.Fatal(err)
@@ -57,7 +63,7 @@
 	t.Helper()
 	m.registry.IsRemoved("") // builds the derived fields, which a restored state may lack
 	data, err := json.Marshal([]any{
-		m.formatVersion, m.document.Version, m.document.Data, m.upload.key, m.upload.parts, m.registry, m.budgets.Record(), m.poison.Record(),
+		m.formatVersion, m.document.Version, m.document.Data, m.upload.key, m.upload.parts, m.registry, m.budgets.Record(), m.poison.Record(), &m.rollouts,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -68,7 +74,7 @@
 // TestSnapshotsOfAllFormatVersions: this build must restore the snapshots of all format versions, and write those
 // of an earlier one for a group that has it.
 func TestSnapshotsOfAllFormatVersions(t *testing.T) {
-	for _, l := range []level.Level{level.Listed, level.Chunked, level.Suspects, level.Negotiated, level.Instances} {
+	for _, l := range []level.Level{level.Listed, level.Chunked, level.Suspects, level.Negotiated, level.Instances, level.Rollouts} {
 		m := fullMachine(t, l)
 		var restored stateMachine
 		if err := restored.restore(m.snapshot(), level.Newest); err != nil {
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -10,9 +10,11 @@
 
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
+	"lynxramp.org/event"
 	"lynxramp.org/level"
 	"lynxramp.org/poison"
 	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
 )
 
 // stateMachine is the replicated state, which the commands of the log change.
@@ -27,6 +29,11 @@
 	budgets budget.Ledger
 	// poison holds the records of poison requests in the log.
 	poison poison.Ledger
+	// rollouts holds the newest roll-out of each service.
+	rollouts rollout.Ledger
+	// now is when the commands being applied were committed, by the clock of this box. Only the ages of
+	// roll-outs depend on it; they are not part of the replicated state.
+	now event.Time
 }
 
 // The first byte of a command is its kind.
@@ -38,7 +45,9 @@
 	commandPoison
 	commandFormatVersion
 	commandEndpointInstance // commandEndpoint with the endpoint's start time
-	lastCommand             = commandEndpointInstance
+	commandEndpointVersion  // commandEndpointInstance with the endpoint's version; the start time may be unknown
+	commandRollout
+	lastCommand = commandRollout
 )
 
 // encodeFormatVersion returns the command that raises the group's format version. It must not
@@ -59,6 +68,8 @@
 		return level.Suspects, true
 	case command[0] == commandEndpointInstance || command[0] == commandRemoveEndpoint && registry.Name(string(command[1:])) != string(command[1:]):
 		return level.Instances, true
+	case command[0] == commandEndpointVersion, command[0] == commandRollout:
+		return level.Rollouts, true
 	case command[0] == commandFormatVersion && len(command) == 2:
 		return max(level.Negotiated, level.Level(command[1])), true
 	}
@@ -91,7 +102,10 @@
 		panic(err) // texts and numbers always encode
 	}
 	kind := commandEndpoint
-	if e.Born > 0 {
+	switch {
+	case e.Version != "":
+		kind = commandEndpointVersion
+	case e.Born > 0:
 		kind = commandEndpointInstance
 	}
 	return append([]byte{kind}, data...)
@@ -113,6 +127,14 @@
 	return append([]byte{commandPoison}, data...)
 }
 
+func encodeRollout(r rollout.Record) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // texts and numbers always encode
+	}
+	return append([]byte{commandRollout}, data...)
+}
+
 // encodeRemove returns the command that removes an endpoint instance. The id is the endpoint's name alone
 // if its start time is unknown or not all members support instances.
 func encodeRemove(id string) []byte { return append([]byte{commandRemoveEndpoint}, id...) }
@@ -123,10 +145,14 @@
 	formatVersion bool
 	budgets       *budget.Record
 	poison        *poison.Record
+	rollout       *rolloutChange
 	updated       []registry.Endpoint
 	removed       []string
 }
 
+// rolloutChange is a record of a roll-out and the one that it replaced; Number is 0 if there was none.
+type rolloutChange struct{ record, before rollout.Record }
+
 // apply applies the command of a log entry.
 func (m *stateMachine) apply(index consensus.Index, command []byte) (change, error) {
 	if len(command) == 0 {
@@ -136,7 +162,7 @@
 	switch command[0] {
 	case commandDocument:
 		return m.applyDocument(body)
-	case commandEndpoint, commandEndpointInstance:
+	case commandEndpoint, commandEndpointInstance, commandEndpointVersion:
 		var e registry.Endpoint
 		if err := json.Unmarshal(body, &e); err != nil {
 			return change{}, errors.Wrap(err, "decode endpoint")
@@ -144,6 +170,11 @@
 		if command[0] == commandEndpoint {
 			e.Born = 0 // builds that don't support instances ignore it
 		}
+		if command[0] == commandEndpointVersion {
+			m.observeFormat(level.Rollouts)
+		} else {
+			e.Version = "" // builds that don't support versions ignore it
+		}
 		return m.putEndpoint(index, e), nil
 	case commandRemoveEndpoint:
 		id := m.registry.ResolveTermination(registry.ParseID(string(body)))
@@ -167,6 +198,15 @@
 		m.observeFormat(level.Suspects)
 		m.poison.Apply(r)
 		return change{poison: &r}, nil
+	case commandRollout:
+		var r rollout.Record
+		if err := json.Unmarshal(body, &r); err != nil {
+			return change{}, errors.Wrap(err, "decode roll-out record")
+		}
+		m.observeFormat(level.Rollouts)
+		before, _ := m.rollouts.Get(r.Service)
+		m.rollouts.Apply(m.now, r)
+		return change{rollout: &rolloutChange{record: r, before: before}}, nil
 	case commandFormatVersion:
 		if len(body) != 1 {
 			return change{}, errors.New("format version command has the wrong length")
--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -71,6 +71,7 @@
 
 // recordCall records the duration of a call of an operator or an endpoint.
 func (m *meters) recordCall(began time.Time, status Status) {
-	name := map[Status]string{StatusDone: "done", StatusNotLeader: "elsewhere", StatusUnknown: "unclear", StatusUnknownService: "unknown_service"}[status]
+	name := map[Status]string{StatusDone: "done", StatusNotLeader: "elsewhere", StatusUnknown: "unclear", StatusUnknownService: "unknown_service",
+		StatusConflict: "conflict", StatusNoRollout: "no_rollout"}[status]
 	m.set.GetOrCreateHistogram(`lynxramp_control_call_seconds{status="` + name + `"}`).UpdateDuration(began)
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -51,6 +51,7 @@
 	suspects         []poison.Fingerprint // as last sent to entries, with their revision
 	suspectsRevision uint64
 	feedback         feedbackTracker // of endpoints
+	rollouts         *rolloutOwner   // nil while roll-outs are off
 }
 
 // maxExpiredPerTick bounds the disconnected entries whose requests one tick treats as terminated.
@@ -86,9 +87,10 @@
 	if s.config.table != nil {
 		o.admission.SetTable(now, s.config.table)
 	}
+	o.startRollouts(now, s)
 	for _, e := range s.machine.registry.List() {
 		o.lastHeartbeat[e.ID] = now
-		o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e}, &o.effects)
+		o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
 	}
 	return o
 }
@@ -198,6 +200,7 @@
 	}
 	o.updateLimitShare(now)
 	o.admission.Tick(now, &o.effects)
+	o.tickRollouts(now, s, out) // restrictions of new endpoints are sent before them
 	o.sendEndpointChanges(s, out)
 	o.sendFeedback(now, out)
 	o.sendSuspects(out)
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -181,6 +181,9 @@
 		o.admission.Withdraw(now, sess.entry, w, &o.effects)
 	}
 	for i := range t.Batch.Submit {
+		if sess.formatVersion < level.Rollouts {
+			t.Batch.Submit[i].Ticket.ProvedOnly = true // it doesn't check restrictions before it sends
+		}
 		o.admission.Submit(now, sess.entry, &t.Batch.Submit[i], &o.effects)
 	}
 }
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -21,6 +21,7 @@
 	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
 	"lynxramp.org/store"
 )
 
@@ -402,5 +403,23 @@
 	return s.call(ctx, func(id CallID) Event { return &EndpointRemoved{CallID: id, Name: name, Born: born} })
 }
 
+// HasRollouts reports whether roll-outs are on.
+func (s *Server) HasRollouts() bool { return s.config.Settings.Rollouts != nil }
+
+// OrderRollout records an order to roll out a version. StatusDone means that it is committed.
+func (s *Server) OrderRollout(ctx context.Context, order rollout.Order) Answer {
+	return s.call(ctx, func(id CallID) Event { return &RolloutSubmitted{CallID: id, Order: order} })
+}
+
+// ReadRollout returns the newest roll-out of a service. As for ReadDocument, the answer must be passed on at
+// once.
+func (s *Server) ReadRollout(ctx context.Context, service string) Answer {
+	a := s.call(ctx, func(id CallID) Event { return &RolloutRequested{CallID: id, Service: service} })
+	if (a.Status == StatusDone || a.Status == StatusNoRollout) && s.clock.Now() >= a.ValidUntil {
+		return Answer{CallID: a.CallID, Status: StatusUnknown}
+	}
+	return a
+}
+
 // Logger returns the logger of the box.
 func (s *Server) Logger() *zap.Logger { return s.log }
--- a/cluster/snapshot.go
+++ b/cluster/snapshot.go
@@ -63,7 +63,11 @@
 	if m.formatVersion < level.Suspects {
 		return data
 	}
-	return appendJSON(data, m.poison.Record())
+	data = appendJSON(data, m.poison.Record())
+	if m.formatVersion < level.Rollouts || len(m.rollouts.Services()) == 0 {
+		return data
+	}
+	return appendJSON(data, &m.rollouts)
 }
 
 func (m *stateMachine) jsonSnapshot() []byte {
@@ -166,6 +170,9 @@
 		r.json(&known)
 		m.poison.Apply(known)
 	}
+	if m.formatVersion >= level.Rollouts && len(r.data) > 0 {
+		r.json(&m.rollouts)
+	}
 	if r.err == nil && document.isComplete() {
 		m.document, r.err = document.document()
 	}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -11,6 +11,7 @@
 	"lynxramp.org/event"
 	"lynxramp.org/level"
 	"lynxramp.org/message"
+	"lynxramp.org/rollout"
 	"lynxramp.org/routing"
 )
 
@@ -40,6 +41,8 @@
 	// Decode parses and validates a configuration. It is slow for a large one and runs
 	// outside the event loop.
 	Decode func([]byte) (*routing.Table, error)
+	// Rollouts bounds the exposure of unproved versions; nil turns roll-outs off.
+	Rollouts *rollout.Limits
 	// FormatVersion is the newest format version that the box supports; 0 means the newest.
 	// Only tests set it.
 	FormatVersion level.Level
@@ -102,10 +105,16 @@
 	if err := s.restore(r.Snapshot.Data); err != nil {
 		return nil, err
 	}
-	s.machine.budgets.MarkReceived(now)
+	s.markReceived(now)
 	return s, nil
 }
 
+// markReceived sets the time at which records of a snapshot were received.
+func (s *State) markReceived(now event.Time) {
+	s.machine.budgets.MarkReceived(now)
+	s.machine.rollouts.MarkReceived(now)
+}
+
 // Node returns the box's member of the replicated log.
 func (s *State) Node() *consensus.Node { return s.node }
 
@@ -178,6 +187,10 @@
 		s.receiveHeartbeat(now, e, out)
 	case *EndpointRemoved:
 		s.removeEndpoint(now, e, out)
+	case *RolloutSubmitted:
+		s.submitRollout(now, e, out)
+	case *RolloutRequested:
+		s.readRollout(now, e, out)
 	case *CallCancelled:
 		s.uploads.cancelCall(e.CallID)
 		for i, p := range s.pendingCalls {
@@ -277,7 +290,7 @@
 			out.Fatal = err
 			return
 		}
-		s.machine.budgets.MarkReceived(now)
+		s.markReceived(now)
 	}
 	for len(out.Ready.Committed) > 0 {
 		committed := out.Ready.Committed
@@ -338,6 +351,7 @@
 		out.Fatal = err
 		return
 	}
+	s.machine.now = now
 	c, err := s.machine.apply(entry.Index, entry.Data)
 	if err != nil {
 		// A command that no build can decode is skipped on all boxes alike.
@@ -353,8 +367,11 @@
 	if c.poison != nil && s.owner != nil && s.owner.poisonIndex != entry.Index {
 		s.owner.poison.ApplyForeign(now, *c.poison)
 	}
+	if c.rollout != nil && s.owner != nil {
+		s.owner.rolloutCommitted(now, *c.rollout, s, out)
+	}
 	if c.formatVersion {
-		s.formatVersionRaised(out)
+		s.formatVersionRaised(now, out)
 	}
 	if c.document {
 		out.logInfo("configuration applied", Field{"version", s.machine.document.Version}, Field{"bytes", len(s.machine.document.Data)})
--- a/cluster/upgrade_sim_test.go
+++ b/cluster/upgrade_sim_test.go
@@ -14,6 +14,7 @@
 	"lynxramp.org/message"
 	"lynxramp.org/poison"
 	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
 )
 
 // upgradeSim is a group whose boxes are replaced one after the other by a later build, with random faults.
@@ -37,6 +38,7 @@
 		submitted: make(map[CallID]uint64), commands: make(map[byte]int),
 	}
 	u.random = rand.New(rand.NewPCG(seed, 5))
+	u.settings = simRolloutSettings
 	u.compactThreshold = 1
 	for _, name := range u.order {
 		b := u.boxes[name]
@@ -60,11 +62,13 @@
 		u.sequence++
 		u.heartbeat(owner, registry.Endpoint{
 			ID: fmt.Sprint("e", u.random.IntN(9)), Service: "s", Address: fmt.Sprint("a", u.random.IntN(9)), Slots: int(u.sequence), Sequence: u.sequence,
-			Born: u.random.Uint64N(4),
+			Born: u.random.Uint64N(4), Version: fmt.Sprint("v", u.random.IntN(3)),
 		})
 	case n < 45 && owner != nil:
 		u.lastCall++
 		u.step(owner, &EndpointRemoved{CallID: u.lastCall, Name: fmt.Sprint("e", u.random.IntN(9)), Born: u.random.Uint64N(3)})
+	case n < 50 && owner != nil:
+		u.submitOrder(owner, rollout.Order{Service: "s", Version: fmt.Sprint("v", u.random.IntN(3)), Duration: event.Second * event.Duration(1+u.random.IntN(20))})
 	case n < 60 && owner != nil:
 		u.reportCrash(owner)
 	case n < 70 && u.stopped == nil:
@@ -172,7 +176,7 @@
 // commands that others apply.
 func TestRollingUpgrade(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated}).Draw(rt, "from")
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated, level.Feedback}).Draw(rt, "from")
 		u := newUpgradeSim(t, from, rapid.SampledFrom([]int{3, 5}).Draw(rt, "boxes"), rapid.Uint64().Draw(rt, "seed"))
 		defer func() {
 			if t.Failed() {
@@ -212,7 +216,7 @@
 // same folders.
 func TestRollback(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated}).Draw(rt, "from")
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated, level.Feedback}).Draw(rt, "from")
 		u := newUpgradeSim(t, from, 3, rapid.Uint64().Draw(rt, "seed"))
 		u.run(2 * event.Second)
 		for _, to := range []level.Level{level.Newest, from} {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -63,7 +63,7 @@
 
 // publishEndpoint passes a changed endpoint to the scheduler, and to all entries with the next tick.
 func (o *owner) publishEndpoint(now event.Time, e registry.Endpoint) {
-	o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e, Down: o.down[e.ID]}, &o.effects)
+	o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
 	o.changedEndpoints[e.ID] = true
 }
 
@@ -83,32 +83,66 @@
 		}
 		delete(o.changedEndpoints, id)
 		if e, ok := s.machine.registry.Endpoints[id]; ok {
-			updated = append(updated, message.Endpoint{Endpoint: e, Down: o.down[id]})
+			updated = append(updated, o.messageEndpoint(e))
 			size += e.Size()
 		} else {
 			view.Gone = append(view.Gone, event.EndpointID(id))
 			size += len(id)
 		}
 	}
+	unrestricted := view
+	if o.rollouts != nil && o.hasEntriesBelow(level.Rollouts) {
+		copied := *view
+		unrestricted = &copied
+		s.packEndpoints(drainRestricted(updated)).addTo(unrestricted)
+	}
 	s.packEndpoints(updated).addTo(view)
-	o.broadcastChanges(view, s, out)
+	o.broadcastChanges(view, unrestricted, s, out)
 }
 
-// broadcastChanges sends changes to all entries. Entries that have all earlier changes then have the
-// registry's revision; sessions that are still sent their initial view do not.
-func (o *owner) broadcastChanges(view *message.View, s *State, out *Effects) {
-	complete := *view
+// broadcastChanges sends changes to all entries; older has them for entries below level.Rollouts. Entries that
+// have all earlier changes then have the registry's revision; sessions that are still sent their initial view do
+// not.
+func (o *owner) broadcastChanges(view, older *message.View, s *State, out *Effects) {
+	revision := uint64(0)
 	if len(o.changedEndpoints) == 0 {
-		complete.Revision = s.machine.registry.Revision
+		revision = s.machine.registry.Revision
 	}
-	all, some := &message.Envelope{View: &complete}, &message.Envelope{View: view}
+	current, previous := newBroadcast(view, revision), newBroadcast(older, revision)
 	for _, id := range o.sessionIDs() {
-		if o.sessions[id].view.isIncomplete {
-			out.Sends = append(out.Sends, Send{id, some})
-			continue
+		sess := o.sessions[id]
+		b := current
+		if sess.formatVersion < level.Rollouts {
+			b = previous
 		}
-		out.Sends = append(out.Sends, Send{id, all})
+		out.Sends = append(out.Sends, Send{id, b.messageFor(sess)})
+	}
+}
+
+// broadcast has changes of endpoints, with and without the registry's revision.
+type broadcast struct{ complete, partial *message.Envelope }
+
+func newBroadcast(view *message.View, revision uint64) broadcast {
+	complete := *view
+	complete.Revision = revision
+	return broadcast{&message.Envelope{View: &complete}, &message.Envelope{View: view}}
+}
+
+func (b broadcast) messageFor(sess *session) *message.Envelope {
+	if sess.view.isIncomplete {
+		return b.partial
 	}
+	return b.complete
+}
+
+// drainRestricted returns endpoints as they are sent to entries that don't read restrictions: restricted ones
+// are draining, so that the entry uses none of them while it is degraded.
+func drainRestricted(list []message.Endpoint) []message.Endpoint {
+	all := slices.Clone(list)
+	for i := range all {
+		all[i].Leaving = all[i].Leaving || all[i].Mode != event.ModeNormal
+	}
+	return all
 }
 
 // firstView returns the first page of a session's initial view: the endpoints that changed since the
@@ -118,12 +152,18 @@
 		return o.wholeView(sess, revision, s)
 	}
 	canResume := s.machine.registry.CanResumeFrom(revision)
+	if o.rollouts != nil && sess.formatVersion < level.Rollouts {
+		canResume = false // restrictions change without a revision
+	}
 	if !canResume {
 		revision = 0
 	}
 	sess.view = viewProgress{revision: revision}
 	view := o.nextView(sess, s)
 	view.Whole, view.Signs, view.Members = !canResume, true, s.memberLinkAddresses()
+	if sess.formatVersion >= level.Rollouts {
+		view.Restrictions = o.restrictions()
+	}
 	return view
 }
 
@@ -165,7 +205,7 @@
 	v := &sess.view
 	p := o.pageAfter(v.revision, s)
 	view := &message.View{Revision: p.Revision}
-	o.pack(v.revision, p, s).addTo(view)
+	o.pack(v.revision, p, sess, s).addTo(view)
 	for _, id := range p.Removed {
 		view.Gone = append(view.Gone, event.EndpointID(id))
 	}
@@ -209,7 +249,14 @@
 }
 
 // pack returns the endpoints of a page, encoded once for all sessions that need it.
-func (o *owner) pack(after uint64, p registry.Page, s *State) packedPage {
+func (o *owner) pack(after uint64, p registry.Page, sess *session, s *State) packedPage {
+	if o.rollouts != nil && sess.formatVersion < level.Rollouts {
+		list := make([]message.Endpoint, len(p.Endpoints))
+		for i, e := range p.Endpoints {
+			list[i] = o.messageEndpoint(e)
+		}
+		return s.packEndpoints(drainRestricted(list))
+	}
 	key := pageKey{after, p.Revision, len(p.Endpoints)}
 	packed, ok := o.packed[key]
 	if !ok {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"lynxramp.org/gateway"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/link"
+	"lynxramp.org/rollout"
 	"lynxramp.org/routing"
 	"lynxramp.org/settings"
 )
@@ -128,6 +129,14 @@
 	}
 }
 
+// newRolloutLimits returns the bounds of roll-outs; nil if the deployment has none.
+func newRolloutLimits(f settings.Fleet, d Dialect) *rollout.Limits {
+	if !d.features(f).Rollouts {
+		return nil
+	}
+	return &rollout.Limits{Share: f.Bounds.ExposeShare, Slack: f.Bounds.ExposeSlack}
+}
+
 // watch calls reload with the new settings whenever the file changes, until ctx ends.
 // It polls the file and checks it on SIGHUP. Invalid settings are logged and ignored.
 func watch(ctx context.Context, file string, log *zap.Logger, reload func(settings.Fleet)) {
@@ -174,6 +183,7 @@
 			HeartbeatInterval: event.Duration(f.Bounds.HeartbeatInterval),
 			ConfigValidity:    event.Duration(f.Bounds.ConfigValidity),
 			Decode:            d.Decode,
+			Rollouts:          newRolloutLimits(f, d),
 		},
 		Log: log,
 	})
--- a/level/level.go
+++ b/level/level.go
@@ -29,10 +29,13 @@
 	// Feedback: entries send the feedback of endpoints to the owner, which sends it to all entries
 	// that read this level.
 	Feedback
+	// Rollouts: the log has the versions of endpoints and records of roll-outs, and the owner sends
+	// entries that read this level the versions that they may not use by themselves.
+	Rollouts
 )
 
 // Newest is the highest level that this build reads.
-const Newest = Feedback
+const Newest = Rollouts
 
 // Readers says who must be able to read an encoding.
 type Readers uint8
@@ -60,7 +63,8 @@
 	{Suspects, Members, "records of requests that crash endpoints", "585ddf2"},
 	{Negotiated, Members, "levels, announced when a connection opens, and recorded in the log and in snapshots", "cf9622c"},
 	{Instances, Members | Entries, "heartbeats of endpoints with their start time; endpoint IDs with that time, of which requests carry the name alone; endpoints listed by column", "4538dad"},
-	{Feedback, Members, "feedback in the responses of endpoints, sent to the owner, and by it to each entry that reads it", ""},
+	{Feedback, Members, "feedback in the responses of endpoints, sent to the owner, and by it to each entry that reads it", "fe3f9e0"},
+	{Rollouts, Members, "versions of endpoints and records of roll-outs, in the log; versions and restrictions, sent to each entry that reads them", ""},
 }
 
 // Affects reports whether any of the readers r must read an encoding above one level and up to
--- a/message/listing.go
+++ b/message/listing.go
@@ -38,8 +38,11 @@
 	// Service and DataCentre are indexes into Texts, two bytes each.
 	Texts               []string
 	Service, DataCentre []byte
-	Slots               []int
-	Flags               []byte
+	// Version is an index into Texts, two bytes each; it is empty if no endpoint has a version. Builds
+	// before level.Rollouts ignore it.
+	Version []byte
+	Slots   []int
+	Flags   []byte
 }
 
 // Flags of an endpoint in a listing.
@@ -85,6 +88,7 @@
 		}
 		return i
 	}
+	hasVersions := slices.ContainsFunc(list, func(e Endpoint) bool { return e.Version != "" })
 	for i := range list {
 		e := &list[i]
 		after := uint64(0)
@@ -95,6 +99,9 @@
 		c.Service = binary.BigEndian.AppendUint16(c.Service, index(e.Service))
 		c.DataCentre = binary.BigEndian.AppendUint16(c.DataCentre, index(e.DataCentre))
 		c.Slots = append(c.Slots, e.Slots)
+		if hasVersions {
+			c.Version = binary.BigEndian.AppendUint16(c.Version, index(e.Version))
+		}
 		flags := byte(0)
 		if e.Leaving {
 			flags |= flagDraining
@@ -206,6 +213,10 @@
 	if len(names) != n || len(c.Service) != 2*n || len(c.DataCentre) != 2*n || len(c.Slots) != n || !hasHosts && !hasAddresses {
 		return nil, errListing
 	}
+	hasVersions := len(c.Version) > 0
+	if hasVersions && len(c.Version) != 2*n {
+		return nil, errListing
+	}
 	born, err := c.startTimes(n)
 	if err != nil {
 		return nil, err
@@ -218,6 +229,13 @@
 		}
 		e := &list[i]
 		e.ID = registry.InstanceID(c.Prefix+names[i], born[i])
+		if hasVersions {
+			version := int(binary.BigEndian.Uint16(c.Version[2*i:]))
+			if version >= len(c.Texts) {
+				return nil, errListing
+			}
+			e.Version = c.Texts[version]
+		}
 		e.Service, e.DataCentre, e.Slots = c.Texts[service], c.Texts[dataCentre], c.Slots[i]
 		e.Leaving, e.Down = c.Flags[i]&flagDraining != 0, c.Flags[i]&flagDown != 0
 		if hasAddresses {
--- a/message/listing_test.go
+++ b/message/listing_test.go
@@ -34,7 +34,12 @@
 	irregular[0].Address, irregular[1].Address, irregular[2].ID, irregular[3].ID, irregular[4].Service = "[::1]:80", "name:80", "bare", "", ""
 	mixed := makeInstances(3)
 	mixed[1].ID = "bare"
-	for _, list := range [][]Endpoint{makeInstances(1), makeInstances(40), makeInstances(3000), irregular, mixed} {
+	versions := makeInstances(30)
+	for i := range versions {
+		versions[i].Version = fmt.Sprint("v", i%3)
+	}
+	versions[7].Version = ""
+	for _, list := range [][]Endpoint{makeInstances(1), makeInstances(40), makeInstances(3000), irregular, mixed, versions} {
 		got, err := NewListing(list).Endpoints()
 		if err != nil {
 			t.Fatal(err)
@@ -83,6 +88,8 @@
 		"no flags":             encode(func(c *columns) { c.Flags = nil }),
 		"no slots":             encode(func(c *columns) { c.Slots = nil }),
 		"service out of range": encode(func(c *columns) { c.Service[0] = 255 }),
+		"version out of range": encode(func(c *columns) { c.Version = []byte{255, 0, 0, 0, 0, 0, 0, 0} }),
+		"missing version":      encode(func(c *columns) { c.Version = make([]byte, 7) }),
 	} {
 		if got, err := l.Endpoints(); err == nil {
 			t.Errorf("%s: decoded to %+v", name, got)
--- a/message/message.go
+++ b/message/message.go
@@ -133,6 +133,9 @@
 	// Asked has the feedback of endpoints whose feedback changed, for entries that read
 	// level.Feedback.
 	Asked []backpressure.State
+	// Restrictions, if set, replaces the restrictions of versions. Entries that read level.Rollouts
+	// apply it; the owner marks the restricted endpoints as draining for others.
+	Restrictions *Restrictions
 	// Suspects, if set, has the requests that must not run without an owner.
 	Suspects *Suspects
 }
@@ -140,10 +143,21 @@
 // Suspects are the fingerprints of requests during which endpoints terminated.
 type Suspects struct{ List []poison.Fingerprint }
 
-// Endpoint is an endpoint and whether it is unreachable.
+// Restrictions has the versions of services whose endpoints are restricted by a roll-out.
+type Restrictions struct{ List []Restriction }
+
+// Restriction is the mode of the endpoints of a service that have a version.
+type Restriction struct {
+	Service, Version string
+	Mode             event.EndpointMode
+}
+
+// Endpoint is an endpoint, whether it is unreachable, and its mode. Entries are sent the mode as a
+// Restriction.
 type Endpoint struct {
 	registry.Endpoint
 	Down bool
+	Mode event.EndpointMode
 }
 
 // Want asks the owner for nodes of the configuration's hash tree.
@@ -206,6 +220,8 @@
 	Endpoint event.EndpointID
 	Print    poison.Fingerprint
 	Ran      Outcome
+	// Abandoned is set if the caller gave the request up before its end.
+	Abandoned bool
 }
 
 // Outcome is the outcome of a run, as far as it bears on whether the request is poisonous.
@@ -240,6 +256,7 @@
 	feedbackBytes    = 40
 	idBytes          = 12
 	fingerprintBytes = 18
+	restrictionBytes = 6 // besides the names
 )
 
 // Size implements link.Sized: the approximate size in bytes, without the parts of fixed size.
@@ -266,6 +283,11 @@
 		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * ticketBytes
 	case e.View != nil:
 		size += len(e.View.Document) + len(e.View.Endpoints) + len(e.View.Listed) + (len(e.View.Gone)+len(e.View.Silent))*idBytes + len(e.View.Asked)*feedbackBytes
+		if r := e.View.Restrictions; r != nil {
+			for i := range r.List {
+				size += len(r.List[i].Service) + len(r.List[i].Version) + restrictionBytes
+			}
+		}
 		if s := e.View.Suspects; s != nil {
 			size += len(s.List) * fingerprintBytes
 		}
--- a/registry/piece.go
+++ b/registry/piece.go
@@ -27,7 +27,7 @@
 // Size returns about how many bytes the endpoint takes in a message.
 func (e *Endpoint) Size() int {
 	const overhead = 12 // lengths, field tags and numbers
-	return overhead + len(e.ID) + len(e.Service) + len(e.Address) + len(e.DataCentre)
+	return overhead + len(e.ID) + len(e.Service) + len(e.Address) + len(e.DataCentre) + len(e.Version)
 }
 
 // ChangesAfter returns the changes after a revision, up to about maxBytes but at least all of
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -30,6 +30,8 @@
 	DataCentre string `json:"data_centre"`
 	// Slots is the number of requests it runs concurrently.
 	Slots int `json:"slots"`
+	// Version is that of the endpoint's software; empty unless the deployment has roll-outs.
+	Version string `json:"version,omitempty"`
 	// Leaving is set while the endpoint is draining.
 	Leaving bool `json:"leaving,omitempty"`
 	// Sequence increases with each message of the instance.
