gateway: entries check the restriction of a version before they send

Cause: a degraded entry must not use an unproved version, and a grant may be overtaken by a roll-back. Change: restrictions by service and version, checked beside the gate; degraded entries use no restricted endpoint; the ticket has the route, and the end of a request says whether the caller gave it up.

--- a/gateway/asked.go
+++ b/gateway/asked.go
@@ -59,6 +59,19 @@
 	return gate.Check(c.gateway.agent.clock.Now(), d.Endpoint, d.Permit)
 }
 
+// isStopped reports whether a grant must not be used, by the endpoint's feedback or a roll-out, and records why.
+func (c *call) isStopped(a *attempt) bool {
+	if err := c.gateway.agent.client.CheckRestriction(a.decision); err != nil {
+		c.reportRestricted(a, err)
+		return true
+	}
+	if why := c.checkGate(a.decision); why != backpressure.NotStopped {
+		c.reportStopped(a, why)
+		return true
+	}
+	return false
+}
+
 // reportStopped records that a grant is not used and reports the feedback that forbids it to the
 // scheduler that granted it.
 func (c *call) reportStopped(a *attempt, why backpressure.StopReason) {
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -38,6 +38,7 @@
 	for _, why := range []backpressure.StopReason{backpressure.StoppedByLimit, backpressure.StoppedByDrain, backpressure.StoppedByCooldown} {
 		m.stoppedGrants(why)
 	}
+	m.restrictedGrants()
 	return m
 }
 
@@ -86,6 +87,11 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="` + why.String() + `"}`)
 }
 
+// restrictedGrants counts the grants that were not used because of a roll-out.
+func (m *meters) restrictedGrants() *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="rollout"}`)
+}
+
 // observeDecision records how long a request waited for its decision, and who decided.
 func (m *meters) observeDecision(since time.Time, degraded bool) {
 	by := "owner"
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -109,6 +109,7 @@
 	waiting       map[event.RequestID]*waiter
 	running       map[event.RequestID]*message.Running
 	endpoints     map[event.EndpointID]message.Endpoint
+	restrictions  restrictions
 	revision      uint64 // of the registry that endpoints reflects
 	// listed are the endpoints received of a complete list that is still being received; nil if there
 	// is none.
@@ -363,6 +364,9 @@
 	for _, id := range slices.Sorted(maps.Keys(a.endpoints)) {
 		e := a.endpoints[id]
 		e.Slots = max(1, (e.Slots+entries-1)/entries)
+		if a.restrictions.modeOf(e) != event.ModeNormal {
+			e.Mode = event.ModeBlocked // only an owner may use a canary
+		}
 		a.degraded.SetEndpoint(now, e, &a.effects)
 	}
 	for _, s := range a.gate.States() {
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -209,6 +209,7 @@
 		a.markAllUp()
 	}
 	a.markDown(v.Silent)
+	a.applyRestrictions(v)
 	a.applyFeedbackStates(now, v.Asked)
 	if v.More {
 		a.sendPing(now)
--- a/gateway/owner_word.go
+++ b/gateway/owner_word.go
@@ -85,7 +85,7 @@
 
 func waitingSize(m *message.Submission) int {
 	t := &m.Ticket
-	n := waitingOverhead + len(t.ID) + len(t.Team) + len(t.Service) + len(t.Pool) + len(t.Key) + len(t.DataCentre) + prefixHashBytes*len(t.Prefix)
+	n := waitingOverhead + len(t.ID) + len(t.Team) + len(t.Service) + len(t.Pool) + len(t.Key) + len(t.DataCentre) + len(t.Route) + prefixHashBytes*len(t.Prefix)
 	for _, id := range t.Avoid {
 		n += len(id) + 1
 	}
--- a/gateway/restriction.go
+++ b/gateway/restriction.go
@@ -66,10 +66,10 @@
 	a.log.Info("restricted versions changed", zap.Int("count", len(list)))
 }
 
-// checkRestriction returns an error if a grant must not be used: its endpoint was blocked since, or is a canary
-// and the entry decided by itself.
-func (c *call) checkRestriction(d Decision) error {
-	mode := c.gateway.agent.client.restrictions.endpointMode(d.Endpoint)
+// CheckRestriction returns an error if a grant must not be used: its endpoint was blocked since, or is a canary
+// and the entry decided by itself. It is safe for concurrent use.
+func (a *OwnerClient) CheckRestriction(d Decision) error {
+	mode := a.restrictions.endpointMode(d.Endpoint)
 	if mode == event.ModeBlocked || mode == event.ModeCanary && d.Degraded {
 		return errors.Errorf("grant not used because the endpoint's version is restricted: %s", mode)
 	}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/message"
@@ -306,6 +305,7 @@
 		Suspect:  (a.outcome == outcomeNotSent && !a.notTried) || (a.outcome == outcomeUnknown && a.firstByteAfter == 0),
 	}
 	f.Print, f.Ran = c.fingerprint, a.runResult()
+	f.Abandoned = c.r.Context().Err() != nil || errors.Is(a.err, errCallerWrite)
 	if !a.sent.IsZero() && a.err != nil && endsConnection(a.err) {
 		c.gateway.agent.RecordTermination(poison.Termination{
 			Print: c.fingerprint, Endpoint: a.decision.Endpoint, Request: c.id, Attempt: a.previousSends, Ran: time.Since(a.sent),
@@ -327,8 +327,7 @@
 		a.err, a.notTried = err, true
 		return a
 	}
-	if why := c.checkGate(d); why != backpressure.NotStopped {
-		c.reportStopped(a, why)
+	if c.isStopped(a) {
 		return a
 	}
 	started := time.Now()
@@ -337,9 +336,8 @@
 		a.err = err
 		return a
 	}
-	if why := c.checkGate(d); why != backpressure.NotStopped {
-		_ = conn.Close() // feedback arrived while the connection was opened
-		c.reportStopped(a, why)
+	if c.isStopped(a) {
+		_ = conn.Close() // feedback or a restriction arrived while the connection was opened
 		return a
 	}
 	a.sent, a.previousSends = time.Now(), c.attempts
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -75,6 +75,7 @@
 			PromptTokens: c.promptTokens, OutputTokens: c.expectedOutputTokens(), Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.queueTimeout(left),
 			Placed: c.wasGranted, Returned: c.wasRefused, Avoid: c.tried, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
+			Route: c.route.Name,
 		},
 		Quota: c.quotaUnits(), Repeat: isRetry, Print: c.fingerprint,
 	}
