--- a/admission/rollout.go
+++ b/admission/rollout.go
@@ -10,10 +10,13 @@
 
 // This file passes grants and their outcomes to the roll-outs, and their allowance to the pools.
 
-// Rollouts bounds the requests of unproved versions and judges them; rollout.Tracker implements it.
+// Rollouts bounds the requests of unproved versions and judges them, as rollout.Tracker does.
 type Rollouts interface {
+	// Granted counts a request that was granted to an endpoint of a version.
 	Granted(now event.Time, service, version string)
-	Observe(now event.Time, s rollout.Sample)
+	// Observe adds the outcome of a request.
+	Observe(now event.Time, id event.RequestID, s rollout.Sample)
+	// Allowance returns how many requests may be granted to the unproved version now.
 	Allowance(service string) int
 }
 
@@ -63,7 +66,7 @@
 	if s.rollouts == nil || !ok || !c.granted || f.Unsent || f.Void || f.Abandoned {
 		return
 	}
-	s.rollouts.Observe(now, rollout.Sample{
+	s.rollouts.Observe(now, f.ID, rollout.Sample{
 		Service: c.service, Version: c.version, Endpoint: f.Endpoint, Route: c.submission.Ticket.Route,
 		Failed: f.Failed, First: f.FirstAfter, ExpectedFirst: c.usualFirst, TokenGap: f.TokenGap,
 	})
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -189,6 +189,8 @@
 	// Decode is a document to decode outside the event loop; a DocumentDecoded follows. A later
 	// document may replace one that is not started. Version 0 is none.
 	Decode Document
+	// RolloutPhases are the orders of roll-outs whose phase changed.
+	RolloutPhases []RolloutPhase
 	// Fatal is set if the process must stop because it found data that only a later build can
 	// read. The other effects must be ignored then.
 	Fatal      error
@@ -218,6 +220,7 @@
 	e.Closes = e.Closes[:0]
 	e.Heartbeats = nil
 	e.Decode = Document{}
+	e.RolloutPhases = e.RolloutPhases[:0]
 	e.Fatal = nil
 	e.LogRecords = e.LogRecords[:0]
 }
--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -23,6 +23,7 @@
 	refusals *metrics.Counter
 	steps    *metrics.Histogram
 	formats  *formatGauges
+	rollouts *rolloutMeters
 }
 
 func newMeters() meters {
@@ -40,6 +41,7 @@
 		refusals: set.NewCounter("lynxramp_control_refusals_total"),
 		steps:    set.NewHistogram("lynxramp_control_step_seconds"),
 		formats:  &formatGauges{set: set},
+		rollouts: newRolloutMeters(set),
 	}
 	metrics.RegisterSet(set)
 	return m
@@ -49,6 +51,7 @@
 func (m *meters) recordStep(began time.Time, s *State, out *Effects) {
 	m.steps.UpdateDuration(began)
 	m.formats.update(began, s)
+	m.rollouts.update(began, s, out)
 	owner, sessions, suspects, feedback := 0.0, 0.0, 0.0, 0.0
 	if s.owner != nil {
 		owner, sessions, suspects = 1, float64(len(s.owner.sessions)), float64(len(s.owner.suspects))
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -299,7 +299,7 @@
 	}
 	for _, e := range c.updated {
 		o.lastHeartbeat[e.ID] = now
-		out.logInfo("endpoint updated", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
+		out.logInfo("endpoint updated", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"version", e.Version}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
 		o.publishEndpoint(now, e)
 	}
 }
--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -29,6 +29,11 @@
 	modes map[versionKey]event.EndpointMode
 	// unsent is set if modes changed since they were last sent to the entries.
 	unsent bool
+	// logged is the evidence of each service as last logged, at evidenceAt; lastFailed has the last
+	// request of each order that failed on its version.
+	logged     map[string]rollout.Evidence
+	evidenceAt event.Time
+	lastFailed map[string]event.RequestID
 }
 
 // versionCount has the free slots and the running requests of a version.
@@ -48,10 +53,13 @@
 		tracker: rollout.NewTracker(now, &s.machine.rollouts, *s.settings.Rollouts),
 		counted: make(map[versionKey]versionCount),
 		modes:   make(map[versionKey]event.EndpointMode),
+
+		logged:     make(map[string]rollout.Evidence),
+		lastFailed: make(map[string]event.RequestID),
 	}
 	o.countVersions(s)
 	o.updateModes(now, s)
-	o.admission.SetRollouts(o.rollouts.tracker)
+	o.admission.SetRollouts(o.rollouts)
 }
 
 // submitRollout records an order of an operator. It is answered once its record is committed.
@@ -127,24 +135,19 @@
 	after, _ := s.machine.rollouts.Get(c.record.Service)
 	switch {
 	case after.Number != c.before.Number:
+		delete(o.rollouts.lastFailed, after.Service)
 		out.logInfo("rollout ordered", rolloutFields(after)...)
 	case after.Phase != c.before.Phase:
-		out.logInfo("rollout phase changed", append(rolloutFields(after), Field{"from", c.before.Phase.String()})...)
+		evidence, _ := o.rollouts.tracker.Evidence(after.Service)
+		fields := append(rolloutFields(after), Field{"from", c.before.Phase.String()}, Field{"reason", evidence.Reason.String()})
+		out.logInfo("rollout phase changed", append(fields, o.rollouts.evidenceFields(after.Service, evidence)...)...)
+		out.RolloutPhases = append(out.RolloutPhases, RolloutPhase{after.Phase, evidence.Reason})
 	default:
 		return
 	}
 	o.updateModes(now, s)
 }
 
-// rolloutFields are the fields of a record in log lines.
-func rolloutFields(r rollout.Record) []Field {
-	return []Field{
-		{"service", r.Service}, {"version", r.Version}, {"number", r.Number}, {"phase", r.Phase.String()},
-		{"elapsed_ms", r.Elapsed.Milliseconds()}, {"duration_ms", r.Duration.Milliseconds()},
-		{"ceiling", r.Ceiling}, {"requests", r.Requests},
-	}
-}
-
 // tickRollouts advances all orders.
 func (o *owner) tickRollouts(now event.Time, s *State, out *Effects) {
 	if o.rollouts == nil || !s.owns(now) {
@@ -160,6 +163,7 @@
 	}
 	o.updateModes(now, s)
 	o.sendRestrictions(out)
+	o.rollouts.logEvidence(now, s, out)
 }
 
 // cancelRemoved ends the orders of services that the configuration no longer has.
--- /dev/null
+++ b/cluster/rollout_log.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: MIT
+
+package cluster
+
+import (
+	"lynxramp.org/event"
+	"lynxramp.org/rollout"
+)
+
+// This file logs roll-outs and passes the outcomes of requests to their tracker.
+
+const (
+	// evidenceLogInterval is how often the evidence of orders in progress is logged, if it changed.
+	evidenceLogInterval = event.Second
+	// maxEvidenceLogLines bounds the lines of one interval.
+	maxEvidenceLogLines = 10
+)
+
+// RolloutPhase is a change of phase of an order, and why.
+type RolloutPhase struct {
+	Phase  rollout.Phase
+	Reason rollout.Reason
+}
+
+// Granted implements admission.Rollouts.
+func (p *rolloutOwner) Granted(now event.Time, service, version string) {
+	p.tracker.Granted(now, service, version)
+}
+
+// Allowance implements admission.Rollouts.
+func (p *rolloutOwner) Allowance(service string) int { return p.tracker.Allowance(service) }
+
+// Observe implements admission.Rollouts.
+func (p *rolloutOwner) Observe(now event.Time, id event.RequestID, s rollout.Sample) {
+	if s.Failed && p.tracker.Mode(s.Service, s.Version) == rollout.ModeCanary {
+		p.lastFailed[s.Service] = id
+	}
+	p.tracker.Observe(now, s)
+}
+
+// rolloutFields are the fields of a record in log lines.
+func rolloutFields(r rollout.Record) []Field {
+	return []Field{
+		{"service", r.Service}, {"version", r.Version}, {"number", r.Number}, {"phase", r.Phase.String()},
+		{"elapsed_ms", r.Elapsed.Milliseconds()}, {"duration_ms", r.Duration.Milliseconds()}, {"requests", r.Requests},
+	}
+}
+
+// evidenceFields are the fields of the evidence in log lines.
+func (p *rolloutOwner) evidenceFields(service string, e rollout.Evidence) []Field {
+	return []Field{
+		{"responses", e.Responses}, {"failed", e.Failed}, {"others", e.ControlResponses}, {"others_failed", e.ControlFailed},
+		{"fails_factor", e.Fails}, {"slow_factor", e.Slow}, {"exposed", e.Exposed}, {"ceiling", e.Ceiling},
+		{"last_failed", string(p.lastFailed[service])},
+	}
+}
+
+// logEvidence logs the evidence of the orders in progress that changed.
+func (p *rolloutOwner) logEvidence(now event.Time, s *State, out *Effects) {
+	if now.Sub(p.evidenceAt) < evidenceLogInterval {
+		return
+	}
+	p.evidenceAt = now
+	lines := 0
+	for _, service := range s.machine.rollouts.Services() {
+		r, _ := s.machine.rollouts.Get(service)
+		evidence, ok := p.tracker.Evidence(service)
+		if r.Phase.IsFinal() || !ok || evidence == p.logged[service] || lines == maxEvidenceLogLines {
+			continue
+		}
+		p.logged[service] = evidence
+		lines++
+		out.logInfo("rollout evidence", append(rolloutFields(r), p.evidenceFields(service, evidence)...)...)
+	}
+}
