--- a/admission/counted.go
+++ b/admission/counted.go
@@ -23,6 +23,8 @@
 	// version is that of the endpoint that was granted, usualFirst the expected time to the first byte.
 	version    string
 	usualFirst event.Duration
+	// isAgain is set if a grant of the same submission was counted before.
+	isAgain bool
 }
 
 // addCharge records the charge of an admitted submission.
@@ -38,6 +40,9 @@
 
 // storeCharge stores a charge and replaces the previous one of the same request.
 func (s *State) storeCharge(id event.RequestID, c *charge) {
+	if before, ok := s.charges[id]; ok {
+		c.isAgain = before.granted
+	}
 	s.removeCharge(id)
 	s.charges[id] = c
 	if s.chargesByEntry[c.entry] == nil {
--- a/admission/rollout.go
+++ b/admission/rollout.go
@@ -36,16 +36,20 @@
 	return v.pool.RunningAt(id)
 }
 
-// countGrant counts a grant for the roll-out of its service. A grant that is sent again counts once.
+// countGrant counts a grant for the roll-out of its service. A request that is submitted and granted again without
+// an end counts once, as the bound of exposure grows with the count; at an unproved version it counts each time.
 func (s *State) countGrant(now event.Time, c *charge, g *event.Granted) {
 	if s.rollouts == nil || c.granted {
 		return
 	}
+	mode := event.ModeNormal
 	if k, ok := s.endpoints[g.Endpoint]; ok {
-		c.version = k.Version
+		c.version, mode = k.Version, k.Mode
 	}
 	c.usualFirst = g.Inputs.UsualFirst
-	s.rollouts.Granted(now, c.service, c.version)
+	if !c.isAgain || mode == event.ModeCanary {
+		s.rollouts.Granted(now, c.service, c.version)
+	}
 }
 
 // updateAllowance passes the allowance of a service to its pool. The pool may grant waiting requests then.
