--- a/admission/state.go
+++ b/admission/state.go
@@ -248,7 +248,7 @@
 // hasAnother reports whether the service of an endpoint has another usable endpoint.
 func (s *State) hasAnother(now event.Time, k *endpointState) bool {
 	for _, other := range s.endpoints {
-		if other != k && other.Service == k.Service && !other.Down && !other.isDraining() && now >= other.backoffUntil {
+		if other != k && other.Service == k.Service && other.Mode == event.ModeNormal && !other.Down && !other.isDraining() && now >= other.backoffUntil {
 			return true
 		}
 	}
