--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -153,7 +153,10 @@
 	if o.rollouts == nil || !s.owns(now) {
 		return
 	}
-	o.countVersions(s)
+	isCounted := len(o.changedEndpoints) > 0 || s.hasOrderInProgress()
+	if isCounted {
+		o.countVersions(s)
+	}
 	o.cancelRemoved(s)
 	for _, r := range o.rollouts.tracker.Tick(now) {
 		if _, err := s.node.Propose(now, encodeRollout(r), &out.Ready); err != nil {
@@ -161,11 +164,23 @@
 			return
 		}
 	}
-	o.updateModes(now, s)
+	if isCounted {
+		o.updateModes(now, s)
+	}
 	o.sendRestrictions(out)
 	o.rollouts.logEvidence(now, s, out)
 }
 
+// hasOrderInProgress reports whether an order has not ended.
+func (s *State) hasOrderInProgress() bool {
+	for _, service := range s.machine.rollouts.Services() {
+		if r, _ := s.machine.rollouts.Get(service); !r.Phase.IsFinal() {
+			return true
+		}
+	}
+	return false
+}
+
 // cancelRemoved ends the orders of services that the configuration no longer has.
 func (o *owner) cancelRemoved(s *State) {
 	for _, service := range s.machine.rollouts.Services() {
@@ -270,10 +285,11 @@
 	return false
 }
 
-// restrictions returns the restricted versions for entries; nil if roll-outs are off.
+// restrictions returns the restricted versions for entries. It has none if roll-outs are off: an earlier owner may
+// have had them on.
 func (o *owner) restrictions() *message.Restrictions {
 	if o.rollouts == nil {
-		return nil
+		return &message.Restrictions{}
 	}
 	list := make([]message.Restriction, 0, len(o.rollouts.modes))
 	for key, mode := range o.rollouts.modes {
--- a/gateway/restriction.go
+++ b/gateway/restriction.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -62,8 +63,10 @@
 	for _, r := range list {
 		versions[serviceVersion{r.Service, r.Version}] = r.Mode
 	}
+	if !maps.Equal(versions, a.restrictions.versions) {
+		a.log.Info("restricted versions changed", zap.Int("count", len(list)))
+	}
 	a.restrictions.versions = versions
-	a.log.Info("restricted versions changed", zap.Int("count", len(list)))
 }
 
 // CheckRestriction returns an error if a grant must not be used: its endpoint was blocked since, or is a canary
