rollout: odd endpoints are neutral to the evidence of the others

An endpoint that is bad by itself from the beginning spoke against a version that turned bad later. It is neutral now, and its likelihood is the mean over what it may have, instead of the largest. An order is completed after half of the shifting time at the earliest. Fewer than 16 responses do not condemn.

--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -19,6 +19,9 @@
 	// elapsedInterval is the longest time between records of an order: a restart of all
 	// boxes forgets at most that much of its elapsed time.
 	elapsedInterval = event.Second
+	// minShiftingPart is the least part of the shifting time that passes before an order is
+	// completed: some versions are bad only under the whole load.
+	minShiftingPart = 0.5
 	// retryInterval is the time after which a record that is not committed is proposed again.
 	retryInterval = event.Second
 	// minCapacity is the least capacity of the new version, relative to the others.
@@ -113,6 +116,11 @@
 // canaryTime returns the duration of the canary phase.
 func (o Order) canaryTime() event.Duration { return max(0, o.Duration-o.shiftTime()) }
 
+// earliestCompletion returns the elapsed time from which an order may be completed.
+func (o Order) earliestCompletion() event.Duration {
+	return o.canaryTime() + event.Duration(minShiftingPart*float64(o.shiftTime()))
+}
+
 // tick advances an order, and returns the record to propose, if any.
 func (s *service) tick(now event.Time, o *order) (Record, bool) {
 	p := o.progress
@@ -162,12 +170,12 @@
 		return PhaseCanary
 	case p.phase == PhaseCanary:
 		return s.afterCanary(o, isLate)
-	case others(s.running, o.record.Version) == 0:
-		p.reason = ReasonDrained
-		return PhaseCompleted
 	case isLate:
 		p.reason = ReasonDeadline
 		return PhaseCompleted
+	case elapsed >= o.record.earliestCompletion() && others(s.running, o.record.Version) == 0:
+		p.reason = ReasonDrained
+		return PhaseCompleted
 	default:
 		return p.phase
 	}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -9,18 +9,22 @@
 )
 
 const (
-	// oddEndpoint is the assumed probability that an endpoint is bad by itself. The evidence
-	// of one endpoint is at most a factor of 1/oddEndpoint. With one or two endpoints it is
-	// smaller, so that reachable is reached by what they have.
+	// oddEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
+	// evidence of one endpoint to a factor of some 1/oddEndpoint. With one or two endpoints it
+	// is smaller, so that together they reach reachable. The true share may be larger: with
+	// 0.1 in place of 0.05 fewer bad versions were found, and not fewer good ones kept.
 	oddEndpoint = 0.05
-	reachable   = 5000.0
+	reachable = 5000.0
 	// minEndpointResponses is the least number of responses of an endpoint that counts as one.
 	minEndpointResponses = 3
 	// badFactor is the factor by which the responses must be more likely for a bad version
 	// than for a good one: a good version exceeds it with probability 1/badFactor at most.
 	badFactor = 100.0
 	// doubtFactor is the factor above which a version is not proved.
-	doubtFactor = 3.0
+	doubtFactor = 5.0
+	// minBadSamples is the least number of responses that condemn a version. Of fewer, most may
+	// be of one or two odd endpoints, while the usual failure rate is not known yet.
+	minBadSamples = 16
 	// minSamples is the least number of responses that prove a version.
 	minSamples = 8
 	// minFinished is the least part of the granted requests that must have ended before a
@@ -80,7 +84,7 @@
 	e.isChanged, e.judgedAt = false, now
 	e.last = e.judgement()
 	switch {
-	case e.last.factor() < badFactor:
+	case e.last.factor() < badFactor || e.counts.Responses < minBadSamples:
 	case e.last.fails >= e.last.slow:
 		p.condemn(ReasonFails)
 	default:
@@ -177,37 +181,55 @@
 	}
 }
 
-// addEndpoint adds the evidence of an endpoint: its likelihood ratios over the likelihood
-// that it is good, or bad by itself in the most likely way.
+// addEndpoint adds the evidence of an endpoint to that of the others.
 func (e *evidence) addEndpoint(total, sums *cell, odd float64) {
-	fails := nullLikelihood(odd, e.most(sums, 0, failAlternatives))
-	slow := nullLikelihood(odd, e.most(sums, failAlternatives, alternativeCount))
+	e.addRatios(total, sums, odd, 0, failAlternatives)
+	e.addRatios(total, sums, odd, failAlternatives, alternativeCount)
+}
+
+// addRatios adds the logarithms of likelihood ratios: that the version is bad, and the
+// endpoint may be odd besides, over that the version is good, and the endpoint may be odd.
+func (e *evidence) addRatios(total, sums *cell, odd float64, from, to int) {
+	oddRatio := math.Exp(min(e.meanLikelihood(sums, from, to), maxExponent))
+	null := math.Log(1 - odd + odd*oddRatio)
+	// An odd endpoint says nothing about its version. One that is better than usual does,
+	// so likelihood below that of a good endpoint is left out.
+	besides := odd * max(0, oddRatio-1)
 	for block := range e.blocks {
-		for i, sum := range sums[block] {
-			null := fails
-			if i >= failAlternatives {
-				null = slow
-			}
-			total[block][i] += sum - null
+		for i := from; i < to; i++ {
+			bad := (1 - odd) * math.Exp(min(sums[block][i], maxExponent))
+			total[block][i] += math.Log(max(bad+besides, minLikelihood)) - null
 		}
 	}
 }
 
-// nullLikelihood returns the logarithm of the likelihood of an endpoint's responses, relative
-// to a good one, if the version is good.
-func nullLikelihood(odd, most float64) float64 {
-	if most > maxExponent {
-		return math.Log(odd) + most
+// maxExponent and minLikelihood keep exponentials and logarithms finite.
+const (
+	maxExponent   = 300.0
+	minLikelihood = 1e-100
+)
+
+// meanLikelihood returns the logarithm of the mean likelihood ratio of an endpoint over a
+// range of alternatives. Half of the weight is on those from the beginning of the order: most
+// odd endpoints are odd from their start.
+func (e *evidence) meanLikelihood(sums *cell, from, to int) float64 {
+	most := e.most(sums, from, to)
+	first, all := 0.0, 0.0
+	for block := range e.blocks {
+		for i := from; i < to; i++ {
+			all += math.Exp(sums[block][i] - most)
+		}
+		if block == 0 {
+			first = all
+		}
 	}
-	return math.Log(1 - odd + odd*math.Exp(most))
+	n := float64(to - from)
+	return most + math.Log(first/(2*n)+all/(2*n*float64(len(e.blocks))))
 }
 
-// maxExponent keeps exponentials finite.
-const maxExponent = 500.0
-
 // most returns the largest sum of a range of alternatives.
 func (e *evidence) most(sums *cell, from, to int) float64 {
-	most := 0.0
+	most := sums[0][from]
 	for block := range e.blocks {
 		for i := from; i < to; i++ {
 			most = max(most, sums[block][i])
