--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -12,9 +12,9 @@
 	// oddEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
 	// evidence of one endpoint to a factor of some 1/oddEndpoint. With one or two endpoints it
 	// is smaller, so that together they reach reachable. The true share may be larger: with
-	// 0.1 in place of 0.05 fewer bad versions were found, and not fewer good ones kept.
+	// 0.1 fewer bad versions were found, and with 3 endpoints as many good ones rolled back.
 	oddEndpoint = 0.05
-	reachable = 5000.0
+	reachable   = 5000.0
 	// minEndpointResponses is the least number of responses of an endpoint that counts as one.
 	minEndpointResponses = 3
 	// badFactor is the factor by which the responses must be more likely for a bad version
