rollout: odd endpoints of the other versions are left out of the comparison

A grey endpoint of three fails early, gets more requests, and raises the failure rate that the new version is compared with.

--- a/rollout/control.go
+++ b/rollout/control.go
@@ -63,23 +63,34 @@
 	gap float64
 }
 
-// add adds a response of another version.
-func (c *control) add(s Sample) {
-	c.responses++
-	if s.Failed {
-		c.failures++
+// add adds a response of another version. Those of odd endpoints are left out.
+func (c *control) add(s Sample, all *peers) {
+	bin, isTimed := c.bin(s)
+	n := all.add(s, bin, isTimed)
+	if !n.isFailing {
+		c.addOutcome(s.Failed)
 	}
-	if c.responses > recentResponses {
-		c.responses, c.failures = c.responses/2, c.failures/2
+	if n.isSlow || s.Failed {
+		return
 	}
-	if bin, ok := c.bin(s); ok {
+	if isTimed {
 		c.addSlowness(bin)
 	}
-	if !s.Failed && s.TokenGap > 0 {
+	if s.TokenGap > 0 {
 		c.addGap(float64(s.TokenGap))
 	}
 }
 
+func (c *control) addOutcome(failed bool) {
+	c.responses++
+	if failed {
+		c.failures++
+	}
+	if c.responses > recentResponses {
+		c.responses, c.failures = c.responses/2, c.failures/2
+	}
+}
+
 func (c *control) addSlowness(bin float64) {
 	c.slowness[clampBin(int(math.Floor(bin)))]++
 	c.timed++
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -2,11 +2,7 @@
 
 package rollout
 
-import (
-	"strings"
-
-	"lynxramp.org/event"
-)
+import "lynxramp.org/event"
 
 const (
 	// maxEndpoints and maxRoutes bound the memory of an order: some 0.6 MB. Further ones
@@ -31,6 +27,7 @@
 type evidence struct {
 	routes    map[string]int // index in controls
 	controls  []*control
+	peers     peers
 	endpoints map[string]*endpoint
 	// list has the endpoints in the order of their first response: sums of numbers depend
 	// on their order, and decisions must repeat.
@@ -62,7 +59,10 @@
 type cell [maxBlocks][alternativeCount]float64
 
 func newEvidence() evidence {
-	return evidence{routes: make(map[string]int), endpoints: make(map[string]*endpoint), blocks: []int{0}}
+	return evidence{
+		routes: make(map[string]int), endpoints: make(map[string]*endpoint), blocks: []int{0},
+		peers: peers{byName: make(map[string]*peer)},
+	}
 }
 
 // Observe adds the outcome of a request.
@@ -84,7 +84,7 @@
 	if !isTarget {
 		e.counts.ControlResponses++
 		e.counts.ControlFailed += failed
-		c.add(s)
+		c.add(s, &e.peers)
 		return
 	}
 	e.counts.Responses++
@@ -111,7 +111,7 @@
 
 // endpoint returns the state of an endpoint. The last one is shared by all above the bound.
 func (e *evidence) endpoint(id event.EndpointID) *endpoint {
-	name, _, _ := strings.Cut(string(id), instanceSeparator)
+	name := endpointName(id)
 	n, ok := e.endpoints[name]
 	switch {
 	case !ok && len(e.list) == maxEndpoints:
