rollout: comparisons without logarithms

TestVerdicts: same results as before. TestNullIsRarelyExceeded: 5 of 1,000 runs exceed the factor of 100, 10 may.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -5,10 +5,10 @@
 import "lynxramp.org/event"
 
 const (
-	// maxEndpoints and maxRoutes bound the memory of an order: some 0.6 MB. Further ones
+	// maxEndpoints and maxRoutes bound the memory of an order: some 0.3 MB. Further ones
 	// are counted together, as one.
 	maxEndpoints = 64
-	maxRoutes    = 16
+	maxRoutes    = 8
 	// maxBlocks is the number of points in time from which a version may be bad that are
 	// tested, and blockSize the number of responses between them at first.
 	maxBlocks = 12
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -139,15 +139,25 @@
 // allRoutes is the scope of a version that is bad on all routes.
 const allRoutes = -1
 
+// ones is the product of no ratios.
+var ones = func() (c cell) {
+	for block := range c {
+		for i := range c[block] {
+			c[block][i] = 1
+		}
+	}
+	return c
+}()
+
 // judgeScope compares the responses on one route, or on all of them.
 func (e *evidence) judgeScope(odd float64, scope int) judgement {
-	var total cell
+	var sums cell
+	total := ones
 	for _, n := range e.list {
-		sums := n.since(scope, len(e.blocks))
-		if sums == nil {
-			continue
+		if n.since(scope, len(e.blocks), &sums) {
+			e.multiply(&total, &sums, odd, 0, failAlternatives)
+			e.multiply(&total, &sums, odd, failAlternatives, alternativeCount)
 		}
-		e.addEndpoint(&total, sums, odd)
 	}
 	return judgement{
 		fails: e.mean(&total, 0, failAlternatives),
@@ -155,20 +165,19 @@
 	}
 }
 
-// since returns the sums of an endpoint from the beginning of each block until now; nil if it
-// has no response in the scope.
-func (n *endpoint) since(scope, blocks int) *cell {
-	var sums *cell
+// since sets the sums of an endpoint from the beginning of each block until now. It returns
+// false if the endpoint has no response in the scope.
+func (n *endpoint) since(scope, blocks int, sums *cell) bool {
+	*sums = cell{}
+	found := false
 	for route, c := range n.cells {
 		if c == nil || scope != allRoutes && scope != route {
 			continue
 		}
-		if sums == nil {
-			sums = &cell{}
-		}
 		sums.addSince(c, blocks)
+		found = true
 	}
-	return sums
+	return found
 }
 
 func (c *cell) addSince(d *cell, blocks int) {
@@ -181,70 +190,60 @@
 	}
 }
 
-// addEndpoint adds the evidence of an endpoint to that of the others.
-func (e *evidence) addEndpoint(total, sums *cell, odd float64) {
-	e.addRatios(total, sums, odd, 0, failAlternatives)
-	e.addRatios(total, sums, odd, failAlternatives, alternativeCount)
-}
-
-// addRatios adds the logarithms of likelihood ratios: that the version is bad, and the
-// endpoint may be odd besides, over that the version is good, and the endpoint may be odd.
-func (e *evidence) addRatios(total, sums *cell, odd float64, from, to int) {
-	oddRatio := math.Exp(min(e.meanLikelihood(sums, from, to), maxExponent))
-	null := math.Log(1 - odd + odd*oddRatio)
+// multiply multiplies the ratios of all endpoints by those of one: that the version is bad, and
+// the endpoint may be odd besides, over that the version is good, and the endpoint may be odd.
+// Each ratio is at most some 1,000, so the product over maxEndpoints is finite.
+func (e *evidence) multiply(total, sums *cell, odd float64, from, to int) {
+	likelihoods := sums.exponentials(len(e.blocks), from, to)
+	oddRatio := e.oddRatio(&likelihoods, from, to)
+	null := 1 - odd + odd*oddRatio
 	// An odd endpoint says nothing about its version. One that is better than usual does,
 	// so likelihood below that of a good endpoint is left out.
 	besides := odd * max(0, oddRatio-1)
 	for block := range e.blocks {
 		for i := from; i < to; i++ {
-			bad := (1 - odd) * math.Exp(min(sums[block][i], maxExponent))
-			total[block][i] += math.Log(max(bad+besides, minLikelihood)) - null
+			total[block][i] *= ((1-odd)*likelihoods[block][i] + besides) / null
 		}
 	}
 }
 
-// maxExponent and minLikelihood keep exponentials and logarithms finite.
-const (
-	maxExponent   = 300.0
-	minLikelihood = 1e-100
-)
+// maxExponent keeps exponentials finite.
+const maxExponent = 300.0
 
-// meanLikelihood returns the logarithm of the mean likelihood ratio of an endpoint over a
-// range of alternatives. Half of the weight is on those from the beginning of the order: most
-// odd endpoints are odd from their start.
-func (e *evidence) meanLikelihood(sums *cell, from, to int) float64 {
-	most := e.most(sums, from, to)
-	first, all := 0.0, 0.0
-	for block := range e.blocks {
+// exponentials returns the likelihood ratios of a range of alternatives.
+func (c *cell) exponentials(blocks, from, to int) (likelihoods cell) {
+	for block := range blocks {
 		for i := from; i < to; i++ {
-			all += math.Exp(sums[block][i] - most)
-		}
-		if block == 0 {
-			first = all
+			likelihoods[block][i] = math.Exp(min(c[block][i], maxExponent))
 		}
 	}
-	n := float64(to - from)
-	return most + math.Log(first/(2*n)+all/(2*n*float64(len(e.blocks))))
+	return likelihoods
 }
 
-// most returns the largest sum of a range of alternatives.
-func (e *evidence) most(sums *cell, from, to int) float64 {
-	most := sums[0][from]
+// oddRatio returns the likelihood ratio of an odd endpoint: the mean over a range of
+// alternatives. Half of the weight is on those from the beginning of the order: most odd
+// endpoints are odd from their start.
+func (e *evidence) oddRatio(likelihoods *cell, from, to int) float64 {
+	first, all := 0.0, 0.0
 	for block := range e.blocks {
 		for i := from; i < to; i++ {
-			most = max(most, sums[block][i])
+			all += likelihoods[block][i]
+		}
+		if block == 0 {
+			first = all
 		}
 	}
-	return most
+	n := float64(to - from)
+	return first/(2*n) + all/(2*n*float64(len(e.blocks)))
 }
 
-// mean returns the mean likelihood ratio over the blocks and a range of alternatives, in
-// which each of the alternatives has the same weight.
+// mean returns the mean ratio over the blocks and a range of alternatives, in which each of
+// the alternatives has the same weight.
 func (e *evidence) mean(total *cell, from, to int) float64 {
 	sum := 0.0
 	for block := range e.blocks {
 		for i := from; i < to; i++ {
-			sum += math.Exp(min(total[block][i], maxExponent))
+			sum += total[block][i]
 		}
 	}
 	return sum / float64(len(e.blocks)*alternativeCount)
