rollout: failures are compared with the rate of the same time when judged

The first responses of a version were compared with a failure rate that was hardly known yet, and stayed so. Counts of outcomes are now kept by block for both versions.

--- a/rollout/control.go
+++ b/rollout/control.go
@@ -14,8 +14,11 @@
 	priorFailures, priorResponses = 1.0, 8.0
 	// minFailureRate bounds the evidence of one failure.
 	minFailureRate = 0.01
-	// recentResponses is the number of control responses of a route above which the counts are
-	// halved: the comparison is with the same time, not with the whole order.
+	// sameTimeWeight is the weight, in responses, of the failure rate of the whole order beside
+	// that of a block.
+	sameTimeWeight = 60.0
+	// recentResponses is the number of control responses of a route above which the counts of
+	// slowness are halved: the comparison is with the same time, not with the whole order.
 	recentResponses = 256
 
 	// slownessBins are half octaves of the time relative to the expected one, from
@@ -51,24 +54,42 @@
 const (
 	alternativeCount = len(alternatives)
 	failAlternatives = 2 // the first ones
+	slowAlternatives = alternativeCount - failAlternatives
 )
 
-// control has the recent responses of the other versions on one route.
+// outcomes counts responses.
+type outcomes struct{ failed, passed float64 }
+
+func (o *outcomes) add(failed bool) {
+	if failed {
+		o.failed++
+		return
+	}
+	o.passed++
+}
+
+func (o *outcomes) merge(p outcomes) {
+	o.failed += p.failed
+	o.passed += p.passed
+}
+
+// control has the responses of the other versions on one route.
 type control struct {
-	failures, responses float64
-	slowness            [slownessBins]float64
-	timed               float64 // sum of slowness
+	outcomes [maxBlocks]outcomes
+	// slowness counts recent responses by bin, and timed is the sum.
+	slowness [slownessBins]float64
+	timed    float64
 	// gap is the usual time between tokens, for responses without an expected one; 0 if
 	// unknown.
 	gap float64
 }
 
-// add adds a response of another version. Those of odd endpoints are left out.
-func (c *control) add(s Sample, all *peers) {
+// add adds a response of another version to a block. Those of odd endpoints are left out.
+func (c *control) add(s Sample, block int, all *peers) {
 	bin, isTimed := c.bin(s)
 	n := all.add(s, bin, isTimed)
 	if !n.isFailing {
-		c.addOutcome(s.Failed)
+		c.outcomes[block].add(s.Failed)
 	}
 	if n.isSlow || s.Failed {
 		return
@@ -81,16 +102,6 @@
 	}
 }
 
-func (c *control) addOutcome(failed bool) {
-	c.responses++
-	if failed {
-		c.failures++
-	}
-	if c.responses > recentResponses {
-		c.responses, c.failures = c.responses/2, c.failures/2
-	}
-}
-
 func (c *control) addSlowness(bin float64) {
 	c.slowness[clampBin(int(math.Floor(bin)))]++
 	c.timed++
@@ -111,9 +122,18 @@
 	c.gap *= math.Pow(gap/c.gap, gapSmoothing)
 }
 
-// failureRate returns the failure rate of the other versions.
-func (c *control) failureRate() float64 {
-	return max(minFailureRate, (c.failures+priorFailures)/(c.responses+priorResponses))
+// failureRates returns the failure rates of the other versions by block.
+func (c *control) failureRates(blocks int) (rates [maxBlocks]float64) {
+	var all outcomes
+	for _, o := range c.outcomes[:blocks] {
+		all.merge(o)
+	}
+	usual := (all.failed + priorFailures) / (all.failed + all.passed + priorResponses)
+	for i, o := range c.outcomes[:blocks] {
+		rate := (o.failed + sameTimeWeight*usual) / (o.failed + o.passed + sameTimeWeight)
+		rates[i] = max(minFailureRate, rate)
+	}
+	return rates
 }
 
 // bin returns how slow a response was, in bins; false if unknown. It is the slower of the
@@ -165,29 +185,30 @@
 
 func clampBin(bin int) int { return min(max(bin, 0), slownessBins-1) }
 
-// likelihoods returns the logarithms of the likelihood ratios of a response of the new
-// version: that of each alternative over that of the other versions. cold is the slowness
-// that is allowed, in bins.
-func (c *control) likelihoods(s Sample, cold float64) (ratios [alternativeCount]float64) {
-	usual := c.failureRate()
+// slowRatios returns the logarithms of the likelihood ratios of the slowness of a response of
+// the new version: that of each alternative over that of the other versions. cold is the
+// slowness that is allowed, in bins.
+func (c *control) slowRatios(s Sample, cold float64) (ratios [slowAlternatives]float64) {
 	bin, isTimed := c.bin(s)
+	if !isTimed {
+		return ratios
+	}
 	at := clampBin(int(math.Floor(bin - cold)))
-	for i, a := range alternatives {
-		switch {
-		case a.shift == 0:
-			ratios[i] = failureRatio(usual, a.addedFailures, s.Failed)
-		case isTimed:
-			ratios[i] = math.Log(c.shifted(at, a.shift) / c.shifted(at, 0))
-		}
+	for i, a := range alternatives[failAlternatives:] {
+		ratios[i] = math.Log(c.shifted(at, a.shift) / c.shifted(at, 0))
 	}
 	return ratios
 }
 
-// failureRatio returns the logarithm of the likelihood ratio of a response with added
-// failures.
-func failureRatio(usual, added float64, failed bool) float64 {
-	if failed {
-		return math.Log((usual + (1-usual)*added) / usual)
+// failRatios are the logarithms of the likelihood ratios of one response for the alternatives
+// that add failures.
+type failRatios [failAlternatives]struct{ failed, passed float64 }
+
+// failRatiosOf returns those at a failure rate of the other versions.
+func failRatiosOf(usual float64) (ratios failRatios) {
+	for i, a := range alternatives[:failAlternatives] {
+		ratios[i].failed = math.Log((usual + (1-usual)*a.addedFailures) / usual)
+		ratios[i].passed = math.Log(1 - a.addedFailures)
 	}
-	return math.Log(1 - added)
+	return ratios
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -28,6 +28,7 @@
 	routes    map[string]int // index in controls
 	controls  []*control
 	peers     peers
+	ratios    [maxRoutes][maxBlocks]failRatios // as last judged
 	endpoints map[string]*endpoint
 	// list has the endpoints in the order of their first response: sums of numbers depend
 	// on their order, and decisions must repeat.
@@ -52,11 +53,19 @@
 	instance  event.EndpointID
 	responses int // of this instance
 	total     int
-	cells     [maxRoutes]*cell
+	histories [maxRoutes]*history
 }
 
-// cell has the logarithms of the likelihood ratios of one endpoint and route, summed by block.
-type cell [maxBlocks][alternativeCount]float64
+// history has the responses of one endpoint on one route by block.
+type history [maxBlocks]block
+
+// block has the responses of a part of the order. Failures are compared with the failure rate
+// when they are judged: at first it is known badly. slow are the sums of the logarithms of
+// likelihood ratios.
+type block struct {
+	outcomes
+	slow [slowAlternatives]float64
+}
 
 func newEvidence() evidence {
 	return evidence{
@@ -84,7 +93,7 @@
 	if !isTarget {
 		e.counts.ControlResponses++
 		e.counts.ControlFailed += failed
-		c.add(s, &e.peers)
+		c.add(s, len(e.blocks)-1, &e.peers)
 		return
 	}
 	e.counts.Responses++
@@ -129,13 +138,14 @@
 
 // add adds a response to a block.
 func (n *endpoint) add(route, block int, c *control, s Sample) {
-	if n.cells[route] == nil {
-		n.cells[route] = &cell{}
+	if n.histories[route] == nil {
+		n.histories[route] = &history{}
 	}
 	cold := coldBins * max(0, 1-float64(n.responses)/coldResponses)
-	sums := &n.cells[route][block]
-	for i, ratio := range c.likelihoods(s, cold) {
-		sums[i] += ratio
+	b := &n.histories[route][block]
+	b.add(s.Failed)
+	for i, ratio := range c.slowRatios(s, cold) {
+		b.slow[i] += ratio
 	}
 	n.responses++
 	n.total++
@@ -173,19 +183,25 @@
 func (e *evidence) merge(at int) {
 	e.blocks[at] += e.blocks[at+1]
 	e.blocks = append(e.blocks[:at+1], e.blocks[at+2:]...)
+	for _, c := range e.controls {
+		c.outcomes[at].merge(c.outcomes[at+1])
+		copy(c.outcomes[at+1:], c.outcomes[at+2:])
+		c.outcomes[maxBlocks-1] = outcomes{}
+	}
 	for _, n := range e.list {
-		for _, c := range n.cells {
-			if c != nil {
-				c.merge(at)
+		for _, h := range n.histories {
+			if h != nil {
+				h.merge(at)
 			}
 		}
 	}
 }
 
-func (c *cell) merge(at int) {
-	for i, sum := range c[at+1] {
-		c[at][i] += sum
+func (h *history) merge(at int) {
+	h[at].merge(h[at+1].outcomes)
+	for i, sum := range h[at+1].slow {
+		h[at].slow[i] += sum
 	}
-	copy(c[at+1:], c[at+2:])
-	c[maxBlocks-1] = [alternativeCount]float64{}
+	copy(h[at+1:], h[at+2:])
+	h[maxBlocks-1] = block{}
 }
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -110,6 +110,7 @@
 // the null hypothesis: it exceeds a factor with at most the inverse probability, whenever it
 // is evaluated.
 func (e *evidence) judgement() judgement {
+	e.updateRatios()
 	odd := e.oddProbability()
 	j := e.judgeScope(odd, allRoutes)
 	if len(e.controls) < 2 {
@@ -139,6 +140,20 @@
 // allRoutes is the scope of a version that is bad on all routes.
 const allRoutes = -1
 
+// cell has a figure for each alternative and block.
+type cell [maxBlocks][alternativeCount]float64
+
+// updateRatios sets the ratios of outcomes by route and block.
+func (e *evidence) updateRatios() {
+	for route, c := range e.controls {
+		for i, rate := range c.failureRates(len(e.blocks)) {
+			if i < len(e.blocks) {
+				e.ratios[route][i] = failRatiosOf(rate)
+			}
+		}
+	}
+}
+
 // ones is the product of no ratios.
 var ones = func() (c cell) {
 	for block := range c {
@@ -154,7 +169,7 @@
 	var sums cell
 	total := ones
 	for _, n := range e.list {
-		if n.since(scope, len(e.blocks), &sums) {
+		if e.since(n, scope, &sums) {
 			e.multiply(&total, &sums, odd, 0, failAlternatives)
 			e.multiply(&total, &sums, odd, failAlternatives, alternativeCount)
 		}
@@ -167,25 +182,31 @@
 
 // since sets the sums of an endpoint from the beginning of each block until now. It returns
 // false if the endpoint has no response in the scope.
-func (n *endpoint) since(scope, blocks int, sums *cell) bool {
+func (e *evidence) since(n *endpoint, scope int, sums *cell) bool {
 	*sums = cell{}
 	found := false
-	for route, c := range n.cells {
-		if c == nil || scope != allRoutes && scope != route {
+	for route, h := range n.histories {
+		if h == nil || scope != allRoutes && scope != route {
 			continue
 		}
-		sums.addSince(c, blocks)
+		sums.addSince(h, e.ratios[route][:len(e.blocks)])
 		found = true
 	}
 	return found
 }
 
-func (c *cell) addSince(d *cell, blocks int) {
+func (c *cell) addSince(h *history, ratios []failRatios) {
 	var sum [alternativeCount]float64
-	for block := blocks - 1; block >= 0; block-- {
-		for i, ratio := range d[block] {
-			sum[i] += ratio
-			c[block][i] += sum[i]
+	for i := len(ratios) - 1; i >= 0; i-- {
+		b := &h[i]
+		for a, r := range ratios[i] {
+			sum[a] += b.failed*r.failed + b.passed*r.passed
+		}
+		for a, r := range b.slow {
+			sum[failAlternatives+a] += r
+		}
+		for a, s := range sum {
+			c[i][a] += s
 		}
 	}
 }
