--- a/cluster/doc.go
+++ b/cluster/doc.go
@@ -5,8 +5,8 @@
 // lease, it is also the owner, which schedules all requests.
 //
 // Most of the owner's state is soft: a new owner rebuilds it from entries and endpoints.
-// Spending of quotas and retry budgets, and poison requests, are recorded in the log (packages
-// budget and poison).
+// Spending of quotas and retry budgets, poison requests, and orders to roll out a version are
+// recorded in the log (packages budget, poison and rollout).
 //
 // State is the reducer over all events; one goroutine (Server.loop) owns it. Other goroutines
 // do the disk, network and API work and only send events.
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -36,6 +36,8 @@
 //     to a quarter, and at least one second.
 //   - placement (costModel, isWorthWaiting): by the expected time to first token and to
 //     the end of the response at each endpoint, against the target and the deadline.
+//   - roll-outs (canary.go): endpoints of an unproved version get the allowance first, in
+//     equal numbers, and don't count in forecasts; blocked endpoints get nothing.
 //
 // Quotas are enforced by package admission. An entry without an owner runs the same
 // scheduler; package gateway decides which part of the capacity it uses.
