cluster: a new version is restricted at entries before its order, and gets nothing until the order is committed

Change: entries get each version beside the oldest endpoint's (or the completed one) as usable by an owner only, with its first endpoint; the version of a proposed order is blocked until the commit.

--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -27,8 +27,14 @@
 	counted map[versionKey]versionCount
 	// modes are the modes of the versions that are restricted, as last applied.
 	modes map[versionKey]event.EndpointMode
-	// unsent is set if modes changed since they were last sent to the entries.
+	// entryModes are the modes that entries apply: modes, and those of versions that only an owner may use
+	// because they are not established (see establishedVersion).
+	entryModes map[versionKey]event.EndpointMode
+	// unsent is set if entryModes changed since they were last sent to the entries.
 	unsent bool
+	// proposed has the versions of orders that are not committed yet, with the time of the order. They get
+	// nothing meanwhile: their exposure counts from the order.
+	proposed map[versionKey]event.Time
 	// logged is the evidence of each service as last logged, at evidenceAt; lastFailed has the last
 	// request of each order that failed on its version.
 	logged     map[string]rollout.Evidence
@@ -54,6 +60,7 @@
 		counted: make(map[versionKey]versionCount),
 		modes:   make(map[versionKey]event.EndpointMode),
 
+		proposed:   make(map[versionKey]event.Time),
 		logged:     make(map[string]rollout.Evidence),
 		lastFailed: make(map[string]event.RequestID),
 	}
@@ -99,8 +106,15 @@
 		return
 	}
 	s.pendingCalls[index] = pendingCall{call: e.CallID, term: s.node.Term()}
+	if r.Phase == rollout.PhaseCanary {
+		s.owner.rollouts.proposed[versionKey{r.Service, r.Version}] = now
+		s.owner.updateModes(now, s)
+	}
 }
 
+// proposedTimeout is how long the version of a proposed order gets nothing if its record is not committed.
+const proposedTimeout = event.Second
+
 // hasService reports whether the configuration has a service.
 func (s *State) hasService(name string) bool {
 	return s.config.table != nil && s.config.table.Service(name) != nil
@@ -132,6 +146,7 @@
 		return
 	}
 	o.rollouts.tracker.Committed(now, c.record)
+	delete(o.rollouts.proposed, versionKey{c.record.Service, c.record.Version})
 	after, _ := s.machine.rollouts.Get(c.record.Service)
 	switch {
 	case after.Number != c.before.Number:
@@ -153,7 +168,8 @@
 	if o.rollouts == nil || !s.owns(now) {
 		return
 	}
-	isCounted := len(o.changedEndpoints) > 0 || s.hasOrderInProgress()
+	isCounted := len(o.changedEndpoints)+len(o.rollouts.proposed) > 0 || s.hasOrderInProgress()
+	maps.DeleteFunc(o.rollouts.proposed, func(_ versionKey, at event.Time) bool { return now.Sub(at) > proposedTimeout })
 	if isCounted {
 		o.countVersions(s)
 	}
@@ -227,6 +243,9 @@
 }
 
 func (p *rolloutOwner) modeOf(key versionKey) event.EndpointMode {
+	if _, ok := p.proposed[key]; ok {
+		return event.ModeBlocked
+	}
 	switch p.tracker.Mode(key.service, key.version) {
 	case rollout.ModeCanary:
 		return event.ModeCanary
@@ -252,22 +271,61 @@
 			current[key] = mode
 		}
 	}
-	if maps.Equal(current, p.modes) {
+	forEntries := s.entryModes(current, seen)
+	if maps.Equal(current, p.modes) && maps.Equal(forEntries, p.entryModes) {
 		return
 	}
-	before := p.modes
-	p.modes, p.unsent = current, true
+	before, beforeForEntries := p.modes, p.entryModes
+	p.modes, p.entryModes, p.unsent = current, forEntries, true
+	markChanged := o.hasEntriesBelow(level.Rollouts) // they are sent the mode with the endpoint
 	for _, id := range slices.Sorted(maps.Keys(s.machine.registry.Endpoints)) {
 		e := s.machine.registry.Endpoints[id]
 		key := versionKey{e.Service, e.Version}
-		if before[key] == current[key] {
+		if before[key] != current[key] {
+			o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
+		}
+		if markChanged && beforeForEntries[key] != forEntries[key] {
+			o.changedEndpoints[id] = true
+		}
+	}
+}
+
+// entryModes returns the modes that entries apply, from those of the owner. An entry that loses the owner does not
+// hear of an order: it may know the endpoints of another version from before, so they are restricted from their
+// first heartbeat on, while the owner still uses them.
+func (s *State) entryModes(modes map[versionKey]event.EndpointMode, present map[versionKey]bool) map[versionKey]event.EndpointMode {
+	all := maps.Clone(modes)
+	established := s.establishedVersions()
+	for key := range present {
+		version, ok := established[key.service]
+		if _, isRestricted := all[key]; ok && !isRestricted && key.version != version && key.version != "" {
+			all[key] = event.ModeCanary
+		}
+	}
+	return all
+}
+
+// establishedVersions returns the version of each service that entries may use without an owner: the one that
+// the newest order completed or is shifting to, else that of the endpoint that has not changed for longest, without
+// the version of an order that is not completed.
+func (s *State) establishedVersions() map[string]string {
+	versions := make(map[string]string)
+	oldest := make(map[string]uint64)
+	for id, e := range s.machine.registry.Endpoints {
+		r, ok := s.machine.rollouts.Get(e.Service)
+		if ok && (r.Phase == rollout.PhaseCompleted || r.Phase == rollout.PhaseShifting) {
+			versions[e.Service] = r.Version
+			continue
+		}
+		if ok && e.Version == r.Version || e.Version == "" {
 			continue
 		}
-		o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
-		if o.hasEntriesBelow(level.Rollouts) {
-			o.changedEndpoints[id] = true // they are sent the mode with the endpoint
+		revision := s.machine.registry.Changed[id]
+		if known, found := oldest[e.Service]; !found || revision < known || revision == known && e.Version < versions[e.Service] {
+			oldest[e.Service], versions[e.Service] = revision, e.Version
 		}
 	}
+	return versions
 }
 
 // messageEndpoint returns an endpoint with what the owner knows of it.
@@ -291,8 +349,8 @@
 	if o.rollouts == nil {
 		return &message.Restrictions{}
 	}
-	list := make([]message.Restriction, 0, len(o.rollouts.modes))
-	for key, mode := range o.rollouts.modes {
+	list := make([]message.Restriction, 0, len(o.rollouts.entryModes))
+	for key, mode := range o.rollouts.entryModes {
 		list = append(list, message.Restriction{Service: key.service, Version: key.version, Mode: mode})
 	}
 	slices.SortFunc(list, func(a, b message.Restriction) int {
--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -276,3 +276,58 @@
 		}
 	}
 }
+
+// TestEntriesMayNotUseAnotherVersionBeforeItsOrder guards against an entry that loses the owner before it hears of an
+// order, and sends the new version its share of the requests: it must be restricted from its first heartbeat on, at the
+// entries, while the owner may use it.
+func TestEntriesMayNotUseAnotherVersionBeforeItsOrder(t *testing.T) {
+	s := newRolloutSim(t, 3)
+	owner := s.mustOwner()
+	s.step(owner, &SessionOpened{FormatVersion: level.Rollouts, Session: 1, Hello: message.Hello{Entry: "entry"}})
+	s.heartbeat(owner, registry.Endpoint{ID: "e1", Service: "s", Address: "a", Slots: 1, Sequence: 1, Version: "v1"})
+	s.run(200 * event.Millisecond)
+	s.heartbeat(owner, registry.Endpoint{ID: "e2", Service: "s", Address: "b", Slots: 1, Sequence: 1, Version: "v2"})
+	s.run(200 * event.Millisecond)
+	var restricted []message.Restriction
+	for _, m := range s.sends[1] {
+		if m.View == nil {
+			continue
+		}
+		if m.View.Restrictions != nil {
+			restricted = m.View.Restrictions.List
+		}
+		list, err := m.View.DecodeEndpoints()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if slices.ContainsFunc(list, func(e message.Endpoint) bool { return e.ID == "e2" }) && len(restricted) != 1 {
+			t.Errorf("the entry got the endpoint before its restriction %+v", restricted)
+		}
+	}
+	if want := []message.Restriction{{Service: "s", Version: "v2", Mode: event.ModeCanary}}; !slices.Equal(restricted, want) {
+		t.Errorf("the entry got the restrictions %+v", restricted)
+	}
+	if mode := owner.state.owner.modeOf(owner.state.machine.registry.Endpoints["e2"]); mode != event.ModeNormal {
+		t.Errorf("the owner has mode %s before the order", mode)
+	}
+}
+
+// TestProposedOrderBlocksItsVersion guards against requests of the new version between an order and its commit, which
+// count for its exposure.
+func TestProposedOrderBlocksItsVersion(t *testing.T) {
+	s := newRolloutSim(t, 3)
+	owner := s.mustOwner()
+	s.heartbeat(owner, registry.Endpoint{ID: "e2", Service: "s", Address: "b", Slots: 1, Sequence: 1, Version: "v2"})
+	s.run(200 * event.Millisecond)
+	mode := func() event.EndpointMode {
+		return owner.state.owner.modeOf(owner.state.machine.registry.Endpoints["e2"])
+	}
+	s.submitOrder(owner, simOrder)
+	if got := mode(); got != event.ModeBlocked {
+		t.Errorf("mode %s before the order is committed", got)
+	}
+	s.run(200 * event.Millisecond)
+	if got := mode(); got != event.ModeCanary {
+		t.Errorf("mode %s after the order is committed", got)
+	}
+}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -94,7 +94,7 @@
 	if o.rollouts != nil && o.hasEntriesBelow(level.Rollouts) {
 		copied := *view
 		unrestricted = &copied
-		s.packEndpoints(drainRestricted(updated)).addTo(unrestricted)
+		s.packEndpoints(o.drainRestricted(updated)).addTo(unrestricted)
 	}
 	s.packEndpoints(updated).addTo(view)
 	o.broadcastChanges(view, unrestricted, s, out)
@@ -137,10 +137,11 @@
 
 // drainRestricted returns endpoints as they are sent to entries that don't read restrictions: restricted ones
 // are draining, so that the entry uses none of them while it is degraded.
-func drainRestricted(list []message.Endpoint) []message.Endpoint {
+func (o *owner) drainRestricted(list []message.Endpoint) []message.Endpoint {
 	all := slices.Clone(list)
 	for i := range all {
-		all[i].Leaving = all[i].Leaving || all[i].Mode != event.ModeNormal
+		mode := o.rollouts.entryModes[versionKey{all[i].Service, all[i].Version}]
+		all[i].Leaving = all[i].Leaving || mode != event.ModeNormal
 	}
 	return all
 }
@@ -255,7 +256,7 @@
 		for i, e := range p.Endpoints {
 			list[i] = o.messageEndpoint(e)
 		}
-		return s.packEndpoints(drainRestricted(list))
+		return s.packEndpoints(o.drainRestricted(list))
 	}
 	key := pageKey{after, p.Revision, len(p.Endpoints)}
 	packed, ok := o.packed[key]
