rollout: an outage of both versions is no evidence; bounds and cases not reached

With the failure rate of a block pulled towards that of the order, an outage of 1 s in which half of the responses of both versions failed rolled back 20 of 200 good versions at 300/s.

--- a/rollout/control.go
+++ b/rollout/control.go
@@ -17,6 +17,11 @@
 	// sameTimeWeight is the weight, in responses, of the failure rate of the whole order beside
 	// that of a block.
 	sameTimeWeight = 60.0
+	// A block in which the other versions fail by outageDeviations standard deviations more
+	// than usual has its own rate: with the weight above, an outage of what both versions
+	// depend on spoke against the new one.
+	outageWeight     = 2.0
+	outageDeviations = 2.5
 	// recentResponses is the number of control responses of a route above which the counts of
 	// slowness are halved: the comparison is with the same time, not with the whole order.
 	recentResponses = 256
@@ -130,12 +135,22 @@
 	}
 	usual := (all.failed + priorFailures) / (all.failed + all.passed + priorResponses)
 	for i, o := range c.outcomes[:blocks] {
-		rate := (o.failed + sameTimeWeight*usual) / (o.failed + o.passed + sameTimeWeight)
+		weight := sameTimeWeight
+		if o.isAbove(usual) {
+			weight = outageWeight
+		}
+		rate := (o.failed + weight*usual) / (o.failed + o.passed + weight)
 		rates[i] = max(minFailureRate, rate)
 	}
 	return rates
 }
 
+// isAbove reports whether more responses failed than a rate explains.
+func (o outcomes) isAbove(rate float64) bool {
+	n := o.failed + o.passed
+	return o.failed-n*rate > outageDeviations*math.Sqrt(n*rate*(1-rate))
+}
+
 // bin returns how slow a response was, in bins; false if unknown. It is the slower of the
 // time to the first byte and the time between tokens. Failed responses are not timed: many
 // fail at once.
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -10,21 +10,21 @@
 
 const (
 	// oddEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
-	// evidence of one endpoint to a factor of some 1/oddEndpoint. With one or two endpoints it
+	// evidence of one endpoint to a factor of some 48/oddEndpoint. With one or two endpoints it
 	// is smaller, so that together they reach reachable. The true share may be larger: with
 	// 0.1 fewer bad versions were found, and with 3 endpoints as many good ones rolled back.
-	oddEndpoint = 0.05
+	oddEndpoint = 0.03
 	reachable   = 5000.0
 	// minEndpointResponses is the least number of responses of an endpoint that counts as one.
 	minEndpointResponses = 3
 	// badFactor is the factor by which the responses must be more likely for a bad version
 	// than for a good one: a good version exceeds it with probability 1/badFactor at most.
-	badFactor = 100.0
+	badFactor = 200.0
 	// doubtFactor is the factor above which a version is not proved.
-	doubtFactor = 5.0
+	doubtFactor = 8.0
 	// minBadSamples is the least number of responses that condemn a version. Of fewer, most may
 	// be of one or two odd endpoints, while the usual failure rate is not known yet.
-	minBadSamples = 16
+	minBadSamples = 24
 	// minSamples is the least number of responses that prove a version.
 	minSamples = 8
 	// minFinished is the least part of the granted requests that must have ended before a
@@ -213,7 +213,7 @@
 
 // multiply multiplies the ratios of all endpoints by those of one: that the version is bad, and
 // the endpoint may be odd besides, over that the version is good, and the endpoint may be odd.
-// Each ratio is at most some 1,000, so the product over maxEndpoints is finite.
+// Each ratio is below 10,000 with 3 endpoints or more, so the product over maxEndpoints is finite.
 func (e *evidence) multiply(total, sums *cell, odd float64, from, to int) {
 	likelihoods := sums.exponentials(len(e.blocks), from, to)
 	oddRatio := e.oddRatio(&likelihoods, from, to)
