--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -10,7 +10,8 @@
 
 const (
 	// oddEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
-	// evidence of one endpoint to a factor of some 48/oddEndpoint. With one or two endpoints it
+	// evidence of one endpoint to a factor of 48/oddEndpoint (its weight
+	// is spread over 12 blocks and 2 alternatives). With one or two endpoints it
 	// is smaller, so that together they reach reachable. The true share may be larger: with
 	// 0.1 fewer bad versions were found, and with 3 endpoints as many good ones rolled back.
 	oddEndpoint = 0.03
