--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -10,9 +10,10 @@
 
 const (
 	// oddEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
-	// evidence of one endpoint to a factor of 48/oddEndpoint (its weight
-	// is spread over 12 blocks and 2 alternatives). With one or two endpoints it
-	// is smaller, so that together they reach reachable. The true share may be larger: with
+	// evidence of one endpoint to a factor of 48/oddEndpoint for failures and
+	// 72/oddEndpoint for slowness, as its weight is spread over blocks and alternatives. With
+	// one or two endpoints it is smaller, so that together they reach reachable. The true
+	// share may be larger: with
 	// 0.1 fewer bad versions were found, and with 3 endpoints as many good ones rolled back.
 	oddEndpoint = 0.03
 	reachable   = 5000.0
