--- a/admission/counted.go
+++ b/admission/counted.go
@@ -20,6 +20,11 @@
 	repeat     bool // a retry, which is spent from the service's retry budget
 	granted    bool
 	chargedAt  event.Time
+	// version is that of the endpoint that was granted, usualFirst the expected time to the first byte.
+	version    string
+	usualFirst event.Duration
+	// isAgain is set if a grant of the same submission was counted before.
+	isAgain bool
 }
 
 // addCharge records the charge of an admitted submission.
@@ -35,6 +40,9 @@
 
 // storeCharge stores a charge and replaces the previous one of the same request.
 func (s *State) storeCharge(id event.RequestID, c *charge) {
+	if before, ok := s.charges[id]; ok {
+		c.isAgain = before.granted
+	}
 	s.removeCharge(id)
 	s.charges[id] = c
 	if s.chargesByEntry[c.entry] == nil {
@@ -87,6 +95,7 @@
 	for i := range out.Grants[grants:] {
 		g := &out.Grants[grants+i]
 		if c, ok := s.charges[g.ID]; ok {
+			s.countGrant(now, c, g)
 			c.granted = true
 			s.recordGrant(now, c.submission, g.Endpoint)
 		}
@@ -101,6 +110,7 @@
 	for _, id := range out.Dropped[dropped:] {
 		s.releaseUnrun(now, id)
 	}
+	s.updateAllowance(now, v, out)
 }
 
 // releaseUnrun refunds a request that was refused or dropped, and cancels its trial.
--- a/admission/state.go
+++ b/admission/state.go
@@ -48,6 +48,7 @@
 
 // service has the pool of a service and the count of its recent requests.
 type service struct {
+	name     string
 	pool     *sched.State
 	requests *budget.Window
 }
@@ -70,6 +71,7 @@
 	refusedCalls   refusedCalls
 	sweepAt        event.Time // next sweep of runs
 	limitShare     float64    // share of the endpoints' rate limits that is used here
+	rollouts       Rollouts   // nil while roll-outs are off
 }
 
 // endpointState is an endpoint as registered, with its feedback and failures.
@@ -127,6 +129,7 @@
 			ExpectedWorkIfSlowed: s.limits.ExpectedWorkIfSlowed,
 		}
 		v = &service{
+			name:     name,
 			pool:     sched.New(now, pool, s.seed),
 			requests: budget.NewWindow(event.Duration(float64(s.limits.RetryWindow) * requestWindowRatio)),
 		}
@@ -155,7 +158,7 @@
 func (s *State) updatePool(now event.Time, k *endpointState, out *event.Effects) {
 	s.step(now, s.service(now, k.Service), &event.EndpointUpdated{
 		Endpoint: event.Endpoint{
-			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Draining: k.isDraining(), DataCentre: k.DataCentre,
+			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Draining: k.isDraining(), DataCentre: k.DataCentre, Mode: k.Mode,
 		},
 		Address:  k.Address,
 		Down:     k.Down || now < k.backoffUntil,
@@ -232,6 +235,7 @@
 	if f.Unsent {
 		s.refundSubmission(now, f.ID)
 	}
+	s.observeRollout(now, f)
 	s.removeCharge(f.ID)
 	if f.FirstAfter > 0 || f.Ran != message.OutcomeUnknown {
 		s.recordResponse(now, f.Endpoint)
@@ -278,7 +282,7 @@
 // hasAnother reports whether the service of an endpoint has another usable endpoint.
 func (s *State) hasAnother(now event.Time, k *endpointState) bool {
 	for _, other := range s.endpoints {
-		if other != k && other.Service == k.Service && !other.Down && !other.isDraining() && now >= other.backoffUntil {
+		if other != k && other.Service == k.Service && other.Mode == event.ModeNormal && !other.Down && !other.isDraining() && now >= other.backoffUntil {
 			return true
 		}
 	}
--- a/cluster/events.go
+++ b/cluster/events.go
@@ -9,6 +9,7 @@
 	"lynxramp.org/level"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
+	"lynxramp.org/rollout"
 	"lynxramp.org/routing"
 )
 
@@ -101,6 +102,16 @@
 		Box        event.BoxID
 		Connection uint64
 	}
+	// RolloutSubmitted carries an operator's order to roll out a version.
+	RolloutSubmitted struct {
+		CallID CallID
+		Order  rollout.Order
+	}
+	// RolloutRequested asks for the newest roll-out of a service.
+	RolloutRequested struct {
+		CallID  CallID
+		Service string
+	}
 	// StopRequested reports that the process is to stop.
 	StopRequested struct{}
 )
@@ -123,6 +134,8 @@
 func (*DocumentDecoded) isEvent()     {}
 func (*PeerConnected) isEvent()       {}
 func (*PeerDisconnected) isEvent()    {}
+func (*RolloutSubmitted) isEvent()    {}
+func (*RolloutRequested) isEvent()    {}
 func (*StopRequested) isEvent()       {}
 
 // Status is the result of a call.
@@ -138,6 +151,10 @@
 	StatusUnknown
 	// StatusUnknownService: the configuration does not have the endpoint's service.
 	StatusUnknownService
+	// StatusConflict: another order for the service is in progress.
+	StatusConflict
+	// StatusNoRollout: there never was an order for the service.
+	StatusNoRollout
 )
 
 // Answer is the answer to a call.
@@ -149,6 +166,7 @@
 	// is to choose a box.
 	HeartbeatAddress string
 	Document         Document
+	Rollout          rollout.Record
 	// ValidUntil is the end of the lease under which the answer was given.
 	ValidUntil event.Time
 }
@@ -171,6 +189,8 @@
 	// Decode is a document to decode outside the event loop; a DocumentDecoded follows. A later
 	// document may replace one that is not started. Version 0 is none.
 	Decode Document
+	// RolloutPhases are the orders of roll-outs whose phase changed.
+	RolloutPhases []RolloutPhase
 	// Fatal is set if the process must stop because it found data that only a later build can
 	// read. The other effects must be ignored then.
 	Fatal      error
@@ -200,6 +220,7 @@
 	e.Closes = e.Closes[:0]
 	e.Heartbeats = nil
 	e.Decode = Document{}
+	e.RolloutPhases = e.RolloutPhases[:0]
 	e.Fatal = nil
 	e.LogRecords = e.LogRecords[:0]
 }
--- a/cluster/meters.go
+++ b/cluster/meters.go
@@ -24,6 +24,7 @@
 	refusals *metrics.Counter
 	steps    *metrics.Histogram
 	formats  *formatGauges
+	rollouts *rolloutMeters
 }
 
 func newMeters() meters {
@@ -42,6 +43,7 @@
 		refusals: set.NewCounter("lynxramp_control_refusals_total"),
 		steps:    set.NewHistogram("lynxramp_control_step_seconds"),
 		formats:  &formatGauges{set: set},
+		rollouts: newRolloutMeters(set),
 	}
 	metrics.RegisterSet(set)
 	return m
@@ -51,6 +53,7 @@
 func (m *meters) recordStep(began time.Time, s *State, out *Effects) {
 	m.steps.UpdateDuration(began)
 	m.formats.update(began, s)
+	m.rollouts.update(began, s, out)
 	owner, sessions, suspects, feedback, slowed := 0.0, 0.0, 0.0, 0.0, 0.0
 	if s.owner != nil {
 		owner, sessions, suspects = 1, float64(len(s.owner.sessions)), float64(len(s.owner.suspects))
@@ -75,6 +78,7 @@
 
 // recordCall records the duration of a call of an operator or an endpoint.
 func (m *meters) recordCall(began time.Time, status Status) {
-	name := map[Status]string{StatusDone: "done", StatusNotLeader: "elsewhere", StatusUnknown: "unclear", StatusUnknownService: "unknown_service"}[status]
+	name := map[Status]string{StatusDone: "done", StatusNotLeader: "elsewhere", StatusUnknown: "unclear", StatusUnknownService: "unknown_service",
+		StatusConflict: "conflict", StatusNoRollout: "no_rollout"}[status]
 	m.set.GetOrCreateHistogram(`lynxramp_control_call_seconds{status="` + name + `"}`).UpdateDuration(began)
 }
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -52,6 +52,7 @@
 	suspectsRevision uint64
 	feedback         feedbackTracker // of endpoints
 	slowdowns        slowdownLogger
+	rollouts         *rolloutOwner // nil while roll-outs are off
 }
 
 // maxExpiredPerTick bounds the disconnected entries whose requests one tick treats as terminated.
@@ -87,9 +88,10 @@
 	if s.config.table != nil {
 		o.admission.SetTable(now, s.config.table)
 	}
+	o.startRollouts(now, s)
 	for _, e := range s.machine.registry.List() {
 		o.lastHeartbeat[e.ID] = now
-		o.admission.SetEndpoint(now, message.Endpoint{Endpoint: e}, &o.effects)
+		o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
 	}
 	return o
 }
@@ -199,6 +201,7 @@
 	}
 	o.updateLimitShare(now)
 	o.admission.Tick(now, &o.effects)
+	o.tickRollouts(now, s, out) // restrictions of new endpoints are sent before them
 	o.sendEndpointChanges(s, out)
 	o.sendFeedback(now, out)
 	o.sendSuspects(out)
@@ -299,7 +302,7 @@
 	}
 	for _, e := range c.updated {
 		o.lastHeartbeat[e.ID] = now
-		out.logInfo("endpoint updated", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
+		out.logInfo("endpoint updated", Field{"endpoint", e.ID}, Field{"service", e.Service}, Field{"address", e.Address}, Field{"version", e.Version}, Field{"leaving", e.Leaving}, Field{"sequence", e.Sequence})
 		o.publishEndpoint(now, e)
 	}
 }
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -54,6 +54,7 @@
 	for work := range event.WorkGroups {
 		m.refusals(event.ReasonShed, work)
 	}
+	m.restrictedGrants()
 	return m
 }
 
@@ -124,6 +125,11 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_cut_callers_total{why="` + why.String() + `"}`)
 }
 
+// restrictedGrants counts the grants that were not used because of a roll-out.
+func (m *meters) restrictedGrants() *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="rollout"}`)
+}
+
 // observeDecision records how long a request waited for its decision, and who decided.
 func (m *meters) observeDecision(since time.Time, degraded bool) {
 	by := "owner"
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -250,19 +250,32 @@
 
 // BenchmarkDiscovered measures a request's end and the grant that follows in a full pool
 // of discovered endpoints.
-func BenchmarkDiscovered(b *testing.B) { benchmarkDiscovered(b, false) }
+func BenchmarkDiscovered(b *testing.B) { benchmarkDiscovered(b, false, func(*State, int) {}) }
 
 // BenchmarkDiscoveredByWork is BenchmarkDiscovered with the order by expected work and its
 // forecasts.
-func BenchmarkDiscoveredByWork(b *testing.B) { benchmarkDiscovered(b, true) }
+func BenchmarkDiscoveredByWork(b *testing.B) { benchmarkDiscovered(b, true, func(*State, int) {}) }
 
-func benchmarkDiscovered(b *testing.B, expectedWork bool) {
+// BenchmarkDiscoveredRollout is BenchmarkDiscovered with a roll-out under way: a fifth more endpoints, of an
+// unproved version and with an allowance.
+func BenchmarkDiscoveredRollout(b *testing.B) {
+	benchmarkDiscovered(b, false, func(s *State, endpoints int) {
+		var out event.Effects
+		for i := range max(1, endpoints/5) {
+			s.Step(0, canaryEndpoint(fmt.Sprintf("new%04d", i), 10, event.ModeCanary), &out)
+		}
+		s.Step(0, &event.CanaryAllowanceChanged{Count: 1 << 30}, &out)
+	})
+}
+
+func benchmarkDiscovered(b *testing.B, expectedWork bool, prepare func(s *State, endpoints int)) {
 	for _, size := range [...]struct{ endpoints, waiting int }{{18, 200}, {110, 2000}, {1100, 2000}, {1100, 20000}} {
 		b.Run(fmt.Sprintf("endpoints=%d/waiting=%d", size.endpoints, size.waiting), func(b *testing.B) {
 			s := discoveredPool(size.endpoints, 10)
 			if expectedWork {
 				s = workPool(size.endpoints, 10)
 			}
+			prepare(s, size.endpoints)
 			noTimeout := func(k *event.Ticket) {
 				k.Patience = 0
 				if expectedWork {
@@ -274,7 +287,7 @@
 				k.DataCentre = "z1"
 			}
 			var out event.Effects
-			for i := range 10*size.endpoints + size.waiting {
+			for i := 0; s.Waiting() < size.waiting; i++ {
 				s.Step(0, submission(i, noTimeout), &out)
 			}
 			running := make([]event.RequestID, 0, len(out.Grants))
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -41,6 +41,8 @@
 //   - present speed (slowdown, agreement): the usual speed of an endpoint is measured; the
 //     slowdown that it reports in its responses counts until it is old, as far as it
 //     agrees with the measured times.
+//   - roll-outs (canary.go): endpoints of an unproved version get the allowance first, in
+//     equal numbers, and don't count in forecasts; blocked endpoints get nothing.
 //
 // With Pool.ExpectedWork (setting bounds.queue_order) order, refusal and Retry-After go by the
 // expected work of each request instead:
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -34,6 +34,7 @@
 	prefillQueue    prefillQueue
 	prefillSlowdown prefillSlowdown // relative to slowness
 	slowdown        slowdown        // as the endpoint reports it
+	canaryGrants    int             // granted in canary mode
 	grants          map[event.RequestID]*grant
 	cachedHashes    cachedHashes
 	// slowness is the measured time per unit of work relative to the pool's
@@ -66,7 +67,7 @@
 
 // isAvailable reports whether the endpoint may be granted new requests.
 func (e *endpoint) isAvailable(now event.Time) bool {
-	return e.hasReport && !e.Draining && !e.platformDraining && now >= e.backoffUntil && !e.report.Draining && !e.report.Down && now.Sub(e.lastReport) <= ReportTimeout
+	return e.hasReport && e.Mode != event.ModeBlocked && !e.Draining && !e.platformDraining && now >= e.backoffUntil && !e.report.Draining && !e.report.Down && now.Sub(e.lastReport) <= ReportTimeout
 }
 
 // capacity returns how many requests the endpoint may run at once: at most one
--- a/sched/place.go
+++ b/sched/place.go
@@ -50,6 +50,10 @@
 }
 
 func (s *State) grant(now event.Time, k *ticket, e *endpoint, est estimate, out *event.Effects) {
+	usualFirst := event.Duration(0)
+	if s.restricted > 0 {
+		usualFirst = s.usualFirst(k, e, est.cached)
+	}
 	s.queue.remove(k)
 	s.queue.charge(k, s.chargeOf(k, est))
 	g := &grant{
@@ -72,6 +76,7 @@
 		g.expectedWork = s.profileWork(k)
 	}
 	e.rateLimit.take(now)
+	s.takeCanary(e)
 	s.prefix.add(e, k.Prefix)
 	switch {
 	case !s.pool.Discovered:
@@ -88,7 +93,7 @@
 		k.class.sizes.granted[k.group].add(now, 1)
 	}
 	granted := g.effect(k.ID)
-	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Duration(est.latency * float64(event.Second))}
+	granted.Inputs = event.Inputs{Running: e.inflight, Wait: event.Duration(est.latency * float64(event.Second)), UsualFirst: usualFirst}
 	out.Grants = append(out.Grants, granted)
 }
 
--- a/sched/view.go
+++ b/sched/view.go
@@ -26,6 +26,7 @@
 	capacityUnits        int32   // capacity in units; 0 if unavailable
 	hasCooldowns         bool    // some entries are in cooldown
 	isRateLimited        bool    // limited in requests per second
+	isCanary             bool    // in event.ModeCanary; free is its capacity regardless of the allowance
 	isSlowed             bool    // by its reports, requests take much longer than usual
 }
 
@@ -62,6 +63,9 @@
 			s.cooldownEndpoints++
 			units = s.capacityOutsideCooldown(e, units)
 		}
+		if e.Mode == event.ModeCanary {
+			v.isCanary, units = true, 0 // forecasts must hold without it
+		}
 		v.free, v.capacityUnits = clampInt32(free), clampInt32(units)
 		s.capacityUnits += int(v.capacityUnits)
 		if !s.pool.Discovered {
@@ -94,14 +98,23 @@
 	s.updateMaxSpeed(now)
 }
 
-// updateMaxSpeed recomputes the speed of the fastest available endpoint.
+// updateMaxSpeed recomputes the speed of the fastest available endpoint. Endpoints in canary mode
+// count only if there are no others.
 func (s *State) updateMaxSpeed(now event.Time) {
 	s.maxSpeed = 0
+	canarySpeed := 0.0
 	for _, e := range s.endpoints {
-		if e.Concurrency > 0 && e.isAvailable(now) {
+		switch {
+		case e.Concurrency == 0 || !e.isAvailable(now):
+		case e.Mode == event.ModeCanary:
+			canarySpeed = max(canarySpeed, e.presentSpeed(now))
+		default:
 			s.maxSpeed = max(s.maxSpeed, e.presentSpeed(now))
 		}
 	}
+	if s.maxSpeed == 0 {
+		s.maxSpeed = canarySpeed
+	}
 }
 
 // costModel computes the cost of a request at endpoints that differ in speed
@@ -232,6 +245,11 @@
 	waitForHolder bool      // a full endpoint with the prompt cached is worth the wait
 	isTooSlow     bool      // the response would not end in time at an endpoint with free capacity
 	inCooldown    bool      // an endpoint with free capacity is in cooldown for the entry
+	// canary is the endpoint in canary mode that was granted fewest requests so far, of those with free
+	// capacity; nil if there is none. The other fields are the estimate and cost there.
+	canary     *endpoint
+	canaryEst  estimate
+	canaryCost float64
 }
 
 // chooseEndpoint finds the endpoint with free capacity where k costs least: run
@@ -246,37 +264,49 @@
 		s.chooseLeastOutstanding(now, k, &c)
 		return c
 	}
+	mayUseCanary := s.mayUseCanary(k)
 	for i := range s.views {
 		v := &s.views[i]
-		if v.free == 0 || belowTop && v.free <= v.reserved || k.avoids(v.endpoint) {
+		if v.free == 0 || v.isCanary && !mayUseCanary || belowTop && v.free <= v.reserved || k.avoids(v.endpoint) {
 			continue
 		}
 		if v.hasCooldowns && v.inCooldownFor(now, k.entry) {
 			c.inCooldown = true
 			continue
 		}
+		if v.isCanary {
+			c.considerCanary(&p, v)
+			continue
+		}
 		c.consider(&p, v, 0)
 	}
 	s.considerHolders(&p, k, belowTop, &c, now)
+	c.preferCanary()
 	return c
 }
 
 // chooseLeastOutstanding finds the endpoint with free capacity that runs the
 // fewest requests.
 func (s *State) chooseLeastOutstanding(now event.Time, k *ticket, c *choice) {
+	mayUseCanary := s.mayUseCanary(k)
 	for i := range s.views {
 		v := &s.views[i]
-		if v.free == 0 || k.avoids(v.endpoint) {
+		if v.free == 0 || v.isCanary && !mayUseCanary || k.avoids(v.endpoint) {
 			continue
 		}
 		if v.hasCooldowns && v.inCooldownFor(now, k.entry) {
 			c.inCooldown = true
 			continue
 		}
+		if v.isCanary {
+			c.considerCanary(&costModel{prefillRate: 1}, v) // by count alone
+			continue
+		}
 		if c.best == nil || v.endpoint.inflight < c.best.inflight {
 			c.best = v.endpoint
 		}
 	}
+	c.preferCanary()
 }
 
 // consider takes an endpoint if it costs less than the current choice.
@@ -299,6 +329,7 @@
 		v := &s.views[h.endpoint.index]
 		switch {
 		case v.hasCooldowns && v.inCooldownFor(now, k.entry):
+		case v.isCanary: // it was considered without its cache
 		case v.free > 0 && !(belowTop && v.free <= v.reserved):
 			c.consider(p, v, h.cached)
 		case h.endpoint.isAvailable(now):
