rollout: a version without an order is used as any other

Cause: a version beside one that had been alone for 10 s, or beside a completed one, was blocked without an order: a service whose endpoints are replaced by those of another version, without an order, would lose capacity until the old ones were gone. Change: only the versions beside a completed one are blocked, for 30 s after the order's deadline, as their endpoints stop without draining.

--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -16,6 +16,9 @@
 	// proposalTimeout is the time after which a proposal that is not committed is lost: an
 	// owner that commits nothing for this long has no lease.
 	proposalTimeout = 10 * event.Second
+	// oldStopTime is how long after an order's deadline the endpoints of other versions get nothing if it was
+	// completed. They stop at once, without draining.
+	oldStopTime = 30 * event.Second
 )
 
 // Tracker is the owner's state of all orders. It is a reducer and not safe for concurrent use.
@@ -30,10 +33,9 @@
 	name string
 	// capacity and running are by version: slots of its endpoints, and requests on them.
 	capacity, running map[string]int
-	// base is the version that is in use without an order, if hasBase is set.
-	base      string
-	hasBase   bool
-	baseSince event.Time
+	// oldStopped is set once the endpoints of other versions have had the time to stop after the newest
+	// order was completed.
+	oldStopped bool
 
 	newest, previous *order // committed; nil for none
 	proposed         *order // not committed yet; nil for none
@@ -66,7 +68,6 @@
 		s.newest = t.inherit(known.Newest, known.startedAt)
 		if known.Previous != nil {
 			s.previous = &order{record: *known.Previous, startedAt: known.previousStartedAt}
-			s.noteProved(*known.Previous)
 		}
 		t.lastNumber = max(t.lastNumber, known.Newest.Number)
 	}
@@ -162,10 +163,7 @@
 		s.proposed = nil
 	}
 	s.previous = s.newest
-	if s.previous != nil {
-		s.noteProved(s.previous.record)
-	}
-	s.newest = begun
+	s.newest, s.oldStopped = begun, false
 }
 
 // grantNothingSpent is called for an order that this owner proposed: none of its ceiling is
@@ -256,8 +254,6 @@
 		return p.mode(version == s.newest.record.Version)
 	case s.newest != nil:
 		return s.modeAfter(s.newest.record, version)
-	case s.hasBase:
-		return s.modeBeside(s.base, version)
 	default:
 		return ModeNormal
 	}
@@ -279,30 +275,20 @@
 	}
 }
 
-// modeAfter returns the mode of a version after an order that ended.
+// modeAfter returns the mode of a version after an order that ended. Endpoints of the old versions are about to stop
+// after it was completed; later ones of another version replace the completed one without an order. Endpoints that
+// report no version are never blocked this way: they may be of any.
 func (s *service) modeAfter(r Record, version string) Mode {
 	switch {
-	case r.Phase == PhaseCompleted:
-		return s.modeBeside(r.Version, version)
-	case version == r.Version:
+	case r.Phase == PhaseRolledBack && version == r.Version:
+		return ModeBlocked
+	case r.Phase == PhaseCompleted && version != r.Version && version != "" && !s.oldStopped && s.capacity[r.Version] > 0:
 		return ModeBlocked
-	case s.hasBase:
-		return s.modeBeside(s.base, version)
 	default:
 		return ModeNormal
 	}
 }
 
-// modeBeside returns the mode of a version without an order of its own, beside one that is
-// proved. It is blocked while the proved one has endpoints. Endpoints that report no version
-// are never blocked this way: they may be of any.
-func (s *service) modeBeside(proved, version string) Mode {
-	if version != proved && version != "" && s.capacity[proved] > 0 {
-		return ModeBlocked
-	}
-	return ModeNormal
-}
-
 // Cancel rolls back the order in progress of a service that the configuration removed.
 func (t *Tracker) Cancel(name string) {
 	if _, p := t.active(name); p != nil {
@@ -314,8 +300,11 @@
 func (t *Tracker) Tick(now event.Time) []Record {
 	var records []Record
 	for _, s := range t.services {
-		s.updateBase(now)
-		if s.newest == nil || s.newest.progress == nil {
+		if s.newest == nil {
+			continue
+		}
+		if s.newest.progress == nil {
+			s.oldStopped = s.newest.elapsed(now) >= s.newest.record.Duration+oldStopTime
 			continue
 		}
 		if r, ok := s.tick(now, s.newest); ok {
@@ -325,38 +314,3 @@
 	slices.SortFunc(records, func(r, q Record) int { return cmp.Compare(r.Number, q.Number) })
 	return records
 }
-
-// baseTime is how long a version must be the only one of a service that had no order, until
-// others are blocked. A new owner may know some endpoints later than others.
-const baseTime = 10 * event.Second
-
-// updateBase notes the version in use while there is only one and no order.
-func (s *service) updateBase(now event.Time) {
-	if s.newest != nil || s.hasBase {
-		return
-	}
-	version, ok := onlyKey(s.capacity)
-	if !ok || s.proposed != nil || version != s.base {
-		s.base, s.baseSince = version, now
-		return
-	}
-	s.hasBase = now.Sub(s.baseSince) >= baseTime
-}
-
-// onlyKey returns the key of a map with one.
-func onlyKey(counts map[string]int) (string, bool) {
-	if len(counts) != 1 {
-		return "", false
-	}
-	for version := range counts {
-		return version, true
-	}
-	return "", false
-}
-
-// noteProved notes the version of an order that was completed.
-func (s *service) noteProved(r Record) {
-	if r.Phase == PhaseCompleted {
-		s.base, s.hasBase = r.Version, true
-	}
-}
