rollout: an order for the version that has the only endpoints is completed at once

Cause: all endpoints of the service became canaries, with the exposure of an unproved version. Change: such an order begins as completed. Result: TestOnlyVersionIsOrdered fails without it; the package's other tests pass.

--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -124,8 +124,12 @@
 }
 
 // firstPhase returns the phase in which an order begins. The version that the last order
-// completed is proved, and may be the only one with endpoints.
+// completed is proved. One that has the only endpoints serves all requests already, and
+// would get the exposure of an unproved version only.
 func (s *service) firstPhase(version string) Phase {
+	if s.capacity[version] > 0 && others(s.capacity, version) == 0 {
+		return PhaseCompleted
+	}
 	if s.newest != nil && s.newest.record.Phase == PhaseCompleted && s.newest.record.Version == version {
 		return PhaseCompleted
 	}
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -318,6 +318,16 @@
 	}
 }
 
+// TestOnlyVersionIsOrdered guards against a service whose only endpoints are limited to the exposure of an unproved
+// version, by an order for the version that they have.
+func TestOnlyVersionIsOrdered(t *testing.T) {
+	o := &owner{Tracker: NewTracker(0, &Ledger{}, testLimits), ledger: &Ledger{}}
+	o.SetCapacity("s", newVersion, 10)
+	if r := o.order(t, 0, testOrder); r.Phase != PhaseCompleted || o.Mode("s", newVersion) != ModeNormal {
+		t.Errorf("phase %v, mode %v; want it completed at once", r.Phase, o.Mode("s", newVersion))
+	}
+}
+
 // TestMemoryIsBounded guards against routes and endpoints without number, as from names in
 // requests or endpoints that restart.
 func TestMemoryIsBounded(t *testing.T) {
