admission, gateway, event: a returned call has the content and the caller's deadline of the refused one

Change: tickets carry the caller's own remaining time; a call counts as returned if its content was refused within 6 s and the caller's deadline is the same within 100 ms.

--- a/admission/counted.go
+++ b/admission/counted.go
@@ -27,6 +27,15 @@
 	isAgain bool
 }
 
+// callerTicket returns the ticket of the submission with the caller's remaining time at now.
+func (c *charge) callerTicket(now event.Time) *event.Ticket {
+	t := c.submission.Ticket
+	if t.CallerTime > 0 {
+		t.CallerTime = max(event.Millisecond, t.CallerTime-now.Sub(c.chargedAt))
+	}
+	return &t
+}
+
 // addCharge records the charge of an admitted submission.
 func (s *State) addCharge(now event.Time, entry event.BoxID, m *message.Submission) {
 	t := &m.Ticket
@@ -101,11 +110,11 @@
 		}
 	}
 	for i := range out.Refusals[refusals:] {
-		id := out.Refusals[refusals+i].ID
-		if c, ok := s.charges[id]; ok {
-			s.refusedCalls.add(now, c.submission.Print)
+		refused := &out.Refusals[refusals+i]
+		if c, ok := s.charges[refused.ID]; ok {
+			s.refusedCalls.add(now, c.callerTicket(now), c.submission.Print)
 		}
-		s.releaseUnrun(now, id)
+		s.releaseUnrun(now, refused.ID)
 	}
 	for _, id := range out.Dropped[dropped:] {
 		s.releaseUnrun(now, id)
--- a/admission/poison.go
+++ b/admission/poison.go
@@ -135,6 +135,9 @@
 	adjusted := *m
 	adjusted.Ticket.Waited += waited
 	adjusted.Ticket.Deadline -= waited
+	if adjusted.Ticket.CallerTime > 0 {
+		adjusted.Ticket.CallerTime = max(event.Millisecond, adjusted.Ticket.CallerTime-waited)
+	}
 	adjusted.Ticket.Target = max(event.Millisecond, adjusted.Ticket.Target-waited)
 	return adjusted
 }
--- a/admission/returns.go
+++ b/admission/returns.go
@@ -16,53 +16,48 @@
 	maxRefusedCalls = 20000
 )
 
-// refusedCalls recognises calls that come back after a refusal, by the fingerprint of their content. The
-// caller's timeout does not tell: callers of one route give different ones. The zero value is empty.
-type refusedCalls struct {
-	byPrint map[poison.Fingerprint]refusedCall
-	order   []refusal // oldest first
-}
+// deadlineTolerance is how far the deadline of a call that came back may be from that of the refused one. It covers
+// delays of the network and of an entry.
+const deadlineTolerance = 100 * event.Millisecond
 
-// refusedCall has the refusals of calls with one fingerprint that have not come back.
-type refusedCall struct {
-	count  int
-	lastAt event.Time
+// refusedCalls recognises calls that come back after a refusal: the same content with the same deadline of the caller.
+// The content alone does not tell, as callers may send the same, nor does a shorter timeout, as callers of one
+// route give different ones. The zero value is empty.
+type refusedCalls struct {
+	byPrint map[poison.Fingerprint]refusal // the newest of each
+	order   []refusal                      // oldest first
 }
 
-// refusal is an entry of the expiry queue.
+// refusal is the refusal of a call.
 type refusal struct {
 	fingerprint poison.Fingerprint
 	at          event.Time
+	deadline    event.Time // of the caller
 }
 
 // add records the refusal of a call.
-func (r *refusedCalls) add(now event.Time, f poison.Fingerprint) {
-	if f == "" {
+func (r *refusedCalls) add(now event.Time, t *event.Ticket, f poison.Fingerprint) {
+	if f == "" || t.CallerTime == 0 {
 		return
 	}
 	if r.byPrint == nil {
-		r.byPrint = make(map[poison.Fingerprint]refusedCall)
+		r.byPrint = make(map[poison.Fingerprint]refusal)
 	}
-	r.byPrint[f] = refusedCall{count: r.byPrint[f].count + 1, lastAt: now}
-	r.order = append(r.order, refusal{f, now})
+	refused := refusal{fingerprint: f, at: now, deadline: now.Add(t.CallerTime)}
+	r.byPrint[f] = refused
+	r.order = append(r.order, refused)
 	r.expire(now)
 }
 
-// take reports whether a call was refused within returnWindow. Each refusal matches one call, so that other
-// calls of the same content don't count as returned, too.
-func (r *refusedCalls) take(now event.Time, f poison.Fingerprint) bool {
+// hasReturned reports whether a call was refused within returnWindow.
+func (r *refusedCalls) hasReturned(now event.Time, t *event.Ticket, f poison.Fingerprint) bool {
 	r.expire(now)
-	c, ok := r.byPrint[f]
-	if !ok {
+	refused, ok := r.byPrint[f]
+	if !ok || t.CallerTime == 0 {
 		return false
 	}
-	c.count--
-	if c.count == 0 {
-		delete(r.byPrint, f)
-		return true
-	}
-	r.byPrint[f] = c
-	return true
+	difference := now.Add(t.CallerTime).Sub(refused.deadline)
+	return -deadlineTolerance < difference && difference < deadlineTolerance
 }
 
 // expire drops refusals that are too old, or too many.
@@ -70,7 +65,7 @@
 	n := 0
 	for n < len(r.order) && (now.Sub(r.order[n].at) > returnWindow || len(r.order)-n > maxRefusedCalls) {
 		// A later refusal of the same content keeps it.
-		if c, ok := r.byPrint[r.order[n].fingerprint]; ok && c.lastAt <= r.order[n].at {
+		if r.byPrint[r.order[n].fingerprint] == r.order[n] {
 			delete(r.byPrint, r.order[n].fingerprint)
 		}
 		n++
--- a/admission/state.go
+++ b/admission/state.go
@@ -206,7 +206,7 @@
 
 // admit charges a request that passed all checks and submits it to its service's pool.
 func (s *State) admit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
-	if _, known := s.charges[m.Ticket.ID]; !known && s.refusedCalls.take(now, m.Print) {
+	if _, known := s.charges[m.Ticket.ID]; !known && s.refusedCalls.hasReturned(now, &m.Ticket, m.Print) {
 		m.Ticket.Returned = true
 	}
 	s.addCharge(now, entry, m)
--- a/event/event.go
+++ b/event/event.go
@@ -68,6 +68,9 @@
 	Prefix []uint64
 	// Deadline is the remaining time, counted from when the ticket is received.
 	Deadline Duration
+	// CallerTime is the remaining time that the caller gave, also beyond the route's timeout; 0 if
+	// it gave none.
+	CallerTime Duration
 	// NoRepeat is set when the call must not be repeated.
 	NoRepeat bool
 	// Attempt is the number of earlier offers of the request, all of them void.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,8 @@
 	// retryAfterDraining is the Retry-After if another entry can serve the request at once.
 	retryAfterDraining = 50 * event.Millisecond
 	sweepInterval      = time.Second
+	// maxCallerTimeoutMillis limits a caller's timeout, in milliseconds, to what a Duration can hold.
+	maxCallerTimeoutMillis = 1e12
 )
 
 // Config configures a Gateway.
@@ -166,6 +168,7 @@
 	arrived         time.Time
 	arrivedClock    event.Time    // arrival by the agent's clock
 	timeout         time.Duration // total time allowed
+	callerTimeout   time.Duration // as the caller gave it; 0 if it gave none
 	attempts        int           // how often it was sent to an endpoint
 	tried           []event.EndpointID
 	wasGranted      bool // an endpoint was granted before
@@ -266,7 +269,8 @@
 	c.service = c.route.Pick(rand.Float64())
 	c.timeout = c.route.Timeout
 	if ms, err := strconv.ParseFloat(c.r.Header.Get(g.config.Headers.Deadline), 64); err == nil && ms > 0 {
-		c.timeout = time.Duration(min(float64(c.timeout), ms*float64(time.Millisecond)))
+		c.callerTimeout = time.Duration(min(ms, maxCallerTimeoutMillis) * float64(time.Millisecond))
+		c.timeout = min(c.timeout, c.callerTimeout)
 	}
 	if !c.readBody() {
 		return false
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -151,6 +151,9 @@
 	waited := now.Sub(w.arrived)
 	m.Ticket.Waited += waited
 	m.Ticket.Deadline -= waited
+	if m.Ticket.CallerTime > 0 {
+		m.Ticket.CallerTime = max(event.Millisecond, m.Ticket.CallerTime-waited)
+	}
 	m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-waited)
 	return m
 }
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -75,12 +75,20 @@
 			PromptTokens: c.promptTokens, OutputTokens: c.expectedOutputTokens(), Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.queueTimeout(left),
 			Placed: c.wasGranted, Avoid: c.tried, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
-			Route: c.route.Name,
+			Route: c.route.Name, CallerTime: c.callerTimeLeft(),
 		},
 		Quota: c.quotaUnits(), Repeat: isRetry, Print: c.fingerprint,
 	}
 }
 
+// callerTimeLeft returns the remaining time by the caller's own timeout; 0 if it gave none.
+func (c *call) callerTimeLeft() event.Duration {
+	if c.callerTimeout == 0 {
+		return 0
+	}
+	return max(c.callerTimeout-c.age(), event.Millisecond)
+}
+
 // The queue timeout of a request, as a fraction of the route's target and of the remaining time.
 const (
 	queueTimeoutOfTarget    = 0.9
