cluster: the order test has an endpoint of the old version

An order for the version with the only endpoints is completed at once now, so the test needs one of another version; its checks are the same.

--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -317,6 +317,7 @@
 func TestProposedOrderBlocksItsVersion(t *testing.T) {
 	s := newRolloutSim(t, 3)
 	owner := s.mustOwner()
+	s.heartbeat(owner, registry.Endpoint{ID: "e1", Service: "s", Address: "a", Slots: 1, Sequence: 1, Version: "v1"})
 	s.heartbeat(owner, registry.Endpoint{ID: "e2", Service: "s", Address: "b", Slots: 1, Sequence: 1, Version: "v2"})
 	s.run(200 * event.Millisecond)
 	mode := func() event.EndpointMode {
