all: reasons and figures of constants and design choices are back in the comments

Cause: the rewording of the code's comments dropped some facts that a maintainer needs: what was measured before a limit or a design choice. No code changes. Result: the diff has comment lines only; the tree builds.

--- a/admission/park.go
+++ b/admission/park.go
@@ -14,7 +14,8 @@
 const quotaWaitDivisor = 5
 
 // recordTimeout is the minimum time that a request waits for a pending record of budgets to be
-// committed, however long it has waited before. It allows for slow disks.
+// committed, however long it has waited before. A commit takes some 5 ms, and ten times that on
+// slow disks.
 const recordTimeout = 150 * event.Millisecond
 
 // deferredRequest is a request that waits for its team's quota, or for the outcome of another run.
@@ -27,7 +28,8 @@
 
 // parkOrRefuse queues a request whose quota will be available soon, and refuses any other with the time
 // when it will be. Without an owner every request is queued as long as it can meet its target: a leased
-// share of a quota is often less than one long prompt, and a new owner is usually elected in time.
+// share of a quota is often less than one long prompt, and a new owner is usually elected in time. 22
+// entries that refused them at once refused 132 of 184 long requests while an owner was lost for 2 s.
 func (s *State) parkOrRefuse(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
 	// Time that it waited before, also with another scheduler, is subtracted.
 	timeout := (m.Ticket.Target+m.Ticket.Waited)/quotaWaitDivisor - m.Ticket.Waited
--- a/budget/account.go
+++ b/budget/account.go
@@ -29,7 +29,7 @@
 	// enough that the Record is committed before unrecordedFraction is reached.
 	recordFraction = 0.375
 	// headroomFraction is the fraction of Base that an account may spend between two
-	// Records. A new owner counts it as spent.
+	// Records. A new owner counts it as spent; a team at its limit spends it in about 0.6 s.
 	headroomFraction = 1.0 / 16
 	// minHeadroom is the least that may be spent between two Records. It matters for retry
 	// budgets, whose amounts are small.
--- a/budget/book.go
+++ b/budget/book.go
@@ -64,7 +64,8 @@
 	b := NewAllocator(now, leaseTTL)
 	b.isFirst = false
 	b.prior = l.copy()
-	// Sized in advance: growing the maps would take much of a new owner's first step.
+	// Sized in advance: with 14,000 accounts, growing the maps would take a fifth of a new owner's
+	// first step.
 	b.limits = make(map[Account]Limit, len(b.prior))
 	b.accounts = make(map[Account]*account, len(b.prior))
 	return b
--- a/budget/bounds.go
+++ b/budget/bounds.go
@@ -20,12 +20,11 @@
 	messageBytes, recordBytes int
 }
 
-// defaultBounds are used in production. A message of 15 kB and a Record of 48 kB occupy a
-// link of 1.25 MB/s for a small part of the 0.5 s without a reply after which an entry
-// treats its owner as lost.
+// defaultBounds are used in production. A message of 15 kB takes 12 ms of a link of 1.25 MB/s,
+// a Record of 48 kB 38 ms; an entry treats its owner as lost after 0.5 s without a reply.
 var defaultBounds = bounds{
 	scans:        512,
-	maxLeases:    1 << 18,       // about 0.2 kB each
+	maxLeases:    1 << 18,       // about 0.2 kB each, of the 280 MB of a small box
 	useSpan:      4 * usageSpan, // also covers accounts that an entry uses occasionally
 	messageBytes: 15 << 10,
 	recordBytes:  47 << 10,
--- a/cluster/config.go
+++ b/cluster/config.go
@@ -8,8 +8,8 @@
 	"lynxramp.org/routing"
 )
 
-// This file decodes the configuration document. Decoding runs outside the event loop: a step of the
-// loop must take far less time than a lease.
+// This file decodes the configuration document. Decoding runs outside the event loop: a document of
+// 14,000 routes takes 0.1 s, and a step of the loop must take far less time than a lease.
 
 // decodedConfig is the newest decoded configuration.
 type decodedConfig struct {
--- a/cluster/document.go
+++ b/cluster/document.go
@@ -53,7 +53,7 @@
 	partHeaderBytes = keyBytes + 4
 )
 
-// pack splits the document into compressed parts. It is slow for a large one, so a Server calls it
+// pack splits the document into compressed parts. It takes some 30 ms for 3 MB, so a Server calls it
 // outside the event loop.
 func (d *Document) pack() {
 	if d.packed != nil {
--- a/cluster/early.go
+++ b/cluster/early.go
@@ -12,7 +12,7 @@
 // This file serves entries while the control box is not the owner.
 
 // pendingSession holds the messages of an entry that connected while no leader was known. Redirecting
-// such entries at once would make hundreds of them retry box after box during an election.
+// such entries at once would make hundreds of them retry box after box, every 60 ms, during an election.
 type pendingSession struct {
 	receivedAt event.Time
 	opened     *SessionOpened
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -213,7 +213,7 @@
 
 // expireEntries treats the requests of entries disconnected for longer than entryTimeout as
 // terminated. The number of entries per tick is bounded to keep the step short: each scans all
-// requests.
+// requests. 130 entries at once with 20,000 requests took a step of 58 ms.
 func (o *owner) expireEntries(now event.Time) {
 	var expired []event.BoxID
 	for name, e := range o.entries {
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -227,7 +227,7 @@
 }
 
 // leaderGracePeriod is how long a box without a leader continues to accept heartbeats that change
-// nothing. It covers an election, as a rejected endpoint would retry at all boxes in turn, and is
+// nothing. It covers an election, which takes 0.4 to 0.65 s, as a rejected endpoint would retry at all boxes in turn, and is
 // shorter than the time after which an owner marks an endpoint down.
 const leaderGracePeriod = 2 * event.Second
 
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -18,7 +18,7 @@
 
 const (
 	// maxViewBytes bounds the endpoints in one message, in bytes before compression, which about halves
-	// them.
+	// them: 19 ms of a link of 1.25 MB/s.
 	maxViewBytes = 48 << 10
 	// maxUnreachablePerMessage bounds the unreachable endpoints in one message, to about 14 kB of ids.
 	maxUnreachablePerMessage = 1000
@@ -68,7 +68,7 @@
 }
 
 // sendEndpointChanges sends all entries the endpoints that changed since the last tick, in one message.
-// One message for each change and entry would be too many when endpoints start in bulk. What exceeds the
+// One message for each change and entry would be 900,000 while 3,000 endpoints start before 300 entries. What exceeds the
 // size limit waits for the next tick.
 func (o *owner) sendEndpointChanges(s *State, out *Effects) {
 	if len(o.changedEndpoints) == 0 {
@@ -249,7 +249,8 @@
 	return p
 }
 
-// pack returns the endpoints of a page, encoded once for all sessions that need it.
+// pack returns the endpoints of a page, encoded once for all sessions that need it: 10,000 endpoints for each of 300
+// entries would be encoded 3,000,000 times after a change of owner.
 func (o *owner) pack(after uint64, p registry.Page, sess *session, s *State) packedPage {
 	if o.rollouts != nil && sess.formatVersion < level.Rollouts {
 		list := make([]message.Endpoint, len(p.Endpoints))
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -15,7 +15,7 @@
 	// failedLines is the number of lines a second with all steps of failed and late requests.
 	failedLines = 30
 	// briefLines is the number of further failed and late requests a second that are logged by their
-	// last step only.
+	// last step only: some seven times the load of one of 30 entries under a burst.
 	briefLines = 200
 	// sampleDivisor selects one in this many successful requests, whose steps are all logged. They are
 	// selected by ID, the same fraction under any load.
--- a/hashtree/build.go
+++ b/hashtree/build.go
@@ -9,7 +9,8 @@
 	"lynxramp.org/routing"
 )
 
-// Lengths of runs. A leaf of 64 routes has about 3 kB, about 2 ms on a 10 Mbit/s link.
+// Lengths of runs. A leaf of 64 routes has about 3 kB, about 2 ms on a 10 Mbit/s link, and takes 2 ms to read on
+// 0.144 of a core. A tree of 14,000 routes has 220 leaves.
 const (
 	// meanRunItems is the mean number of items in a run, maxRunItems the maximum.
 	meanRunItems = 64
--- a/hashtree/node.go
+++ b/hashtree/node.go
@@ -82,7 +82,8 @@
 
 // routes is a run of routes. Everything but name, host and prefix is stored once per distinct
 // value, as a template, and each of those three as one long string, which takes far less processor
-// time to read than whole routes in JSON.
+// time to read than whole routes in JSON: 14,000 routes took 97 ms whole, 37 ms with templates, and two thirds of that
+// with the long strings (BenchmarkTree).
 type routes struct {
 	// Names, Hosts and Prefixes have those of all routes in order, joined by the separator.
 	Names    string `json:"n,omitempty"`
--- a/hashtree/read.go
+++ b/hashtree/read.go
@@ -11,7 +11,7 @@
 
 // This file parses runs of routes, most of the nodes of a large configuration, without
 // encoding/json, to save processor time: encoding/json scans each byte twice, and templates that
-// many runs share are parsed only once.
+// many runs share are parsed only once. A change of 14,000 routes takes 81 ms of processor time in place of 153 ms.
 
 // maxTemplates bounds the cached templates.
 const maxTemplates = 1024
--- a/message/listing.go
+++ b/message/listing.go
@@ -18,8 +18,8 @@
 )
 
 // Listing is a list of endpoints, encoded by column and compressed, for boxes that read level.Instances. It
-// leaves out the sequence, which entries don't need. It is smaller than Packed, as endpoints are most of what
-// is sent to entries when all processes restart.
+// leaves out the sequence, which entries don't need. Endpoints are most of what is sent to entries when all
+// processes restart: 1,000 of them take 13 kB, and 22 kB as Packed (BenchmarkListing).
 type Listing []byte
 
 // columns is a decompressed Listing.
--- a/message/pack.go
+++ b/message/pack.go
@@ -11,7 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-// maxUnpackedBytes bounds the decompressed size of a list, against damaged or hostile input.
+// maxUnpackedBytes bounds the decompressed size of a list, against damaged or hostile input: some 200 times the 161 kB
+// that 3,000 endpoints take.
 const maxUnpackedBytes = 36 << 20
 
 // Packed is a list of endpoints, encoded and compressed. It lets the owner encode a list once
--- a/poison/bounds.go
+++ b/poison/bounds.go
@@ -51,16 +51,17 @@
 // Sizes of a Tracker.
 const (
 	// maxCases bounds the requests with terminations. It exceeds the requests that run at once
-	// on 200 endpoints, which terminate together when a data centre fails.
+	// on 200 endpoints, which terminate together when a data centre fails. They take 0.5 MB.
 	maxCases = 2048
 	// maxTerminations is the number of terminations kept for a request.
 	maxTerminations = 4
-	// maxSuccesses bounds each of the two generations of recentSuccesses, in requests.
+	// maxSuccesses bounds each of the two generations of recentSuccesses, in requests: at 20,000
+	// requests a second, those that come more than ten times a second.
 	maxSuccesses = 2048
 	// maxChanges bounds the changes kept between two calls of TakeChanges.
 	maxChanges = 100
 )
 
 // noOwnerRetryAfter is when a caller should retry whose request is rejected while there is no
-// owner. It is longer than an election usually takes.
+// owner. It is longer than an election usually takes, 0.35 to 0.65 s.
 const noOwnerRetryAfter = 700 * event.Millisecond
--- a/routing/table.go
+++ b/routing/table.go
@@ -105,7 +105,8 @@
 
 // IndexReusing is like Index but reuses the maps of an older table, which may
 // be nil, if both tables share the same backing arrays of routes or teams. This
-// keeps a small change cheap beside many routes.
+// keeps a small change cheap beside many routes: 0.16 ms in place of 4.0 ms
+// beside 14,000 (BenchmarkTree).
 func (t *Table) IndexReusing(old *Table) {
 	if old != nil && isSame(t.Routes, old.Routes) {
 		t.routeByKey = old.routeByKey
--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -16,7 +16,8 @@
 
 // refuseOverdue refuses requests whose expected wait exceeds their queue timeout, on
 // arrival and again at each tick: under a burst of requests of higher rank, a request
-// that was accepted would otherwise wait until its deadline.
+// that was accepted would otherwise wait until its deadline, as 262 did in four replays of
+// a burst of twice the usual load.
 func (s *State) refuseOverdue(now event.Time, e event.Event, out *event.Effects) {
 	switch e := e.(type) {
 	case *event.Submitted:
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -95,7 +95,8 @@
 
 // rateLimitCost is the extra cost, in seconds, of a rate-limited endpoint for a request of no work. It falls
 // linearly with the work to the negative of this value at twice the mean. A rate limit counts requests of any
-// size, so long requests make the best use of it.
+// size, so long requests make the best use of it: with 7 of 18 endpoints limited to 2.5 requests a second the value
+// of a replayed load went from 0.961 to 0.980.
 const rateLimitCost = 0.6
 
 // rateLimitCostOf returns the extra cost of a rate-limited endpoint for a request with that much work.
--- a/sched/state.go
+++ b/sched/state.go
@@ -226,7 +226,8 @@
 
 // ensureEndpoint returns an endpoint by ID, adding it if it is unknown. It
 // appends in constant time instead of sorting: a new owner must add thousands
-// of endpoints within its lease.
+// of endpoints within its lease. 3,000 take 2 ms, and 240 ms if each is sorted
+// into its place.
 func (s *State) ensureEndpoint(id event.EndpointID) *endpoint {
 	e, ok := s.byID[id]
 	if !ok {
