--- a/rollout/control.go
+++ b/rollout/control.go
@@ -89,7 +89,7 @@
 	gap float64
 }
 
-// add adds a response of another version to a block. Those of odd endpoints are left out.
+// add adds a response of another version to a block. Those of outlier endpoints are left out.
 func (c *control) add(s Sample, block int, all *peers) {
 	bin, isTimed := c.bin(s)
 	n := all.add(s, bin, isTimed)
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -28,8 +28,8 @@
 // The verdict compares the responses of the version with those of the others at the same time,
 // by route (control). It is a mixture of likelihood ratios over what may be bad, since when,
 // and on which routes (judgement). Under the null hypothesis an endpoint may be bad by itself
-// (odd), which bounds what one endpoint contributes. The mixture may be evaluated at any time.
-// Responses of the other versions' odd endpoints are left out (peers). All counts are bounded:
+// (outliers), which bounds what one endpoint contributes. The mixture may be evaluated at any time.
+// Responses of the other versions' outlier endpoints are left out (peers). All counts are bounded:
 // maxRoutes, maxEndpoints and maxBlocks.
 //
 // Time is the elapsed time of the order: a Record has it, each box notes when it applied the
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -23,8 +23,8 @@
 	commitDelay   = 5 * event.Millisecond
 	oldVersion    = "v1"
 	newVersion    = "v2"
-	// oddShare is the probability that an endpoint of either version is grey or slow.
-	oddShare = 0.15
+	// outlierShare is the probability that an endpoint of either version is grey or slow.
+	outlierShare = 0.15
 	// greyFailures is the failure rate of a grey endpoint.
 	greyFailures = 0.4
 	// coldFactor is how much slower the first response of a new endpoint is. It falls evenly
@@ -127,14 +127,14 @@
 	endedAt           event.Time
 }
 
-func newModel(seed uint64, bad badness, rate float64, endpoints int, isOdd bool) *model {
+func newModel(seed uint64, bad badness, rate float64, endpoints int, isOutlier bool) *model {
 	m := &model{random: rand.New(rand.NewPCG(seed, uint64(rate))), bad: bad, rate: rate, endpoints: make(map[string][]*modelEndpoint)}
 	m.tracker = NewTracker(0, &Ledger{}, Limits{Share: 0.1, Slack: 50})
 	for _, version := range []string{oldVersion, newVersion} {
 		for i := range endpoints {
 			n := &modelEndpoint{id: event.EndpointID(fmt.Sprint(version, "-", i)), speed: 0.6 + 1.1*m.random.Float64(), slowness: 1}
-			if isOdd && m.random.Float64() < oddShare {
-				m.makeOdd(n)
+			if isOutlier && m.random.Float64() < outlierShare {
+				m.makeOutlier(n)
 			}
 			if version == oldVersion {
 				n.responses = coldCount
@@ -146,8 +146,8 @@
 	return m
 }
 
-// makeOdd makes an endpoint grey or slow.
-func (m *model) makeOdd(n *modelEndpoint) {
+// makeOutlier makes an endpoint grey or slow.
+func (m *model) makeOutlier(n *modelEndpoint) {
 	if m.random.IntN(2) == 0 {
 		n.failures = greyFailures
 		return
@@ -309,7 +309,7 @@
 const (
 	badRuns       = 100
 	goodRuns      = 500
-	plainGoodRuns = 100 // without odd endpoints
+	plainGoodRuns = 100 // without outlier endpoints
 	allowedFaults = 0.01
 )
 
@@ -353,7 +353,7 @@
 }
 
 // notReached are the cases in which the bound is not reached: too few responses at 20 a second,
-// or two odd endpoints of three. docs/design/rollouts.md has the figures.
+// or two outlier endpoints of three. docs/design/rollouts.md has the figures.
 var notReached = []string{
 	"3 endpoints, 20 a second, fails 50% from 4 s",
 	"3 endpoints, 20 a second, fails 50% on one route",
@@ -386,16 +386,16 @@
 	}
 }
 
-// checkGood measures good versions, without and with odd endpoints.
+// checkGood measures good versions, without and with outlier endpoints.
 func (c modelCase) checkGood(t *testing.T) {
-	for _, isOdd := range []bool{false, true} {
+	for _, isOutlier := range []bool{false, true} {
 		runs := plainGoodRuns
-		if isOdd {
+		if isOutlier {
 			runs = goodRuns
 		}
-		r := measure(t, c, isOdd, runs)
+		r := measure(t, c, isOutlier, runs)
 		if wrong := runs - r.completed; float64(wrong) > allowedFaults*float64(runs) {
-			t.Errorf("odd endpoints %v: %d of %d good versions were not completed", isOdd, wrong, runs)
+			t.Errorf("outlier endpoints %v: %d of %d good versions were not completed", isOutlier, wrong, runs)
 		}
 	}
 }
@@ -415,16 +415,16 @@
 	}
 }
 
-func measure(t *testing.T, c modelCase, isOdd bool, runs int) *modelResult {
+func measure(t *testing.T, c modelCase, isOutlier bool, runs int) *modelResult {
 	r := &modelResult{}
 	for seed := range runs {
-		m := newModel(uint64(seed), c.bad, c.rate, c.endpoints, isOdd)
+		m := newModel(uint64(seed), c.bad, c.rate, c.endpoints, isOutlier)
 		m.run()
 		if limit := int(0.1*float64(m.requests)) + 50; m.exposed > limit {
 			t.Errorf("seed %d: %d requests reached the unproved version, of which %d are allowed", seed, m.exposed, limit)
 		}
 		r.add(m)
 	}
-	t.Logf("odd endpoints %v, %d runs: %d rolled back, %d completed; %d rolled back before %d bad responses, at most %d bad ones", isOdd, r.runs, r.rolledBack, r.completed, r.found, maxBadResponses, r.maxBad)
+	t.Logf("outlier endpoints %v, %d runs: %d rolled back, %d completed; %d rolled back before %d bad responses, at most %d bad ones", isOutlier, r.runs, r.rolledBack, r.completed, r.found, maxBadResponses, r.maxBad)
 	return r
 }
--- a/rollout/odd.go
+++ b/rollout/outlier.go
@@ -11,19 +11,19 @@
 )
 
 const (
-	// An endpoint of the other versions is odd if it exceeds the lower median of them by
-	// oddFailures in its failure rate, or by oddBins in its mean slowness, over at least
-	// minOddResponses. Odd ones are left out of the comparison: with 3 endpoints one that
+	// An endpoint of the other versions is an outlier if it exceeds the lower median of them by
+	// outlierFailures in its failure rate, or by outlierBins in its mean slowness, over at least
+	// minOutlierResponses. Outlier ones are left out of the comparison: with 3 endpoints one that
 	// fails 40% hides a version that fails half.
-	oddFailures     = 0.2
-	oddBins         = 2.0
-	minOddResponses = 12.0
+	outlierFailures     = 0.2
+	outlierBins         = 2.0
+	minOutlierResponses = 12.0
 	// recentOfEndpoint is the number of responses of an endpoint above which its counts are
 	// halved.
 	recentOfEndpoint = 64.0
-	// oddInterval is the number of control responses after which odd endpoints are looked
+	// outlierInterval is the number of control responses after which outlier endpoints are looked
 	// for again.
-	oddInterval = 8
+	outlierInterval = 8
 )
 
 // peers are the endpoints of the other versions.
@@ -37,7 +37,7 @@
 type peer struct {
 	responses, failures float64
 	timed, bins         float64 // responses with a known slowness, and its sum
-	// isFailing and isSlow are set while the endpoint is odd.
+	// isFailing and isSlow are set while the endpoint is an outlier.
 	isFailing, isSlow bool
 }
 
@@ -79,19 +79,19 @@
 		n.timed, n.bins = n.timed/2, n.bins/2
 	}
 	p.added++
-	if p.added%oddInterval == 0 {
-		p.findOdd()
+	if p.added%outlierInterval == 0 {
+		p.findOutliers()
 	}
 	return n
 }
 
-// findOdd marks the odd endpoints.
-func (p *peers) findOdd() {
+// findOutliers marks the outlier endpoints.
+func (p *peers) findOutliers() {
 	usualRate := p.lowerMedian((*peer).failureRate)
 	usualBin := p.lowerMedian((*peer).slowness)
 	for _, n := range p.list {
-		n.isFailing = n.failureRate() > usualRate+oddFailures
-		n.isSlow = n.slowness() > usualBin+oddBins
+		n.isFailing = n.failureRate() > usualRate+outlierFailures
+		n.isSlow = n.slowness() > usualBin+outlierBins
 	}
 }
 
@@ -102,7 +102,7 @@
 func (n *peer) slowness() float64 { return ratio(n.bins, n.timed) }
 
 func ratio(sum, responses float64) float64 {
-	if responses < minOddResponses {
+	if responses < minOutlierResponses {
 		return math.NaN()
 	}
 	return sum / responses
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// oddEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
-	// evidence of one endpoint to a factor of 48/oddEndpoint for failures and
-	// 72/oddEndpoint for slowness, as its weight is spread over blocks and alternatives. With
+	// outlierEndpoint is the assumed probability that an endpoint is bad by itself. It bounds the
+	// evidence of one endpoint to a factor of 48/outlierEndpoint for failures and
+	// 72/outlierEndpoint for slowness, as its weight is spread over blocks and alternatives. With
 	// one or two endpoints it is smaller, so that together they reach reachable. The true
 	// share may be larger: with
 	// 0.1 fewer bad versions were found, and with 3 endpoints as many good ones rolled back.
-	oddEndpoint = 0.03
-	reachable   = 5000.0
+	outlierEndpoint = 0.03
+	reachable       = 5000.0
 	// minEndpointResponses is the least number of responses of an endpoint that counts as one.
 	minEndpointResponses = 3
 	// badFactor is the factor by which the responses must be more likely for a bad version
@@ -25,7 +25,7 @@
 	// doubtFactor is the factor above which a version is not proved.
 	doubtFactor = 8.0
 	// minBadSamples is the least number of responses that condemn a version. Of fewer, most may
-	// be of one or two odd endpoints, while the usual failure rate is not known yet.
+	// be of one or two outlier endpoints, while the usual failure rate is not known yet.
 	minBadSamples = 24
 	// minSamples is the least number of responses that prove a version.
 	minSamples = 8
@@ -113,30 +113,30 @@
 // is evaluated.
 func (e *evidence) judgement() judgement {
 	e.updateRatios()
-	odd := e.oddProbability()
-	j := e.judgeScope(odd, allRoutes)
+	outlier := e.outlierProbability()
+	j := e.judgeScope(outlier, allRoutes)
 	if len(e.controls) < 2 {
 		return j
 	}
 	weight := 0.5 / float64(len(e.controls))
 	j.fails, j.slow = j.fails/2, j.slow/2
 	for route := range e.controls {
-		r := e.judgeScope(odd, route)
+		r := e.judgeScope(outlier, route)
 		j.fails += weight * r.fails
 		j.slow += weight * r.slow
 	}
 	return j
 }
 
-// oddProbability returns the assumed probability that an endpoint is bad by itself.
-func (e *evidence) oddProbability() float64 {
+// outlierProbability returns the assumed probability that an endpoint is bad by itself.
+func (e *evidence) outlierProbability() float64 {
 	n := 0
 	for _, endpoint := range e.list {
 		if endpoint.total >= minEndpointResponses {
 			n++
 		}
 	}
-	return min(oddEndpoint, math.Pow(reachable, -1/float64(max(n, 1))))
+	return min(outlierEndpoint, math.Pow(reachable, -1/float64(max(n, 1))))
 }
 
 // allRoutes is the scope of a version that is bad on all routes.
@@ -167,13 +167,13 @@
 }()
 
 // judgeScope compares the responses on one route, or on all of them.
-func (e *evidence) judgeScope(odd float64, scope int) judgement {
+func (e *evidence) judgeScope(outlier float64, scope int) judgement {
 	var sums cell
 	total := ones
 	for _, n := range e.list {
 		if e.since(n, scope, &sums) {
-			e.multiply(&total, &sums, odd, 0, failAlternatives)
-			e.multiply(&total, &sums, odd, failAlternatives, alternativeCount)
+			e.multiply(&total, &sums, outlier, 0, failAlternatives)
+			e.multiply(&total, &sums, outlier, failAlternatives, alternativeCount)
 		}
 	}
 	return judgement{
@@ -214,18 +214,18 @@
 }
 
 // multiply multiplies the ratios of all endpoints by those of one: that the version is bad, and
-// the endpoint may be odd besides, over that the version is good, and the endpoint may be odd.
+// the endpoint may be outlier besides, over that the version is good, and the endpoint may be outlier.
 // Each ratio is below 10,000 with 3 endpoints or more, so the product over maxEndpoints is finite.
-func (e *evidence) multiply(total, sums *cell, odd float64, from, to int) {
+func (e *evidence) multiply(total, sums *cell, outlier float64, from, to int) {
 	likelihoods := sums.exponentials(len(e.blocks), from, to)
-	oddRatio := e.oddRatio(&likelihoods, from, to)
-	null := 1 - odd + odd*oddRatio
-	// An odd endpoint says nothing about its version. One that is better than usual does,
+	outlierRatio := e.outlierRatio(&likelihoods, from, to)
+	null := 1 - outlier + outlier*outlierRatio
+	// An outlier endpoint says nothing about its version. One that is better than usual does,
 	// so likelihood below that of a good endpoint is left out.
-	besides := odd * max(0, oddRatio-1)
+	besides := outlier * max(0, outlierRatio-1)
 	for block := range e.blocks {
 		for i := from; i < to; i++ {
-			total[block][i] *= ((1-odd)*likelihoods[block][i] + besides) / null
+			total[block][i] *= ((1-outlier)*likelihoods[block][i] + besides) / null
 		}
 	}
 }
@@ -243,10 +243,10 @@
 	return likelihoods
 }
 
-// oddRatio returns the likelihood ratio of an odd endpoint: the mean over a range of
-// alternatives. Half of the weight is on those from the beginning of the order: most odd
-// endpoints are odd from their start.
-func (e *evidence) oddRatio(likelihoods *cell, from, to int) float64 {
+// outlierRatio returns the likelihood ratio of an outlier endpoint: the mean over a range of
+// alternatives. Half of the weight is on those from the beginning of the order: most outlier
+// endpoints are outliers from their start.
+func (e *evidence) outlierRatio(likelihoods *cell, from, to int) float64 {
 	first, all := 0.0, 0.0
 	for block := range e.blocks {
 		for i := from; i < to; i++ {
