--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -105,8 +105,6 @@
 	// service's requests, plus ExposeSlack requests.
 	ExposeShare float64 `yaml:"expose_share"`
 	ExposeSlack int     `yaml:"expose_slack"`
-	// RollbackTimeout is how long after the verdict requests may still reach a bad version.
-	RollbackTimeout catalog.Duration `yaml:"rollback"`
 }
 
 // QueueOrder is an order of waiting requests within a rank and team.
@@ -142,7 +140,6 @@
 	defaultStopTimeout       = 8 * time.Second
 	defaultConfigValidity    = 5 * time.Second
 	defaultRateWindow        = 10 * time.Second
-	defaultRollbackTimeout   = 5 * time.Second
 	defaultHeldShare         = 0.3
 	defaultHeldResponseKB    = 4096
 	defaultHeldRate          = 16 << 10
@@ -220,7 +217,6 @@
 	for path, value := range map[string]catalog.Duration{
 		"bounds.beat": b.HeartbeatInterval, "bounds.stop": b.StopTimeout, "bounds.fresh": b.ConfigValidity,
 		"bounds.quota_window": b.QuotaWindow, "bounds.retry_window": b.RetryWindow,
-		"bounds.rollback": b.RollbackTimeout,
 	} {
 		if value < 0 {
 			d.addAt(path, "%s is negative", time.Duration(value))
@@ -255,6 +251,5 @@
 	b.ConfigValidity = orDefault(b.ConfigValidity, catalog.Duration(defaultConfigValidity))
 	b.QuotaWindow = orDefault(b.QuotaWindow, catalog.Duration(defaultRateWindow))
 	b.RetryWindow = orDefault(b.RetryWindow, catalog.Duration(defaultRateWindow))
-	b.RollbackTimeout = orDefault(b.RollbackTimeout, catalog.Duration(defaultRollbackTimeout))
 	b.QueueOrder = orDefault(b.QueueOrder, QueueArrival)
 }
