--- a/sched/order_test.go
+++ b/sched/order_test.go
@@ -53,6 +53,47 @@
 	}
 }
 
+// TestReportedSlowdownOrdersByWork guards against an order by expected work where no endpoint reports a slowdown, and
+// against waiting requests that keep the order of arrival once one does.
+func TestReportedSlowdownOrdersByWork(t *testing.T) {
+	for _, reports := range []bool{false, true} {
+		s := discoveredPool(1, 3)
+		s.pool.ExpectedWorkIfSlowed = true
+		fill(s, 3)
+		var out event.Effects
+		s.Step(1, submission(1, patient(800)), &out)
+		s.Step(2, submission(2, patient(20)), &out)
+		if reports {
+			s.Step(3, &event.Begun{ID: "r100000", Pool: pool, After: event.Millisecond, Slowdown: 2}, &out)
+		}
+		want := event.RequestID("r1")
+		if reports {
+			want = "r2"
+		}
+		if got := end(s, 4, 1).Grants; len(got) != 1 || got[0].ID != want {
+			t.Errorf("slowdown reported: %v; granted %+v, want %s", reports, got, want)
+		}
+		if got := end(s, 5, 2).Grants; len(got) != 1 || s.Waiting() != 0 {
+			t.Errorf("slowdown reported: %v; granted %+v, %d requests wait", reports, got, s.Waiting())
+		}
+	}
+}
+
+// TestResponsesThatCannotEndAreNotBegun guards against slots that are held by responses which their deadline cuts off.
+func TestResponsesThatCannotEndAreNotBegun(t *testing.T) {
+	for name, deadline := range map[string]event.Duration{"ends": 60 * event.Second, "cannot end": event.Second} {
+		s := workPool(1, 1)
+		var out event.Effects
+		s.Step(1, submission(1, func(k *event.Ticket) {
+			patient(800)(k) // some 4 s
+			k.Deadline, k.Patience = deadline, 0
+		}), &out)
+		if want := name == "ends"; (len(out.Grants) == 1) != want {
+			t.Errorf("%s: granted %+v", name, out.Grants)
+		}
+	}
+}
+
 // TestLongRequestAges guards against starvation: a steady load of short requests may not keep
 // a long one waiting for more than agingFactor times its run time.
 func TestLongRequestAges(t *testing.T) {
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -10,6 +10,27 @@
 	"lynxramp.org/event"
 )
 
+// TestLateRequestIsGivenUpInTime guards against callers that wait until shortly before their deadline and get nothing: under
+// a load that does not fall, a late request is refused after a quarter of its time.
+func TestLateRequestIsGivenUpInTime(t *testing.T) {
+	s := workPool(1, 2)
+	fill(s, 2)
+	var out event.Effects
+	s.Step(0, submission(1, func(k *event.Ticket) {
+		k.OutputTokens, k.Target, k.Patience, k.Deadline = 20, 500*event.Millisecond, 450*event.Millisecond, 8*event.Second
+	}), &out)
+	refusedAt := event.Time(0)
+	for now := event.Time(0); refusedAt == 0 && now < event.Time(8*event.Second); now = now.Add(50 * event.Millisecond) {
+		s.Step(now, &event.Tick{}, &out)
+		if len(out.Refusals) > 0 {
+			refusedAt = now
+		}
+	}
+	if low, high := event.Time(event.Second), event.Time(2100*event.Millisecond); refusedAt < low || refusedAt > high {
+		t.Errorf("refused after %s, want 1 to 2.1 s", event.Duration(refusedAt))
+	}
+}
+
 // TestLateRequestsAreServedWhenLoadFalls has a load that falls after a burst: requests that
 // missed their target are kept and served, not refused.
 func TestLateRequestsAreServedWhenLoadFalls(t *testing.T) {
