--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -214,7 +214,7 @@
 }
 
 // multiply multiplies the ratios of all endpoints by those of one: that the version is bad, and
-// the endpoint may be outlier besides, over that the version is good, and the endpoint may be outlier.
+// the endpoint may be an outlier besides, over that the version is good, and the endpoint may be one.
 // Each ratio is below 10,000 with 3 endpoints or more, so the product over maxEndpoints is finite.
 func (e *evidence) multiply(total, sums *cell, outlier float64, from, to int) {
 	likelihoods := sums.exponentials(len(e.blocks), from, to)
