control: an owner acts on entries that were committed while its lease had lapsed

Cause: an owner passed the catalog and the claims of idempotency keys to its schedulers only if it held its lease as it applied them. If the lease had lapsed and was renewed in the same epoch, they were never passed on: without the first catalog the owner refused every request with no_pool until the next change of the catalog, and requests with a claimed key waited until their deadline.

Change: what was applied without the lease is passed on once the lease is renewed. Grants are not made before that, as they are not delivered.

--- a/control/state.go
+++ b/control/state.go
@@ -39,6 +39,7 @@
 	compacted       consensus.Index
 	catalogProposed bool // the initial catalog
 	version         uint64
+	deferred        bool                    // committed entries are not passed to the schedulers yet
 	drainList       *event.DrainListUpdated // the last one, for pools created later
 }
 
@@ -148,6 +149,7 @@
 		}
 	}
 	s.updateOwnership(now, out)
+	s.passCommitted(now, out)
 	if applied := s.node.Applied(); applied >= s.compacted+compactEvery {
 		s.compacted = applied
 		s.node.Compact(applied, s.machine.Snapshot(), &out.Ready)
@@ -163,10 +165,19 @@
 		return
 	}
 	s.answerChanges(out)
-	if s.isOwner(now) {
-		s.changePools(now, out)
-		s.resumeClaimed(now, out)
+	s.deferred = true
+	s.passCommitted(now, out)
+}
+
+// passCommitted passes what was committed to the schedulers. While the lease has lapsed it waits:
+// the lease may be renewed in the same epoch, and grants made before that are not delivered.
+func (s *State) passCommitted(now event.Time, out *Effects) {
+	if !s.deferred || !s.isOwner(now) {
+		return
 	}
+	s.deferred = false
+	s.changePools(now, out)
+	s.resumeClaimed(now, out)
 }
 
 // updateOwnership begins a new epoch when this box has become the leader, and ends
