cluster: entries without an owner may use what replaced the completed version

Cause: an entry that loses the owner used, of a service with a completed order, only the version of that order. If its endpoints were all replaced by another version without an order, the entry had no endpoint of the service until an owner was found.

Change: the version of the last order counts only while an endpoint has it; otherwise it is the version of the endpoint that has not changed for longest, as without an order.

Measured: TestEntriesMayUseWhatReplacedTheCompletedVersion fails before the change (one version restricted, none wanted) and passes after it.

--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -295,7 +295,7 @@
 // first heartbeat on, while the owner still uses them.
 func (s *State) entryModes(modes map[versionKey]event.EndpointMode, present map[versionKey]bool) map[versionKey]event.EndpointMode {
 	all := maps.Clone(modes)
-	established := s.establishedVersions()
+	established := s.establishedVersions(present)
 	for key := range present {
 		version, ok := established[key.service]
 		if _, isRestricted := all[key]; ok && !isRestricted && key.version != version && key.version != "" {
@@ -306,14 +306,14 @@
 }
 
 // establishedVersions returns the version of each service that entries may use without an owner: the one that
-// the newest order completed or is shifting to, else that of the endpoint that has not changed for longest, without
-// the version of an order that is not completed.
-func (s *State) establishedVersions() map[string]string {
+// the newest order completed or is shifting to, if any endpoint has it, else that of the endpoint that has not changed
+// for longest, without the version of an order that is not completed.
+func (s *State) establishedVersions(present map[versionKey]bool) map[string]string {
 	versions := make(map[string]string)
 	oldest := make(map[string]uint64)
 	for id, e := range s.machine.registry.Endpoints {
 		r, ok := s.machine.rollouts.Get(e.Service)
-		if ok && (r.Phase == rollout.PhaseCompleted || r.Phase == rollout.PhaseShifting) {
+		if ok && (r.Phase == rollout.PhaseCompleted || r.Phase == rollout.PhaseShifting) && present[versionKey{e.Service, r.Version}] {
 			versions[e.Service] = r.Version
 			continue
 		}
--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -332,3 +332,25 @@
 		t.Errorf("mode %s after the order is committed", got)
 	}
 }
+
+// TestEntriesMayUseWhatReplacedTheCompletedVersion guards against entries that have no endpoint once they lose the
+// owner: the endpoints of the version that the last order completed were all replaced by another one without an order.
+func TestEntriesMayUseWhatReplacedTheCompletedVersion(t *testing.T) {
+	s := newRolloutSim(t, 3)
+	owner := s.mustOwner()
+	s.heartbeat(owner, registry.Endpoint{ID: "e2", Service: "s", Address: "b", Slots: 1, Sequence: 1, Version: "v2"})
+	s.run(200 * event.Millisecond)
+	s.mustOrder(simOrder, StatusDone) // completed at once: there is no other version
+	restricted := func() int { return len(owner.state.owner.restrictions().List) }
+	s.heartbeat(owner, registry.Endpoint{ID: "e3", Service: "s", Address: "c", Slots: 1, Sequence: 1, Version: "v3"})
+	s.run(200 * event.Millisecond)
+	if n := restricted(); n != 1 {
+		t.Errorf("%d versions are restricted beside the completed one, want 1", n)
+	}
+	s.lastCall++
+	s.step(owner, &EndpointRemoved{CallID: s.lastCall, Name: "e2"})
+	s.run(200 * event.Millisecond)
+	if n := restricted(); n != 0 {
+		t.Errorf("%d versions are restricted where no endpoint has the completed one, want 0", n)
+	}
+}
