gateway: a resumed stream and the version of a granted endpoint are visible

A caller that resumes a stream is logged with the attempt that it names and the last event that it has; granted requests are logged with the version of their endpoint; a counter tells streams resumed by callers from those resumed inside one response. No decision changes. The log of the incident could not tell the two apart.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,6 +279,7 @@
 	c.addStep(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
 		zap.Stringer("print", c.fingerprint), zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.promptTokens), zap.Int("output_tokens", c.maxOutputTokens), zap.Int("guessed_tokens", c.expectedOutputTokens()),
 		zap.Duration("left", c.remaining()), zap.Uint64("version", c.table.Version))
+	c.recordResumption()
 	return true
 }
 
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -55,6 +55,9 @@
 		m.refusals(event.ReasonShed, work)
 	}
 	m.restrictedGrants()
+	for _, by := range []string{resumedByCaller, resumedByEntry} {
+		m.resumptions(by)
+	}
 	return m
 }
 
@@ -130,6 +133,17 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="rollout"}`)
 }
 
+// Who resumed a stream, as used in metric labels.
+const (
+	resumedByCaller = "caller" // in another request
+	resumedByEntry  = "entry"  // in the same response
+)
+
+// resumptions counts the attempts to resume a stream that broke off.
+func (m *meters) resumptions(by string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_stream_resumptions_total{by="` + by + `"}`)
+}
+
 // observeDecision records how long a request waited for its decision, and who decided.
 func (m *meters) observeDecision(since time.Time, degraded bool) {
 	by := "owner"
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -21,6 +21,8 @@
 	Signature string
 	// LastEventID is the ID of the last stream event that the reader received.
 	LastEventID string
+	// Resumes is set by a caller that resumes a stream: the RequestID of its attempt that received the first event.
+	Resumes string
 	// Reserved are the headers that only the system may send to endpoints. They are removed from
 	// callers' requests.
 	Reserved []string
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -37,6 +37,7 @@
 	Granted    bool
 	Endpoint   event.EndpointID
 	Address    string
+	Version    string // of the endpoint, as last sent by an owner; empty if unknown
 	Reason     event.Reason
 	RetryAfter event.Duration
 	// NewConnection requires a new connection to the endpoint.
@@ -295,7 +296,10 @@
 		}
 		delete(a.waiting, g.ID)
 		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint, Print: w.submission.Print}
-		w.decision <- Decision{Granted: true, Endpoint: g.Endpoint, Address: g.Address, NewConnection: g.Fresh, Permit: a.permit(&g, degraded), Degraded: degraded, Inputs: g.Inputs}
+		w.decision <- Decision{
+			Granted: true, Endpoint: g.Endpoint, Address: g.Address, Version: a.endpoints[g.Endpoint].Version, NewConnection: g.Fresh,
+			Permit: a.permit(&g, degraded), Degraded: degraded, Inputs: g.Inputs,
+		}
 	}
 	for _, r := range refusals {
 		w, ok := a.waiting[r.ID]
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -31,6 +31,7 @@
 // The steps of a request, as log messages.
 const (
 	stepAdmitted   = "admitted"
+	stepResumption = "caller resumes a stream"
 	stepGranted    = "granted"
 	stepRefused    = "refused"
 	stepDispatched = "dispatched"
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -161,6 +161,7 @@
 		}
 		isRetry = true
 		if c.headSent {
+			c.gateway.meters.resumptions(resumedByEntry).Inc()
 			c.addStep(stepResumed, zap.String("last_event", c.lastEventID))
 		} else {
 			c.addStep(stepRetried, zap.Stringer("after_outcome", a.outcome))
@@ -188,7 +189,7 @@
 			return d, false
 		}
 		if d.Granted {
-			c.addStep(stepGranted, zap.String("endpoint", string(d.Endpoint)), zap.Bool("alone", d.Degraded),
+			c.addStep(stepGranted, zap.String("endpoint", string(d.Endpoint)), zap.String("endpoint_version", d.Version), zap.Bool("alone", d.Degraded),
 				zap.Int("running", d.Inputs.Running), zap.Duration("expected_first", d.Inputs.Wait))
 			return d, true
 		}
