event, rollout: one adjustment of a ticket for waiting, one type of modes

Three copies of the adjustment become Ticket.AfterWait, package rollout uses event.EndpointMode, and arguments that nothing reads go. No behaviour changes.

--- a/admission/counted.go
+++ b/admission/counted.go
@@ -27,15 +27,6 @@
 	isAgain bool
 }
 
-// callerTicket returns the ticket of the submission with the caller's remaining time at now.
-func (c *charge) callerTicket(now event.Time) *event.Ticket {
-	t := c.submission.Ticket
-	if t.CallerTime > 0 {
-		t.CallerTime = max(event.Millisecond, t.CallerTime-now.Sub(c.chargedAt))
-	}
-	return &t
-}
-
 // addCharge records the charge of an admitted submission.
 func (s *State) addCharge(now event.Time, entry event.BoxID, m *message.Submission) {
 	t := &m.Ticket
@@ -104,7 +95,7 @@
 	for i := range out.Grants[grants:] {
 		g := &out.Grants[grants+i]
 		if c, ok := s.charges[g.ID]; ok {
-			s.countGrant(now, c, g)
+			s.countGrant(c, g)
 			c.granted = true
 			s.recordGrant(now, c.submission, g.Endpoint)
 		}
@@ -112,7 +103,8 @@
 	for i := range out.Refusals[refusals:] {
 		refused := &out.Refusals[refusals+i]
 		if c, ok := s.charges[refused.ID]; ok {
-			s.refusedCalls.add(now, c.callerTicket(now), c.submission.Print)
+			t := c.submission.Ticket.AfterWait(now.Sub(c.chargedAt))
+			s.refusedCalls.add(now, &t, c.submission.Print)
 		}
 		s.releaseUnrun(now, refused.ID)
 	}
--- a/admission/poison.go
+++ b/admission/poison.go
@@ -133,11 +133,6 @@
 // afterWait returns a submission with its times adjusted for a further wait.
 func afterWait(m *message.Submission, waited event.Duration) message.Submission {
 	adjusted := *m
-	adjusted.Ticket.Waited += waited
-	adjusted.Ticket.Deadline -= waited
-	if adjusted.Ticket.CallerTime > 0 {
-		adjusted.Ticket.CallerTime = max(event.Millisecond, adjusted.Ticket.CallerTime-waited)
-	}
-	adjusted.Ticket.Target = max(event.Millisecond, adjusted.Ticket.Target-waited)
+	adjusted.Ticket = m.Ticket.AfterWait(waited)
 	return adjusted
 }
--- a/admission/rollout.go
+++ b/admission/rollout.go
@@ -13,9 +13,9 @@
 // Rollouts bounds the requests of unproved versions and judges them, as rollout.Tracker does.
 type Rollouts interface {
 	// Granted counts a request that was granted to an endpoint of a version.
-	Granted(now event.Time, service, version string)
+	Granted(service, version string)
 	// Observe adds the outcome of a request.
-	Observe(now event.Time, id event.RequestID, s rollout.Sample)
+	Observe(id event.RequestID, s rollout.Sample)
 	// Allowance returns how many requests may be granted to the unproved version now.
 	Allowance(service string) int
 }
@@ -38,7 +38,7 @@
 
 // countGrant counts a grant for the roll-out of its service. A request that is submitted and granted again without
 // an end counts once, as the bound of exposure grows with the count; at an unproved version it counts each time.
-func (s *State) countGrant(now event.Time, c *charge, g *event.Granted) {
+func (s *State) countGrant(c *charge, g *event.Granted) {
 	if s.rollouts == nil || c.granted {
 		return
 	}
@@ -48,7 +48,7 @@
 	}
 	c.usualFirst = g.Inputs.UsualFirst
 	if !c.isAgain || mode == event.ModeCanary {
-		s.rollouts.Granted(now, c.service, c.version)
+		s.rollouts.Granted(c.service, c.version)
 	}
 }
 
@@ -65,12 +65,12 @@
 // observeRollout passes the outcome of a request to the roll-out of its service. Requests that an endpoint
 // didn't run, or that their caller gave up, show nothing. The charge has the version, as the endpoint may be
 // gone; requests that an earlier owner granted have none.
-func (s *State) observeRollout(now event.Time, f *message.Finish) {
+func (s *State) observeRollout(f *message.Finish) {
 	c, ok := s.charges[f.ID]
 	if s.rollouts == nil || !ok || !c.granted || f.Unsent || f.Void || f.Abandoned {
 		return
 	}
-	s.rollouts.Observe(now, f.ID, rollout.Sample{
+	s.rollouts.Observe(f.ID, rollout.Sample{
 		Service: c.service, Version: c.version, Endpoint: f.Endpoint, Route: c.submission.Ticket.Route,
 		Failed: f.Failed, First: f.FirstAfter, ExpectedFirst: c.usualFirst, TokenGap: f.TokenGap,
 	})
--- a/admission/rollout_test.go
+++ b/admission/rollout_test.go
@@ -20,14 +20,14 @@
 	samples      []rollout.Sample
 }
 
-func (r *fakeRollouts) Granted(_ event.Time, _, version string) {
+func (r *fakeRollouts) Granted(_, version string) {
 	r.granted[version]++
 	if version == "v2" {
 		r.spent++
 	}
 }
 
-func (r *fakeRollouts) Observe(_ event.Time, _ event.RequestID, s rollout.Sample) {
+func (r *fakeRollouts) Observe(_ event.RequestID, s rollout.Sample) {
 	r.samples = append(r.samples, s)
 }
 
--- a/admission/state.go
+++ b/admission/state.go
@@ -235,7 +235,7 @@
 	if f.Unsent {
 		s.refundSubmission(now, f.ID)
 	}
-	s.observeRollout(now, f)
+	s.observeRollout(f)
 	s.removeCharge(f.ID)
 	if f.FirstAfter > 0 || f.Ran != message.OutcomeUnknown {
 		s.recordResponse(now, f.Endpoint)
--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -246,14 +246,7 @@
 	if _, ok := p.proposed[key]; ok {
 		return event.ModeBlocked
 	}
-	switch p.tracker.Mode(key.service, key.version) {
-	case rollout.ModeCanary:
-		return event.ModeCanary
-	case rollout.ModeBlocked:
-		return event.ModeBlocked
-	default:
-		return event.ModeNormal
-	}
+	return p.tracker.Mode(key.service, key.version)
 }
 
 // updateModes applies the modes of all versions to the endpoints whose mode changed.
--- a/cluster/rollout_log.go
+++ b/cluster/rollout_log.go
@@ -23,19 +23,19 @@
 }
 
 // Granted implements admission.Rollouts.
-func (p *rolloutOwner) Granted(now event.Time, service, version string) {
-	p.tracker.Granted(now, service, version)
+func (p *rolloutOwner) Granted(service, version string) {
+	p.tracker.Granted(service, version)
 }
 
 // Allowance implements admission.Rollouts.
 func (p *rolloutOwner) Allowance(service string) int { return p.tracker.Allowance(service) }
 
 // Observe implements admission.Rollouts.
-func (p *rolloutOwner) Observe(now event.Time, id event.RequestID, s rollout.Sample) {
-	if s.Failed && p.tracker.Mode(s.Service, s.Version) == rollout.ModeCanary {
+func (p *rolloutOwner) Observe(id event.RequestID, s rollout.Sample) {
+	if s.Failed && p.tracker.Mode(s.Service, s.Version) == event.ModeCanary {
 		p.lastFailed[s.Service] = id
 	}
-	p.tracker.Observe(now, s)
+	p.tracker.Observe(s)
 }
 
 // rolloutFields are the fields of a record in log lines.
--- a/event/event.go
+++ b/event/event.go
@@ -102,6 +102,17 @@
 	ProvedOnly bool
 }
 
+// AfterWait returns the ticket with its times adjusted for a further wait.
+func (t Ticket) AfterWait(waited Duration) Ticket {
+	t.Waited += waited
+	t.Deadline -= waited
+	if t.CallerTime > 0 {
+		t.CallerTime = max(Millisecond, t.CallerTime-waited)
+	}
+	t.Target = max(Millisecond, t.Target-waited)
+	return t
+}
+
 // Event is a pointer to one of the event types of this package.
 type Event interface{ IsEvent() }
 
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -149,13 +149,7 @@
 // resubmission returns the submission with its times reduced by the time already waited.
 func (w *waiter) resubmission(now event.Time) message.Submission {
 	m := w.submission
-	waited := now.Sub(w.arrived)
-	m.Ticket.Waited += waited
-	m.Ticket.Deadline -= waited
-	if m.Ticket.CallerTime > 0 {
-		m.Ticket.CallerTime = max(event.Millisecond, m.Ticket.CallerTime-waited)
-	}
-	m.Ticket.Target = max(event.Millisecond, m.Ticket.Target-waited)
+	m.Ticket = m.Ticket.AfterWait(now.Sub(w.arrived))
 	return m
 }
 
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -75,7 +75,7 @@
 }
 
 // Observe adds the outcome of a request.
-func (t *Tracker) Observe(_ event.Time, sample Sample) {
+func (t *Tracker) Observe(sample Sample) {
 	s, p := t.active(sample.Service)
 	if p == nil {
 		return
--- a/rollout/exposure_test.go
+++ b/rollout/exposure_test.go
@@ -109,7 +109,7 @@
 		if w.tracker.Allowance("s") > 0 {
 			version = newVersion
 		}
-		w.tracker.Granted(w.now, "s", version)
+		w.tracker.Granted("s", version)
 		if !ok {
 			continue
 		}
@@ -127,7 +127,7 @@
 
 func (w *exposureSim) observe() {
 	for _, version := range []string{oldVersion, newVersion} {
-		w.tracker.Observe(w.now, Sample{Service: "s", Version: version, Endpoint: "e", Failed: version == newVersion && w.random.IntN(8) == 0})
+		w.tracker.Observe(Sample{Service: "s", Version: version, Endpoint: "e", Failed: version == newVersion && w.random.IntN(8) == 0})
 	}
 }
 
@@ -185,7 +185,7 @@
 			version = newVersion
 			exposed++
 		}
-		tracker.Granted(now, "s", version)
+		tracker.Granted("s", version)
 		for _, r := range tracker.Tick(now) {
 			records++
 			tracker.Committed(now, r)
@@ -205,7 +205,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		if tracker.Allowance("s") >= 0 {
-			tracker.Granted(0, "s", newVersion)
+			tracker.Granted("s", newVersion)
 		}
 	}
 }
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -200,14 +200,14 @@
 func (m *model) request() {
 	version := oldVersion
 	mode := m.tracker.Mode("s", newVersion)
-	if mode == ModeNormal || mode == ModeCanary && m.tracker.Allowance("s") > 0 {
+	if mode == event.ModeNormal || mode == event.ModeCanary && m.tracker.Allowance("s") > 0 {
 		version = newVersion
 	}
 	m.requests++
-	if version == newVersion && mode == ModeCanary {
+	if version == newVersion && mode == event.ModeCanary {
 		m.exposed++
 	}
-	m.tracker.Granted(m.now, "s", version)
+	m.tracker.Granted("s", version)
 	m.send(version, m.pickRoute())
 }
 
@@ -282,7 +282,7 @@
 	if e.isBad {
 		m.badResponses++
 	}
-	m.tracker.Observe(m.now, *e.sample)
+	m.tracker.Observe(*e.sample)
 }
 
 // modelResult counts the outcomes of runs of one kind.
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -83,29 +83,6 @@
 	Slack int
 }
 
-// Mode is how the endpoints of a version may be used.
-type Mode uint8
-
-// Modes of a version.
-const (
-	// ModeNormal: without restriction.
-	ModeNormal Mode = iota
-	// ModeCanary: only within the allowance.
-	ModeCanary
-	// ModeBlocked: no new requests.
-	ModeBlocked
-)
-
-var modeNames = [...]string{"normal", "canary", "blocked"}
-
-// String returns the mode as written in the log and in metrics.
-func (m Mode) String() string {
-	if int(m) < len(modeNames) {
-		return modeNames[m]
-	}
-	return fmt.Sprintf("mode(%d)", uint8(m))
-}
-
 // Result is the outcome of submitting an order.
 type Result uint8
 
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -227,7 +227,7 @@
 }
 
 // Granted counts a request that was granted to an endpoint of a version.
-func (t *Tracker) Granted(_ event.Time, name, version string) {
+func (t *Tracker) Granted(name, version string) {
 	s, p := t.active(name)
 	if p == nil {
 		return
@@ -249,47 +249,47 @@
 }
 
 // Mode returns how the endpoints of a version may be used.
-func (t *Tracker) Mode(name, version string) Mode {
+func (t *Tracker) Mode(name, version string) event.EndpointMode {
 	s, p := t.active(name)
 	switch {
 	case s == nil:
-		return ModeNormal
+		return event.ModeNormal
 	case p != nil:
 		return p.mode(version == s.newest.record.Version)
 	case s.newest != nil:
 		return s.modeAfter(s.newest.record, version)
 	default:
-		return ModeNormal
+		return event.ModeNormal
 	}
 }
 
 // mode returns the mode of a version during the order.
-func (p *progress) mode(isTarget bool) Mode {
+func (p *progress) mode(isTarget bool) event.EndpointMode {
 	switch {
 	case p.isBad && isTarget:
-		return ModeBlocked
+		return event.ModeBlocked
 	case p.isBad:
-		return ModeNormal
+		return event.ModeNormal
 	case p.phase == PhaseCanary && isTarget:
-		return ModeCanary
+		return event.ModeCanary
 	case p.phase == PhaseShifting && !isTarget:
-		return ModeBlocked
+		return event.ModeBlocked
 	default:
-		return ModeNormal
+		return event.ModeNormal
 	}
 }
 
 // modeAfter returns the mode of a version after an order that ended. Endpoints of the old versions are about to stop
 // after it was completed; later ones of another version replace the completed one without an order. Endpoints that
 // report no version are never blocked this way: they may be of any.
-func (s *service) modeAfter(r Record, version string) Mode {
+func (s *service) modeAfter(r Record, version string) event.EndpointMode {
 	switch {
 	case r.Phase == PhaseRolledBack && version == r.Version:
-		return ModeBlocked
+		return event.ModeBlocked
 	case r.Phase == PhaseCompleted && version != r.Version && version != "" && !s.oldStopped && s.capacity[r.Version] > 0:
-		return ModeBlocked
+		return event.ModeBlocked
 	default:
-		return ModeNormal
+		return event.ModeNormal
 	}
 }
 
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -59,9 +59,9 @@
 	for now, i := from, 0; now < to; now, i = now.Add(10*event.Millisecond), i+1 {
 		s := Sample{Service: "s", Version: oldVersion, Route: "r", Endpoint: "old", First: event.Second, ExpectedFirst: event.Second}
 		switch o.Mode("s", newVersion) {
-		case ModeNormal:
+		case event.ModeNormal:
 			s.Version = newVersion
-		case ModeCanary:
+		case event.ModeCanary:
 			if o.Allowance("s") > 0 {
 				s.Version = newVersion
 			}
@@ -70,8 +70,8 @@
 			s.Endpoint = event.EndpointID(fmt.Sprint("new", i%4))
 			s.Failed = fails(i)
 		}
-		o.Granted(now, "s", s.Version)
-		o.Observe(now, s)
+		o.Granted("s", s.Version)
+		o.Observe(s)
 		if event.Duration(now)%tick == 0 {
 			o.tick(now)
 		}
@@ -95,7 +95,7 @@
 	}
 }
 
-func (o *owner) checkModes(t *testing.T, ofOld, ofNew Mode) {
+func (o *owner) checkModes(t *testing.T, ofOld, ofNew event.EndpointMode) {
 	t.Helper()
 	if got := o.Mode("s", oldVersion); got != ofOld {
 		t.Errorf("mode of the old version is %v, want %v", got, ofOld)
@@ -111,17 +111,17 @@
 	o := newOwner(0, &Ledger{})
 	o.SetRunning("s", oldVersion, 1)
 	o.order(t, 0, testOrder)
-	o.checkModes(t, ModeNormal, ModeCanary)
+	o.checkModes(t, event.ModeNormal, event.ModeCanary)
 	o.serve(0, at(9*event.Second), never)
 	o.checkPhase(t, PhaseCanary)
 	o.serve(at(9*event.Second), at(9100*event.Millisecond), never)
 	o.checkPhase(t, PhaseShifting)
-	o.checkModes(t, ModeBlocked, ModeNormal)
+	o.checkModes(t, event.ModeBlocked, event.ModeNormal)
 	o.serve(at(9100*event.Millisecond), at(11500*event.Millisecond), never)
 	o.checkPhase(t, PhaseShifting)
 	o.serve(at(11500*event.Millisecond), at(11600*event.Millisecond), never)
 	o.checkPhase(t, PhaseCompleted)
-	o.checkModes(t, ModeBlocked, ModeNormal)
+	o.checkModes(t, event.ModeBlocked, event.ModeNormal)
 	if want := []Phase{PhaseCanary, PhaseShifting, PhaseCompleted}; !cmp.Equal(o.phases, want) {
 		t.Errorf("phases %v, want %v", o.phases, want)
 	}
@@ -146,8 +146,8 @@
 	for now := event.Time(0); now < at(3*event.Second); now = now.Add(tick) {
 		o.serve(now, now.Add(tick-10*event.Millisecond), half)
 		records := o.Tick(now.Add(tick - 1))
-		if o.Mode("s", newVersion) == ModeBlocked {
-			o.checkModes(t, ModeNormal, ModeBlocked)
+		if o.Mode("s", newVersion) == event.ModeBlocked {
+			o.checkModes(t, event.ModeNormal, event.ModeBlocked)
 			if o.Allowance("s") != 0 || len(records) != 1 || records[0].Phase != PhaseRolledBack {
 				t.Errorf("allowance %d, records %+v; want none, and one of a roll-back", o.Allowance("s"), records)
 			}
@@ -174,7 +174,7 @@
 	}
 	o.tick(at(tick + retryInterval))
 	o.checkPhase(t, PhaseRolledBack)
-	o.checkModes(t, ModeNormal, ModeBlocked)
+	o.checkModes(t, event.ModeNormal, event.ModeBlocked)
 }
 
 // TestUnprovedVersionIsRolledBack guards against a version that is completed without enough
@@ -287,9 +287,9 @@
 	o.Tick(0)
 	o.Tick(at(20 * event.Second))
 	o.SetCapacity("s", newVersion, 10)
-	o.checkModes(t, ModeNormal, ModeNormal)
+	o.checkModes(t, event.ModeNormal, event.ModeNormal)
 	o.order(t, at(21*event.Second), testOrder)
-	o.checkModes(t, ModeNormal, ModeCanary)
+	o.checkModes(t, event.ModeNormal, event.ModeCanary)
 }
 
 // TestOldVersionIsBlockedWhileItStops guards against requests to endpoints that stop without draining once their
@@ -299,9 +299,9 @@
 	o.order(t, 0, testOrder)
 	o.serve(0, at(12*event.Second), never)
 	o.checkPhase(t, PhaseCompleted)
-	o.checkModes(t, ModeBlocked, ModeNormal)
+	o.checkModes(t, event.ModeBlocked, event.ModeNormal)
 	o.Tick(at(12 * event.Second).Add(oldStopTime))
-	o.checkModes(t, ModeNormal, ModeNormal)
+	o.checkModes(t, event.ModeNormal, event.ModeNormal)
 }
 
 // TestCompletedVersionOrderedAgain guards against a service whose only version is limited to
@@ -313,7 +313,7 @@
 	o.checkPhase(t, PhaseCompleted)
 	o.SetCapacity("s", oldVersion, 0)
 	r := o.order(t, at(20*event.Second), testOrder)
-	if r.Phase != PhaseCompleted || o.Mode("s", newVersion) != ModeNormal {
+	if r.Phase != PhaseCompleted || o.Mode("s", newVersion) != event.ModeNormal {
 		t.Errorf("phase %v, mode %v; want it completed at once", r.Phase, o.Mode("s", newVersion))
 	}
 }
@@ -323,7 +323,7 @@
 func TestOnlyVersionIsOrdered(t *testing.T) {
 	o := &owner{Tracker: NewTracker(0, &Ledger{}, testLimits), ledger: &Ledger{}}
 	o.SetCapacity("s", newVersion, 10)
-	if r := o.order(t, 0, testOrder); r.Phase != PhaseCompleted || o.Mode("s", newVersion) != ModeNormal {
+	if r := o.order(t, 0, testOrder); r.Phase != PhaseCompleted || o.Mode("s", newVersion) != event.ModeNormal {
 		t.Errorf("phase %v, mode %v; want it completed at once", r.Phase, o.Mode("s", newVersion))
 	}
 }
@@ -335,7 +335,7 @@
 	o.order(t, 0, testOrder)
 	for i := range 10000 {
 		for _, version := range []string{oldVersion, newVersion} {
-			o.Observe(0, Sample{Service: "s", Version: version, Route: fmt.Sprint(i), Endpoint: event.EndpointID(fmt.Sprint(i))})
+			o.Observe(Sample{Service: "s", Version: version, Route: fmt.Sprint(i), Endpoint: event.EndpointID(fmt.Sprint(i))})
 		}
 	}
 	e := &o.services["s"].newest.progress.evidence
@@ -352,10 +352,10 @@
 	o.order(t, 0, testOrder)
 	for i := range 40 {
 		id := event.EndpointID(fmt.Sprint("crashes/", i))
-		o.Observe(0, Sample{Service: "s", Version: newVersion, Endpoint: id, Failed: true})
-		o.Observe(0, Sample{Service: "s", Version: newVersion, Endpoint: "good-1"})
-		o.Observe(0, Sample{Service: "s", Version: newVersion, Endpoint: "good-2"})
-		o.Observe(0, Sample{Service: "s", Version: oldVersion, Endpoint: "old"})
+		o.Observe(Sample{Service: "s", Version: newVersion, Endpoint: id, Failed: true})
+		o.Observe(Sample{Service: "s", Version: newVersion, Endpoint: "good-1"})
+		o.Observe(Sample{Service: "s", Version: newVersion, Endpoint: "good-2"})
+		o.Observe(Sample{Service: "s", Version: oldVersion, Endpoint: "old"})
 		o.tick(at(event.Duration(i) * tick))
 	}
 	o.checkPhase(t, PhaseCanary)
