affinity: a stream goes on only at the version that began it

Cause: nothing bound a stream to a version. A caller's resumption was a new request to any entry, granted to any endpoint; an entry that resumed a stream in the same response asked for any endpoint too. Versions of endpoints were not even known without roll-outs.

Fix: package affinity. The log has the versions that the streams of a service may have. While there is one, the owner lends entries that fact for 2 s from their pings, and endpoints of a second version are used only once every lease has been given back or expired; nothing is kept of a stream then. With several, owner and entries keep the version of each stream until its caller's timeout, from the grant on, and report it to each other. A resumed stream is granted only to its version; entries check that again. Where the version is not known, or no endpoint of it is left, the request is refused at once (503, "begin it again") and reaches no endpoint; a stream that its entry can't resume is aborted.

Why this works: a request reaches an endpoint only if its version is the bound one, and the binding is either recorded from the grant of the first event's endpoint, or follows from the log by a lease that ends before another version is used. Ruled out: a version by the hash of the attempt (sets of versions change), asking the entry that began it (it may be gone), a record of each stream in the log (20,000 a second).

TestRolloutsOffWriteNothing now holds for level Rollouts as before and for level Versions without orders, as the log has versions from there on.

--- a/admission/counted.go
+++ b/admission/counted.go
@@ -23,6 +23,8 @@
 	// version is that of the endpoint that was granted, usualFirst the expected time to the first byte.
 	version    string
 	usualFirst event.Duration
+	// streamVersion is that of the endpoint to which a stream of Submission.Stream was granted.
+	streamVersion string
 	// isAgain is set if a grant of the same submission was counted before.
 	isAgain bool
 }
@@ -96,6 +98,7 @@
 		g := &out.Grants[grants+i]
 		if c, ok := s.charges[g.ID]; ok {
 			s.countGrant(c, g)
+			s.recordStreamGrant(now, c, g)
 			c.granted = true
 			s.recordGrant(now, c.submission, g.Endpoint)
 		}
--- a/admission/runs.go
+++ b/admission/runs.go
@@ -95,8 +95,11 @@
 			list = append(list, c)
 		}
 	}
-	slices.SortFunc(list, func(c, d *charge) int {
-		return cmp.Or(cmp.Compare(c.chargedAt, d.chargedAt), cmp.Compare(c.submission.Ticket.ID, d.submission.Ticket.ID))
-	})
+	slices.SortFunc(list, compareCharges)
 	return list
 }
+
+// compareCharges orders charges by their time.
+func compareCharges(c, d *charge) int {
+	return cmp.Or(cmp.Compare(c.chargedAt, d.chargedAt), cmp.Compare(c.submission.Ticket.ID, d.submission.Ticket.ID))
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -72,6 +72,7 @@
 	sweepAt        event.Time // next sweep of runs
 	limitShare     float64    // share of the endpoints' rate limits that is used here
 	rollouts       Rollouts   // nil while roll-outs are off
+	streams        *streams   // nil unless TrackStreams was called
 }
 
 // endpointState is an endpoint as registered, with its feedback and failures.
@@ -152,13 +153,16 @@
 	}
 	k.Endpoint = e
 	s.updatePool(now, k, out)
+	if k.isDraining() || k.Mode == event.ModeBlocked {
+		s.refuseGone(now, k.Service, k.Version, out)
+	}
 }
 
 // updatePool sends the state of an endpoint to its pool.
 func (s *State) updatePool(now event.Time, k *endpointState, out *event.Effects) {
 	s.step(now, s.service(now, k.Service), &event.EndpointUpdated{
 		Endpoint: event.Endpoint{
-			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Draining: k.isDraining(), DataCentre: k.DataCentre, Mode: k.Mode,
+			ID: event.EndpointID(k.ID), Concurrency: k.Slots, Speed: 1, Draining: k.isDraining(), DataCentre: k.DataCentre, Mode: k.Mode, Version: k.Version,
 		},
 		Address:  k.Address,
 		Down:     k.Down || now < k.backoffUntil,
@@ -176,6 +180,7 @@
 	}
 	delete(s.endpoints, id)
 	s.step(now, s.service(now, k.Service), &event.EndpointRemoved{ID: id}, out)
+	s.refuseGone(now, k.Service, k.Version, out)
 }
 
 // Submit registers a request of an entry.
@@ -184,7 +189,7 @@
 }
 
 func (s *State) checkAndAdmit(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) {
-	if s.checkPoison(now, entry, m, out) {
+	if s.bindStream(now, entry, m, out) && s.checkPoison(now, entry, m, out) {
 		s.spendAndAdmit(now, entry, m, out)
 	}
 }
@@ -217,6 +222,7 @@
 func (s *State) Withdraw(now event.Time, entry event.BoxID, w message.Withdrawal, out *event.Effects) {
 	isRequest := func(p deferredRequest) bool { return p.submission.Ticket.ID == w.ID }
 	s.parked, s.held = slices.DeleteFunc(s.parked, isRequest), slices.DeleteFunc(s.held, isRequest)
+	s.dropUnresolved(isRequest)
 	s.refund(now, w.ID)
 	s.poison.RecordUnsent(w.ID)
 	s.step(now, s.service(now, w.Service), &event.Withdrawn{Entry: entry, ID: w.ID}, out)
@@ -227,6 +233,7 @@
 	if r, ok := s.runs[b.ID]; ok {
 		s.recordResponse(now, r.endpoint)
 	}
+	s.recordStreamBegin(now, b.ID)
 	s.step(now, s.service(now, b.Pool), b, out)
 }
 
@@ -311,6 +318,7 @@
 		}
 	}
 	s.parked, s.held = slices.DeleteFunc(s.parked, isOfEntry), slices.DeleteFunc(s.held, isOfEntry)
+	s.dropUnresolved(isOfEntry)
 	s.removeCharges(now, entry)
 	for _, v := range s.services {
 		s.step(now, v, &event.EntryRemoved{Entry: entry}, out)
@@ -322,6 +330,7 @@
 	s.poison.Tick(now)
 	s.holdQueued(now, out)
 	s.sweepRuns(now)
+	s.tickStreams(now, out)
 	s.ReleaseHeld(now, out)
 	s.Unpark(now, out)
 	for _, k := range s.endpoints {
--- a/cluster/endpoints.go
+++ b/cluster/endpoints.go
@@ -21,7 +21,7 @@
 	if s.machine.formatVersion < level.Instances {
 		reported.Born = 0
 	}
-	if !s.supportsRollouts() {
+	if !s.supportsRollouts() && s.machine.formatVersion < level.Versions {
 		reported.Version = ""
 	}
 	return reported
--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -119,6 +119,7 @@
 	crashing        *crashSim        // endpoints that crash; nil for a single one that does not
 	limited         *limitedEndpoint // state of the single endpoint's rate limit; nil if it has none
 	rollout         *rolloutSim      // endpoints of two versions; nil for a single one without a version
+	versions        *versionSim      // endpoints of several versions with streams; nil if there are none
 }
 
 func newFleetSim(t testing.TB, n int, seed uint64) *fleetSim {
@@ -207,6 +208,9 @@
 		for _, e := range f.entries {
 			f.stepEntry(e)
 		}
+		if f.versions != nil {
+			f.versions.step(f)
+		}
 	}
 }
 
@@ -221,6 +225,10 @@
 		f.rollout.sendHeartbeats(f)
 		return
 	}
+	if f.versions != nil {
+		f.versions.sendHeartbeats(f)
+		return
+	}
 	for _, name := range f.order {
 		if b := f.boxes[name]; b.state != nil {
 			f.heartbeat(b, registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 1 << 20, Sequence: f.sequence})
@@ -366,6 +374,9 @@
 		f.crashing.stepCallers(f, e, now)
 		rate = 0
 	}
+	if f.versions != nil {
+		rate = 0
+	}
 	for ; rate > 0; rate-- {
 		if f.random.Float64() < rate && e.client.Table(now) != nil {
 			f.sendRequest(e, now, f.random.IntN(2*mean), false)
--- a/cluster/levels.go
+++ b/cluster/levels.go
@@ -236,6 +236,7 @@
 		clear(s.owner.packed) // packed in the previous format
 		s.owner.useFormatVersion(s)
 		s.owner.startRollouts(now, s)
+		s.owner.startVersions(now, s)
 	}
 }
 
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"lynxramp.org/affinity"
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
 	"lynxramp.org/event"
@@ -31,6 +32,8 @@
 	poison poison.Ledger
 	// rollouts holds the newest roll-out of each service.
 	rollouts rollout.Ledger
+	// versions has the software versions that the streams of each service may have.
+	versions affinity.Ledger
 	// now is when the commands being applied were committed, by the clock of this box. Only the ages of
 	// roll-outs depend on it; they are not part of the replicated state.
 	now event.Time
@@ -47,7 +50,8 @@
 	commandEndpointInstance // commandEndpoint with the endpoint's start time
 	commandEndpointVersion  // commandEndpointInstance with the endpoint's version; the start time may be unknown
 	commandRollout
-	lastCommand = commandRollout
+	commandVersions
+	lastCommand = commandVersions
 )
 
 // encodeFormatVersion returns the command that raises the group's format version. It must not
@@ -70,6 +74,8 @@
 		return level.Instances, true
 	case command[0] == commandEndpointVersion, command[0] == commandRollout:
 		return level.Rollouts, true
+	case command[0] == commandVersions:
+		return level.Versions, true
 	case command[0] == commandFormatVersion && len(command) == 2:
 		return max(level.Negotiated, level.Level(command[1])), true
 	}
@@ -135,6 +141,14 @@
 	return append([]byte{commandRollout}, data...)
 }
 
+func encodeVersions(r affinity.Record) []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // texts and numbers always encode
+	}
+	return append([]byte{commandVersions}, data...)
+}
+
 // encodeRemove returns the command that removes an endpoint instance. The id is the endpoint's name alone
 // if its start time is unknown or not all members support instances.
 func encodeRemove(id string) []byte { return append([]byte{commandRemoveEndpoint}, id...) }
@@ -146,6 +160,7 @@
 	budgets       *budget.Record
 	poison        *poison.Record
 	rollout       *rolloutChange
+	versions      *affinity.Record
 	updated       []registry.Endpoint
 	removed       []string
 }
@@ -207,13 +222,25 @@
 		before, _ := m.rollouts.Get(r.Service)
 		m.rollouts.Apply(m.now, r)
 		return change{rollout: &rolloutChange{record: r, before: before}}, nil
+	case commandVersions:
+		var r affinity.Record
+		if err := json.Unmarshal(body, &r); err != nil {
+			return change{}, errors.Wrap(err, "decode versions record")
+		}
+		if !m.versions.Apply(r, uint64(index)) {
+			return change{}, nil
+		}
+		return change{versions: &r}, nil
 	case commandFormatVersion:
 		if len(body) != 1 {
 			return change{}, errors.New("format version command has the wrong length")
 		}
-		raised := level.Level(body[0]) > m.formatVersion
+		before := m.formatVersion
 		m.observeFormat(level.Level(body[0]))
-		return change{formatVersion: raised}, nil
+		if before < level.Versions && m.formatVersion >= level.Versions {
+			m.startVersions(index)
+		}
+		return change{formatVersion: m.formatVersion > before}, nil
 	default:
 		return change{}, errors.Errorf("unknown command kind %d", command[0])
 	}
@@ -225,5 +252,18 @@
 	if !valid || !m.registry.Accepts(e) {
 		return change{}
 	}
+	if m.formatVersion >= level.Versions {
+		m.versions.Endpoint(e.Service, e.Version, uint64(index))
+	}
 	return change{removed: m.registry.Put(e, uint64(index)), updated: []registry.Endpoint{e}}
 }
+
+// startVersions begins to record the versions of services. Endpoints that earlier builds registered may have had others.
+func (m *stateMachine) startVersions(index consensus.Index) {
+	for _, e := range m.registry.List() {
+		m.versions.Start(e.Service, uint64(index))
+		if e.Version != "" {
+			m.versions.Endpoint(e.Service, e.Version, uint64(index))
+		}
+	}
+}
--- a/cluster/owner.go
+++ b/cluster/owner.go
@@ -53,6 +53,7 @@
 	feedback         feedbackTracker // of endpoints
 	slowdowns        slowdownLogger
 	rollouts         *rolloutOwner // nil while roll-outs are off
+	versions         *versionOwner // nil until all members support it
 }
 
 // maxExpiredPerTick bounds the disconnected entries whose requests one tick treats as terminated.
@@ -89,6 +90,7 @@
 		o.admission.SetTable(now, s.config.table)
 	}
 	o.startRollouts(now, s)
+	o.startVersions(now, s)
 	for _, e := range s.machine.registry.List() {
 		o.lastHeartbeat[e.ID] = now
 		o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
@@ -201,6 +203,7 @@
 	}
 	o.updateLimitShare(now)
 	o.admission.Tick(now, &o.effects)
+	o.tickVersions(now, s, out)
 	o.tickRollouts(now, s, out) // restrictions of new endpoints are sent before them
 	o.sendEndpointChanges(s, out)
 	o.sendFeedback(now, out)
@@ -289,6 +292,9 @@
 
 // applyChange applies the endpoints that a command updated or removed.
 func (o *owner) applyChange(now event.Time, c change, s *State, out *Effects) {
+	if o.versions != nil && len(c.removed)+len(c.updated) > 0 {
+		o.versions.isStale = true
+	}
 	for _, id := range c.removed {
 		if len(c.updated) > 0 { // replaced at its address, so it terminated without notice
 			o.admission.EndpointsLost(now, map[event.EndpointID]event.Time{event.EndpointID(id): o.lastHeartbeat[id]}, &o.effects)
--- a/cluster/owner_session.go
+++ b/cluster/owner_session.go
@@ -15,12 +15,14 @@
 
 // session is a connection of an entry.
 type session struct {
-	entry           event.BoxID
-	formatVersion   level.Level
-	build           string
-	sentVersion     uint64 // version of the configuration that was last announced
-	view            viewProgress
-	pendingFeedback []event.EndpointID // endpoints with feedback in force when the session began, still to be sent
+	entry         event.BoxID
+	formatVersion level.Level
+	build         string
+	sentVersion   uint64 // version of the configuration that was last announced
+	view          viewProgress
+	// versionsRevision is that of the newest message.Versions that the entry confirmed.
+	versionsRevision uint64
+	pendingFeedback  []event.EndpointID // endpoints with feedback in force when the session began, still to be sent
 }
 
 // entry is the state of an entry across its connections.
@@ -114,6 +116,7 @@
 	for _, r := range b.Hello.Running {
 		o.admission.Adopt(now, name, r, &o.effects)
 	}
+	o.refreshVersions(now, s, out)
 	view := o.firstView(sess, b.Hello.Revision, s)
 	view.Suspects = &message.Suspects{List: o.suspects}
 	out.Sends = append(out.Sends, Send{b.Session, &message.Envelope{View: view}})
@@ -139,13 +142,14 @@
 	}
 	o.applyPing(now, sess.entry, &p.Ping)
 	o.entries[sess.entry].recordDeferral(now, &p.Ping)
+	sess.versionsRevision = max(sess.versionsRevision, p.Ping.Versions)
 	if !s.owns(now) {
 		return
 	}
 	o.admission.EntryHeartbeat(now, sess.entry, &o.effects)
 	out.Sends = append(out.Sends, Send{p.Session, &message.Envelope{Pong: &message.Pong{
 		Sent: p.Ping.Sent, Version: s.machine.document.Version, Entries: o.entryCount(now),
-		Lent: o.budgets.UpdateLeases(now, sess.entry, len(o.entries)), Ends: o.savedTerminations(o.entries[sess.entry]),
+		Lent: o.budgets.UpdateLeases(now, sess.entry, len(o.entries)), Ends: o.savedTerminations(o.entries[sess.entry]), Versions: o.versionsRevision(sess),
 	}}})
 	o.sendView(p, sess, s, out)
 	o.sendInitialFeedback(p.Session, sess, out)
@@ -171,6 +175,7 @@
 	}
 	o.receiveTerminations(now, o.entries[sess.entry], t.Batch)
 	o.receiveFeedback(now, sess.entry, t.Batch.Heard)
+	o.admission.ReportStreams(now, t.Batch.Streams)
 	for i := range t.Batch.Begun {
 		o.admission.Begin(now, &t.Batch.Begun[i], &o.effects)
 	}
--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -236,12 +236,32 @@
 
 // modeOf returns the mode of an endpoint.
 func (o *owner) modeOf(e registry.Endpoint) event.EndpointMode {
-	if o.rollouts == nil {
+	key := versionKey{e.Service, e.Version}
+	switch {
+	case o.versions.isPending(key):
+		return event.ModeBlocked
+	case o.rollouts == nil:
 		return event.ModeNormal
+	default:
+		return o.rollouts.modeOf(key)
 	}
-	return o.rollouts.modeOf(versionKey{e.Service, e.Version})
 }
 
+// entryMode returns the mode of a version as entries apply it.
+func (o *owner) entryMode(key versionKey) event.EndpointMode {
+	switch {
+	case o.versions.isPending(key):
+		return event.ModeBlocked
+	case o.rollouts == nil:
+		return event.ModeNormal
+	default:
+		return o.rollouts.entryModes[key]
+	}
+}
+
+// mayRestrict reports whether the modes of versions may differ from event.ModeNormal.
+func (o *owner) mayRestrict() bool { return o.rollouts != nil || o.versions != nil }
+
 func (p *rolloutOwner) modeOf(key versionKey) event.EndpointMode {
 	if _, ok := p.proposed[key]; ok {
 		return event.ModeBlocked
@@ -336,14 +356,19 @@
 	return false
 }
 
-// restrictions returns the restricted versions for entries. It has none if roll-outs are off: an earlier owner may
-// have had them on.
+// restrictions returns the restricted versions for entries. It may have none: they replace those of an earlier owner.
 func (o *owner) restrictions() *message.Restrictions {
-	if o.rollouts == nil {
-		return &message.Restrictions{}
+	modes := make(map[versionKey]event.EndpointMode)
+	if o.rollouts != nil {
+		maps.Copy(modes, o.rollouts.entryModes)
 	}
-	list := make([]message.Restriction, 0, len(o.rollouts.entryModes))
-	for key, mode := range o.rollouts.entryModes {
+	if o.versions != nil {
+		for key := range o.versions.pending {
+			modes[key] = event.ModeBlocked
+		}
+	}
+	list := make([]message.Restriction, 0, len(modes))
+	for key, mode := range modes {
 		list = append(list, message.Restriction{Service: key.service, Version: key.version, Mode: mode})
 	}
 	slices.SortFunc(list, func(a, b message.Restriction) int {
@@ -358,6 +383,10 @@
 		return
 	}
 	o.rollouts.unsent = false
+	o.broadcastRestrictions(out)
+}
+
+func (o *owner) broadcastRestrictions(out *Effects) {
 	m := &message.Envelope{View: &message.View{Restrictions: o.restrictions()}}
 	for _, id := range o.sessionIDs() {
 		if o.sessions[id].formatVersion >= level.Rollouts {
--- a/cluster/snapshot.go
+++ b/cluster/snapshot.go
@@ -64,10 +64,15 @@
 		return data
 	}
 	data = appendJSON(data, m.poison.Record())
-	if m.formatVersion < level.Rollouts || len(m.rollouts.Services()) == 0 {
+	hasVersions := m.formatVersion >= level.Versions
+	if m.formatVersion < level.Rollouts || len(m.rollouts.Services()) == 0 && !hasVersions {
 		return data
 	}
-	return appendJSON(data, &m.rollouts)
+	data = appendJSON(data, &m.rollouts)
+	if hasVersions {
+		data = appendJSON(data, &m.versions)
+	}
+	return data
 }
 
 func (m *stateMachine) jsonSnapshot() []byte {
@@ -173,6 +178,9 @@
 	if m.formatVersion >= level.Rollouts && len(r.data) > 0 {
 		r.json(&m.rollouts)
 	}
+	if m.formatVersion >= level.Versions && len(r.data) > 0 {
+		r.json(&m.versions)
+	}
 	if r.err == nil && document.isComplete() {
 		m.document, r.err = document.document()
 	}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -370,6 +370,9 @@
 	if c.rollout != nil && s.owner != nil {
 		s.owner.rolloutCommitted(now, *c.rollout, s, out)
 	}
+	if c.versions != nil && s.owner != nil {
+		s.owner.versionsCommitted(now, *c.versions, s, out)
+	}
 	if c.formatVersion {
 		s.formatVersionRaised(now, out)
 	}
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -91,7 +91,7 @@
 		}
 	}
 	unrestricted := view
-	if o.rollouts != nil && o.hasEntriesBelow(level.Rollouts) {
+	if o.mayRestrict() && o.hasEntriesBelow(level.Rollouts) {
 		copied := *view
 		unrestricted = &copied
 		s.packEndpoints(o.drainRestricted(updated)).addTo(unrestricted)
@@ -140,8 +140,7 @@
 func (o *owner) drainRestricted(list []message.Endpoint) []message.Endpoint {
 	all := slices.Clone(list)
 	for i := range all {
-		mode := o.rollouts.entryModes[versionKey{all[i].Service, all[i].Version}]
-		all[i].Leaving = all[i].Leaving || mode != event.ModeNormal
+		all[i].Leaving = all[i].Leaving || o.entryMode(versionKey{all[i].Service, all[i].Version}) != event.ModeNormal
 	}
 	return all
 }
@@ -153,7 +152,7 @@
 		return o.wholeView(sess, revision, s)
 	}
 	canResume := s.machine.registry.CanResumeFrom(revision)
-	if o.rollouts != nil && sess.formatVersion < level.Rollouts {
+	if o.mayRestrict() && sess.formatVersion < level.Rollouts {
 		canResume = false // restrictions change without a revision
 	}
 	if !canResume {
@@ -165,6 +164,9 @@
 	if sess.formatVersion >= level.Rollouts {
 		view.Restrictions = o.restrictions()
 	}
+	if sess.formatVersion >= level.Versions {
+		view.Versions = o.versions.message()
+	}
 	return view
 }
 
@@ -252,7 +254,7 @@
 // pack returns the endpoints of a page, encoded once for all sessions that need it: 10,000 endpoints for each of 300
 // entries would be encoded 3,000,000 times after a change of owner.
 func (o *owner) pack(after uint64, p registry.Page, sess *session, s *State) packedPage {
-	if o.rollouts != nil && sess.formatVersion < level.Rollouts {
+	if o.mayRestrict() && sess.formatVersion < level.Rollouts {
 		list := make([]message.Endpoint, len(p.Endpoints))
 		for i, e := range p.Endpoints {
 			list[i] = o.messageEndpoint(e)
--- a/event/event.go
+++ b/event/event.go
@@ -100,6 +100,9 @@
 	Route string
 	// ProvedOnly excludes endpoints in ModeCanary.
 	ProvedOnly bool
+	// Bound is set for a stream that is resumed: it may be granted only to endpoints of Version.
+	Bound   bool
+	Version string
 }
 
 // AfterWait returns the ticket with its times adjusted for a further wait.
@@ -310,6 +313,8 @@
 	DataCentre string
 	// Mode restricts the endpoint during a roll-out.
 	Mode EndpointMode
+	// Version is that of its software; empty if unknown.
+	Version string
 }
 
 // EndpointMode says which new requests an endpoint may get during a roll-out.
@@ -370,6 +375,9 @@
 	// Paced is set when the decision took the endpoint's rate limit, or its removal, into account.
 	Paced  bool
 	Inputs Inputs
+	// Version is that of the endpoint if HasVersion is set, which it is for streams of a service with several versions.
+	Version    string
+	HasVersion bool
 	// Attach, if set, is a dispatch at the endpoint whose response is to be fetched;
 	// nothing is offered.
 	Attach DispatchID
@@ -459,6 +467,10 @@
 	ReasonPoison
 	// ReasonCooldown: all endpoints asked the entry to send nothing for a while.
 	ReasonCooldown
+	// ReasonStreamUnknown: it is not known which version began the stream that the request resumes.
+	ReasonStreamUnknown
+	// ReasonVersionGone: no endpoint has the version that began the stream that the request resumes.
+	ReasonVersionGone
 )
 
 // String returns the reason as written in logs and responses.
@@ -482,6 +494,10 @@
 		return "ends_endpoints"
 	case ReasonCooldown:
 		return "endpoints_rest"
+	case ReasonStreamUnknown:
+		return "stream_unknown"
+	case ReasonVersionGone:
+		return "version_gone"
 	default:
 		return "none"
 	}
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -65,10 +65,10 @@
 	return a.Table()
 }
 
-// Submit submits a request. Its decision is sent on the returned channel.
-func (a *Agent) Submit(m message.Submission) <-chan Decision {
+// Submit submits a request; s is its stream, nil if it can't be resumed. Its decision is sent on the returned channel.
+func (a *Agent) Submit(m message.Submission, s *StreamRequest) <-chan Decision {
 	decision := make(chan Decision, 1)
-	w := &waiter{submission: m, arrived: a.clock.Now(), decision: decision}
+	w := &waiter{submission: m, stream: s, arrived: a.clock.Now(), decision: decision}
 	a.input <- func(now event.Time) { a.client.submit(now, w) }
 	return decision
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,6 +178,12 @@
 	cooldown   event.Duration // Retry-After of a refusal because of cooldowns; 0 if none
 	record     requestRecord
 
+	stream *StreamRequest // nil if it can't be resumed
+	// isBound is set once the first event arrived, if the version of its endpoint is known: only endpoints of
+	// boundVersion may continue the stream.
+	isBound      bool
+	boundVersion string
+
 	// Once the head of a response was sent:
 	headSent   bool
 	relay      *relay // nil without the account of held memory
@@ -279,7 +285,7 @@
 	c.addStep(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
 		zap.Stringer("print", c.fingerprint), zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.promptTokens), zap.Int("output_tokens", c.maxOutputTokens), zap.Int("guessed_tokens", c.expectedOutputTokens()),
 		zap.Duration("left", c.remaining()), zap.Uint64("version", c.table.Version))
-	c.recordResumption()
+	c.stream = c.newStreamRequest()
 	return true
 }
 
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -34,10 +34,12 @@
 
 // Decision is the result of a submission.
 type Decision struct {
-	Granted    bool
-	Endpoint   event.EndpointID
-	Address    string
-	Version    string // of the endpoint, as last sent by an owner; empty if unknown
+	Granted  bool
+	Endpoint event.EndpointID
+	Address  string
+	// Version is that of the endpoint if HasVersion is set.
+	Version    string
+	HasVersion bool
 	Reason     event.Reason
 	RetryAfter event.Duration
 	// NewConnection requires a new connection to the endpoint.
@@ -112,6 +114,7 @@
 	running       map[event.RequestID]*message.Running
 	endpoints     map[event.EndpointID]message.Endpoint
 	restrictions  restrictions
+	versions      versionState
 	revision      uint64 // of the registry that endpoints reflects
 	// listed are the endpoints received of a complete list that is still being received; nil if there
 	// is none.
@@ -142,8 +145,11 @@
 // waiter is a request that awaits its decision.
 type waiter struct {
 	submission message.Submission
-	arrived    event.Time
-	decision   chan<- Decision
+	// stream identifies the request's stream; nil if it can't be resumed. sent is the submission as last sent.
+	stream   *StreamRequest
+	sent     message.Submission
+	arrived  event.Time
+	decision chan<- Decision
 }
 
 // resubmission returns the submission with its times reduced by the time already waited.
@@ -163,6 +169,7 @@
 		running:      make(map[event.RequestID]*message.Running),
 		endpoints:    make(map[event.EndpointID]message.Endpoint),
 		firstTable:   make(chan struct{}),
+		versions:     newVersionState(),
 		nextTry:      int(c.Instance % uint64(len(c.ControlAddresses)+1)),
 		fetch:        configFetch{window: maxWindow},
 
@@ -198,6 +205,12 @@
 	a.deliverDecisions(now)
 }
 
+// SubmitStream submits a request whose stream may be resumed, or that resumes one.
+func (a *OwnerClient) SubmitStream(now event.Time, m message.Submission, s *StreamRequest, decision chan<- Decision) {
+	a.submit(now, &waiter{submission: m, stream: s, arrived: now, decision: decision})
+	a.deliverDecisions(now)
+}
+
 // Withdraw withdraws a request whose decision is no longer awaited.
 func (a *OwnerClient) Withdraw(now event.Time, id event.RequestID) {
 	a.withdraw(now, id)
@@ -221,9 +234,10 @@
 	a.waiting[id] = w
 	switch {
 	case a.hasOwner:
-		a.batch.Submit = append(a.batch.Submit, w.submission)
+		m, _ := a.prepare(now, w, w.submission)
+		a.batch.Submit = append(a.batch.Submit, m)
 	case a.degraded != nil:
-		a.degraded.Submit(now, a.config.Entry, &w.submission, &a.effects)
+		a.submitDegraded(now, w, w.submission)
 	}
 }
 
@@ -250,6 +264,7 @@
 }
 
 func (a *OwnerClient) begin(now event.Time, b event.Begun) {
+	a.streamBegun(now, b.ID)
 	if a.hasOwner {
 		a.batch.Begun = append(a.batch.Begun, b)
 	}
@@ -260,6 +275,7 @@
 
 func (a *OwnerClient) finish(now event.Time, f message.Finish) {
 	delete(a.running, f.ID)
+	delete(a.versions.running, f.ID)
 	if a.link != 0 {
 		a.batch.Finish = append(a.batch.Finish, f)
 	}
@@ -289,11 +305,25 @@
 			continue
 		}
 		delete(a.waiting, g.ID)
-		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint, Print: w.submission.Print}
-		w.decision <- Decision{
+		d := Decision{
 			Granted: true, Endpoint: g.Endpoint, Address: g.Address, Version: a.endpoints[g.Endpoint].Version, NewConnection: g.Fresh,
 			Permit: a.permit(&g, degraded), Degraded: degraded, Inputs: g.Inputs,
 		}
+		if w.stream != nil {
+			r, ok := a.streamGranted(now, w, &g, degraded)
+			if !ok {
+				a.log.Warn("grant of a resumed stream not used: its endpoint may have another version", zap.String("id", string(g.ID)), zap.String("endpoint", string(g.Endpoint)),
+					zap.String("endpoint_version", r.version), zap.String("stream_version", w.sent.Ticket.Version))
+				a.finish(now, message.Finish{
+					Finished: event.Finished{ID: g.ID, Pool: w.submission.Ticket.Service, Void: true, Unused: true}, Endpoint: g.Endpoint, Unsent: true,
+				})
+				w.decision <- Decision{Reason: event.ReasonStreamUnknown, RetryAfter: retryAfterNotRun, Degraded: degraded}
+				continue
+			}
+			d.Version, d.HasVersion = r.version, r.hasVersion
+		}
+		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint, Print: w.submission.Print}
+		w.decision <- d
 	}
 	for _, r := range refusals {
 		w, ok := a.waiting[r.ID]
@@ -323,7 +353,8 @@
 
 // flush sends the batch, if it has any content.
 func (a *OwnerClient) flush() {
-	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Begun)+len(a.batch.Finish)+len(a.batch.Ends)+len(a.batch.Well)+len(a.batch.Heard) == 0 {
+	a.flushStreams()
+	if len(a.batch.Submit)+len(a.batch.Withdraw)+len(a.batch.Begun)+len(a.batch.Finish)+len(a.batch.Ends)+len(a.batch.Well)+len(a.batch.Heard)+len(a.batch.Streams) == 0 {
 		return
 	}
 	if a.link != 0 {
@@ -351,6 +382,7 @@
 		a.logSlowdowns(now)
 	}
 	a.sweepGate(now)
+	a.tickStreams(now)
 	a.deliverDecisions(now)
 }
 
@@ -389,8 +421,7 @@
 		a.degraded.Adopt(now, a.config.Entry, *r, &a.effects)
 	}
 	for _, w := range a.waitingByArrival() {
-		m := w.resubmission(now)
-		a.degraded.Submit(now, a.config.Entry, &m, &a.effects)
+		a.submitDegraded(now, w, w.resubmission(now))
 	}
 	a.log.Warn("decides without an owner", zap.Int("entries", entries), zap.Int("waiting", len(a.waiting)), zap.Int("running", len(a.running)))
 }
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -60,6 +60,7 @@
 	a.dialing = false
 	a.dialAt = now.Add(redialDelay)
 	a.link, a.address, a.ownerFormatVersion = link, address, 0
+	a.versions.revision, a.versions.unreported = 0, nil
 	if int64(now) >= a.validUntil.Load() {
 		// The entry was without contact for longer than leases are valid.
 		a.leases.Expire()
@@ -158,6 +159,7 @@
 	a.entryCount.Store(int64(max(1, p.Entries)))
 	a.leases.Apply(p.Lent)
 	a.dropSavedTerminations(p.Ends)
+	a.confirmVersions(now, p)
 	if !a.hasOwner {
 		a.ownerFound(now)
 	}
@@ -173,6 +175,7 @@
 	a.unsubmitted = a.waitingByArrival()
 	a.reportTerminations(now)
 	a.reportFeedback(now)
+	a.reportStreams(now)
 	a.log.Info("owner found", zap.String("address", a.address), zap.Int("waiting", len(a.waiting)), zap.Int("entries", int(a.entryCount.Load())))
 }
 
@@ -211,6 +214,7 @@
 	}
 	a.markDown(v.Silent)
 	a.applyRestrictions(v)
+	a.applyVersions(now, v.Versions)
 	a.applyFeedbackStates(now, v.Asked)
 	if v.More {
 		a.sendPing(now)
--- a/gateway/owner_word.go
+++ b/gateway/owner_word.go
@@ -27,7 +27,7 @@
 // sendPing sends a ping, which asks the owner to confirm that it still owns the pools.
 func (a *OwnerClient) sendPing(now event.Time) {
 	a.lastPing = now
-	ping := &message.Ping{Sent: now, Running: a.takeUnreported(), Revision: a.revision, Owned: a.hasOwner}
+	ping := &message.Ping{Sent: now, Running: a.takeUnreported(), Revision: a.revision, Owned: a.hasOwner, Versions: a.versions.revision}
 	ping.Has, ping.Spent = a.leases.Changes()
 	ping.More = a.leases.HasMore()
 	a.send(&message.Envelope{Ping: ping})
@@ -75,7 +75,8 @@
 			continue // no longer awaited
 		}
 		bytes += waitingSize(&w.submission)
-		a.batch.Submit = append(a.batch.Submit, w.resubmission(now))
+		m, _ := a.prepare(now, w, w.resubmission(now))
+		a.batch.Submit = append(a.batch.Submit, m)
 	}
 	if len(a.unsubmitted) > 0 {
 		a.flush()
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -159,6 +160,9 @@
 			c.giveUp(a)
 			return
 		}
+		if !c.mayResume() {
+			c.abortResponse("the endpoint's answer was lost, and the version of the stream is not known", a.err)
+		}
 		isRetry = true
 		if c.headSent {
 			c.gateway.meters.resumptions(resumedByEntry).Inc()
@@ -174,7 +178,7 @@
 	m := c.ticket(isRetry)
 	start, clock := time.Now(), c.gateway.agent.clock
 	submitted := clock.Now()
-	decision := c.gateway.agent.Submit(m)
+	decision := c.gateway.agent.Submit(m, c.stream)
 	select {
 	case d := <-decision:
 		c.gateway.meters.observeDecision(start, d.Degraded)
@@ -205,7 +209,7 @@
 			c.giveUp(last)
 			return d, false
 		}
-		c.respondNotRun(refusalStatus(d.Reason), d.RetryAfter, d.Reason.String())
+		c.respondNotRun(refusalStatus(d.Reason), d.RetryAfter, cmp.Or(resumptionRefused(d.Reason), d.Reason.String()))
 		return d, false
 	case <-ctx.Done():
 		c.withdraw(m)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,6 +41,7 @@
 		now := time.Now()
 		if received == 0 {
 			a.firstByteAfter = now.Sub(started)
+			c.bind(a.decision)
 			begun := event.Begun{ID: c.id, Pool: c.service, After: a.firstByteAfter}
 			begun.Slowdown, begun.SlowdownAge = a.load.take()
 			c.gateway.agent.Begin(begun)
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -75,7 +75,7 @@
 			PromptTokens: c.promptTokens, OutputTokens: c.expectedOutputTokens(), Deadline: left,
 			Target: max(target, event.Millisecond), Patience: c.queueTimeout(left),
 			Placed: c.wasGranted, Avoid: c.tried, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
-			Route: c.route.Name, CallerTime: c.callerTimeLeft(),
+			Route: c.route.Name, CallerTime: c.callerTimeLeft(), Bound: c.isBound, Version: c.boundVersion,
 		},
 		Quota: c.quotaUnits(), Repeat: isRetry, Print: c.fingerprint,
 	}
--- a/level/level.go
+++ b/level/level.go
@@ -32,10 +32,13 @@
 	// Rollouts: the log has the versions of endpoints and records of roll-outs, and the owner sends
 	// entries that read this level the versions that they may not use by themselves.
 	Rollouts
+	// Versions: the log has the versions of all endpoints and those that the streams of a service may have. The owner
+	// sends them to entries that read this level, and these report the versions of streams.
+	Versions
 )
 
 // Newest is the highest level that this build reads.
-const Newest = Rollouts
+const Newest = Versions
 
 // Readers says who must be able to read an encoding.
 type Readers uint8
@@ -64,7 +67,8 @@
 	{Negotiated, Members, "levels, announced when a connection opens, and recorded in the log and in snapshots", "cf9622c"},
 	{Instances, Members | Entries, "heartbeats of endpoints with their start time; endpoint IDs with that time, of which requests carry the name alone; endpoints listed by column", "4538dad"},
 	{Feedback, Members, "feedback in the responses of endpoints, sent to the owner, and by it to each entry that reads it", "fe3f9e0"},
-	{Rollouts, Members, "versions of endpoints and records of roll-outs, in the log; versions and restrictions, sent to each entry that reads them", ""},
+	{Rollouts, Members, "versions of endpoints and records of roll-outs, in the log; versions and restrictions, sent to each entry that reads them", "1a283b3"},
+	{Versions, Members, "versions that streams may have, in the log, and versions of streams, in messages with each entry that reads them", ""},
 }
 
 // Affects reports whether any of the readers r must read an encoding above one level and up to
--- a/message/message.go
+++ b/message/message.go
@@ -6,6 +6,7 @@
 package message
 
 import (
+	"lynxramp.org/affinity"
 	"lynxramp.org/backpressure"
 	"lynxramp.org/budget"
 	"lynxramp.org/consensus"
@@ -84,6 +85,8 @@
 	// further requests that ran then.
 	More    bool
 	Running []Running
+	// Versions is the revision of the last View.Versions that the sender has applied.
+	Versions uint64
 	// Owned is set if the sender leaves decisions to this owner. Entries that read level.Feedback
 	// set it.
 	Owned bool
@@ -96,6 +99,9 @@
 	Entries int        // number of entries that share endpoints
 	// Lent has the leases of the entry, which it may spend without an owner.
 	Lent budget.LeaseUpdate
+	// Versions is the revision of the newest View.Versions. A receiver that has it may rely on it for affinity.LeaseTerm
+	// from Sent.
+	Versions uint64
 	// Ends is the number up to which the entry's Batch.Ends are committed to the log.
 	Ends uint64
 }
@@ -138,6 +144,20 @@
 	Restrictions *Restrictions
 	// Suspects, if set, has the requests that must not run without an owner.
 	Suspects *Suspects
+	// Versions, if set, replaces the versions that streams may have, for entries that read level.Versions.
+	Versions *Versions
+}
+
+// Versions has the versions that the streams of services may have. Services that are missing may have any.
+type Versions struct {
+	Revision uint64 // unique among all owners
+	List     []ServiceVersions
+}
+
+// ServiceVersions has the versions that the streams of a service may have.
+type ServiceVersions struct {
+	Service  string
+	Versions []string
 }
 
 // Suspects are the fingerprints of requests during which endpoints terminated.
@@ -189,6 +209,8 @@
 	Ends []poison.Termination
 	// Well has the requests of which a run succeeded while the entry was degraded.
 	Well []poison.Fingerprint
+	// Streams has the versions of streams that this owner may not know, for owners that read level.Versions.
+	Streams []affinity.Binding
 }
 
 // Submission queues a request for a decision.
@@ -201,6 +223,10 @@
 	Repeat bool
 	// Print is the fingerprint of the request's content.
 	Print poison.Fingerprint
+	// Stream identifies the stream that the request begins. It is empty while the service has one version.
+	Stream affinity.Key
+	// Resumes identifies the stream that the request resumes if the entry does not know its version.
+	Resumes affinity.Key
 }
 
 // Withdrawal cancels a submission.
@@ -260,6 +286,7 @@
 	idBytes          = 12
 	fingerprintBytes = 18
 	restrictionBytes = 6 // besides the names
+	bindingBytes     = 30
 )
 
 // Size implements link.Sized: the approximate size in bytes, without the parts of fixed size.
@@ -281,7 +308,7 @@
 		size += leaseBytes * len(e.Pong.Lent.UpTo)
 	case e.Batch != nil:
 		b := e.Batch
-		size += (len(b.Submit)+len(b.Withdraw)+len(b.Begun)+len(b.Finish)+len(b.Ends))*ticketBytes + len(b.Heard)*feedbackBytes + len(b.Well)*fingerprintBytes
+		size += (len(b.Submit)+len(b.Withdraw)+len(b.Begun)+len(b.Finish)+len(b.Ends))*ticketBytes + len(b.Heard)*feedbackBytes + len(b.Well)*fingerprintBytes + len(b.Streams)*bindingBytes
 	case e.Decisions != nil:
 		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * ticketBytes
 	case e.View != nil:
@@ -291,6 +318,14 @@
 				size += len(r.List[i].Service) + len(r.List[i].Version) + restrictionBytes
 			}
 		}
+		if v := e.View.Versions; v != nil {
+			for i := range v.List {
+				size += len(v.List[i].Service) + restrictionBytes
+				for _, version := range v.List[i].Versions {
+					size += len(version) + 1
+				}
+			}
+		}
 		if s := e.View.Suspects; s != nil {
 			size += len(s.List) * fingerprintBytes
 		}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -30,7 +30,7 @@
 	DataCentre string `json:"data_centre"`
 	// Slots is the number of requests it runs concurrently.
 	Slots int `json:"slots"`
-	// Version is that of the endpoint's software; empty unless the deployment has roll-outs.
+	// Version is that of the endpoint's software; empty if it reports none, or if not all boxes support versions.
 	Version string `json:"version,omitempty"`
 	// Leaving is set while the endpoint is draining.
 	Leaving bool `json:"leaving,omitempty"`
--- a/sched/place.go
+++ b/sched/place.go
@@ -20,10 +20,24 @@
 		return // no endpoint is available
 	}
 	skipLimit := s.skipLimit()
+	var full map[string]bool // versions without free capacity in this step
 	for k := s.queue.first(); k != nil && len(s.skipped) < skipLimit; k = s.queue.first() {
+		if k.Bound && full[k.Version] {
+			s.skipBound(k)
+			skipLimit++
+			continue
+		}
 		c := s.chooseEndpoint(now, k)
 		switch {
-		case c.best == nil && (len(k.Avoid) > 0 || c.inCooldown || c.isTooSlow):
+		case c.best == nil && k.Bound && len(k.Avoid) == 0 && !c.inCooldown && !c.isTooSlow && s.restricted == 0:
+			// Requests of other versions must not wait behind those of one that is full.
+			if full == nil {
+				full = make(map[string]bool)
+			}
+			full[k.Version] = true
+			s.skipBound(k)
+			skipLimit++
+		case c.best == nil && (k.Bound || len(k.Avoid) > 0 || c.inCooldown || c.isTooSlow):
 			s.queue.detach(k)
 			s.skipped = append(s.skipped, k)
 		case c.best == nil:
@@ -42,6 +56,12 @@
 	s.requeueSkipped()
 }
 
+// skipBound skips a resumed stream whose version has no free capacity.
+func (s *State) skipBound(k *ticket) {
+	s.queue.detach(k)
+	s.skipped = append(s.skipped, k)
+}
+
 // skipLimit returns how many requests may be skipped in one step.
 func (s *State) skipLimit() int { return min(maxSkipped, max(1, skipScanBudget/max(1, len(s.views)))) }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -31,7 +31,7 @@
 
 // avoids reports whether the ticket must not be granted to an endpoint.
 func (k *ticket) avoids(e *endpoint) bool {
-	return len(k.Avoid) > 0 && slices.Contains(k.Avoid, e.ID)
+	return k.Bound && e.Version != k.Version || len(k.Avoid) > 0 && slices.Contains(k.Avoid, e.ID)
 }
 
 func ticketLess(a, b *ticket) bool {
--- a/sched/rest.go
+++ b/sched/rest.go
@@ -93,7 +93,7 @@
 }
 
 // refuseAllInCooldown refuses the waiting requests whose cooldowns end too late. Requests of one entry without
-// endpoints to avoid share one lookup, because they differ only in their timeouts.
+// endpoints to avoid or a version share one lookup, because they differ only in their timeouts.
 func (s *State) refuseAllInCooldown(now event.Time, out *event.Effects) {
 	if s.cooldownEndpoints == 0 {
 		return
@@ -101,10 +101,11 @@
 	inCooldown := make(map[event.BoxID]bool)
 	for _, k := range s.waitingByArrival() {
 		cooling, seen := inCooldown[k.entry]
-		if !seen || len(k.Avoid) > 0 {
+		isOrdinary := len(k.Avoid) == 0 && !k.Bound
+		if !seen || !isOrdinary {
 			_, cooling = s.cooldownEnd(now, k)
 		}
-		if len(k.Avoid) == 0 {
+		if isOrdinary {
 			inCooldown[k.entry] = cooling
 		}
 		if cooling {
--- a/sched/view.go
+++ b/sched/view.go
@@ -329,6 +329,7 @@
 	for _, h := range s.prefix.search(k.Prefix, k.PromptTokens) {
 		v := &s.views[h.endpoint.index]
 		switch {
+		case k.Bound && h.endpoint.Version != k.Version:
 		case v.hasCooldowns && v.inCooldownFor(now, k.entry):
 		case v.isCanary: // it was considered without its cache
 		case v.free > 0 && !(belowTop && v.free <= v.reserved):
