gateway: the parts of a prompt are visible

The line of an admitted request lists the parts of its prompt that other requests may have. No decision changes. The log of the incident could not tell which requests share a part.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -163,6 +163,7 @@
 	callerID        string
 	body            []byte
 	fingerprint     poison.Fingerprint // equal for two sends of the same request
+	parts           []string           // IDs of the parts of the prompt that other requests may have
 	promptTokens    int
 	maxOutputTokens int // upper bound of the tokens to generate
 	arrived         time.Time
@@ -282,9 +283,10 @@
 		return false
 	}
 	c.promptTokens, c.maxOutputTokens = c.declaredTokens()
+	c.parts = sharedParts(c.r.Header.Values(g.config.Headers.PromptParts))
 	c.addStep(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
 		zap.Stringer("print", c.fingerprint), zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.promptTokens), zap.Int("output_tokens", c.maxOutputTokens), zap.Int("guessed_tokens", c.expectedOutputTokens()),
-		zap.Duration("left", c.remaining()), zap.Uint64("version", c.table.Version))
+		zap.Strings("parts", c.parts), zap.Duration("left", c.remaining()), zap.Uint64("version", c.table.Version))
 	c.stream = c.newStreamRequest()
 	return true
 }
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -11,6 +11,9 @@
 	// OutputHint estimates the tokens that will be generated.
 	Tokens     string
 	OutputHint string
+	// PromptParts lists the parts of the prompt in order, as ID:TOKENS separated by commas. IDs are hexadecimal. Requests
+	// share parts, but for the last one.
+	PromptParts string
 	// ExpectedEndpoint names the only endpoint that may run a request.
 	ExpectedEndpoint string
 	// Team sends the name of the key's team to endpoints.
