poison: a part of prompts that crashes endpoints is held off

Cause: a request was known by its whole content only; parts of prompts reached no ticket, grant or report.

Fix: PartTracker. An entry submits the parts of a prompt but the last one, and reports a termination with them if the response had not begun, or less than 250 ms ago. A part with two terminations and no response begun since is suspected, unless one began within 2 s. Then only trials run, each in the log before it is sent: two of requests in which it is the only part with terminations, one of others, 2 s later so that others can show first which part it is. Then it is held off for 10 minutes, with 503 and when to come back. The beginning of a response clears its parts. An entry without an owner sends no listed part and none under which it saw two terminations. Neither team, route nor the other parts count. A streaming response that has neither length nor chunks nor any event is no longer taken for a complete one: an endpoint that crashes there would go unnoticed.

Why this works: a part that crashes endpoints never has a response, so it keeps its terminations and gets three trials at most, over all owners, from the log; a part that sound requests share has responses, also from its own trial. Ruled out: counting each part by its terminations alone (holds off what sound requests share), running requests of a part one at a time after one termination (serializes them), blaming the part with the most terminations (the shared one may have as many).

The simulated poison requests have longer fingerprints, as eight bytes are those of a part.

--- a/admission/park.go
+++ b/admission/park.go
@@ -24,6 +24,7 @@
 	submission message.Submission
 	queuedAt   event.Time
 	until      event.Time
+	why        event.Reason // of a refusal for a poison request
 }
 
 // parkOrRefuse queues a request whose quota will be available soon, and refuses any other with the time
@@ -78,7 +79,7 @@
 	s.parked = nil
 	for _, p := range waiting {
 		m := afterWait(&p.submission, now.Sub(p.queuedAt))
-		verdict, _ := s.poisonVerdict(now, p.entry, &m)
+		verdict, _, _ := s.poisonVerdict(now, p.entry, &m)
 		switch {
 		case verdict != poison.Allow:
 			s.checkAndAdmit(now, p.entry, &m, out) // it was serialized in the meantime
--- a/admission/poison.go
+++ b/admission/poison.go
@@ -21,29 +21,37 @@
 // A call that has to wait is held, one that may not run is refused.
 func (s *State) checkPoison(now event.Time, entry event.BoxID, m *message.Submission, out *event.Effects) bool {
 	t := &m.Ticket
-	verdict, wait := s.poisonVerdict(now, entry, m)
+	verdict, wait, why := s.poisonVerdict(now, entry, m)
 	switch {
 	case verdict == poison.Allow:
 		s.separateTrial(m)
 		return true
 	case verdict == poison.Wait && len(s.held) < maxHeld:
-		s.held = append(s.held, deferredRequest{entry: entry, submission: *m, queuedAt: now, until: now.Add(max(remainingQueueTimeout(t), recordTimeout))})
+		s.held = append(s.held, deferredRequest{entry: entry, submission: *m, queuedAt: now, until: now.Add(max(remainingQueueTimeout(t), recordTimeout)), why: why})
 	case verdict == poison.Wait:
-		s.refusePoison(entry, t.ID, heldRetryAfter, out)
+		s.refusePoison(entry, t.ID, heldRetryAfter, why, out)
 	default:
-		s.refusePoison(entry, t.ID, wait, out)
+		s.refusePoison(entry, t.ID, wait, why, out)
 	}
 	return false
 }
 
-func (s *State) poisonVerdict(now event.Time, entry event.BoxID, m *message.Submission) (poison.Verdict, event.Duration) {
+// poisonVerdict reports whether a call may run by its content and by the parts of its prompt; why is the reason if not.
+func (s *State) poisonVerdict(now event.Time, entry event.BoxID, m *message.Submission) (v poison.Verdict, wait event.Duration, why event.Reason) {
 	t := &m.Ticket
-	return s.poison.Check(now, &poison.Call{Fingerprint: m.Print, Entry: entry, Request: t.ID, Attempt: t.Attempt, Remaining: t.Deadline})
+	if len(m.Parts) > 0 {
+		v, wait = s.poison.Parts().Check(now, &poison.PartCall{Parts: m.Parts, Entry: entry, Request: t.ID, Attempt: t.Attempt, Remaining: t.Deadline})
+		if v != poison.Allow {
+			return v, wait, event.ReasonPoisonPart
+		}
+	}
+	v, wait = s.poison.Check(now, &poison.Call{Fingerprint: m.Print, Entry: entry, Request: t.ID, Attempt: t.Attempt, Remaining: t.Deadline})
+	return v, wait, event.ReasonPoison
 }
 
-func (s *State) refusePoison(entry event.BoxID, id event.RequestID, after event.Duration, out *event.Effects) {
+func (s *State) refusePoison(entry event.BoxID, id event.RequestID, after event.Duration, why event.Reason, out *event.Effects) {
 	s.poison.RecordUnsent(id)
-	out.Refusals = append(out.Refusals, event.Refused{Entry: entry, ID: id, Reason: event.ReasonPoison, RetryAfter: after})
+	out.Refusals = append(out.Refusals, event.Refused{Entry: entry, ID: id, Reason: why, RetryAfter: after})
 }
 
 // separateTrial makes a trial avoid the endpoints with trials of other requests, if its service has
@@ -65,20 +73,23 @@
 // RecordTerminations records endpoints that terminated during runs.
 func (s *State) RecordTerminations(now event.Time, terminations []poison.Termination, out *event.Effects) {
 	for i := range terminations {
-		delete(s.runs, terminations[i].Request)
+		if r, ok := s.runs[terminations[i].Request]; ok {
+			r.isLost = true
+			delete(s.runs, terminations[i].Request)
+		}
 		s.poison.RecordTermination(now, &terminations[i])
 	}
 	s.holdQueued(now, out)
 }
 
-// holdQueued withdraws the calls of newly serialized requests from the queues of their services, and
-// checks them again.
+// holdQueued withdraws the calls of newly serialized requests, and those with newly suspected parts, from the queues of
+// their services, and checks them again.
 func (s *State) holdQueued(now event.Time, out *event.Effects) {
-	serialized := s.poison.TakeSerialized()
-	if len(serialized) == 0 {
+	affected := slices.Concat(s.poison.TakeSerialized(), s.poison.Parts().TakeSuspected())
+	if len(affected) == 0 {
 		return
 	}
-	for _, c := range s.queuedCalls(serialized) {
+	for _, c := range s.queuedCalls(affected) {
 		id := c.submission.Ticket.ID
 		m := afterWait(c.submission, now.Sub(c.chargedAt))
 		s.refund(now, id)
@@ -95,13 +106,17 @@
 
 // recordOutcome records the outcome of a run for its request.
 func (s *State) recordOutcome(now event.Time, f *message.Finish, out *event.Effects) {
+	parts := s.partsOf(f.ID)
 	s.recordRunEnd(now, f)
 	switch {
 	case f.Unsent:
 		s.poison.RecordUnsent(f.ID)
 	case f.Ran == message.OutcomeSuccess:
 		s.poison.RecordSuccess(now, f.Print)
+		s.poison.Parts().RecordSuccess(now, parts)
 	}
+	// A response without length or chunks shows no success, but no termination either.
+	s.poison.Parts().RecordFinish(now, f.ID, f.Ran == message.OutcomeFailed || f.FirstAfter > 0)
 	s.poison.RecordFinish(now, f.ID, f.Ran == message.OutcomeFailed)
 	if s.poison.TakeUnblocked() {
 		s.ReleaseHeld(now, out)
@@ -114,18 +129,19 @@
 	s.held = nil
 	for _, p := range held {
 		if now >= p.until {
-			s.refusePoison(p.entry, p.submission.Ticket.ID, heldRetryAfter, out)
+			s.refusePoison(p.entry, p.submission.Ticket.ID, heldRetryAfter, p.why, out)
 			continue
 		}
 		m := afterWait(&p.submission, now.Sub(p.queuedAt))
-		switch verdict, wait := s.poisonVerdict(now, p.entry, &m); verdict {
+		verdict, wait, why := s.poisonVerdict(now, p.entry, &m)
+		switch verdict {
 		case poison.Allow:
 			s.separateTrial(&m)
 			s.spendAndAdmit(now, p.entry, &m, out)
 		case poison.Wait:
 			s.held = append(s.held, p)
 		default:
-			s.refusePoison(p.entry, m.Ticket.ID, wait, out)
+			s.refusePoison(p.entry, m.Ticket.ID, wait, why, out)
 		}
 	}
 }
--- a/admission/state.go
+++ b/admission/state.go
@@ -68,6 +68,7 @@
 	// chargesByEntry indexes charges by entry, of which an owner has hundreds.
 	chargesByEntry map[event.BoxID]map[event.RequestID]*charge
 	runs           map[event.RequestID]*run
+	begun          []begunRun // responses of runs that began lately, oldest first
 	refusedCalls   refusedCalls
 	sweepAt        event.Time // next sweep of runs
 	limitShare     float64    // share of the endpoints' rate limits that is used here
@@ -230,9 +231,7 @@
 
 // Begin records that the response to a granted request began.
 func (s *State) Begin(now event.Time, b *event.Begun, out *event.Effects) {
-	if r, ok := s.runs[b.ID]; ok {
-		s.recordResponse(now, r.endpoint)
-	}
+	s.recordBegin(now, b.ID)
 	s.recordStreamBegin(now, b.ID)
 	s.step(now, s.service(now, b.Pool), b, out)
 }
@@ -298,7 +297,7 @@
 
 // Adopt records a request that an entry reports as running.
 func (s *State) Adopt(now event.Time, entry event.BoxID, r message.Running, out *event.Effects) {
-	s.addRun(r.Ticket.ID, &run{fingerprint: r.Print, endpoint: r.Endpoint, attempt: r.Ticket.Attempt, startedAt: now, keptUntil: now.Add(r.Ticket.Deadline + inconclusiveRunTTL)})
+	s.addRun(r.Ticket.ID, &run{fingerprint: r.Print, parts: r.Parts, endpoint: r.Endpoint, attempt: r.Ticket.Attempt, startedAt: now, keptUntil: now.Add(r.Ticket.Deadline + inconclusiveRunTTL)})
 	s.step(now, s.service(now, r.Ticket.Service), &event.Adopted{Entry: entry, Ticket: r.Ticket, Endpoint: r.Endpoint}, out)
 }
 
@@ -328,6 +327,7 @@
 // Tick advances time in all pools and retries waiting requests.
 func (s *State) Tick(now event.Time, out *event.Effects) {
 	s.poison.Tick(now)
+	s.clearBegun(now)
 	s.holdQueued(now, out)
 	s.sweepRuns(now)
 	s.tickStreams(now, out)
--- a/cluster/fleet_sim_test.go
+++ b/cluster/fleet_sim_test.go
@@ -72,6 +72,8 @@
 	cancelAt    event.Time // when its caller cancels it; 0 means never
 	fingerprint poison.Fingerprint
 	attempt     int // number of earlier attempts
+	parts       []poison.Fingerprint
+	poison      *poisonRequest // nil for a request that crashes no endpoint
 }
 
 // fleetFinish is the pending end of a running request, and of its endpoint if that crashes.
--- a/cluster/poison_sim_test.go
+++ b/cluster/poison_sim_test.go
@@ -80,6 +80,7 @@
 	// killShare is the share of crashes caused by poison requests at which the entry that sent the request is
 	// killed at the same moment, in half of them together with the owner.
 	killShare          float64
+	sharesParts        bool // poison requests share a part of their prompts, and no two are alike
 	controlFaultAt     event.Time
 	owner              string
 	ownerChanges       []event.Time
@@ -136,8 +137,8 @@
 			continue
 		}
 		for _, r := range e.runs {
-			if f.now >= r.endsAt && g.findPoison(r.call.fingerprint) != nil {
-				p := g.findPoison(r.call.fingerprint)
+			if f.now >= r.endsAt && r.call.poison != nil {
+				p := r.call.poison
 				p.crashes = append(p.crashes, f.now)
 				kills := g.random.Float64() < g.killShare
 				if kills {
@@ -196,7 +197,7 @@
 	e.runs = nil
 	if kills {
 		for _, r := range runs {
-			if g.findPoison(r.call.fingerprint) != nil && r.entry.client == r.client {
+			if r.call.poison != nil && r.entry.client == r.client {
 				f.killEntry(r.entry, event.Duration(1+g.random.IntN(700))*event.Millisecond)
 			}
 		}
@@ -206,11 +207,11 @@
 	}
 	for _, r := range runs {
 		g.finish(r, f.now, message.OutcomeUnknown, &poison.Termination{
-			Print: r.call.fingerprint, Endpoint: e.id, Request: r.call.id, Attempt: r.call.attempt, Ran: f.now.Sub(r.startedAt),
+			Print: r.call.fingerprint, Endpoint: e.id, Request: r.call.id, Attempt: r.call.attempt, Ran: f.now.Sub(r.startedAt), Parts: r.call.parts,
 		}, e)
 		// Some requests are retried at once.
 		if r.entry.client == r.client && r.call.attempt == 0 && g.random.IntN(3) == 0 {
-			g.sendRequest(f, r.entry, &fleetCall{id: r.call.id, fingerprint: r.call.fingerprint, attempt: 1, repeat: true})
+			g.sendRequest(f, r.entry, &fleetCall{id: r.call.id, fingerprint: r.call.fingerprint, parts: r.call.parts, poison: r.call.poison, attempt: 1, repeat: true})
 		}
 	}
 }
@@ -233,15 +234,20 @@
 	}})
 }
 
-func (g *crashSim) findPoison(p poison.Fingerprint) *poisonRequest {
-	for _, one := range g.poisons {
-		if one.fingerprint == p {
-			return one
-		}
+// poisonCall returns the next request that crashes endpoints: the same one again or, with sharesParts, one that has
+// a part in common with the others, and another part with requests that crash none.
+func (g *crashSim) poisonCall(f *fleetSim, p *poisonRequest) *fleetCall {
+	if !g.sharesParts {
+		return &fleetCall{fingerprint: p.fingerprint, poison: p}
+	}
+	return &fleetCall{
+		fingerprint: poison.Fingerprint(fmt.Sprint(p.fingerprint, " ", f.requests)), poison: p,
+		parts: []poison.Fingerprint{sharedPart(0), poison.Part("s", string(p.fingerprint))},
 	}
-	return nil
 }
 
+func sharedPart(i int) poison.Fingerprint { return poison.Part("s", fmt.Sprint("shared ", i)) }
+
 // stepCallers sends requests of callers to an entry.
 func (g *crashSim) stepCallers(f *fleetSim, e *fleetEntry, now event.Time) {
 	if e.client.Table(now) == nil {
@@ -250,7 +256,7 @@
 	for _, p := range g.poisons {
 		if f.now >= p.from && f.now < p.to && f.now >= p.nextAt && g.random.IntN(len(f.entries)) == 0 {
 			p.nextAt = f.now.Add(p.interval)
-			g.sendRequest(f, e, &fleetCall{fingerprint: p.fingerprint})
+			g.sendRequest(f, e, g.poisonCall(f, p))
 		}
 	}
 	if g.random.Float64() < requestRate*simStep.Seconds() {
@@ -258,6 +264,9 @@
 		if g.random.IntN(3) > 0 {
 			c.fingerprint = poison.Fingerprint(fmt.Sprint("one of its own ", f.requests))
 		}
+		if g.sharesParts {
+			c.parts = []poison.Fingerprint{sharedPart(g.random.IntN(5)), poison.Part("s", fmt.Sprint("rare ", g.random.IntN(300)))}
+		}
 		if g.isHealthy(f, e) && f.now.Sub(e.suspendedUntil) > settleTime {
 			g.healthyWhenSent[c] = true
 			if c.fingerprint == hotFingerprint {
@@ -282,7 +291,7 @@
 			ID: c.id, Service: "s", Pool: "s", Deadline: 3 * event.Second, Target: 800 * event.Millisecond,
 			Patience: 700 * event.Millisecond, Attempt: c.attempt,
 		},
-		Print: c.fingerprint, Repeat: c.repeat,
+		Print: c.fingerprint, Parts: c.parts, Repeat: c.repeat,
 	}, c.decision)
 }
 
@@ -300,7 +309,7 @@
 		return
 	}
 	r := &requestRun{call: c, entry: e, client: e.client, startedAt: f.now, endsAt: f.now.Add(event.Duration(10+g.random.IntN(400)) * event.Millisecond)}
-	if p := g.findPoison(c.fingerprint); p != nil {
+	if p := c.poison; p != nil {
 		r.endsAt = f.now.Add(poisonRunTime)
 		if g.isHealthy(f, e) {
 			p.sent = append(p.sent, f.now)
@@ -309,11 +318,11 @@
 	g.endpoints[i].runs = append(g.endpoints[i].runs, r)
 }
 
-// lateRuns returns how often healthy entries sent the request later than settleTime after its third crash.
-func (p *poisonRequest) lateRuns() int {
+// lateRuns returns how often healthy entries sent the request later than settleTime after a number of crashes.
+func (p *poisonRequest) lateRuns(crashes int) int {
 	late := 0
 	for _, at := range p.sent {
-		if len(p.crashes) >= 3 && at.Sub(p.crashes[2]) > settleTime {
+		if len(p.crashes) >= crashes && at.Sub(p.crashes[crashes-1]) > settleTime {
 			late++
 		}
 	}
@@ -345,13 +354,18 @@
 // runPoisonRequests runs a deployment with several poison requests that overlap in time, optionally with
 // random faults.
 func runPoisonRequests(t *testing.T, entries int, seed uint64, withFaults bool, killShare, crashRate float64) *crashSim {
+	return runPoisons(t, entries, seed, withFaults, crashSim{killShare: killShare, crashRate: crashRate})
+}
+
+// runPoisons is runPoisonRequests with the fields of a crashSim.
+func runPoisons(t *testing.T, entries int, seed uint64, withFaults bool, with crashSim) *crashSim {
 	f := newFleetSim(t, entries, seed)
 	g := newCrashSim(f, seed)
-	g.killShare, g.crashRate = killShare, crashRate
+	g.killShare, g.crashRate, g.sharesParts = with.killShare, with.crashRate, with.sharesParts
 	f.runFleet(6 * event.Second)
 	for i, interval := range poisonIntervals {
 		from := f.now.Add(event.Duration(i) * 5 * event.Second)
-		g.poisons = append(g.poisons, &poisonRequest{fingerprint: poison.Fingerprint(fmt.Sprint("poison ", i)), interval: interval, from: from, to: from.Add(65 * event.Second)})
+		g.poisons = append(g.poisons, &poisonRequest{fingerprint: poison.Fingerprint(fmt.Sprint("poison request ", i)), interval: interval, from: from, to: from.Add(65 * event.Second)})
 	}
 	faultInterval := 3 + f.random.IntN(8)
 	for end := f.now.Add(80 * event.Second); f.now < end; {
@@ -375,7 +389,7 @@
 				g := runPoisonRequests(t, entries, seed+1, true, killShare, 0.02)
 				for _, p := range g.poisons {
 					unobserved := g.unobservedCrashes(p)
-					if late := p.lateRuns(); late > maxLatePoisonRuns+max(0, unobserved-2) {
+					if late := p.lateRuns(3); late > maxLatePoisonRuns+max(0, unobserved-2) {
 						t.Errorf("%s was sent %d times after its third crash; %d endpoints crashed, %d crashes unobserved", p.fingerprint, late, len(p.crashes), unobserved)
 					}
 				}
@@ -397,7 +411,7 @@
 		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
 			g := runPoisonRequests(t, 4, seed+1, false, 0, 0)
 			for _, p := range g.poisons {
-				t.Logf("%s: %d crashes, %d late runs", p.fingerprint, len(p.crashes), p.lateRuns())
+				t.Logf("%s: %d crashes, %d late runs", p.fingerprint, len(p.crashes), p.lateRuns(3))
 				if len(p.crashes) < 3 || len(p.crashes) > 5 {
 					t.Errorf("%d endpoints crashed under %s, want 3 to 5", len(p.crashes), p.fingerprint)
 				}
@@ -428,3 +442,63 @@
 		t.Errorf("%.4f of the hot requests were served, %.4f of others", hot, others)
 	}
 }
+
+// TestPoisonPartRunsAreBoundedUnderFaults: as TestPoisonRunsAreBoundedUnderFaults, of requests that share only a part of
+// their prompts, from the fifth crash on.
+func TestPoisonPartRunsAreBoundedUnderFaults(t *testing.T) {
+	for entries, seeds := range map[int]uint64{4: 24, 22: 6} {
+		for seed := range seeds * seedFactor(t) {
+			t.Run(fmt.Sprintf("%d entries, seed %d", entries, seed+1), func(t *testing.T) {
+				g := runPoisons(t, entries, seed+1, true, crashSim{killShare: []float64{0, 0.3, 1}[seed%3], crashRate: 0.02, sharesParts: true})
+				for _, p := range g.poisons {
+					unobserved := g.unobservedCrashes(p)
+					if late := p.lateRuns(5); late > maxLatePoisonRuns+max(0, unobserved-2) {
+						t.Errorf("%s was sent %d times after its fifth crash; %d endpoints crashed, %d crashes unobserved", p.fingerprint, late, len(p.crashes), unobserved)
+					}
+				}
+				hot, others := g.servedShares()
+				t.Logf("hot %.3f of %d, others %.3f of %d", hot, g.hotSent, others, g.otherSent)
+			})
+		}
+	}
+}
+
+// TestPoisonPartCrashesFewEndpoints: without other faults a part crashes few endpoints, and requests that share the other
+// part with it are served.
+func TestPoisonPartCrashesFewEndpoints(t *testing.T) {
+	for seed := range 6 * seedFactor(t) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			g := runPoisons(t, 4, seed+1, false, crashSim{sharesParts: true})
+			for _, p := range g.poisons {
+				t.Logf("%s: %d crashes, %d late runs", p.fingerprint, len(p.crashes), p.lateRuns(5))
+				if len(p.crashes) < 2 || len(p.crashes) > 6 || p.lateRuns(5) > maxLatePoisonRuns {
+					t.Errorf("%d endpoints crashed under %s, want 2 to 6; %d late runs", len(p.crashes), p.fingerprint, p.lateRuns(5))
+				}
+			}
+			if hot, others := g.servedShares(); hot < 0.97 || others < 0.97 {
+				t.Errorf("%.3f of the hot requests were served, %.3f of others, want 0.97 or more", hot, others)
+			}
+		})
+	}
+}
+
+// TestPartsAreNotBlamedForUnrelatedCrashes: endpoints crash by themselves every 5 s on average under requests with 300 rare
+// parts and five frequent ones, before most responses began. As many requests are served as without parts.
+func TestPartsAreNotBlamedForUnrelatedCrashes(t *testing.T) {
+	var shares [2]float64
+	for i, sharesParts := range []bool{false, true} {
+		served, sent := 0, 0
+		for seed := range 4 * seedFactor(t) {
+			f := newFleetSim(t, 4, seed+1)
+			g := newCrashSim(f, seed+1)
+			g.crashRate, g.sharesParts = 0.2, sharesParts
+			f.runFleet(30 * event.Second)
+			served, sent = served+g.otherServed, sent+g.otherSent
+		}
+		shares[i] = float64(served) / float64(sent)
+	}
+	t.Logf("served %.4f without parts, %.4f with", shares[0], shares[1])
+	if shares[1] < shares[0]-0.01 {
+		t.Errorf("%.4f of the requests with parts were served, %.4f without", shares[1], shares[0])
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -471,6 +471,8 @@
 	ReasonStreamUnknown
 	// ReasonVersionGone: no endpoint has the version that began the stream that the request resumes.
 	ReasonVersionGone
+	// ReasonPoisonPart: endpoints terminated before they began responses to requests with a part of the same prompt.
+	ReasonPoisonPart
 )
 
 // String returns the reason as written in logs and responses.
@@ -498,6 +500,8 @@
 		return "stream_unknown"
 	case ReasonVersionGone:
 		return "version_gone"
+	case ReasonPoisonPart:
+		return "part_ends_endpoints"
 	default:
 		return "none"
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,7 @@
 	body            []byte
 	fingerprint     poison.Fingerprint // equal for two sends of the same request
 	parts           []string           // IDs of the parts of the prompt that other requests may have
+	partKeys        []poison.Fingerprint
 	promptTokens    int
 	maxOutputTokens int // upper bound of the tokens to generate
 	arrived         time.Time
@@ -284,9 +285,12 @@
 	}
 	c.promptTokens, c.maxOutputTokens = c.declaredTokens()
 	c.parts = sharedParts(c.r.Header.Values(g.config.Headers.PromptParts))
+	for _, id := range c.parts {
+		c.partKeys = append(c.partKeys, poison.Part(c.service, id))
+	}
 	c.addStep(stepAdmitted, zap.String("route", c.route.Name), zap.String("service", c.service), zap.String("team", c.teamName()),
 		zap.Stringer("print", c.fingerprint), zap.Int("rank", c.rank()), zap.Int("prompt_tokens", c.promptTokens), zap.Int("output_tokens", c.maxOutputTokens), zap.Int("guessed_tokens", c.expectedOutputTokens()),
-		zap.Strings("parts", c.parts), zap.Duration("left", c.remaining()), zap.Uint64("version", c.table.Version))
+		zap.Strings("parts", c.parts), zap.Stringers("part_prints", c.partKeys), zap.Duration("left", c.remaining()), zap.Uint64("version", c.table.Version))
 	c.stream = c.newStreamRequest()
 	return true
 }
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -265,6 +265,9 @@
 
 func (a *OwnerClient) begin(now event.Time, b event.Begun) {
 	a.streamBegun(now, b.ID)
+	if r, ok := a.running[b.ID]; ok {
+		r.Parts = nil
+	}
 	if a.hasOwner {
 		a.batch.Begun = append(a.batch.Begun, b)
 	}
@@ -322,7 +325,7 @@
 			}
 			d.Version, d.HasVersion = r.version, r.hasVersion
 		}
-		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint, Print: w.submission.Print}
+		a.running[g.ID] = &message.Running{Ticket: w.submission.Ticket, Endpoint: g.Endpoint, Print: w.submission.Print, Parts: w.submission.Parts}
 		w.decision <- d
 	}
 	for _, r := range refusals {
--- a/gateway/owner_word.go
+++ b/gateway/owner_word.go
@@ -20,6 +20,7 @@
 	prefixHashBytes = 9
 	// maxRunningBytes limits the running requests in one message: 13 ms on a link of 1.25 MB/s.
 	maxRunningBytes = 16 << 10
+	partKeyBytes    = 9 // of a part of a prompt in a message
 	// runningOverhead is the most bytes that a running request has in a message besides its names.
 	runningOverhead = 72
 )
@@ -54,13 +55,13 @@
 // runningSummary returns the fields of a running request that an owner needs.
 func runningSummary(r *message.Running) message.Running {
 	t := &r.Ticket
-	return message.Running{Endpoint: r.Endpoint, Print: r.Print, Ticket: event.Ticket{
+	return message.Running{Endpoint: r.Endpoint, Print: r.Print, Parts: r.Parts, Ticket: event.Ticket{
 		ID: t.ID, Team: t.Team, Rank: t.Rank, Service: t.Service, OutputTokens: t.OutputTokens, Attempt: t.Attempt, Deadline: t.Deadline,
 	}}
 }
 
 func runningSize(r *message.Running) int {
-	return runningOverhead + len(r.Ticket.ID) + len(r.Ticket.Team) + len(r.Ticket.Service) + len(r.Endpoint)
+	return runningOverhead + len(r.Ticket.ID) + len(r.Ticket.Team) + len(r.Ticket.Service) + len(r.Endpoint) + partKeyBytes*len(r.Parts)
 }
 
 // submitWaiting submits the requests that waited when the owner was found, in order of arrival and as many as
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -34,7 +34,7 @@
 
 var testNames = HeaderNames{
 	RequestID: "X-Request", Deadline: "X-Deadline", Tokens: "X-Tokens", ExpectedEndpoint: "X-Expect", Team: "X-Team",
-	NotRun: "X-Not-Run", Signature: "X-Signature", LastEventID: "X-Last", Resumes: "X-Resumes", KeyScheme: "Key",
+	NotRun: "X-Not-Run", Signature: "X-Signature", LastEventID: "X-Last", Resumes: "X-Resumes", PromptParts: "X-Parts", KeyScheme: "Key",
 	Reserved: []string{"X-Hold", "X-Kv-From"},
 }
 
@@ -400,3 +400,21 @@
 	body, err := io.ReadAll(a.Body)
 	return a.StatusCode, string(body), err == nil
 }
+
+// emptyUnframed responds with a head that has neither a length nor chunks, and closes the connection.
+func emptyUnframed(c net.Conn, r *http.Request) bool {
+	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\n\r\n", head(r, 200, ""))
+	return false
+}
+
+// slowEvents streams two events with a pause between them, and resets the connection inside the third.
+func slowEvents(c net.Conn, r *http.Request) bool {
+	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head(r, 200, ""))
+	for id := range 2 {
+		text := eventText(id + 1)
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		time.Sleep(poison.BeginGrace)
+	}
+	fmt.Fprint(c, "10\r\nid: 99\ndata: ha")
+	return reset(c, r)
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -329,9 +329,11 @@
 	f.NoResponse = a.outcome == outcomeUnknown && a.firstByteAfter == 0 && isCancelled(a.err)
 	f.Abandoned = c.r.Context().Err() != nil || errors.Is(a.err, errCallerWrite)
 	if !a.sent.IsZero() && a.err != nil && endsConnection(a.err) {
-		c.gateway.agent.RecordTermination(poison.Termination{
-			Print: c.fingerprint, Endpoint: a.decision.Endpoint, Request: c.id, Attempt: a.previousSends, Ran: time.Since(a.sent),
-		})
+		t := poison.Termination{Print: c.fingerprint, Endpoint: a.decision.Endpoint, Request: c.id, Attempt: a.previousSends, Ran: time.Since(a.sent)}
+		if a.firstByteAfter == 0 || t.Ran-a.firstByteAfter < poison.BeginGrace {
+			t.Parts = c.partKeys
+		}
+		c.gateway.agent.RecordTermination(t)
 	}
 	c.gateway.agent.Finish(f)
 	if a.outcome != outcomeDone {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,6 +24,9 @@
 	received := 0
 	for {
 		data, id, err := events.next()
+		if err == io.EOF && received == 0 && !a.isFramed {
+			err = io.ErrUnexpectedEOF // a response that ends with its connection has at least one event
+		}
 		if err == io.EOF {
 			c.finishStream(x, a)
 			break
--- a/gateway/ticket.go
+++ b/gateway/ticket.go
@@ -77,7 +77,7 @@
 			Placed: c.wasGranted, Avoid: c.tried, Attempt: c.attempts, DataCentre: c.gateway.config.DataCentre,
 			Route: c.route.Name, CallerTime: c.callerTimeLeft(), Bound: c.isBound, Version: c.boundVersion,
 		},
-		Quota: c.quotaUnits(), Repeat: isRetry, Print: c.fingerprint,
+		Quota: c.quotaUnits(), Repeat: isRetry, Print: c.fingerprint, Parts: c.partKeys,
 	}
 }
 
--- a/message/message.go
+++ b/message/message.go
@@ -64,6 +64,8 @@
 	Ticket   event.Ticket
 	Endpoint event.EndpointID
 	Print    poison.Fingerprint
+	// Parts has the parts of the prompt if the response has not begun.
+	Parts []poison.Fingerprint
 }
 
 // Redirect says that the sender is not the owner.
@@ -223,6 +225,8 @@
 	Repeat bool
 	// Print is the fingerprint of the request's content.
 	Print poison.Fingerprint
+	// Parts has the parts of the prompt that other requests may have.
+	Parts []poison.Fingerprint
 	// Stream identifies the stream that the request begins. It is empty while the service has one version.
 	Stream affinity.Key
 	// Resumes identifies the stream that the request resumes if the entry does not know its version.
@@ -287,8 +291,17 @@
 	fingerprintBytes = 18
 	restrictionBytes = 6 // besides the names
 	bindingBytes     = 30
+	partBytes        = 9
 )
 
+func countParts(list []Running) int {
+	n := 0
+	for i := range list {
+		n += len(list[i].Parts)
+	}
+	return n
+}
+
 // Size implements link.Sized: the approximate size in bytes, without the parts of fixed size.
 func (e *Envelope) Size() int {
 	size := 0
@@ -301,14 +314,20 @@
 			size += len(s.Data)
 		}
 	case e.Hello != nil:
-		size += leaseBytes*len(e.Hello.Held) + runningBytes*len(e.Hello.Running)
+		size += leaseBytes*len(e.Hello.Held) + runningBytes*len(e.Hello.Running) + partBytes*countParts(e.Hello.Running)
 	case e.Ping != nil:
-		size += leaseBytes*len(e.Ping.Spent) + runningBytes*len(e.Ping.Running)
+		size += leaseBytes*len(e.Ping.Spent) + runningBytes*len(e.Ping.Running) + partBytes*countParts(e.Ping.Running)
 	case e.Pong != nil:
 		size += leaseBytes * len(e.Pong.Lent.UpTo)
 	case e.Batch != nil:
 		b := e.Batch
 		size += (len(b.Submit)+len(b.Withdraw)+len(b.Begun)+len(b.Finish)+len(b.Ends))*ticketBytes + len(b.Heard)*feedbackBytes + len(b.Well)*fingerprintBytes + len(b.Streams)*bindingBytes
+		for i := range b.Submit {
+			size += len(b.Submit[i].Parts) * partBytes
+		}
+		for i := range b.Ends {
+			size += len(b.Ends[i].Parts) * partBytes
+		}
 	case e.Decisions != nil:
 		size += (len(e.Decisions.Grants) + len(e.Decisions.Refusals)) * ticketBytes
 	case e.View != nil:
--- a/poison/book.go
+++ b/poison/book.go
@@ -23,6 +23,8 @@
 	Attempt int
 	// Ran is how long it had run, and Ago the time from the termination to its report.
 	Ran, Ago event.Duration
+	// Parts are those of the request's prompt, if its response had not begun or only just.
+	Parts []Fingerprint
 }
 
 // Tracker tracks requests that endpoints ran when they terminated, and decides which calls may run. Use
@@ -38,6 +40,7 @@
 	// no trials.
 	isDegraded bool
 	suspects   map[Fingerprint]bool // sent by the last owner
+	parts      *PartTracker
 
 	dirty     []Fingerprint // to be written to the log, in this order
 	isDirty   map[Fingerprint]bool
@@ -74,6 +77,10 @@
 	b := newTracker()
 	b.listChanged = true
 	for p, line := range l.lines {
+		if p.IsPart() {
+			b.parts.restore(now, line)
+			continue
+		}
 		c := &requestCase{fingerprint: p, trials: line.Trials, isProven: line.Proven, lastChange: now}
 		for _, endpoint := range line.Terminations {
 			c.terminations = append(c.terminations, terminatedInstance{endpoint, now})
@@ -90,14 +97,22 @@
 	b := newTracker()
 	b.isDegraded = true
 	b.suspects = make(map[Fingerprint]bool, len(suspects))
+	b.parts.isDegraded = true
 	for _, p := range suspects {
-		b.suspects[p] = true
+		if p.IsPart() {
+			b.parts.suspects[p] = true
+		} else {
+			b.suspects[p] = true
+		}
 	}
 	return b
 }
 
+// Parts returns the tracker of the parts of prompts.
+func (b *Tracker) Parts() *PartTracker { return b.parts }
+
 func newTracker() *Tracker {
-	return &Tracker{cases: make(map[Fingerprint]*requestCase), trials: make(map[event.RequestID]*requestCase), isDirty: make(map[Fingerprint]bool)}
+	return &Tracker{cases: make(map[Fingerprint]*requestCase), trials: make(map[event.RequestID]*requestCase), isDirty: make(map[Fingerprint]bool), parts: newPartTracker()}
 }
 
 func (c *requestCase) isSuspected() bool { return len(c.terminations) >= suspectThreshold }
@@ -132,6 +147,7 @@
 
 // RecordTermination records a termination, unless that of the same endpoint instance is recorded.
 func (b *Tracker) RecordTermination(now event.Time, t *Termination) {
+	b.parts.RecordTermination(now, t)
 	if t.Print == "" {
 		return
 	}
@@ -242,6 +258,7 @@
 // Tick abandons overdue trials, removes expired cases, and serializes requests whose last
 // success is no longer recent.
 func (b *Tracker) Tick(now event.Time) {
+	b.parts.Tick(now)
 	var due []*requestCase
 	for _, c := range b.cases {
 		if now >= c.expiresAt() || !c.isSerialized {
--- a/poison/change.go
+++ b/poison/change.go
@@ -41,7 +41,7 @@
 
 // TakeChanges returns the changes since the last call.
 func (b *Tracker) TakeChanges() []Change {
-	list := b.changes
-	b.changes = nil
+	list := append(b.changes, b.parts.changes...)
+	b.changes, b.parts.changes = nil, nil
 	return list
 }
--- a/poison/record.go
+++ b/poison/record.go
@@ -28,6 +28,8 @@
 	Terminations []uint64 `json:"ends,omitempty"`
 	Trials       int      `json:"trials,omitempty"`
 	Proven       bool     `json:"proven,omitempty"`
+	// Joint is the number of trials of a part of prompts together with other suspected parts; Trials has those by itself.
+	Joint int `json:"joint,omitempty"`
 }
 
 // pendingLine is a Line that is proposed but not committed, with the trial that it records.
@@ -52,13 +54,14 @@
 	for _, p := range slices.Sorted(maps.Keys(b.cases)) {
 		b.markDirty(p)
 	}
+	b.parts.markAllDirty()
 }
 
 // Due reports whether a Record should be made. None is due while one is being committed.
-func (b *Tracker) Due() bool { return !b.isPending && len(b.dirty) > 0 }
+func (b *Tracker) Due() bool { return !b.isPending && len(b.dirty)+len(b.parts.dirty) > 0 }
 
 // IsSaved reports whether the log has the state of all requests.
-func (b *Tracker) IsSaved() bool { return !b.isPending && len(b.dirty) == 0 }
+func (b *Tracker) IsSaved() bool { return !b.isPending && len(b.dirty)+len(b.parts.dirty) == 0 }
 
 // MakeRecord returns the next Record to write to the log. Deletions come first, so that the log
 // never has more requests than a Tracker may. isAll reports whether the log has the state of all
@@ -78,7 +81,8 @@
 		b.pending = append(b.pending, pendingLine{p, c.trial})
 	}
 	b.dirty = append(b.dirty[:0], b.dirty[n:]...)
-	return r, len(b.dirty) == 0
+	r.Lines = append(r.Lines, b.parts.takeLines(maxRecordLines-n)...)
+	return r, len(b.dirty)+len(b.parts.dirty) == 0
 }
 
 // saveOrder returns the sort key of a request in a Record: 0 for a deletion, else 1.
@@ -113,12 +117,17 @@
 			line.trial.isSaved = true
 		}
 	}
+	b.parts.committed()
 }
 
 // ApplyForeign merges a Record of another owner that was committed after this Tracker was made: it adds
 // terminations and trials, and removes nothing.
 func (b *Tracker) ApplyForeign(now event.Time, r Record) {
 	for _, line := range r.Lines {
+		if line.Fingerprint.IsPart() {
+			b.parts.applyForeign(now, line)
+			continue
+		}
 		b.markDirty(line.Fingerprint)
 		if len(line.Terminations) == 0 {
 			continue
@@ -146,10 +155,10 @@
 // Suspects returns the requests that an entry without an owner must not run, the most recent
 // maxListed of them, and a revision that increases whenever the list changes.
 func (b *Tracker) Suspects() (list []Fingerprint, revision uint64) {
-	if !b.listChanged {
+	if !b.listChanged && !b.parts.listChanged {
 		return b.listed, b.revision
 	}
-	b.listChanged = false
+	b.listChanged, b.parts.listChanged = false, false
 	var all []*requestCase
 	for _, c := range b.cases {
 		if c.isSuspected() && c.trials > 0 {
@@ -159,7 +168,9 @@
 	slices.SortFunc(all, func(c, d *requestCase) int {
 		return cmp.Or(cmp.Compare(d.lastChange, c.lastChange), cmp.Compare(c.fingerprint, d.fingerprint))
 	})
-	for _, c := range all[:min(len(all), maxListed)] {
+	list = b.parts.listed()
+	list = list[:min(len(list), maxListed)]
+	for _, c := range all[:min(len(all), maxListed-len(list))] {
 		list = append(list, c.fingerprint)
 	}
 	slices.Sort(list)
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -101,6 +101,7 @@
 
 // RecordGrant records at which endpoint a call will run.
 func (b *Tracker) RecordGrant(request event.RequestID, endpoint event.EndpointID) {
+	b.parts.RecordGrant(request, endpoint)
 	if c, ok := b.trials[request]; ok {
 		c.trial.endpoint = endpoint
 	}
@@ -125,6 +126,7 @@
 // RecordUnsent records that a call was not sent. If it was a trial, the trial is cancelled and not
 // counted.
 func (b *Tracker) RecordUnsent(request event.RequestID) {
+	b.parts.RecordUnsent(request)
 	if c, ok := b.trials[request]; ok {
 		b.removeTrial(c, true)
 	}
@@ -144,8 +146,8 @@
 // TakeUnblocked reports whether a run finished or a request was removed since its last call,
 // so that waiting calls are to be checked again. It avoids checking them after each run.
 func (b *Tracker) TakeUnblocked() bool {
-	unblocked := b.isUnblocked
-	b.isUnblocked = false
+	unblocked := b.isUnblocked || b.parts.isUnblocked
+	b.isUnblocked, b.parts.isUnblocked = false, false
 	return unblocked
 }
 
@@ -185,6 +187,7 @@
 
 // EntryTerminated abandons the trials of an entry that terminated.
 func (b *Tracker) EntryTerminated(now event.Time, entry event.BoxID) {
+	b.parts.EntryTerminated(now, entry)
 	var list []*requestCase
 	for _, c := range b.trials {
 		if c.trial.entry == entry {
