--- a/poison/doc.go
+++ b/poison/doc.go
@@ -25,6 +25,13 @@
 // termination is known when the entry that ran the request reports it, or when the owner that
 // granted the run finds the endpoint unreachable; it stays unknown only if both terminate too.
 //
+// Requests that are not alike may share a part of their prompts that terminates endpoints before they begin a response. A
+// PartTracker follows the same rules for parts, with these differences: a response that begins clears its parts; a part is
+// suspected after two terminations; a run of a request is a trial of each of its parts with a termination, and one of a
+// single part tells more than one of several.
+//
+//	runs started once the log has two terminations <= maxSoloTrials + maxJointTrials
+//
 // Memory and messages are bounded: the requests in a Tracker and in the log (maxCases; those with
 // a single termination are evicted first), the size of a Record, and the list that is sent to
 // entries. An entry without an owner runs no request on that list, and none under which it
--- a/sched/canary.go
+++ b/sched/canary.go
@@ -21,7 +21,7 @@
 
 // mayUseCanary reports whether a request may be granted to endpoints in canary mode.
 func (s *State) mayUseCanary(k *ticket) bool {
-	return s.canaryAllowance > 0 && !k.ProvedOnly && (k.Attempt == 0 || s.capacityUnits == 0)
+	return s.canaryAllowance > 0 && !k.ProvedOnly && (k.Attempt == 0 || k.Bound || s.capacityUnits == 0)
 }
 
 // takeCanary counts a grant to an endpoint.
