rollout: a shifting order is not completed while a new owner's few responses speak against it

Cause: the evidence of an owner is lost with it. One that took over in the shifting phase condemns a version from 24 responses on only, and completed the order at its deadline, or once the old version was drained, whatever fewer responses said.

Fix: from 8 responses on, the number that proves a version, the order is completed only if they are less than 8 times as likely for a bad version, the factor that proves one. Until the deadline it goes on shifting; then it is rolled back.

--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -170,10 +170,13 @@
 		return PhaseCanary
 	case p.phase == PhaseCanary:
 		return s.afterCanary(o, isLate)
+	case isLate && p.isDoubted():
+		p.condemn(p.evidence.last.reason())
+		return PhaseRolledBack
 	case isLate:
 		p.reason = ReasonDeadline
 		return PhaseCompleted
-	case elapsed >= o.record.earliestCompletion() && others(s.running, o.record.Version) == 0:
+	case elapsed >= o.record.earliestCompletion() && others(s.running, o.record.Version) == 0 && !p.isDoubted():
 		p.reason = ReasonDrained
 		return PhaseCompleted
 	default:
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -85,15 +85,25 @@
 	}
 	e.isChanged, e.judgedAt = false, now
 	e.last = e.judgement()
-	switch {
-	case e.last.factor() < badFactor || e.counts.Responses < minBadSamples:
-	case e.last.fails >= e.last.slow:
-		p.condemn(ReasonFails)
-	default:
-		p.condemn(ReasonSlow)
+	if e.last.factor() >= badFactor && e.counts.Responses >= minBadSamples {
+		p.condemn(e.last.reason())
 	}
 }
 
+// isDoubted reports whether an order must not be completed though it was proved: an owner that is new has seen few
+// responses, and these are much more likely for a bad version.
+func (p *progress) isDoubted() bool {
+	return p.evidence.counts.Responses >= minSamples && p.evidence.last.factor() >= doubtFactor
+}
+
+// reason returns why a version is bad.
+func (j judgement) reason() Reason {
+	if j.fails >= j.slow {
+		return ReasonFails
+	}
+	return ReasonSlow
+}
+
 // isProved reports whether there is enough evidence for the version.
 func (p *progress) isProved() bool {
 	e := &p.evidence
