rollout: only an order of an earlier owner is held back by few responses

An owner that began the order has all of its evidence, by which it was proved; the check is now for orders that an earlier owner began.

--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -73,6 +73,8 @@
 	// isBad is set by a verdict, before it is committed.
 	isBad  bool
 	reason Reason
+	// isInherited is set if an earlier owner began the order. Its evidence is lost.
+	isInherited bool
 	// proposed is the last proposed record, until it is committed.
 	proposed   *Record
 	proposedAt event.Time
@@ -85,7 +87,7 @@
 	r := o.record
 	return &progress{
 		limits: limits, phase: r.Phase, ceiling: r.Ceiling, recordedElapsed: r.Elapsed, spent: r.Ceiling, requests: r.Requests,
-		proposedCeiling: r.Ceiling, evidence: newEvidence(),
+		proposedCeiling: r.Ceiling, isInherited: true, evidence: newEvidence(),
 	}
 }
 
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -163,18 +163,18 @@
 	begun := t.inherit(r, now.Add(-r.Elapsed))
 	if s.proposed != nil && s.proposed.record.isSameOrder(r) {
 		begun.startedAt = s.proposed.startedAt
-		begun.grantNothingSpent()
+		begun.beginOwn()
 		s.proposed = nil
 	}
 	s.previous = s.newest
 	s.newest, s.oldStopped = begun, false
 }
 
-// grantNothingSpent is called for an order that this owner proposed: none of its ceiling is
-// spent.
-func (o *order) grantNothingSpent() {
+// beginOwn is called for an order that this owner proposed: none of its ceiling is spent, and
+// all of its evidence will be known.
+func (o *order) beginOwn() {
 	if o.progress != nil {
-		o.progress.spent = 0
+		o.progress.spent, o.progress.isInherited = 0, false
 	}
 }
 
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -90,10 +90,10 @@
 	}
 }
 
-// isDoubted reports whether an order must not be completed though it was proved: an owner that is new has seen few
-// responses, and these are much more likely for a bad version.
+// isDoubted reports whether an order of an earlier owner must not be completed though it was proved: this owner has seen
+// few responses, and these are much more likely for a bad version.
 func (p *progress) isDoubted() bool {
-	return p.evidence.counts.Responses >= minSamples && p.evidence.last.factor() >= doubtFactor
+	return p.isInherited && p.evidence.counts.Responses >= minSamples && p.evidence.last.factor() >= doubtFactor
 }
 
 // reason returns why a version is bad.
