--- a/admission/streams.go
+++ b/admission/streams.go
@@ -83,17 +83,12 @@
 		return "", false
 	}
 	if version, ok := s.streams.table.Version(now, m.Resumes); ok {
-		s.streams.table.Extend(now, m.Resumes, streamTime(&m.Ticket))
+		s.streams.table.Extend(now, m.Resumes, affinity.TimeLeft(&m.Ticket))
 		return version, true
 	}
 	return s.streams.ledger.Sole(m.Ticket.Service)
 }
 
-// streamTime returns for how long a stream may be resumed: until its caller's own timeout, or the route's if it has none.
-func streamTime(t *event.Ticket) event.Duration {
-	return min(max(t.CallerTime, t.Deadline), affinity.StreamLifetime)
-}
-
 // hasVersion reports whether an endpoint of a version may get requests, now or once it is reachable.
 func (s *State) hasVersion(service, version string) bool {
 	for _, k := range s.endpoints {
@@ -127,7 +122,7 @@
 
 // streamTimeLeft returns for how much longer the stream of a charge may be resumed.
 func (c *charge) streamTimeLeft(now event.Time) event.Duration {
-	return max(0, streamTime(&c.submission.Ticket)-now.Sub(c.chargedAt))
+	return max(0, affinity.TimeLeft(&c.submission.Ticket)-now.Sub(c.chargedAt))
 }
 
 // tickStreams resolves deferred requests and removes expired streams.
--- a/affinity/key.go
+++ b/affinity/key.go
@@ -22,6 +22,12 @@
 	StreamLifetime = 300 * event.Second
 )
 
+// TimeLeft returns for how long the stream of a ticket may be resumed: until its caller's own timeout, or the route's if the caller
+// gave none.
+func TimeLeft(t *event.Ticket) event.Duration {
+	return min(max(t.CallerTime, t.Deadline), StreamLifetime)
+}
+
 // keyBytes is the length of a Key: 128 bits, so that collisions cannot be found.
 const keyBytes = 16
 
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -103,10 +103,6 @@
 
 // encodeEndpoint returns the command that stores the state reported by an endpoint.
 func encodeEndpoint(e registry.Endpoint) []byte {
-	data, err := json.Marshal(e)
-	if err != nil {
-		panic(err) // texts and numbers always encode
-	}
 	kind := commandEndpoint
 	switch {
 	case e.Version != "":
@@ -114,40 +110,25 @@
 	case e.Born > 0:
 		kind = commandEndpointInstance
 	}
-	return append([]byte{kind}, data...)
+	return encodeCommand(kind, e)
 }
 
-func encodeBudgets(r budget.Record) []byte {
-	data, err := json.Marshal(r)
+// encodeCommand returns a command of a kind with its content in JSON.
+func encodeCommand(kind byte, content any) []byte {
+	data, err := json.Marshal(content)
 	if err != nil {
 		panic(err) // texts and numbers always encode
 	}
-	return append([]byte{commandBudgets}, data...)
+	return append([]byte{kind}, data...)
 }
 
-func encodePoison(r poison.Record) []byte {
-	data, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // texts and numbers always encode
-	}
-	return append([]byte{commandPoison}, data...)
-}
+func encodeBudgets(r budget.Record) []byte { return encodeCommand(commandBudgets, r) }
 
-func encodeRollout(r rollout.Record) []byte {
-	data, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // texts and numbers always encode
-	}
-	return append([]byte{commandRollout}, data...)
-}
+func encodePoison(r poison.Record) []byte { return encodeCommand(commandPoison, r) }
 
-func encodeVersions(r affinity.Record) []byte {
-	data, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // texts and numbers always encode
-	}
-	return append([]byte{commandVersions}, data...)
-}
+func encodeRollout(r rollout.Record) []byte { return encodeCommand(commandRollout, r) }
+
+func encodeVersions(r affinity.Record) []byte { return encodeCommand(commandVersions, r) }
 
 // encodeRemove returns the command that removes an endpoint instance. The id is the endpoint's name alone
 // if its start time is unknown or not all members support instances.
--- a/gateway/owner_streams.go
+++ b/gateway/owner_streams.go
@@ -137,7 +137,7 @@
 // streamGranted records a grant to a request whose stream may be resumed. It returns false if the grant must not be
 // used since its endpoint's version may differ from that of the stream.
 func (a *OwnerClient) streamGranted(now event.Time, w *waiter, g *event.Granted, degraded bool) (r *runningStream, ok bool) {
-	r = &runningStream{request: w.stream, version: g.Version, hasVersion: g.HasVersion, expires: now.Add(streamTime(&w.submission.Ticket))}
+	r = &runningStream{request: w.stream, version: g.Version, hasVersion: g.HasVersion, expires: now.Add(affinity.TimeLeft(&w.submission.Ticket))}
 	if !degraded && w.sent.Stream != "" {
 		r.link = a.link
 	}
@@ -159,11 +159,6 @@
 	return r, ok
 }
 
-// streamTime returns for how long a stream may be resumed: until its caller's own timeout, or the route's if it has none.
-func streamTime(t *event.Ticket) event.Duration {
-	return min(max(t.CallerTime, t.Deadline), affinity.StreamLifetime)
-}
-
 // streamBegun records that the first event of a granted stream arrived.
 func (a *OwnerClient) streamBegun(now event.Time, id event.RequestID) {
 	r, ok := a.versions.running[id]
@@ -193,7 +188,7 @@
 				version, known = sole, true
 			}
 			if known {
-				a.versions.streams.Extend(now, m.Resumes, streamTime(&m.Ticket))
+				a.versions.streams.Extend(now, m.Resumes, affinity.TimeLeft(&m.Ticket))
 				m.Resumes, m.Ticket.Bound, m.Ticket.Version = "", true, version
 			}
 			ok = known || a.hasOwner
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -21,14 +21,17 @@
 	// none or an invalid one.
 	IsResumption bool
 	Resumes      string
+
+	ownKey affinity.Key // empty until it is needed
 }
 
-// key returns the key of the stream that the request begins; empty if the attempt has no valid ID.
+// key returns the key of the stream that the request begins; empty if the attempt has no valid ID. Only the goroutine
+// of the OwnerClient may call it.
 func (s *StreamRequest) key() affinity.Key {
-	if !affinity.IsValidAttempt(s.Attempt) {
-		return ""
+	if s.ownKey == "" && affinity.IsValidAttempt(s.Attempt) {
+		s.ownKey = affinity.MakeKey(s.Team, s.Service, s.Attempt)
 	}
-	return affinity.MakeKey(s.Team, s.Service, s.Attempt)
+	return s.ownKey
 }
 
 // resumedKey returns the key of the stream that the request resumes. That of a missing attempt belongs to no stream.
