--- a/affinity/ledger.go
+++ b/affinity/ledger.go
@@ -78,19 +78,17 @@
 	return s
 }
 
-// insert adds a version, or Unknown if there are too many.
-func (s *line) insert(version string) {
-	if slices.Contains(s.Versions, version) {
-		return
-	}
-	if len(s.Versions) >= maxVersions {
+// insert adds a version, or Unknown if there are too many, and reports whether the line did not have it.
+func (s *line) insert(version string) bool {
+	if !slices.Contains(s.Versions, version) && len(s.Versions) >= maxVersions {
 		version = Unknown
-		if slices.Contains(s.Versions, version) {
-			return
-		}
+	}
+	if slices.Contains(s.Versions, version) {
+		return false
 	}
 	s.Versions = append(s.Versions, version)
 	slices.Sort(s.Versions)
+	return true
 }
 
 // see records the index of a version that the line has.
@@ -109,13 +107,12 @@
 	if !ok {
 		return false
 	}
-	has := slices.Contains(s.Versions, r.Version)
 	switch {
-	case r.Retired == 0 && !has:
-		s.insert(r.Version)
+	case r.Retired == 0:
+		changed := s.insert(r.Version)
 		s.see(r.Version, index)
-		return true
-	case r.Retired > 0 && has && len(s.Versions) > 1 && s.Seen[r.Version] <= r.Retired:
+		return changed
+	case slices.Contains(s.Versions, r.Version) && len(s.Versions) > 1 && s.Seen[r.Version] <= r.Retired:
 		s.Versions = slices.DeleteFunc(s.Versions, func(v string) bool { return v == r.Version })
 		delete(s.Seen, r.Version)
 		return true
--- a/poison/book.go
+++ b/poison/book.go
@@ -162,7 +162,7 @@
 	}
 	isTrial := c.trial != nil && c.trial.request == t.Request && c.trial.attempt == t.Attempt
 	instance := terminatedInstance{endpoint: hashOf(t.Endpoint), at: now.Add(-t.Ago)}
-	if !isTrial && c.coversRun(instance, instance.at.Add(-t.Ran)) {
+	if !isTrial && coversRun(c.terminations, instance, instance.at.Add(-t.Ran)) {
 		return
 	}
 	b.addTermination(now, c, instance)
@@ -176,8 +176,7 @@
 
 func (b *Tracker) addTermination(now event.Time, c *requestCase, instance terminatedInstance) {
 	wasSuspected := c.isSuspected()
-	c.terminations = append(c.terminations, instance)
-	c.terminations = c.terminations[max(0, len(c.terminations)-maxTerminations):]
+	c.terminations = appendTermination(c.terminations, instance)
 	c.lastChange = now
 	b.markDirty(c.fingerprint)
 	if !wasSuspected && c.isSuspected() {
@@ -203,8 +202,14 @@
 
 // coversRun reports whether a run that started at began was on an endpoint instance whose
 // termination is recorded; a new instance may have the same name.
-func (c *requestCase) coversRun(instance terminatedInstance, began event.Time) bool {
-	return slices.ContainsFunc(c.terminations, func(t terminatedInstance) bool { return t.endpoint == instance.endpoint && began <= t.at })
+func coversRun(recorded []terminatedInstance, instance terminatedInstance, began event.Time) bool {
+	return slices.ContainsFunc(recorded, func(t terminatedInstance) bool { return t.endpoint == instance.endpoint && began <= t.at })
+}
+
+// appendTermination records a termination; the latest maxTerminations are kept.
+func appendTermination(recorded []terminatedInstance, instance terminatedInstance) []terminatedInstance {
+	recorded = append(recorded, instance)
+	return recorded[max(0, len(recorded)-maxTerminations):]
 }
 
 // ensureCapacity makes room for one more request by evicting the oldest one that is not suspected.
--- a/poison/part.go
+++ b/poison/part.go
@@ -272,21 +272,16 @@
 			trial.endpointTerminated = true
 			b.addChange(TrialTerminatedEndpoint, c, t.Request)
 		}
-		if c.coversRun(instance, instance.at.Add(-t.Ran)) {
+		if coversRun(c.terminations, instance, instance.at.Add(-t.Ran)) {
 			continue
 		}
 		b.addTermination(now, c, instance)
 	}
 }
 
-func (c *partCase) coversRun(instance terminatedInstance, began event.Time) bool {
-	return slices.ContainsFunc(c.terminations, func(t terminatedInstance) bool { return t.endpoint == instance.endpoint && began <= t.at })
-}
-
 func (b *PartTracker) addTermination(now event.Time, c *partCase, instance terminatedInstance) {
 	wasSuspected := c.isSuspected()
-	c.terminations = append(c.terminations, instance)
-	c.terminations = c.terminations[max(0, len(c.terminations)-maxTerminations):]
+	c.terminations = appendTermination(c.terminations, instance)
 	c.lastChange = now
 	b.markDirty(c.key)
 	if !wasSuspected && c.isSuspected() {
