--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -8,9 +8,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lynxramp.org/affinity"
 	"lynxramp.org/event"
 	"lynxramp.org/message"
+	"lynxramp.org/registry"
 )
 
 // TestStreamIsNotResumedAtAnotherVersion: an owner that does not know versions grants an endpoint of another one for the
@@ -120,3 +123,25 @@
 		t.Errorf("a known stream: status %d, %d requests at its version and %d at the other", status, one.runs()-runs, two.runs()-before)
 	}
 }
+
+// TestOwnerOfEarlierBuildResumesNothing: an owner that tells no versions ignores that a stream is resumed. Its grant to a
+// caller's resumption is not used, and the version of a stream that begins is not known, so that the entry resumes none.
+func TestOwnerOfEarlierBuildResumesNothing(t *testing.T) {
+	a := NewOwnerClient(ClientConfig{Entry: "entry", Instance: 1, ControlAddresses: []string{"control"}, Log: zap.NewNop()})
+	a.Connected(0, 1, "control")
+	endpoint := message.Endpoint{Endpoint: registry.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 4, Version: "v1"}}
+	a.Received(0, 1, &message.Envelope{View: &message.View{Whole: true, Listed: message.NewListing([]message.Endpoint{endpoint})}})
+	a.Received(0, 1, &message.Envelope{Pong: &message.Pong{Entries: 1}})
+	decide := func(id event.RequestID, s *StreamRequest) Decision {
+		decision := make(chan Decision, 1)
+		a.SubmitStream(0, message.Submission{Ticket: event.Ticket{ID: id, Service: "s", Deadline: event.Second}}, s, decision)
+		a.Received(0, 1, &message.Envelope{Decisions: &message.Decisions{Grants: []event.Granted{{ID: id, Endpoint: "e", Address: "10.0.0.1:80"}}}})
+		return <-decision
+	}
+	if d := decide("resumed", &StreamRequest{Service: "s", Attempt: "b", IsResumption: true, Resumes: "a"}); d.Granted || d.Reason != event.ReasonStreamUnknown {
+		t.Errorf("a resumption: %+v", d)
+	}
+	if d := decide("new", &StreamRequest{Service: "s", Attempt: "c"}); !d.Granted || d.HasVersion {
+		t.Errorf("a new stream: %+v", d)
+	}
+}
