overload, gateway: an entry measures how long requests wait for its processor and its link

A request that waits for the box itself looked like one that waits for endpoints or the owner. No decision reads them.

--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -49,6 +49,11 @@
 // LastTable returns the configuration that was last put in force, even if its validity has expired.
 func (a *Agent) LastTable() *routing.Table { return a.client.table.Load() }
 
+// OwnerRoundTrip returns how long the owner takes to answer; false if there is no session with a control box.
+func (a *Agent) OwnerRoundTrip() (event.Duration, bool) {
+	return a.client.OwnerRoundTrip(a.clock.Now())
+}
+
 // AwaitTable returns the configuration like Table. If the process has just started and has none yet, it
 // waits for the first one, for startTimeout at most.
 func (a *Agent) AwaitTable(ctx context.Context) *routing.Table {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	refusesStreams     atomic.Bool // new streams are refused
 	meters             meters
 	memory             *heldMemory // nil without the account of held memory
+	delays             boxDelays
 
 	// Limits of log lines, see record.go.
 	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter, loadLimiter *logx.RateLimiter
@@ -114,8 +115,9 @@
 	return max(1, (descriptors-reservedDescriptors)/descriptorsPerRequest)
 }
 
-// Run closes unused connections periodically until ctx ends.
+// Run closes unused connections periodically and measures the box's delays until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
+	go g.measureDelays(ctx)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -34,6 +34,12 @@
 	set.NewGauge("lynxramp_gateway_configuration_told_version", func() float64 { return float64(g.agent.client.announcedVersion.Load()) })
 	set.NewGauge("lynxramp_gateway_configuration_bytes", func() float64 { return float64(g.agent.client.nodeBytes.Load()) })
 	set.NewGauge("lynxramp_gateway_slowed_endpoints", func() float64 { return float64(g.agent.client.slowedEndpoints.Load()) })
+	set.NewGauge("lynxramp_gateway_run_queue_seconds", func() float64 { return event.Duration(g.delays.runQueue.Load()).Seconds() })
+	set.NewGauge("lynxramp_gateway_acknowledgement_seconds", func() float64 { return event.Duration(g.delays.acknowledgement.Load()).Seconds() })
+	set.NewGauge("lynxramp_gateway_owner_round_trip_seconds", func() float64 {
+		d, _ := g.agent.OwnerRoundTrip()
+		return d.Seconds()
+	})
 	metrics.RegisterSet(set)
 	m := meters{set: set}
 	for _, name := range g.config.Headers.Reserved {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"lynxramp.org/link"
+	"lynxramp.org/overload"
 )
 
 // Limits of connections to endpoints.
@@ -47,8 +48,10 @@
 	maxConnections int          // in use and idle; 0 is no limit
 	memory         *heldMemory  // nil without the account of held memory
 	open           atomic.Int64 // connections, in use and idle
-	mu             sync.Mutex
-	idle           map[string][]*upstreamConn // by address and endpoint, oldest first
+	// acknowledgements has the times that endpoints take to acknowledge requests.
+	acknowledgements overload.Acknowledgements
+	mu               sync.Mutex
+	idle             map[string][]*upstreamConn // by address and endpoint, oldest first
 }
 
 func newUpstream() *upstream { return &upstream{idle: make(map[string][]*upstreamConn)} }
@@ -246,6 +249,7 @@
 		x.abort()
 		return nil, err
 	}
+	u.acknowledgements.Sent(c.Conn)
 	if err := x.readHead(o); err != nil {
 		x.abort()
 		if x.bodyStalled.Load() {
@@ -253,6 +257,7 @@
 		}
 		return nil, err
 	}
+	u.acknowledgements.Received(c.Conn)
 	if x.response.Header.Get(idHeader) != o.id {
 		x.abort()
 		return nil, errWrongResponse
