overload: an entry that is overloaded refuses connections

Callers of an entry that got most new connections were served almost nothing, while other entries stood idle. The entry read more than its link or its share of a processor could pass on; all that shares the link then waits behind it: connections to endpoints (given up after 0.4 s), the owner's answers (0.5 s), leases and the configuration.

The entry now measures how long requests wait for its own processor and link (run queue; sends, connections and arrivals; round trip to the owner), and closes its listening socket for short times while that is too long: the kernel refuses handshakes before a request is sent, and what was read is passed on first. A slow owner, slow endpoints and slow or far-away callers set no limit: the link counts only if the path to endpoints and callers and the one to the owner are both slow.

Not reached: goodput that stays flat far beyond the capacity.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -14,6 +14,7 @@
 	"lynxramp.org/gateway"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/random"
+	"lynxramp.org/overload"
 	"lynxramp.org/settings"
 )
 
@@ -44,10 +45,11 @@
 		Log:              log,
 	})
 	held := heldMemory(f, d)
+	listener := overload.NewListener(listenConfig, f.Listen.Callers, log)
 	g := gateway.New(gateway.Config{
 		Agent: agent, Headers: d.Headers, ParseFeedback: d.ParseFeedback, ParseLoad: d.ParseLoad, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Instance: instance,
 		MaxHeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldBytesFraction), Descriptors: f.Resources.Descriptors,
-		HeldMemory: held,
+		HeldMemory: held, Listener: listener, Overload: overload.Config{Delay: event.Duration(f.Overload.Delay)},
 	})
 	go agent.Run(run)
 	go g.Run(run)
@@ -57,16 +59,14 @@
 	}
 	defer ready.Close()
 	callerServer := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
-	if held != nil {
-		callerServer.ConnContext = gateway.ConnContext
-	}
-	callers, err := serve(f.Listen.Callers, callerServer)
-	if err != nil {
+	callerServer.ConnContext = g.ConnContext
+	if err := listener.Open(); err != nil {
 		return err
 	}
+	go func() { _ = callerServer.Serve(listener) }() // returns when the server is closed
 	go watch(run, file, log, func(f settings.Fleet) { agent.AddControlBoxes(controlAddresses(f)) })
 	<-ctx.Done()
-	return drainEntry(g, callers, time.Duration(f.Bounds.StopTimeout), log)
+	return drainEntry(g, callerServer, time.Duration(f.Bounds.StopTimeout), log)
 }
 
 // newCallerServer returns the HTTP server for callers. idle returns the current idle timeout of
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -224,10 +224,12 @@
 	}
 }
 
+// listenConfig is that of all listeners.
+var listenConfig = net.ListenConfig{KeepAliveConfig: link.KeepAlive}
+
 // serve listens at an address and serves on a goroutine until s is closed.
 func serve(address string, s *http.Server) (*http.Server, error) {
-	config := net.ListenConfig{KeepAliveConfig: link.KeepAlive}
-	l, err := config.Listen(context.Background(), "tcp", address)
+	l, err := listenConfig.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -17,82 +19,202 @@
 const (
 	// delayInterval is how often delays are measured.
 	delayInterval = 100 * time.Millisecond
+	// limitedInterval is how often they are measured while there is a limit.
+	limitedInterval = 50 * time.Millisecond
 	// acknowledgementPoll is how often sends are checked while some are watched.
 	acknowledgementPoll = 10 * time.Millisecond
+	// delayValidity is how long a measured delay counts if there are no new samples.
+	delayValidity = event.Second
 	// delayLogInterval is the least time between two log lines about delays.
 	delayLogInterval = time.Second
 	// loggedDelay is the least delay that is logged.
 	loggedDelay = 100 * event.Millisecond
 )
 
-// boxDelays are how long requests last waited for the box itself, and what it depends on.
+// boxDelays are how long requests last waited for the box itself, and the limit that follows from it.
 type boxDelays struct {
-	runQueue        atomic.Int64 // event.Duration
-	acknowledgement atomic.Int64 // event.Duration; of sends to endpoints
-	acknowledgedAt  event.Time   // when acknowledgement was measured
+	runQueue   atomic.Int64  // event.Duration
+	send       measuredDelay // until bytes sent to endpoints are acknowledged
+	connection measuredDelay // until a connection is made
+	arrival    measuredDelay // from the acceptance of a caller's connection to the end of its first request
+
+	probe controlProbe
+
+	limiter *overload.Limiter
+	limit   atomic.Pointer[overload.Limit] // in force
+	// Counts at the last measurement.
+	begun, ended uint64 // requests
+	accepted     uint64 // connections
+}
+
+// measuredDelay is the last median of a delay's samples.
+type measuredDelay struct {
+	median atomic.Int64 // event.Duration; 0 if unknown
+	at     event.Time   // of the measurement
+}
+
+// update takes the median of new samples if there are enough.
+func (d *measuredDelay) update(now event.Time, samples *overload.Delays) {
+	if median, ok := samples.Median(); ok {
+		d.median.Store(int64(median))
+		d.at = now
+	} else if now.Sub(d.at) > delayValidity {
+		d.median.Store(0)
+	}
 }
 
-// acknowledgementValidity is how long a measured acknowledgement counts if nothing more is sent.
-const acknowledgementValidity = event.Second
+func (d *measuredDelay) value() event.Duration { return event.Duration(d.median.Load()) }
 
-// measureDelays measures the box's delays until ctx ends.
+// path returns how long the path to endpoints and callers takes, whatever their processes do.
+func (d *boxDelays) path() event.Duration {
+	return max(d.send.value(), d.connection.value(), d.arrival.value())
+}
+
+// measureDelays measures the box's delays, and limits new connections by them, until ctx ends.
 func (g *Gateway) measureDelays(ctx context.Context) {
-	ticker := time.NewTicker(acknowledgementPoll)
+	ticker := time.NewTicker(delayInterval)
 	defer ticker.Stop()
 	var runQueue overload.RunQueue
 	var measured, logged time.Time
-	isPolling := true
+	wasWatching := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		watches := g.upstream.acknowledgements.Poll()
+		isWatching := g.upstream.acknowledgements.Poll()
+		if isWatching != wasWatching {
+			wasWatching = isWatching
+			ticker.Reset(g.pollInterval(isWatching))
+		}
 		now := time.Now()
-		if now.Sub(measured) >= delayInterval {
-			measured = now
-			g.updateDelays(runQueue.Delay())
-			if now.Sub(logged) >= delayLogInterval && g.logDelays() {
-				logged = now
-			}
+		if now.Sub(measured) < g.measureInterval() {
+			continue
 		}
-		if watches != isPolling {
-			isPolling = watches
-			ticker.Reset(pollInterval(watches))
+		measured = now
+		g.updateDelays(g.agent.clock.Now(), runQueue.Delay())
+		if now.Sub(logged) >= delayLogInterval && g.logDelays() {
+			logged = now
 		}
 	}
 }
 
 // pollInterval returns how often delays are checked, depending on whether sends are watched.
-func pollInterval(watches bool) time.Duration {
-	if watches {
+func (g *Gateway) pollInterval(isWatching bool) time.Duration {
+	if isWatching {
 		return acknowledgementPoll
 	}
+	return limitedInterval
+}
+
+// measureInterval returns how often delays are measured.
+func (g *Gateway) measureInterval() time.Duration {
+	if g.refusesConnections() {
+		return limitedInterval
+	}
 	return delayInterval
 }
 
-func (g *Gateway) updateDelays(runQueue event.Duration) {
+// updateDelays applies what was measured since the last call.
+func (g *Gateway) updateDelays(now event.Time, runQueue event.Duration) {
 	d := &g.delays
-	now := g.agent.clock.Now()
 	d.runQueue.Store(int64(runQueue))
-	if median, ok := g.upstream.acknowledgements.Median(); ok {
-		d.acknowledgement.Store(int64(median))
-		d.acknowledgedAt = now
-	} else if now.Sub(d.acknowledgedAt) > acknowledgementValidity {
-		d.acknowledgement.Store(0)
+	d.send.update(now, &g.upstream.acknowledgements.Delays)
+	d.connection.update(now, &g.upstream.connecting)
+	d.arrival.update(now, &g.arrivals)
+	if g.config.Listener != nil {
+		g.limitConnections(now)
+	}
+}
+
+// limitConnections limits new connections while the box is overloaded.
+func (g *Gateway) limitConnections(now event.Time) {
+	d, listener := &g.delays, g.config.Listener
+	begun, ended, accepted := g.requestCount.Load(), g.endedCount.Load(), listener.Accepted()
+	sample := overload.Sample{
+		RunQueue: event.Duration(d.runQueue.Load()), Path: d.path(),
+		Begun: int(begun - d.begun), Ended: int(ended - d.ended), IsReached: listener.Reached(),
+	}
+	sample.Responses = int(g.responses.Load())
+	sample.OwnerRoundTrip, sample.HasOwner = g.agent.OwnerRoundTrip()
+	if sample.OwnerRoundTrip > g.config.Overload.Delay/10 {
+		sample.Path = max(sample.Path, d.probe.delay(now))
+		d.probe.start(now, g.agent)
+	}
+	limit := d.limiter.Step(now, sample)
+	listener.SetLimit(limit.PerSecond, limit.IsPaused)
+	g.agent.client.pingOften.Store(limit.IsReached)
+	// Requests on connections that callers have kept count as well.
+	listener.Spend(sample.Begun - int(accepted-d.accepted))
+	d.begun, d.ended, d.accepted = begun, ended, accepted
+	if previous := d.limit.Swap(&limit); previous.IsLimited() != limit.IsLimited() {
+		g.log.Warn("limit of new connections changed", append(g.delayFields(), zap.Bool("limited", limit.IsLimited()),
+			zap.Stringer("reason", limit.Reason), zap.Duration("delay", limit.Delay), zap.Int("begun", sample.Begun))...)
 	}
 }
 
+// delayFields returns the delays and the limit as log fields.
+func (g *Gateway) delayFields() []zap.Field {
+	d := &g.delays
+	owner, hasOwner := g.agent.OwnerRoundTrip()
+	fields := []zap.Field{
+		zap.Duration("run_queue", event.Duration(d.runQueue.Load())), zap.Duration("send", d.send.value()), zap.Duration("connection", d.connection.value()),
+		zap.Duration("arrival", d.arrival.value()), zap.Duration("owner_round_trip", owner), zap.Bool("has_owner", hasOwner),
+		zap.Int64("requests", g.inFlight.Load()), zap.Int64("streams", g.streams.Load()), zap.Int64("responses", g.responses.Load()), zap.Float64("limit_per_second", perSecond(*d.limit.Load())), zap.Bool("paused", d.limit.Load().IsPaused),
+	}
+	if g.config.Listener != nil {
+		fields = append(fields, zap.Uint64("closures", g.config.Listener.Closures()))
+	}
+	return fields
+}
+
+// perSecond returns a limit for logs and metrics, which have no infinity; 0 without a limit.
+func perSecond(l overload.Limit) float64 {
+	if !l.IsLimited() {
+		return 0
+	}
+	return l.PerSecond
+}
+
+// noLimit returns the limit of a box that is not overloaded.
+func noLimit() *overload.Limit { return &overload.Limit{PerSecond: math.Inf(1)} }
+
+// refusesConnections reports whether new connections were refused lately.
+func (g *Gateway) refusesConnections() bool { return g.delays.limit.Load().IsReached }
+
 // logDelays logs the delays if one of them is long. It reports whether it did.
 func (g *Gateway) logDelays() bool {
-	runQueue, acknowledgement := event.Duration(g.delays.runQueue.Load()), event.Duration(g.delays.acknowledgement.Load())
-	owner, hasOwner := g.agent.OwnerRoundTrip()
-	if max(runQueue, acknowledgement, owner) < loggedDelay {
+	owner, _ := g.agent.OwnerRoundTrip()
+	if max(event.Duration(g.delays.runQueue.Load()), g.delays.path(), owner) < loggedDelay && !g.refusesConnections() {
 		return false
 	}
-	g.log.Warn("requests wait for the box", zap.Duration("run_queue", runQueue), zap.Duration("acknowledgement", acknowledgement),
-		zap.Duration("owner_round_trip", owner), zap.Bool("has_owner", hasOwner), zap.Int64("requests", g.inFlight.Load()),
-		zap.Int64("streams", g.streams.Load()), zap.Uint64("begun", g.requestCount.Load()), zap.Int("endpoint_connections", g.upstream.connections()))
+	g.log.Warn("requests wait for the box", g.delayFields()...)
 	return true
 }
+
+// callerConn is a caller's connection.
+type callerConn struct {
+	acceptedAt time.Time
+	hasBegun   atomic.Bool // its first request has arrived
+}
+
+// callerConnKey is the key of a callerConn in the contexts of a connection's requests.
+type callerConnKey struct{}
+
+// ConnContext makes a caller's connection known to its requests, and bounds its buffers where the gateway accounts for
+// held memory. It is the hook of the callers' http.Server.
+func (g *Gateway) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if g.memory != nil {
+		ctx = ConnContext(ctx, c)
+	}
+	return context.WithValue(ctx, callerConnKey{}, &callerConn{acceptedAt: time.Now()})
+}
+
+// measureArrival measures how long the first request of a connection took to arrive.
+func (c *call) measureArrival() {
+	conn, ok := c.r.Context().Value(callerConnKey{}).(*callerConn)
+	if ok && conn.hasBegun.CompareAndSwap(false, true) {
+		c.gateway.arrivals.Add(time.Since(conn.acceptedAt))
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/internal/logx"
+	"lynxramp.org/overload"
 	"lynxramp.org/poison"
 	"lynxramp.org/routing"
 )
@@ -50,18 +51,21 @@
 	ParseLoad func(h http.Header) (backpressure.Load, bool, error)
 	// MaxHeldBytes limits the total size of the request bodies held at once.
 	MaxHeldBytes int64
-	// HeldMemory turns on the account of held memory, which replaces MaxHeldBytes; nil is off. The server
-	// must have ConnContext as its hook then.
+	// HeldMemory turns on the account of held memory, which replaces MaxHeldBytes; nil is off.
 	HeldMemory *HeldMemory
 	// Descriptors is the process's limit of file descriptors; 0 sets no limit from them.
 	Descriptors int
-	Log         *zap.Logger
-	Entry       event.BoxID
-	DataCentre  string // of the entry; empty if data centres don't matter
-	Instance    uint64
+	// Listener accepts the callers' connections. It is limited while the box is overloaded, as Overload says; without
+	// it, nothing is.
+	Listener   *overload.Listener
+	Overload   overload.Config
+	Log        *zap.Logger
+	Entry      event.BoxID
+	DataCentre string // of the entry; empty if data centres don't matter
+	Instance   uint64
 }
 
-// Gateway accepts callers' requests. It is an http.Handler.
+// Gateway accepts callers' requests. It is an http.Handler, and ConnContext the hook of its server.
 type Gateway struct {
 	config        Config
 	agent         *Agent
@@ -70,17 +74,20 @@
 	inFlightLimit int64        // requests
 	inFlight      atomic.Int64 // requests
 	streams       atomic.Int64 // requests in flight whose route is a stream
+	responses     atomic.Int64 // of endpoints that are being passed on
 	bodyBytes     atomic.Int64 // of request bodies held
 	// bodyIdleTimeout is the longest pause in receiving a request body.
 	bodyIdleTimeout time.Duration
 	// callerWriteTimeout is the longest time in which a caller may accept no byte of its response.
 	callerWriteTimeout time.Duration
 	requestCount       atomic.Uint64
+	endedCount         atomic.Uint64 // requests
 	draining           atomic.Bool
 	refusesStreams     atomic.Bool // new streams are refused
 	meters             meters
 	memory             *heldMemory // nil without the account of held memory
 	delays             boxDelays
+	arrivals           overload.Delays // of the first requests of callers' connections
 
 	// Limits of log lines, see record.go.
 	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter, loadLimiter *logx.RateLimiter
@@ -90,6 +97,8 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
+	g.delays.limiter = overload.NewLimiter(c.Overload)
+	g.delays.limit.Store(noLimit())
 	g.memory = newHeldMemory(c.HeldMemory)
 	g.upstream.memory = g.memory
 	g.meters = newMeters(g)
@@ -205,7 +214,8 @@
 		writeError(w, http.StatusServiceUnavailable, retryAfterFull, "too many requests are held")
 		return
 	}
-	if g.draining.Load() {
+	defer g.endedCount.Add(1)
+	if g.draining.Load() || g.refusesConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	caller := newCallerWriter(w, g.callerWriteTimeout)
@@ -285,6 +295,7 @@
 	if !c.readBody() {
 		return false
 	}
+	c.measureArrival()
 	c.promptTokens, c.maxOutputTokens = c.declaredTokens()
 	c.parts = sharedParts(c.r.Header.Values(g.config.Headers.PromptParts))
 	for _, id := range c.parts {
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -11,6 +11,7 @@
 	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
 	"lynxramp.org/heldmem"
+	"lynxramp.org/overload"
 )
 
 // meters are the gateway's metrics; docs/METRICS.md lists them.
@@ -35,11 +36,24 @@
 	set.NewGauge("lynxramp_gateway_configuration_bytes", func() float64 { return float64(g.agent.client.nodeBytes.Load()) })
 	set.NewGauge("lynxramp_gateway_slowed_endpoints", func() float64 { return float64(g.agent.client.slowedEndpoints.Load()) })
 	set.NewGauge("lynxramp_gateway_run_queue_seconds", func() float64 { return event.Duration(g.delays.runQueue.Load()).Seconds() })
-	set.NewGauge("lynxramp_gateway_acknowledgement_seconds", func() float64 { return event.Duration(g.delays.acknowledgement.Load()).Seconds() })
+	for path, delay := range map[string]*measuredDelay{"send": &g.delays.send, "connection": &g.delays.connection, "arrival": &g.delays.arrival} {
+		set.NewGauge(`lynxramp_gateway_path_seconds{of="`+path+`"}`, func() float64 { return delay.value().Seconds() })
+	}
 	set.NewGauge("lynxramp_gateway_owner_round_trip_seconds", func() float64 {
 		d, _ := g.agent.OwnerRoundTrip()
 		return d.Seconds()
 	})
+	set.NewGauge("lynxramp_gateway_connection_limit", func() float64 { return perSecond(*g.delays.limit.Load()) })
+	for _, reason := range []overload.Reason{overload.ReasonProcessor, overload.ReasonLink} {
+		set.NewGauge(`lynxramp_gateway_refuses_connections{reason="`+reason.String()+`"}`, func() float64 {
+			limit := g.delays.limit.Load()
+			return float64(boolToInt(limit.IsReached && limit.Reason == reason))
+		})
+	}
+	if listener := g.config.Listener; listener != nil {
+		set.NewGauge("lynxramp_gateway_accepted_connections_total", func() float64 { return float64(listener.Accepted()) })
+		set.NewGauge("lynxramp_gateway_listener_closures_total", func() float64 { return float64(listener.Closures()) })
+	}
 	metrics.RegisterSet(set)
 	m := meters{set: set}
 	for _, name := range g.config.Headers.Reserved {
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -24,6 +24,8 @@
 // Times of an OwnerClient.
 const (
 	pingInterval = 200 * event.Millisecond
+	// shortPingInterval applies while new connections are limited by the round trip.
+	shortPingInterval = 50 * event.Millisecond
 	// degradedDelay is how long an entry is without an owner before it schedules by itself.
 	degradedDelay = 100 * event.Millisecond
 	redialDelay   = 60 * event.Millisecond
@@ -95,6 +97,7 @@
 	announcedVersion atomic.Uint64 // newest version that an owner announced
 	nodeBytes        atomic.Int64  // bytes of configuration nodes received
 	roundTrip        atomic.Int64  // event.Duration of the last ping that the owner answered
+	pingOften        atomic.Bool   // the round trip to the owner is of interest
 	unansweredPing   atomic.Int64  // event.Time at which the first ping without an answer was sent; 0 if there is none
 	firstTable       chan struct{} // closed when a configuration is first in force
 	// confirmations are of versions that are not in force yet.
@@ -112,6 +115,7 @@
 	controlBoxes  []string // link addresses
 	leaderHint    string   // address of the leader from the last redirect
 	nextTry       int      // index into controlBoxes of the next one to dial
+	nextProbe     int      // index into controlBoxes of the last one whose path was measured
 	waiting       map[event.RequestID]*waiter
 	running       map[event.RequestID]*message.Running
 	endpoints     map[event.EndpointID]message.Endpoint
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -22,7 +22,11 @@
 		a.disconnect(now, "owner does not answer", nil)
 		return
 	}
-	if now.Sub(a.lastPing) >= pingInterval {
+	interval := pingInterval
+	if a.pingOften.Load() {
+		interval = shortPingInterval
+	}
+	if now.Sub(a.lastPing) >= interval {
 		a.sendPing(now)
 	}
 }
@@ -36,6 +40,17 @@
 	}
 }
 
+// otherControlBox returns the address of a control box, if possible of one without a session.
+func (a *OwnerClient) otherControlBox() string {
+	for range a.controlBoxes {
+		a.nextProbe++
+		if address := a.controlBoxes[a.nextProbe%len(a.controlBoxes)]; address != a.address {
+			return address
+		}
+	}
+	return a.address
+}
+
 // dial requests a connection to the leader of the last redirect, or else to the next known control box.
 func (a *OwnerClient) dial() {
 	address := a.leaderHint
@@ -175,7 +190,7 @@
 	a.roundTrip.Store(int64(now.Sub(sent)))
 	var unanswered event.Time
 	if a.lastPing > sent {
-		unanswered = min(sent.Add(pingInterval), a.lastPing)
+		unanswered = min(sent.Add(shortPingInterval), a.lastPing)
 	}
 	a.unansweredPing.Store(int64(unanswered))
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -407,6 +407,8 @@
 
 // receive reads an endpoint's response.
 func (c *call) receive(x *exchange, a *attempt, started time.Time) {
+	c.gateway.responses.Add(1)
+	defer c.gateway.responses.Add(-1)
 	names := &c.gateway.config.Headers
 	r := x.response
 	feedback := c.receiveFeedback(a, r)
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -50,8 +50,10 @@
 	open           atomic.Int64 // connections, in use and idle
 	// acknowledgements has the times that endpoints take to acknowledge requests.
 	acknowledgements overload.Acknowledgements
-	mu               sync.Mutex
-	idle             map[string][]*upstreamConn // by address and endpoint, oldest first
+	// connecting has the times that connecting to them takes.
+	connecting overload.Delays
+	mu         sync.Mutex
+	idle       map[string][]*upstreamConn // by address and endpoint, oldest first
 }
 
 func newUpstream() *upstream { return &upstream{idle: make(map[string][]*upstreamConn)} }
@@ -126,15 +128,26 @@
 	if u.memory != nil {
 		dialer.Control = boundBuffers
 	}
+	began := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		if isTimeout(err) {
+			u.connecting.Add(time.Since(began))
+		}
 		return nil, errors.Wrap(errNotSent, err.Error())
 	}
+	u.connecting.Add(time.Since(began))
 	link.SetUserTimeout(raw, userTimeoutMillis)
 	u.open.Add(1)
 	return &upstreamConn{Conn: raw, key: key, pool: u, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
 }
 
+// isTimeout reports whether an attempt to connect timed out.
+func isTimeout(err error) bool {
+	var netError net.Error
+	return errors.As(err, &netError) && netError.Timeout()
+}
+
 func (u *upstream) pop(key string) *upstreamConn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/overload/acknowledgements.go
+++ b/overload/acknowledgements.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"lynxramp.org/event"
 )
 
 // Limits of Acknowledgements.
@@ -22,19 +20,16 @@
 	sampleInterval = 10 * time.Millisecond
 	// maxAcknowledgement ends the watch of a send, as its receiver may be gone.
 	maxAcknowledgement = time.Second
-	// minSamples is the number of samples from which a median is returned.
-	minSamples = 4
-	// maxSamples limits the samples kept between two calls of Median.
-	maxSamples = 64
 )
 
 // Acknowledgements measures how long sent bytes wait to be acknowledged by the kernels of their receivers, by
 // sampling. Its zero value is ready to use, by any number of goroutines.
 type Acknowledgements struct {
+	Delays
+
 	mu      sync.Mutex
 	watched []watchedSend
 	last    time.Time // when the newest send began to be watched
-	samples []event.Duration
 }
 
 // watchedSend is a send whose bytes may not be acknowledged yet.
@@ -70,7 +65,7 @@
 	defer a.mu.Unlock()
 	for i, w := range a.watched {
 		if w.conn == c {
-			a.addSample(time.Since(w.sent))
+			a.Add(time.Since(w.sent))
 			a.watched = slices.Delete(a.watched, i, i+1)
 			return
 		}
@@ -91,32 +86,12 @@
 		if unsent > 0 && age < maxAcknowledgement {
 			return false
 		}
-		a.addSample(age)
+		a.Add(age)
 		return true
 	})
 	return len(a.watched) > 0
 }
 
-func (a *Acknowledgements) addSample(d event.Duration) {
-	if len(a.samples) < maxSamples {
-		a.samples = append(a.samples, d)
-	}
-}
-
-// Median returns the median of the samples since the last call that returned one. It returns false if there are
-// too few.
-func (a *Acknowledgements) Median() (event.Duration, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.samples) < minSamples {
-		return 0, false
-	}
-	slices.Sort(a.samples)
-	median := a.samples[len(a.samples)/2]
-	a.samples = a.samples[:0]
-	return median, true
-}
-
 // unsentBytes returns the number of bytes of a connection that its peer has not acknowledged.
 func unsentBytes(raw syscall.RawConn) (unsent int, err error) {
 	controlErr := raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
--- /dev/null
+++ b/overload/limiter.go
@@ -0,0 +1,311 @@
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"math"
+
+	"lynxramp.org/event"
+)
+
+// DefaultDelay is the default of Config.Delay.
+const DefaultDelay = 150 * event.Millisecond
+
+// Parameters of a Limiter.
+const (
+	// onset is how long the delay must be above Config.Delay before a limit is set, and quickOnset how long above
+	// quickDelay times as much. Garbage collection or a new configuration delays requests for a shorter time.
+	onset      = 300 * event.Millisecond
+	quickOnset = 150 * event.Millisecond
+	quickDelay = 2
+	// Under a limit, a pause begins when the delay is longer than pauseAt, as a part of Config.Delay, and ends when it is
+	// shorter than resumeAt. All that tries to connect during a pause is received at its end, behind what waits for the
+	// link; a pause that ends earlier admits it at once.
+	pauseAt, resumeAt = 0.5, 0.2
+	// baseWindow is for how long the least delay of the link is remembered.
+	baseWindow = 30 * event.Second
+	// cutInterval is the least time between two cuts, in which the effect of the first one shows.
+	cutInterval = 800 * event.Millisecond
+	// A bound is cut to cutFactor of what overloaded the box, and grows by growth of that in the first second afterwards.
+	cutFactor = 0.85
+	growth    = 0.25
+	// drainRate is how much the delay falls at least during a pause, as a part of the time, unless responses under way
+	// need all that the box has.
+	drainRate = 0.25
+	// A limit is lifted when it has grown to liftFactor times what overloaded the box.
+	liftFactor = 4
+	// minFirstLimit is the first limit at least, as a part of the rate at which requests begin.
+	minFirstLimit = 0.4
+	// minRate and minResponses are the least bounds.
+	minRate      = 2 // requests a second
+	minResponses = 4
+	// reachedFor is how long a limit counts as reached after it was.
+	reachedFor = event.Second
+	// usualWindow is the time constant of the average rate of requests, rateWindow that of the current rates.
+	usualWindow = 10 * event.Second
+	rateWindow  = 300 * event.Millisecond
+)
+
+// Reason is the resource that requests wait for.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonNone Reason = iota
+	ReasonProcessor
+	ReasonLink
+)
+
+// String returns the reason as used in logs and metrics.
+func (r Reason) String() string { return [...]string{"none", "processor", "link"}[r] }
+
+// Config configures a Limiter.
+type Config struct {
+	// Delay is how long requests may wait for the box, as a rule; 0 is DefaultDelay.
+	Delay event.Duration
+}
+
+// Sample is what a box measured since the previous sample.
+type Sample struct {
+	RunQueue event.Duration
+	// Path is how long the path to endpoints and callers takes, without their processes; 0 if nothing was sent lately.
+	Path event.Duration
+	// OwnerRoundTrip is how long the owner takes to answer. It is ignored without an owner.
+	OwnerRoundTrip event.Duration
+	HasOwner       bool
+	Begun          int // requests
+	Ended          int // requests
+	// Responses is the number of responses that are being passed on now.
+	Responses int
+	// IsReached is set if all that the limit admits was admitted.
+	IsReached bool
+}
+
+// link returns how long both the path to endpoints and callers and the one to the owner take. They share the box's link
+// only: if just one of them is slow, the cause is at its other end.
+func (s Sample) link() event.Duration {
+	if !s.HasOwner {
+		return s.Path
+	}
+	return min(s.Path, s.OwnerRoundTrip)
+}
+
+// isLinkKnown reports whether anything tells how long the link takes.
+func (s Sample) isLinkKnown() bool { return s.HasOwner || s.Path > 0 }
+
+// leastDelay is the least delay of the last baseWindow to twice that.
+type leastDelay struct {
+	current, previous event.Duration
+	since             event.Time // of current
+}
+
+// update adds a delay and returns the least one.
+func (d *leastDelay) update(now event.Time, delay event.Duration) event.Duration {
+	if now.Sub(d.since) >= baseWindow {
+		d.previous, d.current, d.since = d.current, delay, now
+	}
+	d.current = min(d.current, delay)
+	return min(d.current, d.previous)
+}
+
+// Limit is how many requests a box admits.
+type Limit struct {
+	// PerSecond is the limit in requests a second; +Inf without a limit.
+	PerSecond float64
+	// IsPaused is set if none are to be admitted for now.
+	IsPaused bool
+	// IsReached is set if more requests came lately than the limit admits.
+	IsReached bool
+	Reason    Reason // of the last overload
+	// Delay is how long requests wait for the box.
+	Delay event.Duration
+}
+
+// IsLimited reports whether there is a limit.
+func (l Limit) IsLimited() bool { return !math.IsInf(l.PerSecond, 1) }
+
+// Limiter limits the requests that a box admits while it is overloaded. It is a reducer without a clock, input or
+// output.
+//
+// While requests wait too long, it pauses: none are admitted, so that what was admitted is passed on. Otherwise two bounds
+// hold, which each overload cuts and which grow until the next one: of the rate at which requests begin, and of the
+// responses under way, as those of streams load the box long after they were admitted.
+type Limiter struct {
+	config Config
+
+	last  event.Time // of the last step
+	least leastDelay // of the link
+	// Average rates, in requests a second. usual is that of begun while there is no limit.
+	begun, ended, usual float64
+	// For how long the delay has been above Config.Delay, and above quickDelay times as much.
+	delayed, delayedMuch event.Duration
+
+	limited   bool
+	rate      bound // requests a second
+	responses bound // under way
+	cutAt     event.Time
+	calm      event.Duration // for which there has been no pause
+	isPaused  bool           // in the last step
+	// When the pause began, or when its effect was last checked, and the delay then.
+	pausedAt    event.Time
+	pausedDelay event.Duration
+	reachedAt   event.Time // when the limit was last reached
+	reason      Reason
+}
+
+// bound is a limit that is cut at an overload and grows afterwards.
+type bound struct {
+	limit     float64
+	overloads float64 // what overloaded the box last
+	min       float64
+}
+
+// cut lowers a bound below what overloads the box.
+func (b *bound) cut(overloads float64) {
+	b.overloads = max(min(b.limit, overloads), b.min)
+	b.limit = max(cutFactor*b.overloads, b.min)
+}
+
+// grow raises a bound, faster the longer ago the last overload was.
+func (b *bound) grow(interval, calm event.Duration) {
+	b.limit += growth * b.overloads * interval.Seconds() * (1 + calm.Seconds())
+}
+
+// NewLimiter returns a Limiter without a limit.
+func NewLimiter(c Config) *Limiter {
+	if c.Delay <= 0 {
+		c.Delay = DefaultDelay
+	}
+	return &Limiter{config: c, least: leastDelay{current: math.MaxInt64, previous: math.MaxInt64}}
+}
+
+// Step applies a sample and returns the limit from now on.
+func (l *Limiter) Step(now event.Time, s Sample) Limit {
+	interval := now.Sub(l.last)
+	l.last = now
+	link := s.link() - l.least.update(now, s.link())
+	delay := max(s.RunQueue, link)
+	if s.IsReached {
+		l.reachedAt = now
+	}
+	l.average(interval, s, delay)
+	l.countDelay(interval, delay)
+	if !l.limited && (l.delayed >= onset || l.delayedMuch >= quickOnset) {
+		l.begin(now)
+	}
+	if !l.limited {
+		return Limit{PerSecond: math.Inf(1), Delay: delay}
+	}
+	if delay > l.config.Delay/2 {
+		l.reason = ReasonProcessor
+		if link > s.RunQueue {
+			l.reason = ReasonLink
+		}
+	}
+	l.adjust(now, interval, s, delay)
+	return l.limit(now, s, delay)
+}
+
+// average updates the average rates.
+func (l *Limiter) average(interval event.Duration, s Sample, delay event.Duration) {
+	if interval <= 0 {
+		return
+	}
+	update := func(average *float64, count int, window event.Duration) {
+		weight := 1 - math.Exp(-interval.Seconds()/window.Seconds())
+		*average += weight * (float64(count)/interval.Seconds() - *average)
+	}
+	update(&l.begun, s.Begun, rateWindow)
+	update(&l.ended, s.Ended, rateWindow)
+	if !l.limited && delay <= l.config.Delay {
+		update(&l.usual, s.Begun, usualWindow)
+	}
+}
+
+// countDelay updates for how long the delay has been too long.
+func (l *Limiter) countDelay(interval, delay event.Duration) {
+	count := func(total *event.Duration, isOver bool) {
+		if !isOver {
+			*total = 0
+			return
+		}
+		*total += interval
+	}
+	count(&l.delayed, delay > l.config.Delay)
+	count(&l.delayedMuch, delay > quickDelay*l.config.Delay)
+}
+
+// begin sets a limit: what the box has finished lately, and no less than what it usually admits.
+func (l *Limiter) begin(now event.Time) {
+	l.limited, l.isPaused = true, false
+	l.cutAt, l.reachedAt = now, now
+	first := max(l.usual, minFirstLimit*l.begun, min(l.ended, cutFactor*l.begun), minRate)
+	l.rate = bound{limit: first, overloads: max(l.begun, minRate), min: minRate}
+	l.responses = bound{limit: math.Inf(1), min: minResponses}
+}
+
+// adjust begins or ends a pause, and changes the bounds.
+func (l *Limiter) adjust(now event.Time, interval event.Duration, s Sample, delay event.Duration) {
+	wasPaused := l.isPaused
+	// Without an owner and without traffic, only what is admitted now and then tells how long requests wait.
+	l.isPaused = l.isTooLong(delay) || !s.isLinkKnown()
+	switch {
+	case !l.isPaused:
+		l.calm += interval
+		l.rate.grow(interval, l.calm)
+		l.responses.grow(interval, l.calm)
+		l.limited = l.rate.limit < liftFactor*l.rate.overloads
+	case !wasPaused:
+		l.calm = 0
+		l.pausedAt, l.pausedDelay = now, delay
+		l.cutRate(now)
+	case s.Begun > 0:
+		l.pausedAt, l.pausedDelay = now, delay // what has just begun hides the effect of the pause
+	case now.Sub(l.pausedAt) >= cutInterval:
+		if !l.isDraining(now, delay) {
+			l.responses.cut(float64(s.Responses))
+		}
+		l.pausedAt, l.pausedDelay = now, delay
+	}
+}
+
+// isTooLong reports whether requests wait too long to admit more.
+func (l *Limiter) isTooLong(delay event.Duration) bool {
+	part := pauseAt
+	if l.isPaused {
+		part = resumeAt
+	}
+	return float64(delay) > part*float64(l.config.Delay)
+}
+
+// cutRate lowers the bound of the rate unless it was lowered lately.
+func (l *Limiter) cutRate(now event.Time) {
+	if now.Sub(l.cutAt) < cutInterval {
+		return
+	}
+	l.cutAt = now
+	overloads := l.begun
+	if l.isReached(now) {
+		overloads = l.rate.limit // begun is less during pauses
+	}
+	l.rate.cut(overloads)
+}
+
+// isDraining reports whether what waits is being passed on during the pause.
+func (l *Limiter) isDraining(now event.Time, delay event.Duration) bool {
+	return float64(l.pausedDelay-delay) >= drainRate*float64(now.Sub(l.pausedAt))
+}
+
+// isReached reports whether the limit was reached lately.
+func (l *Limiter) isReached(now event.Time) bool { return now.Sub(l.reachedAt) < reachedFor }
+
+// limit returns the limit in force.
+func (l *Limiter) limit(now event.Time, s Sample, delay event.Duration) Limit {
+	if !l.limited {
+		return Limit{PerSecond: math.Inf(1), Delay: delay}
+	}
+	return Limit{
+		PerSecond: l.rate.limit, IsPaused: l.isPaused || float64(s.Responses) >= l.responses.limit,
+		IsReached: l.isReached(now), Reason: l.reason, Delay: delay,
+	}
+}
--- /dev/null
+++ b/overload/limiter_test.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: MIT
+
+package overload
+
+import (
+	"testing"
+
+	"lynxramp.org/event"
+)
+
+// feed steps a limiter for some time with the same sample and returns the last limit, and whether one was in force.
+func feed(l *Limiter, from event.Time, length event.Duration, s Sample) (now event.Time, last Limit, wasLimited bool) {
+	const interval = 100 * event.Millisecond
+	for now = from; now < from.Add(length); {
+		now = now.Add(interval)
+		last = l.Step(now, s)
+		wasLimited = wasLimited || last.IsLimited()
+	}
+	return now, last, wasLimited
+}
+
+const ms = event.Millisecond
+
+var calm = Sample{RunQueue: 2 * ms, Path: 5 * ms, OwnerRoundTrip: 3 * ms, HasOwner: true, Begun: 5, Ended: 5}
+
+// TestNoLimitForOthersDelays: an entry must not refuse connections because the owner, endpoints or callers are slow, or
+// because one of them is far away.
+func TestNoLimitForOthersDelays(t *testing.T) {
+	for name, change := range map[string]func(*Sample){
+		"slow owner":                   func(s *Sample) { s.OwnerRoundTrip = 900 * ms },
+		"slow endpoints or callers":    func(s *Sample) { s.Path = 900 * ms },
+		"no owner":                     func(s *Sample) { s.HasOwner = false },
+		"many responses under way":     func(s *Sample) { s.Responses = 10000 },
+		"more requests than responses": func(s *Sample) { s.Begun, s.Ended = 100, 1 },
+	} {
+		l := NewLimiter(Config{})
+		now, _, _ := feed(l, 0, 5*event.Second, calm)
+		s := calm
+		change(&s)
+		if _, _, wasLimited := feed(l, now, 20*event.Second, s); wasLimited {
+			t.Errorf("%s: connections are limited", name)
+		}
+	}
+	far := calm
+	far.Path, far.OwnerRoundTrip = 300*ms, 300*ms
+	if _, _, wasLimited := feed(NewLimiter(Config{}), 0, 20*event.Second, far); wasLimited {
+		t.Error("all far away: connections are limited")
+	}
+}
+
+// TestShortDelaysSetNoLimit: garbage collection, a new configuration or a pause of the process delay requests for a
+// moment only.
+func TestShortDelaysSetNoLimit(t *testing.T) {
+	l := NewLimiter(Config{})
+	now, _, _ := feed(l, 0, 5*event.Second, calm)
+	for range 20 {
+		long := calm
+		long.RunQueue = 2 * event.Second
+		now = now.Add(100 * ms)
+		if l.Step(now, long).IsLimited() {
+			t.Fatal("one long delay sets a limit")
+		}
+		now, _, _ = feed(l, now, event.Second, calm)
+		moderate := calm
+		moderate.Path, moderate.OwnerRoundTrip = 200*ms, 200*ms
+		var wasLimited bool
+		now, _, wasLimited = feed(l, now, 200*ms, moderate)
+		if wasLimited {
+			t.Fatal("200 ms of a moderate delay set a limit")
+		}
+		now, _, _ = feed(l, now, event.Second, calm)
+	}
+}
+
+// TestLimitByLinkAndProcessor: each is enough alone, nothing is admitted until the delay is short again, and the limit is
+// lifted some time after the last overload.
+func TestLimitByLinkAndProcessor(t *testing.T) {
+	for _, test := range []struct {
+		reason Reason
+		change func(*Sample)
+	}{
+		{ReasonProcessor, func(s *Sample) { s.RunQueue = 200 * ms }},
+		{ReasonLink, func(s *Sample) { s.Path, s.OwnerRoundTrip = 300*ms, 200*ms }},
+		{ReasonLink, func(s *Sample) { s.Path, s.HasOwner = 300*ms, false }},
+	} {
+		l := NewLimiter(Config{})
+		now, _, _ := feed(l, 0, 5*event.Second, calm)
+		s := calm
+		s.Begun = 30
+		test.change(&s)
+		now, limit, _ := feed(l, now, event.Second, s)
+		if !limit.IsLimited() || !limit.IsPaused || limit.Reason != test.reason {
+			t.Errorf("%v: limit %+v", test.reason, limit)
+		}
+		if limit.PerSecond < 50 {
+			t.Errorf("%v: %v requests a second are admitted, less than usual", test.reason, limit.PerSecond)
+		}
+		now, limit, _ = feed(l, now, 200*ms, calm)
+		if !limit.IsLimited() || limit.IsPaused {
+			t.Errorf("%v: limit %+v after the overload", test.reason, limit)
+		}
+		if _, limit, _ = feed(l, now, 20*event.Second, calm); limit.IsLimited() {
+			t.Errorf("%v: limit %+v long after the overload", test.reason, limit)
+		}
+	}
+}
+
+// TestLastingOverloadLimitsResponses: streams that were admitted load the box after new connections are refused. Their
+// number must fall below what overloads it.
+func TestLastingOverloadLimitsResponses(t *testing.T) {
+	l := NewLimiter(Config{})
+	now, _, _ := feed(l, 0, 5*event.Second, calm)
+	s := calm
+	s.RunQueue, s.Responses, s.Begun = 200*ms, 100, 0
+	now, _, _ = feed(l, now, 2*event.Second, s)
+	s.RunQueue, s.Responses = 2*ms, 90
+	if _, limit, _ := feed(l, now, 100*ms, s); !limit.IsPaused {
+		t.Errorf("limit %+v with 90 responses, 100 overloaded the box", limit)
+	}
+	s.Responses = 70
+	if _, limit, _ := feed(l, now, 200*ms, s); limit.IsPaused {
+		t.Errorf("limit %+v with 70 responses, 100 overloaded the box", limit)
+	}
+}
+
+// TestUnknownClock: a step without time since the last one changes no rate.
+func TestUnknownClock(t *testing.T) {
+	l := NewLimiter(Config{})
+	now, _, _ := feed(l, 0, event.Second, calm)
+	before := *l
+	l.Step(now, calm)
+	if l.begun != before.begun || l.usual != before.usual {
+		t.Error("a step without time changes the average rates")
+	}
+}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -7,6 +7,7 @@
 
 	"lynxramp.org/catalog"
 	"lynxramp.org/event"
+	"lynxramp.org/overload"
 )
 
 // Fleet is the settings file of an entry or control box in a fleet, where operators
@@ -27,6 +28,7 @@
 	Resources   FleetResources `yaml:"resources"`
 	Bounds      FleetBounds    `yaml:"bounds"`
 	Held        FleetHeld      `yaml:"held"`
+	Overload    FleetOverload  `yaml:"overload"`
 	// Contracts names the platform's contracts in force. The adapter decodes them into the
 	// features of the deployment; it ignores names that it does not know.
 	Contracts []string `yaml:"contracts"`
@@ -67,6 +69,17 @@
 	Pause catalog.Duration `yaml:"pause"`
 }
 
+// FleetOverload says when an entry limits new connections.
+type FleetOverload struct {
+	// Delay is how long requests may wait for the entry's own processor or link, as a rule. It must be longer than the
+	// round trips to the owner and to most endpoints.
+	Delay catalog.Duration `yaml:"delay"`
+}
+
+// Bounds of FleetOverload.Delay. Below the first the scheduling of a small box alone is an overload, above the second an
+// entry loses its owner first.
+const minOverloadDelay, maxOverloadDelay = 20 * time.Millisecond, 400 * time.Millisecond
+
 // Bounds of FleetHeld.
 const (
 	// maxHeldShare leaves memory for the process itself, which takes a third of an entry of 88 MB.
@@ -185,6 +198,7 @@
 	}
 	d.checkFleetBounds(f.Bounds)
 	d.checkFleetHeld(f.Held)
+	d.checkFleetOverload(f.Overload)
 	d.checkLog(f.Log)
 }
 
@@ -239,7 +253,14 @@
 	}
 }
 
+func (d *decoder) checkFleetOverload(o FleetOverload) {
+	if o.Delay != 0 && (time.Duration(o.Delay) < minOverloadDelay || time.Duration(o.Delay) > maxOverloadDelay) {
+		d.addAt("overload.delay", "%s is not between %s and %s", time.Duration(o.Delay), minOverloadDelay, maxOverloadDelay)
+	}
+}
+
 func (f *Fleet) setDefaults() {
+	f.Overload.Delay = orDefault(f.Overload.Delay, catalog.Duration(overload.DefaultDelay))
 	f.Held.Share = orDefault(f.Held.Share, defaultHeldShare)
 	f.Held.ResponseKB = orDefault(f.Held.ResponseKB, defaultHeldResponseKB)
 	f.Held.Rate = orDefault(f.Held.Rate, defaultHeldRate)
