--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -59,7 +59,7 @@
 	}
 	defer ready.Close()
 	callerServer := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
-	callerServer.ConnContext = g.ConnContext
+	callerServer.ConnContext = g.CallerContext
 	if err := listener.Open(); err != nil {
 		return err
 	}
--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -158,10 +158,13 @@
 func (g *Gateway) delayFields() []zap.Field {
 	d := &g.delays
 	owner, hasOwner := g.agent.OwnerRoundTrip()
+	limit := d.limit.Load()
 	fields := []zap.Field{
-		zap.Duration("run_queue", event.Duration(d.runQueue.Load())), zap.Duration("send", d.send.value()), zap.Duration("connection", d.connection.value()),
-		zap.Duration("arrival", d.arrival.value()), zap.Duration("owner_round_trip", owner), zap.Bool("has_owner", hasOwner),
-		zap.Int64("requests", g.inFlight.Load()), zap.Int64("streams", g.streams.Load()), zap.Int64("responses", g.responses.Load()), zap.Float64("limit_per_second", perSecond(*d.limit.Load())), zap.Bool("paused", d.limit.Load().IsPaused),
+		zap.Duration("run_queue", event.Duration(d.runQueue.Load())), zap.Duration("send", d.send.value()),
+		zap.Duration("connection", d.connection.value()), zap.Duration("arrival", d.arrival.value()),
+		zap.Duration("owner_round_trip", owner), zap.Bool("has_owner", hasOwner),
+		zap.Int64("requests", g.inFlight.Load()), zap.Int64("streams", g.streams.Load()), zap.Int64("responses", g.responses.Load()),
+		zap.Float64("limit_per_second", perSecond(*limit)), zap.Bool("paused", limit.IsPaused),
 	}
 	if g.config.Listener != nil {
 		fields = append(fields, zap.Uint64("closures", g.config.Listener.Closures()))
@@ -202,9 +205,9 @@
 // callerConnKey is the key of a callerConn in the contexts of a connection's requests.
 type callerConnKey struct{}
 
-// ConnContext makes a caller's connection known to its requests, and bounds its buffers where the gateway accounts for
-// held memory. It is the hook of the callers' http.Server.
-func (g *Gateway) ConnContext(ctx context.Context, c net.Conn) context.Context {
+// CallerContext makes a caller's connection known to its requests, and bounds its buffers where the gateway accounts for
+// held memory. It is the ConnContext hook of the callers' http.Server.
+func (g *Gateway) CallerContext(ctx context.Context, c net.Conn) context.Context {
 	if g.memory != nil {
 		ctx = ConnContext(ctx, c)
 	}
--- /dev/null
+++ b/gateway/box_delays_test.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"lynxramp.org/event"
+)
+
+// TestOwnerRoundTripOfUnansweredPing: a ping without an answer tells of a slow link before its answer does.
+func TestOwnerRoundTripOfUnansweredPing(t *testing.T) {
+	const ms = event.Time(event.Millisecond)
+	c := &OwnerClient{}
+	if _, ok := c.OwnerRoundTrip(5 * ms); ok {
+		t.Error("there is a round trip without a session")
+	}
+	ping := func(at event.Time) {
+		c.lastPing = at
+		c.unansweredPing.CompareAndSwap(0, int64(at))
+	}
+	expect := func(now event.Time, want event.Duration) {
+		t.Helper()
+		if d, ok := c.OwnerRoundTrip(now); !ok || d != want {
+			t.Errorf("at %v the round trip is %v, %v, want %v", now, d, ok, want)
+		}
+	}
+	ping(10 * ms)
+	expect(40*ms, 30*event.Millisecond)
+	c.measureRoundTrip(14*ms, 10*ms)
+	expect(100*ms, 4*event.Millisecond)
+	ping(210 * ms)
+	ping(410 * ms)
+	expect(500*ms, 290*event.Millisecond)
+	c.measureRoundTrip(510*ms, 210*ms) // the second ping was sent 50 ms later at the earliest
+	expect(520*ms, 300*event.Millisecond)
+	expect(700*ms, 440*event.Millisecond)
+	c.measureRoundTrip(710*ms, 410*ms)
+	expect(900*ms, 300*event.Millisecond)
+}
+
+// TestProbeOfControlBox: a probe takes as long as it has taken so far, its result counts for a short time, and a box that
+// refuses connections tells nothing.
+func TestProbeOfControlBox(t *testing.T) {
+	const ms = event.Time(event.Millisecond)
+	var p controlProbe
+	if d := p.delay(10 * ms); d != 0 {
+		t.Errorf("a probe that was never started took %v", d)
+	}
+	p.startedAt = 10 * ms
+	if d := p.delay(60 * ms); d != 50*event.Millisecond {
+		t.Errorf("a probe that was started 50 ms ago took %v", d)
+	}
+	p.result.Store(int64(20 * event.Millisecond))
+	if d := p.delay(60 * ms); d != 20*event.Millisecond {
+		t.Errorf("a probe of 20 ms took %v", d)
+	}
+	if d := p.delay(400 * ms); d != 0 {
+		t.Errorf("an old probe took %v", d)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := connectionTime(l.Addr().String()); d <= 0 || d > time.Second {
+		t.Errorf("connecting took %v", d)
+	}
+	_ = l.Close()
+	if d := connectionTime(l.Addr().String()); d >= 0 {
+		t.Errorf("a refused connection took %v", d)
+	}
+}
+
+// TestProbeAvoidsOwner: a slow owner must not slow the probe that tells it from a slow link.
+func TestProbeAvoidsOwner(t *testing.T) {
+	c := &OwnerClient{controlBoxes: []string{"a", "b", "c"}, address: "b"}
+	for range 6 {
+		if address := c.otherControlBox(); address == "b" {
+			t.Error("the owner is probed")
+		}
+	}
+	c.controlBoxes = []string{"b"}
+	if address := c.otherControlBox(); address != "b" {
+		t.Errorf("%q is probed", address)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,7 @@
 	Instance   uint64
 }
 
-// Gateway accepts callers' requests. It is an http.Handler, and ConnContext the hook of its server.
+// Gateway accepts callers' requests. It is an http.Handler; CallerContext is the ConnContext hook of its server.
 type Gateway struct {
 	config        Config
 	agent         *Agent
