--- a/overload/bucket.go
+++ b/overload/bucket.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// isEmpty reports whether no connection may be accepted, or more than allowed if debt is above 0, in bursts.
+// isEmpty reports whether no further connection may be accepted. With a debt, in bursts, that many more are allowed, but
+// none during a pause.
 func (b *bucket) isEmpty(now time.Time, debt float64) bool {
 	b.refill(now)
 	switch {
