gateway: a distant owner is not probed without an overload

An entry probed a control box every 50 to 100 ms whenever its owner was more than 15 ms away: up to 3,900 connections a second of 390 entries. Without refused connections it now does from half of overload.delay on, where a limit may begin.

--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -138,7 +138,12 @@
 	}
 	sample.Responses = int(g.responses.Load())
 	sample.OwnerRoundTrip, sample.HasOwner = g.agent.OwnerRoundTrip()
-	if sample.OwnerRoundTrip > g.config.Overload.Delay/10 {
+	// Without an overload the probe is needed only near the delay that begins one: an owner may be far away.
+	suspicious := g.config.Overload.Delay / 2
+	if g.refusesConnections() {
+		suspicious = g.config.Overload.Delay / 10
+	}
+	if sample.OwnerRoundTrip > suspicious {
 		sample.Path = max(sample.Path, d.probe.delay(now))
 		d.probe.start(now, g.agent)
 	}
