sched, admission, gateway: an overloaded entry's times don't count as endpoints' times

What callers saw: while one entry was overloaded, requests of the others got 503 `shed` though endpoints had room, versions and endpoints could be taken for slow, and an endpoint was out of use after a time-out that the entry had caused.

Cause: the owner learns run times, speeds, prefill rates and how far it may grant ahead from the times that entries report, and those of an overloaded entry have its own delays in them. A time-out there made the endpoint suspect.

Now Begun and Finished say whether the entry itself may have delayed the request (overload.Limit.IsDelaying: there is a limit, or the delay is long). The owner learns no times from those; a roll-out doesn't, either, and takes time-outs there for nothing; the entry doesn't report an endpoint as suspect for a time-out. Failures that an endpoint answered, refused connections and reset ones count as before.

Evidence: TestOverloadedEntryDoesNotSlowEndpoints, -DoesNotConvictVersion and -DoesNotSuspectEndpoint fail without the change.

--- a/admission/rollout.go
+++ b/admission/rollout.go
@@ -63,15 +63,19 @@
 }
 
 // observeRollout passes the outcome of a request to the roll-out of its service. Requests that an endpoint
-// didn't run, or that their caller gave up, show nothing. The charge has the version, as the endpoint may be
-// gone; requests that an earlier owner granted have none.
+// didn't run, that their caller gave up, or whose time ran out at an overloaded entry show nothing. The charge
+// has the version, as the endpoint may be gone; requests that an earlier owner granted have none.
 func (s *State) observeRollout(f *message.Finish) {
 	c, ok := s.charges[f.ID]
-	if s.rollouts == nil || !ok || !c.granted || f.Unsent || f.Void || f.Abandoned {
+	if s.rollouts == nil || !ok || !c.granted || f.Unsent || f.Void || f.Abandoned || f.Delayed && f.NoResponse {
 		return
 	}
-	s.rollouts.Observe(f.ID, rollout.Sample{
+	sample := rollout.Sample{
 		Service: c.service, Version: c.version, Endpoint: f.Endpoint, Route: c.submission.Ticket.Route,
 		Failed: f.Failed, First: f.FirstAfter, ExpectedFirst: c.usualFirst, TokenGap: f.TokenGap,
-	})
+	}
+	if f.Delayed {
+		sample.First, sample.TokenGap = 0, 0
+	}
+	s.rollouts.Observe(f.ID, sample)
 }
--- a/admission/rollout_test.go
+++ b/admission/rollout_test.go
@@ -98,3 +98,29 @@
 		t.Errorf("samples (-want +got):\n%s", diff)
 	}
 }
+
+// TestOverloadedEntryDoesNotConvictVersion guards against times of requests that waited for their entry, and against
+// time-outs there, as evidence against a version.
+func TestOverloadedEntryDoesNotConvictVersion(t *testing.T) {
+	s, r := newRolloutState(10)
+	var out event.Effects
+	for id, change := range []func(f *message.Finish){
+		func(f *message.Finish) { f.FirstAfter, f.TokenGap = event.Second, event.Second },
+		func(f *message.Finish) { f.Failed, f.NoResponse = true, true },
+		func(f *message.Finish) { f.Failed, f.FirstAfter = true, event.Second },
+	} {
+		now := event.Time(id) * event.Time(event.Second)
+		s.Tick(now, &out)
+		out.Reset()
+		s.Submit(now, "entry", submission(id, 1, false), &out)
+		f := message.Finish{Finished: event.Finished{ID: out.Grants[0].ID, Pool: "s", Delayed: true}, Endpoint: out.Grants[0].Endpoint}
+		change(&f)
+		s.Finish(now, &f, &out)
+	}
+	sample := rollout.Sample{Service: "s", Version: "v2", Endpoint: "f", ExpectedFirst: defaultProfile.CallTime}
+	failed := sample
+	failed.Failed = true
+	if diff := cmp.Diff([]rollout.Sample{sample, failed}, r.samples); diff != "" {
+		t.Errorf("samples (-want +got):\n%s", diff)
+	}
+}
--- a/event/event.go
+++ b/event/event.go
@@ -143,6 +143,8 @@
 	// did not say. SlowdownAge is the time since the response was received.
 	Slowdown    float64
 	SlowdownAge Duration
+	// Delayed is set if the entry itself may have delayed the request: it was overloaded.
+	Delayed bool
 }
 
 // Finished reports that a granted request no longer uses its endpoint.
@@ -165,6 +167,8 @@
 	// Slowdown and SlowdownAge are as in Begun; 0 if a Begun event carried them.
 	Slowdown    float64
 	SlowdownAge Duration
+	// Delayed is as in Begun.
+	Delayed bool
 }
 
 // Adopted is a request that runs at an endpoint without this scheduler's grant,
--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -191,6 +191,9 @@
 // refusesConnections reports whether new connections were refused lately.
 func (g *Gateway) refusesConnections() bool { return g.delays.limit.Load().IsReached }
 
+// isDelaying reports whether the box itself may have delayed the requests that end now.
+func (g *Gateway) isDelaying() bool { return g.delays.limit.Load().IsDelaying }
+
 // logDelays logs the delays if one of them is long. It reports whether it did.
 func (g *Gateway) logDelays() bool {
 	owner, _ := g.agent.OwnerRoundTrip()
--- a/gateway/box_delays_test.go
+++ b/gateway/box_delays_test.go
@@ -3,11 +3,14 @@
 package gateway
 
 import (
+	"math"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"lynxramp.org/event"
+	"lynxramp.org/overload"
 )
 
 // TestOwnerRoundTripOfUnansweredPing: a ping without an answer tells of a slow link before its answer does.
@@ -86,3 +89,23 @@
 		t.Errorf("%q is probed", address)
 	}
 }
+
+// TestOverloadedEntryDoesNotSuspectEndpoint: a request whose time ran out at an overloaded entry took its endpoint out of
+// use.
+func TestOverloadedEntryDoesNotSuspectEndpoint(t *testing.T) {
+	for _, isDelaying := range []bool{false, true} {
+		silent := func(net.Conn, *http.Request) bool {
+			time.Sleep(2 * time.Second)
+			return false
+		}
+		r := newTestGateway(t, newFakeEndpoint(t, silent))
+		r.gateway.delays.limit.Store(&overload.Limit{PerSecond: math.Inf(1), IsDelaying: isDelaying})
+		q := r.request("POST", "/once/x", "q")
+		q.Header.Set("X-Deadline", "200")
+		_, _, _ = r.do(t, q)
+		waitFor(t, "the grant is finished", func() bool { return len(r.owner.finishes()) == 1 })
+		if f := r.owner.finishes()[0]; f.Delayed != isDelaying || !f.NoResponse || f.Suspect == isDelaying {
+			t.Errorf("overloaded %v: the request is finished as %+v", isDelaying, f)
+		}
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -328,6 +328,10 @@
 	f.Print, f.Ran = c.fingerprint, a.runResult()
 	f.NoResponse = a.outcome == outcomeUnknown && a.firstByteAfter == 0 && isCancelled(a.err)
 	f.Abandoned = c.r.Context().Err() != nil || errors.Is(a.err, errCallerWrite)
+	f.Delayed = c.gateway.isDelaying()
+	if f.Delayed && (f.NoResponse || isTimeout(a.err)) {
+		f.Suspect = false // the box itself may have used up the time
+	}
 	if !a.sent.IsZero() && a.err != nil && endsConnection(a.err) {
 		t := poison.Termination{Print: c.fingerprint, Endpoint: a.decision.Endpoint, Request: c.id, Attempt: a.previousSends, Ran: time.Since(a.sent)}
 		if a.firstByteAfter == 0 || t.Ran-a.firstByteAfter < poison.BeginGrace {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,7 @@
 			c.bind(a.decision)
 			begun := event.Begun{ID: c.id, Pool: c.service, After: a.firstByteAfter}
 			begun.Slowdown, begun.SlowdownAge = a.load.take()
+			begun.Delayed = c.gateway.isDelaying()
 			c.gateway.agent.Begin(begun)
 			c.sendStreamHead(x)
 		} else if len(gaps) < maxGaps {
--- a/message/message.go
+++ b/message/message.go
@@ -248,7 +248,7 @@
 	// identity.
 	Suspect bool
 	// NoResponse is set if the request's time ran out, or its caller disconnected, before the endpoint
-	// responded on an intact connection. Then Suspect is set, too.
+	// responded on an intact connection. Then Suspect is set, too, unless the entry was overloaded.
 	NoResponse bool
 	Endpoint   event.EndpointID
 	Print      poison.Fingerprint
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -119,6 +119,8 @@
 	Reason    Reason // of the last overload
 	// Delay is how long requests wait for the box.
 	Delay event.Duration
+	// IsDelaying is set if the box may have delayed the requests that end now: their times tell little of endpoints.
+	IsDelaying bool
 }
 
 // IsLimited reports whether there is a limit.
@@ -194,7 +196,7 @@
 		l.begin(now)
 	}
 	if !l.limited {
-		return Limit{PerSecond: math.Inf(1), Delay: delay}
+		return l.limit(now, s, delay)
 	}
 	if delay > l.config.Delay/2 {
 		l.reason = ReasonProcessor
@@ -302,10 +304,10 @@
 // limit returns the limit in force.
 func (l *Limiter) limit(now event.Time, s Sample, delay event.Duration) Limit {
 	if !l.limited {
-		return Limit{PerSecond: math.Inf(1), Delay: delay}
+		return Limit{PerSecond: math.Inf(1), Delay: delay, IsDelaying: float64(delay) > pauseAt*float64(l.config.Delay)}
 	}
 	return Limit{
 		PerSecond: l.rate.limit, IsPaused: l.isPaused || float64(s.Responses) >= l.responses.limit,
-		IsReached: l.isReached(now), Reason: l.reason, Delay: delay,
+		IsReached: l.isReached(now), Reason: l.reason, Delay: delay, IsDelaying: true,
 	}
 }
--- a/sched/discover.go
+++ b/sched/discover.go
@@ -91,7 +91,7 @@
 
 // observeSpeed updates an endpoint's measured speed from a finished request.
 func (s *State) observeSpeed(now event.Time, g *grant, f *event.Finished) {
-	if !s.pool.Discovered || f.Void {
+	if !s.pool.Discovered {
 		return
 	}
 	profile := s.profile()
@@ -113,7 +113,7 @@
 	e := g.endpoint
 	s.applySlowdown(now, g, b.Slowdown, b.SlowdownAge, true)
 	g.startSlowdown(now)
-	if s.pool.Discovered {
+	if s.pool.Discovered && !b.Delayed {
 		s.observePrefill(now, e, g, b.After)
 	}
 	e.prefillQueue.remove(now, g)
--- a/sched/discover_test.go
+++ b/sched/discover_test.go
@@ -438,3 +438,44 @@
 		t.Errorf("grants %+v, want the other three", out.Grants)
 	}
 }
+
+// TestOverloadedEntryDoesNotSlowEndpoints: requests that waited for their entry made endpoints look slow, and the
+// requests of other entries were shed.
+func TestOverloadedEntryDoesNotSlowEndpoints(t *testing.T) {
+	for _, tokens := range []int{0, 50} {
+		s := discoveredPool(2, 4)
+		s.pool.ExpectedWork = true
+		shape := func(k *event.Ticket) { k.Rank, k.OutputTokens = 1, tokens }
+		var out event.Effects
+		now := event.Time(0)
+		finish := func(id int, took event.Duration, delayed bool) {
+			out.Reset()
+			s.Step(now, submission(id, shape), &out)
+			now = now.Add(took)
+			f := &event.Finished{ID: out.Grants[0].ID, Pool: pool, Tokens: tokens, FirstAfter: took, Delayed: delayed}
+			if tokens > 0 {
+				s.Step(now, &event.Begun{ID: f.ID, Pool: pool, After: took, Delayed: delayed}, &out)
+				f.TokenGap = took / 50
+			}
+			s.Step(now, f, &out)
+		}
+		for i := range 2 * runTimeSamples {
+			finish(i, 250*event.Millisecond, false)
+		}
+		state := func() string {
+			return fmt.Sprint(s.byID["e0000"].presentSpeed(now), s.byID["e0001"].presentSpeed(now), s.runTime, s.prefill, s.transit,
+				s.classes.forRank(1).runTime, s.classes.forRank(1).workRatio)
+		}
+		before := state()
+		for i := range runTimeSamples {
+			finish(1000+i, 5*event.Second, true)
+		}
+		if after := state(); after != before {
+			t.Errorf("%d tokens: the estimates were\n%s, and after requests that waited for their entry\n%s", tokens, before, after)
+		}
+		finish(2000, 5*event.Second, false)
+		if state() == before {
+			t.Errorf("%d tokens: the estimates don't follow a request that waited for no entry", tokens)
+		}
+	}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -365,19 +365,28 @@
 			s.outputLength(g.service).observe(e.Tokens, g.requestedOutput)
 		}
 		s.applySlowdown(now, g, e.Slowdown, e.SlowdownAge, e.FirstAfter > 0)
-		s.observeSpeed(now, g, e)
-		s.observeTransit(now, g, e)
-		if !e.Void {
-			s.classes.forRank(g.originalRank).runTime.observe(now.Sub(g.at))
-			s.runTime.observe(now.Sub(g.at))
-			if s.pool.ExpectedWork {
-				s.classes.forRank(g.originalRank).workRatio.observe(now.Sub(g.at).Seconds(), g.expectedWork)
-			}
-		}
+		s.observeTimes(now, g, e)
 	}
 	s.release(now, e.ID)
 }
 
+// observeTimes updates the estimates of speeds and run times from a finished request. One that its entry delayed tells
+// nothing about them.
+func (s *State) observeTimes(now event.Time, g *grant, e *event.Finished) {
+	s.observeRejection(now, g, e)
+	if e.Void || e.Delayed {
+		return
+	}
+	s.observeSpeed(now, g, e)
+	s.observeTransit(now, g, e)
+	class := s.classes.forRank(g.originalRank)
+	class.runTime.observe(now.Sub(g.at))
+	s.runTime.observe(now.Sub(g.at))
+	if s.pool.ExpectedWork {
+		class.workRatio.observe(now.Sub(g.at).Seconds(), g.expectedWork)
+	}
+}
+
 // release removes a grant.
 func (s *State) release(now event.Time, id event.RequestID) {
 	g, ok := s.grants[id]
--- a/sched/transit.go
+++ b/sched/transit.go
@@ -50,13 +50,17 @@
 	return min(maxAheadRatio, t.held/t.taken)
 }
 
-// observeTransit adds a finished plain call at an endpoint that reports its slowdown. At other endpoints nothing is
-// granted ahead. An endpoint that rejects a call beyond its slots does not queue any.
-func (s *State) observeTransit(now event.Time, g *grant, f *event.Finished) {
+// observeRejection pauses granting ahead: an endpoint that rejects a call beyond its slots does not queue any.
+func (s *State) observeRejection(now event.Time, g *grant, f *event.Finished) {
 	if f.Void && !f.Unused && g.endpoint.inflight > g.endpoint.Concurrency {
 		s.transit.pausedUntil = now.Add(aheadPause)
 	}
-	if g.tokenless && !g.adopted && !f.Failed && !f.Void && g.endpoint.slowdown.isReported {
+}
+
+// observeTransit adds a finished plain call at an endpoint that reports its slowdown. At other endpoints nothing is
+// granted ahead.
+func (s *State) observeTransit(now event.Time, g *grant, f *event.Finished) {
+	if g.tokenless && !g.adopted && !f.Failed && g.endpoint.slowdown.isReported {
 		s.transit.observe(now.Sub(g.at), f.FirstAfter)
 	}
 }
