overload, gateway: an entry notices that its process is kept from running

Cause: nothing measured that wait. A paused process has no goroutines that queue: what it finds in its sockets when it runs came while it didn't run. Delays of the link are long or short in turn, whether a pause fell into them, so the lesser of path and round trip was short in most samples: the limit began 1.5 to 8 s late, and it grew to 300 to 700 requests a second, where the entry serves 70, as few samples cut it.

When a caller's first request is handled, the kernel now tells how long ago it received its last bytes (TCP_INFO). That time depends on nothing but the process. It begins a limit as other delays do, and pauses above overload.delay.

--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,8 +24,10 @@
 	limitedInterval = 50 * time.Millisecond
 	// acknowledgementPoll is how often sends are checked while some are watched.
 	acknowledgementPoll = 10 * time.Millisecond
-	// delayValidity is how long a measured delay counts if there are no new samples.
+	// delayValidity is how long a measured delay counts if there are no new samples, and waitValidity how long a wait of
+	// callers' requests does. A single pause of the process delays all that came in it.
 	delayValidity = event.Second
+	waitValidity  = event.Duration(delayInterval) * 3 / 2
 	// delayLogInterval is the least time between two log lines about delays.
 	delayLogInterval = time.Second
 	// loggedDelay is the least delay that is logged.
@@ -37,6 +40,7 @@
 	send       measuredDelay // until bytes sent to endpoints are acknowledged
 	connection measuredDelay // until a connection is made
 	arrival    measuredDelay // from the acceptance of a caller's connection to the end of its first request
+	wait       measuredDelay // from the time when the kernel received a caller's first request until it is handled
 
 	probe controlProbe
 
@@ -54,11 +58,11 @@
 }
 
 // update takes the median of new samples if there are enough.
-func (d *measuredDelay) update(now event.Time, samples *overload.Delays) {
+func (d *measuredDelay) update(now event.Time, samples *overload.Delays, validity event.Duration) {
 	if median, ok := samples.Median(); ok {
 		d.median.Store(int64(median))
 		d.at = now
-	} else if now.Sub(d.at) > delayValidity {
+	} else if now.Sub(d.at) > validity {
 		d.median.Store(0)
 	}
 }
@@ -120,9 +124,10 @@
 func (g *Gateway) updateDelays(now event.Time, runQueue event.Duration) {
 	d := &g.delays
 	d.runQueue.Store(int64(runQueue))
-	d.send.update(now, &g.upstream.acknowledgements.Delays)
-	d.connection.update(now, &g.upstream.connecting)
-	d.arrival.update(now, &g.arrivals)
+	d.send.update(now, &g.upstream.acknowledgements.Delays, delayValidity)
+	d.connection.update(now, &g.upstream.connecting, delayValidity)
+	d.arrival.update(now, &g.arrivals, delayValidity)
+	d.wait.update(now, &g.waits, waitValidity)
 	if g.config.Listener != nil {
 		g.limitConnections(now)
 	}
@@ -133,7 +138,7 @@
 	d, listener := &g.delays, g.config.Listener
 	begun, ended, accepted := g.requestCount.Load(), g.endedCount.Load(), listener.Accepted()
 	sample := overload.Sample{
-		RunQueue: event.Duration(d.runQueue.Load()), Path: d.path(),
+		RunQueue: event.Duration(d.runQueue.Load()), Wait: d.wait.value(), Path: d.path(),
 		Begun: int(begun - d.begun), Ended: int(ended - d.ended), IsReached: listener.Reached(),
 	}
 	sample.Responses = int(g.responses.Load())
@@ -165,7 +170,7 @@
 	owner, hasOwner := g.agent.OwnerRoundTrip()
 	limit := d.limit.Load()
 	fields := []zap.Field{
-		zap.Duration("run_queue", event.Duration(d.runQueue.Load())), zap.Duration("send", d.send.value()),
+		zap.Duration("run_queue", event.Duration(d.runQueue.Load())), zap.Duration("wait", d.wait.value()), zap.Duration("send", d.send.value()),
 		zap.Duration("connection", d.connection.value()), zap.Duration("arrival", d.arrival.value()),
 		zap.Duration("owner_round_trip", owner), zap.Bool("has_owner", hasOwner),
 		zap.Int64("requests", g.inFlight.Load()), zap.Int64("streams", g.streams.Load()), zap.Int64("responses", g.responses.Load()),
@@ -197,7 +202,7 @@
 // logDelays logs the delays if one of them is long. It reports whether it did.
 func (g *Gateway) logDelays() bool {
 	owner, _ := g.agent.OwnerRoundTrip()
-	if max(event.Duration(g.delays.runQueue.Load()), g.delays.path(), owner) < loggedDelay && !g.refusesConnections() {
+	if max(event.Duration(g.delays.runQueue.Load()), g.delays.wait.value(), g.delays.path(), owner) < loggedDelay && !g.refusesConnections() {
 		return false
 	}
 	g.log.Warn("requests wait for the box", g.delayFields()...)
@@ -206,6 +211,7 @@
 
 // callerConn is a caller's connection.
 type callerConn struct {
+	conn       net.Conn
 	acceptedAt time.Time
 	hasBegun   atomic.Bool // its first request has arrived
 }
@@ -219,13 +225,21 @@
 	if g.memory != nil {
 		ctx = ConnContext(ctx, c)
 	}
-	return context.WithValue(ctx, callerConnKey{}, &callerConn{acceptedAt: time.Now()})
+	return context.WithValue(ctx, callerConnKey{}, &callerConn{conn: c, acceptedAt: time.Now()})
 }
 
-// measureArrival measures how long the first request of a connection took to arrive.
+// measureArrival measures how long the first request of a connection took to arrive, and how long it has waited since.
 func (c *call) measureArrival() {
 	conn, ok := c.r.Context().Value(callerConnKey{}).(*callerConn)
-	if ok && conn.hasBegun.CompareAndSwap(false, true) {
-		c.gateway.arrivals.Add(time.Since(conn.acceptedAt))
+	if !ok || !conn.hasBegun.CompareAndSwap(false, true) {
+		return
+	}
+	c.gateway.arrivals.Add(time.Since(conn.acceptedAt))
+	socket, ok := conn.conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	if wait, ok := overload.SinceReceived(socket); ok {
+		c.gateway.waits.Add(wait)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,7 @@
 	memory             *heldMemory // nil without the account of held memory
 	delays             boxDelays
 	arrivals           overload.Delays // of the first requests of callers' connections
+	waits              overload.Delays // of these requests for the process
 
 	// Limits of log lines, see record.go.
 	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter, loadLimiter *logx.RateLimiter
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -68,6 +68,9 @@
 // Sample is what a box measured since the previous sample.
 type Sample struct {
 	RunQueue event.Duration
+	// Wait is how long requests that the kernel had received waited until they were handled; 0 if none came lately. It
+	// tells of a process that is kept from running, which no goroutine sees.
+	Wait event.Duration
 	// Path is how long the path to endpoints and callers takes, without their processes; 0 if nothing was sent lately.
 	Path event.Duration
 	// OwnerRoundTrip is how long the owner takes to answer. It is ignored without an owner.
@@ -191,16 +194,16 @@
 		l.reachedAt = now
 	}
 	l.average(interval, s, delay)
-	l.countDelay(interval, delay)
+	l.countDelay(interval, max(delay, s.Wait))
 	if !l.limited && (l.delayed >= onset || l.delayedMuch >= quickOnset) {
 		l.begin(now)
 	}
 	if !l.limited {
 		return l.limit(now, s, delay)
 	}
-	if delay > l.config.Delay/2 {
+	if processor := max(s.RunQueue, s.Wait); max(processor, link) > l.config.Delay/2 {
 		l.reason = ReasonProcessor
-		if link > s.RunQueue {
+		if link > processor {
 			l.reason = ReasonLink
 		}
 	}
@@ -250,7 +253,7 @@
 func (l *Limiter) adjust(now event.Time, interval event.Duration, s Sample, delay event.Duration) {
 	wasPaused := l.isPaused
 	// Without an owner and without traffic, only what is admitted now and then tells how long requests wait.
-	l.isPaused = l.isTooLong(delay) || !s.isLinkKnown()
+	l.isPaused = l.isTooLong(delay) || s.Wait > l.config.Delay || !s.isLinkKnown()
 	switch {
 	case !l.isPaused:
 		l.calm += interval
@@ -304,7 +307,7 @@
 // limit returns the limit in force.
 func (l *Limiter) limit(now event.Time, s Sample, delay event.Duration) Limit {
 	if !l.limited {
-		return Limit{PerSecond: math.Inf(1), Delay: delay, IsDelaying: float64(delay) > pauseAt*float64(l.config.Delay)}
+		return Limit{PerSecond: math.Inf(1), Delay: delay, IsDelaying: float64(max(delay, s.Wait)) > pauseAt*float64(l.config.Delay)}
 	}
 	return Limit{
 		PerSecond: l.rate.limit, IsPaused: l.isPaused || float64(s.Responses) >= l.responses.limit,
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"lynxramp.org/event"
 )
@@ -55,7 +56,7 @@
 	now, _, _ := feed(l, 0, 5*event.Second, calm)
 	for range 20 {
 		long := calm
-		long.RunQueue = 2 * event.Second
+		long.RunQueue, long.Wait = 2*event.Second, 2*event.Second
 		now = now.Add(100 * ms)
 		if l.Step(now, long).IsLimited() {
 			t.Fatal("one long delay sets a limit")
@@ -80,6 +81,7 @@
 		change func(*Sample)
 	}{
 		{ReasonProcessor, func(s *Sample) { s.RunQueue = 200 * ms }},
+		{ReasonProcessor, func(s *Sample) { s.RunQueue, s.Wait = 100*ms, 200*ms }},
 		{ReasonLink, func(s *Sample) { s.Path, s.OwnerRoundTrip = 300*ms, 200*ms }},
 		{ReasonLink, func(s *Sample) { s.Path, s.HasOwner = 300*ms, false }},
 	} {
@@ -105,6 +107,27 @@
 	}
 }
 
+// TestPausedProcessIsNoticed: the delays of a process that is paused most of the time are long in turn, and no limit was
+// set for seconds.
+func TestPausedProcessIsNoticed(t *testing.T) {
+	for _, wait := range []event.Duration{80 * ms, 400 * ms} {
+		l := NewLimiter(Config{})
+		now, _, _ := feed(l, 0, 5*event.Second, calm)
+		wasLimited := false
+		for i := range 5 {
+			s := Sample{Wait: wait, Path: 5 * ms, OwnerRoundTrip: 100 * ms, HasOwner: true, Begun: 20}
+			if i%2 == 0 {
+				s.Path, s.OwnerRoundTrip = 300*ms, ms
+			}
+			now = now.Add(100 * ms)
+			wasLimited = wasLimited || l.Step(now, s).IsLimited()
+		}
+		if want := wait > DefaultDelay; wasLimited != want {
+			t.Errorf("requests wait for %v: limited %v, want %v", time.Duration(wait), wasLimited, want)
+		}
+	}
+}
+
 // TestLastingOverloadLimitsResponses: streams that were admitted load the box after new connections are refused. Their
 // number must fall below what overloads it.
 func TestLastingOverloadLimitsResponses(t *testing.T) {
@@ -123,6 +146,27 @@
 	}
 }
 
+// TestRateIsCutWhileRequestsWait: the limit of a paused process grew to several times what it can serve.
+func TestRateIsCutWhileRequestsWait(t *testing.T) {
+	l := NewLimiter(Config{})
+	now, _, _ := feed(l, 0, 5*event.Second, calm)
+	s := calm
+	s.Wait, s.Begun, s.IsReached = 200*ms, 20, true
+	now, first, _ := feed(l, now, 500*ms, s)
+	if !first.IsPaused {
+		t.Errorf("limit %+v while requests wait", first)
+	}
+	for range 10 {
+		s.Wait, s.Begun = 0, 0
+		now, _, _ = feed(l, now, 300*ms, s)
+		s.Wait, s.Begun = 200*ms, 20
+		now, _, _ = feed(l, now, 600*ms, s)
+	}
+	if last := l.Step(now, s); last.PerSecond > first.PerSecond || last.PerSecond < minRate {
+		t.Errorf("%v requests a second are admitted, %v at the beginning of the overload", last.PerSecond, first.PerSecond)
+	}
+}
+
 // TestUnknownClock: a step without time since the last one changes no rate.
 func TestUnknownClock(t *testing.T) {
 	l := NewLimiter(Config{})
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -149,15 +149,10 @@
 
 // handshakeRoundTrip returns the kernel's estimate of the round trip to the peer of a new connection.
 func handshakeRoundTrip(c *net.TCPConn) (time.Duration, bool) {
-	raw, err := c.SyscallConn()
+	info, err := tcpInfo(c)
 	if err != nil {
 		return 0, false
 	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil {
-		return 0, false
-	}
 	return time.Duration(info.Rtt) * time.Microsecond, true
 }
 
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -147,7 +147,7 @@
 	}
 	link := b.linkDelay() + b.load.roundTrip
 	s := &Sample{
-		RunQueue: b.runDelay(), Path: link + event.Duration(b.random.IntN(10))*event.Millisecond, OwnerRoundTrip: link, HasOwner: true,
+		RunQueue: b.runDelay(), Wait: b.runDelay(), Path: link + event.Duration(b.random.IntN(10))*event.Millisecond, OwnerRoundTrip: link, HasOwner: true,
 		Begun: b.begun, Ended: b.ended, Responses: len(b.ends), IsReached: b.isReached || !b.isOpen,
 	}
 	b.begun, b.ended, b.isReached = 0, 0, false
