gateway: the age of an unanswered ping is its own

While a ping without an answer was sent after one with an answer, its age was counted from 50 ms after the answered one, whatever the interval of pings was: up to 150 ms too much, so a round trip of 10 ms looked like one above overload.delay for a moment. Found by reading. The times of pings are now kept until they are answered; the test has the exact ages.

--- a/gateway/box_delays_test.go
+++ b/gateway/box_delays_test.go
@@ -13,35 +13,37 @@
 	"lynxramp.org/overload"
 )
 
-// TestOwnerRoundTripOfUnansweredPing: a ping without an answer tells of a slow link before its answer does.
+// TestOwnerRoundTripOfUnansweredPing: a ping without an answer tells of a slow link before its answer does, by its own
+// age.
 func TestOwnerRoundTripOfUnansweredPing(t *testing.T) {
 	const ms = event.Time(event.Millisecond)
-	c := &OwnerClient{}
-	if _, ok := c.OwnerRoundTrip(5 * ms); ok {
+	var r roundTrip
+	if _, ok := r.value(5 * ms); ok {
 		t.Error("there is a round trip without a session")
 	}
-	ping := func(at event.Time) {
-		c.lastPing = at
-		c.unansweredPing.CompareAndSwap(0, int64(at))
-	}
 	expect := func(now event.Time, want event.Duration) {
 		t.Helper()
-		if d, ok := c.OwnerRoundTrip(now); !ok || d != want {
+		if d, ok := r.value(now); !ok || d != want {
 			t.Errorf("at %v the round trip is %v, %v, want %v", now, d, ok, want)
 		}
 	}
-	ping(10 * ms)
+	r.pingSent(10 * ms)
 	expect(40*ms, 30*event.Millisecond)
-	c.measureRoundTrip(14*ms, 10*ms)
+	r.pongReceived(14*ms, 10*ms)
 	expect(100*ms, 4*event.Millisecond)
-	ping(210 * ms)
-	ping(410 * ms)
+	r.pingSent(210 * ms)
+	r.pingSent(410 * ms)
 	expect(500*ms, 290*event.Millisecond)
-	c.measureRoundTrip(510*ms, 210*ms) // the second ping was sent 50 ms later at the earliest
+	r.pongReceived(510*ms, 210*ms)
 	expect(520*ms, 300*event.Millisecond)
-	expect(700*ms, 440*event.Millisecond)
-	c.measureRoundTrip(710*ms, 410*ms)
-	expect(900*ms, 300*event.Millisecond)
+	expect(800*ms, 390*event.Millisecond)
+	r.pongReceived(810*ms, 410*ms)
+	expect(900*ms, 400*event.Millisecond)
+	r.pingSent(910 * ms)
+	r.reset()
+	if d, ok := r.value(950 * ms); ok {
+		t.Errorf("there is a round trip of %v after the session", d)
+	}
 }
 
 // TestProbeOfControlBox: a probe takes as long as it has taken so far, its result counts for a short time, and a box that
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -96,10 +96,9 @@
 	entryCount       atomic.Int64  // entries that share the endpoints
 	announcedVersion atomic.Uint64 // newest version that an owner announced
 	nodeBytes        atomic.Int64  // bytes of configuration nodes received
-	roundTrip        atomic.Int64  // event.Duration of the last ping that the owner answered
 	pingOften        atomic.Bool   // the round trip to the owner is of interest
-	unansweredPing   atomic.Int64  // event.Time at which the first ping without an answer was sent; 0 if there is none
 	firstTable       chan struct{} // closed when a configuration is first in force
+	roundTrip        roundTrip
 	// confirmations are of versions that are not in force yet.
 	confirmations []versionConfirmation
 
--- a/gateway/owner_session.go
+++ b/gateway/owner_session.go
@@ -112,8 +112,7 @@
 		logLevel = zap.WarnLevel
 	}
 	a.hasOwner = false
-	a.unansweredPing.Store(0)
-	a.roundTrip.Store(0)
+	a.roundTrip.reset()
 	a.unsubmitted = nil
 	a.dialAt = now
 	a.batch = message.Batch{}
@@ -173,7 +172,7 @@
 // receivePong applies the owner's reply to a ping, which confirms its version as the newest.
 func (a *OwnerClient) receivePong(now event.Time, p *message.Pong) {
 	a.lastPong = now
-	a.measureRoundTrip(now, p.Sent)
+	a.roundTrip.pongReceived(now, p.Sent)
 	a.entryCount.Store(int64(max(1, p.Entries)))
 	a.leases.Apply(p.Lent)
 	a.dropSavedTerminations(p.Ends)
@@ -185,25 +184,10 @@
 	a.confirmVersion(now, versionConfirmation{version: p.Version, pingSentAt: p.Sent})
 }
 
-// measureRoundTrip records the answer to the ping that was sent at a time.
-func (a *OwnerClient) measureRoundTrip(now, sent event.Time) {
-	a.roundTrip.Store(int64(now.Sub(sent)))
-	var unanswered event.Time
-	if a.lastPing > sent {
-		unanswered = min(sent.Add(shortPingInterval), a.lastPing)
-	}
-	a.unansweredPing.Store(int64(unanswered))
-}
-
 // OwnerRoundTrip returns how long the last ping to the owner took to be answered, or how long one has been waiting for
 // its answer if that is longer. It returns false if there is no session with a control box.
 func (a *OwnerClient) OwnerRoundTrip(now event.Time) (event.Duration, bool) {
-	unanswered := event.Time(a.unansweredPing.Load())
-	if unanswered == 0 {
-		d := event.Duration(a.roundTrip.Load())
-		return d, d > 0
-	}
-	return max(event.Duration(a.roundTrip.Load()), now.Sub(unanswered)), true
+	return a.roundTrip.value(now)
 }
 
 // ownerFound starts the session with a found owner: waiting requests, terminations and feedback are sent to it.
--- a/gateway/owner_word.go
+++ b/gateway/owner_word.go
@@ -28,7 +28,7 @@
 // sendPing sends a ping, which asks the owner to confirm that it still owns the pools.
 func (a *OwnerClient) sendPing(now event.Time) {
 	a.lastPing = now
-	a.unansweredPing.CompareAndSwap(0, int64(now))
+	a.roundTrip.pingSent(now)
 	ping := &message.Ping{Sent: now, Running: a.takeUnreported(), Revision: a.revision, Owned: a.hasOwner, Versions: a.versions.revision}
 	ping.Has, ping.Spent = a.leases.Changes()
 	ping.More = a.leases.HasMore()
