gateway: the probe looks at the owner's round trip above its least one

An owner farther away than half of overload.delay was probed every 50 to 100 ms without any overload. Found by reading. The least round trip of the last 30 to 60 s is now subtracted, as the limiter does with its delays.

--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -43,6 +43,8 @@
 	wait       measuredDelay // from the time when the kernel received a caller's first request until it is handled
 
 	probe controlProbe
+	// leastRoundTrip is that of the owner, which may be far away.
+	leastRoundTrip overload.LeastDelay
 
 	limiter *overload.Limiter
 	limit   atomic.Pointer[overload.Limit] // in force
@@ -143,12 +145,7 @@
 	}
 	sample.Responses = int(g.responses.Load())
 	sample.OwnerRoundTrip, sample.HasOwner = g.agent.OwnerRoundTrip()
-	// Without an overload the probe is needed only near the delay that begins one: an owner may be far away.
-	suspicious := g.config.Overload.Delay / 2
-	if g.refusesConnections() {
-		suspicious = g.config.Overload.Delay / 10
-	}
-	if sample.OwnerRoundTrip > suspicious {
+	if sample.HasOwner && g.isSuspicious(now, sample.OwnerRoundTrip) {
 		sample.Path = max(sample.Path, d.probe.delay(now))
 		d.probe.start(now, g.agent)
 	}
@@ -164,6 +161,16 @@
 	}
 }
 
+// isSuspicious reports whether the owner takes so much longer than usual to answer that the probe has to tell why. Without
+// an overload the probe is needed only near the delay that begins one.
+func (g *Gateway) isSuspicious(now event.Time, roundTrip event.Duration) bool {
+	extra := roundTrip - g.delays.leastRoundTrip.Update(now, roundTrip)
+	if g.refusesConnections() {
+		return extra > g.config.Overload.Delay/10
+	}
+	return extra > g.config.Overload.Delay/2
+}
+
 // delayFields returns the delays and the limit as log fields.
 func (g *Gateway) delayFields() []zap.Field {
 	d := &g.delays
--- a/gateway/box_delays_test.go
+++ b/gateway/box_delays_test.go
@@ -78,6 +78,28 @@
 	}
 }
 
+// TestDistantOwnerIsNotProbed: an owner that is far away was probed all the time, without any overload.
+func TestDistantOwnerIsNotProbed(t *testing.T) {
+	const ms = event.Millisecond
+	g := &Gateway{config: Config{Overload: overload.Config{Delay: 150 * ms}}}
+	g.delays.leastRoundTrip = overload.NewLeastDelay()
+	now := event.Time(0)
+	for _, test := range []struct {
+		isReached    bool // the limit of connections
+		roundTrip    event.Duration
+		isSuspicious bool
+	}{
+		{false, 100 * ms, false}, {false, 170 * ms, false}, {false, 180 * ms, true},
+		{true, 110 * ms, false}, {true, 120 * ms, true}, {true, 100 * ms, false},
+	} {
+		now = now.Add(100 * ms)
+		g.delays.limit.Store(&overload.Limit{IsReached: test.isReached})
+		if got := g.isSuspicious(now, test.roundTrip); got != test.isSuspicious {
+			t.Errorf("a round trip of %v is suspicious: %v, want %v; refusing connections: %v", time.Duration(test.roundTrip), got, test.isSuspicious, test.isReached)
+		}
+	}
+}
+
 // TestProbeAvoidsOwner: a slow owner must not slow the probe that tells it from a slow link.
 func TestProbeAvoidsOwner(t *testing.T) {
 	c := &OwnerClient{controlBoxes: []string{"a", "b", "c"}, address: "b"}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -98,7 +98,7 @@
 func New(c Config) *Gateway {
 	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
-	g.delays.limiter = overload.NewLimiter(c.Overload)
+	g.delays.limiter, g.delays.leastRoundTrip = overload.NewLimiter(c.Overload), overload.NewLeastDelay()
 	g.delays.limit.Store(noLimit())
 	g.memory = newHeldMemory(c.HeldMemory)
 	g.upstream.memory = g.memory
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -22,8 +22,6 @@
 	// shorter than resumeAt. All that tries to connect during a pause is received at its end, behind what waits for the
 	// link; a pause that ends earlier admits it at once.
 	pauseAt, resumeAt = 0.5, 0.2
-	// baseWindow is for how long the least delay of the link is remembered.
-	baseWindow = 30 * event.Second
 	// cutInterval is the least time between two cuts, in which the effect of the first one shows.
 	cutInterval = 800 * event.Millisecond
 	// A bound is cut to cutFactor of what overloaded the box, and grows by growth of that in the first second afterwards.
@@ -96,21 +94,6 @@
 // isLinkKnown reports whether anything tells how long the link takes.
 func (s Sample) isLinkKnown() bool { return s.HasOwner || s.Path > 0 }
 
-// leastDelay is the least delay of the last baseWindow to twice that.
-type leastDelay struct {
-	current, previous event.Duration
-	since             event.Time // of current
-}
-
-// update adds a delay and returns the least one.
-func (d *leastDelay) update(now event.Time, delay event.Duration) event.Duration {
-	if now.Sub(d.since) >= baseWindow {
-		d.previous, d.current, d.since = d.current, delay, now
-	}
-	d.current = min(d.current, delay)
-	return min(d.current, d.previous)
-}
-
 // Limit is how many requests a box admits.
 type Limit struct {
 	// PerSecond is the limit in requests a second; +Inf without a limit.
@@ -139,7 +122,7 @@
 	config Config
 
 	last  event.Time // of the last step
-	least leastDelay // of the link
+	least LeastDelay // of the link
 	// Average rates, in requests a second. usual is that of begun while there is no limit.
 	begun, ended, usual float64
 	// For how long the delay has been above Config.Delay, and above quickDelay times as much.
@@ -181,14 +164,14 @@
 	if c.Delay <= 0 {
 		c.Delay = DefaultDelay
 	}
-	return &Limiter{config: c, least: leastDelay{current: math.MaxInt64, previous: math.MaxInt64}}
+	return &Limiter{config: c, least: NewLeastDelay()}
 }
 
 // Step applies a sample and returns the limit from now on.
 func (l *Limiter) Step(now event.Time, s Sample) Limit {
 	interval := now.Sub(l.last)
 	l.last = now
-	link := s.link() - l.least.update(now, s.link())
+	link := s.link() - l.least.Update(now, s.link())
 	delay := max(s.RunQueue, link)
 	if s.IsReached {
 		l.reachedAt = now
