overload: handshakes under way are completed, and expected

What callers saw: the more of them came to an entry beyond its capacity, the fewer were served: 0.79, 0.65, 0.54 and 0.44 of the capacity at 1.3, 2, 3 and 5 times of it (TestGoodputStaysFlat, known red since it was written).

Cause: closing the listening socket resets all handshakes under way, whose callers have sent their requests, or do so at once. On a link that is a queue, only the part of a window's connections whose handshakes end within it is accepted: in the simulation as many were lost as accepted at 2 times the capacity, whatever the round trip (613 lost, 1,354 accepted at 1.5 ms).

The socket now takes no new handshakes after a window, but completes those under way: it is bound to an interface that doesn't exist, which the kernel checks for the first packet only. They count against the limit, up to three bursts of debt. A window ends when those that were accepted and those expected to be under way use up a burst; how many come is measured in each window. `window` is a reducer that the simulation runs in place of its own copy of the listener's rules. A pause ends at 0.4 of overload.delay instead of 0.2, as what is admitted at its end is no longer more than the limit allows.

TestHandshakesUnderWayAreCompleted has a real handshake that the socket's end used to reset.

--- a/overload/bucket.go
+++ b/overload/bucket.go
@@ -56,21 +56,6 @@
 	}
 }
 
-// isEmpty reports whether no further connection may be accepted. With a debt, in bursts, that many more are allowed, but
-// none during a pause.
-func (b *bucket) isEmpty(now time.Time, debt float64) bool {
-	b.refill(now)
-	switch {
-	case !b.hasLimit():
-		return false
-	case b.isPaused:
-		return true
-	case debt > 0:
-		return b.tokens <= -debt*b.burst()
-	}
-	return b.tokens < 1
-}
-
 // untilFull returns the time until a burst may be accepted; maxClosed if that takes longer.
 func (b *bucket) untilFull(now time.Time) time.Duration {
 	b.refill(now)
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -21,7 +21,7 @@
 	// Under a limit, a pause begins when the delay is longer than pauseAt, as a part of Config.Delay, and ends when it is
 	// shorter than resumeAt. All that tries to connect during a pause is received at its end, behind what waits for the
 	// link; a pause that ends earlier admits it at once.
-	pauseAt, resumeAt = 0.5, 0.2
+	pauseAt, resumeAt = 0.5, 0.4
 	// cutInterval is the least time between two cuts, in which the effect of the first one shows.
 	cutInterval = 800 * event.Millisecond
 	// A bound is cut to cutFactor of what overloaded the box, and grows by growth of that in the first second afterwards.
--- a/overload/listener_test.go
+++ b/overload/listener_test.go
@@ -13,28 +13,29 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 // TestBucket: a limit allows its rate on average, in bursts, and a pause or a debt ends after maxClosed.
 func TestBucket(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := newBucket()
-	if b.isEmpty(now, 0) || b.untilFull(now) != 0 {
+	if b.untilFull(now) != 0 {
 		t.Error("a bucket without a limit is empty")
 	}
 	b.set(now, 100, false)
-	if !b.isEmpty(now, 0) || b.untilFull(now) != burstTime {
-		t.Errorf("a new limit allows connections at once, or a burst only after %v", b.untilFull(now))
+	if b.tokens != 0 || b.untilFull(now) != burstTime {
+		t.Errorf("a new limit allows %v connections at once, a burst after %v", b.tokens, b.untilFull(now))
 	}
 	now = now.Add(burstTime)
-	if b.isEmpty(now, 0) || b.tokens != b.burst() {
+	if b.untilFull(now) != 0 || b.tokens != b.burst() {
 		t.Errorf("%v tokens after the time of a burst, want %v", b.tokens, b.burst())
 	}
 	for range 25 {
 		b.spend(now, 1)
 	}
-	if !b.isEmpty(now, 1) || b.isEmpty(now, 2) || b.untilFull(now) != 250*time.Millisecond {
-		t.Errorf("a debt of 15 connections at 100 a second lasts %v", b.untilFull(now))
+	if b.tokens != -15 || b.untilFull(now) != 250*time.Millisecond {
+		t.Errorf("a debt of %v connections at 100 a second lasts %v, want 15", -b.tokens, b.untilFull(now))
 	}
 	b.spend(now, 1000)
 	if b.untilFull(now) != maxClosed {
@@ -42,15 +43,79 @@
 	}
 	b.set(now, 100, true)
 	now = now.Add(time.Hour)
-	if !b.isEmpty(now, 0) || b.untilFull(now) != maxClosed {
+	if b.untilFull(now) != maxClosed {
 		t.Error("a pause ends by itself")
 	}
 	b.set(now, math.Inf(1), false)
-	if b.isEmpty(now, 0) {
+	if b.untilFull(now) != 0 {
 		t.Error("a limit that was lifted still holds")
 	}
 }
 
+// TestWindow: a window ends when what was accepted and what is expected to be under way use up a burst, and what is under
+// way then is accepted up to a debt.
+func TestWindow(t *testing.T) {
+	const handshake = 20 * time.Millisecond
+	now := time.Unix(1000, 0)
+	w := newWindow(now)
+	now = now.Add(time.Hour)
+	w.observeRate(1000)
+	w.observeRate(1000)
+	if w.mustEnd(now) || w.mustDrop(now) {
+		t.Error("a window ends without a limit")
+	}
+	w.setLimit(now, 100, false)
+	now = now.Add(minWindow)
+	if !w.mustEnd(now) {
+		t.Error("a new limit does not end the window")
+	}
+	w.end(now)
+	for range 100 {
+		if w.mustDrop(now) {
+			break
+		}
+		w.accept(now, handshake)
+	}
+	if debt := -w.bucket.tokens; debt < maxDebt*w.bucket.burst() || debt > maxDebt*w.bucket.burst()+1 {
+		t.Errorf("%v connections were accepted after the window, want %v bursts of %v", debt, maxDebt, w.bucket.burst())
+	}
+	now = now.Add(w.untilBegin(now))
+	w.begin(now)
+	began := now
+	for !w.mustEnd(now) {
+		now = now.Add(time.Millisecond)
+	}
+	// 750 connections a second were offered, of which a burst is 10.
+	if openFor := now.Sub(began); openFor < 8*time.Millisecond || openFor > 16*time.Millisecond {
+		t.Errorf("a window that 10 of %v connections a second use up lasts %v", w.offered, openFor)
+	}
+	w.end(now)
+	if wait := w.untilBegin(now); wait == 0 || wait > handshake {
+		t.Errorf("the next window begins after %v, want the time of a handshake", wait)
+	}
+	now = now.Add(handshake)
+	w.begin(now)
+	now = now.Add(time.Second)
+	if w.mustEnd(now) {
+		t.Error("a window ends by what was expected although the last one was not used")
+	}
+	w.setLimit(now, 100, true)
+	if !w.mustEnd(now) {
+		t.Error("a pause does not end the window")
+	}
+	w.end(now)
+	if wait := w.untilBegin(now); wait != maxClosed {
+		t.Errorf("the next window of a pause begins after %v, want %v", wait, maxClosed)
+	}
+	now = now.Add(maxClosed)
+	w.begin(now)
+	w.accept(now, handshake)
+	now = now.Add(minWindow)
+	if !w.mustEnd(now) || !w.mustDrop(now) {
+		t.Error("more than one connection is accepted in a window during a pause")
+	}
+}
+
 // openListener returns an open Listener on loopback whose connections are accepted and answered with a byte.
 func openListener(t *testing.T) *Listener {
 	t.Helper()
@@ -184,6 +249,53 @@
 	}
 }
 
+// TestHandshakesUnderWayAreCompleted: handshakes that were under way when the socket was closed were reset, with the requests
+// that their callers had sent.
+func TestHandshakesUnderWayAreCompleted(t *testing.T) {
+	// The kernel ends a handshake with the first data.
+	deferAccept := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, 10) })
+		return errors.Join(err, controlErr)
+	}}
+	l := NewListener(deferAccept, "127.0.0.1:0", zap.NewNop())
+	if err := l.Open(); err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(c, c)
+			_ = c.Close()
+		}
+	}()
+	underWay, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer underWay.Close()
+	l.SetLimit(1, false)
+	for deadline := time.Now().Add(time.Second); l.Closures() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the socket stays open though the limit is reached")
+		}
+	}
+	if c, err := net.Dial("tcp", l.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a new connection is not refused: %v", err)
+		_ = c.Close()
+	}
+	_ = underWay.SetDeadline(time.Now().Add(500 * time.Millisecond)) // before the socket is opened again
+	if _, err := io.WriteString(underWay, "request"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(underWay, make([]byte, len("request"))); err != nil {
+		t.Errorf("the connection that was under way is not served: %v", err)
+	}
+}
+
 // TestCloseWhileRefusing: Accept returns when the listener is closed, whether its socket is open or not.
 func TestCloseWhileRefusing(t *testing.T) {
 	for _, isRefusing := range []bool{false, true} {
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -20,14 +20,9 @@
 
 	random    *rand.Rand
 	limiter   *Limiter // nil without a limit
-	bucket    bucket
-	isOpen    bool
-	openedAt  time.Time
-	closedAt  time.Time
-	isUsed    bool // a connection was accepted since openedAt
+	window    window
 	isReached bool
 
-	offered        float64 // connections a second
 	now            event.Time
 	linkQueue      float64 // bytes
 	processorQueue float64 // seconds of a processor
@@ -45,8 +40,9 @@
 
 // handshake is a caller's attempt to connect.
 type handshake struct {
-	began event.Time
-	next  event.Time // when its next packet is received
+	began    event.Time
+	answered event.Time // its first packet
+	next     event.Time // when its next packet is received
 }
 
 // simulatedLoad is what requests need of a box.
@@ -74,7 +70,7 @@
 func newSimulatedBox(seed uint64, isLimited bool) *simulatedBox {
 	r := rand.New(rand.NewPCG(seed, 1))
 	between := func(from, to float64) float64 { return from * math.Pow(to/from, r.Float64()) }
-	b := &simulatedBox{random: r, bucket: newBucket(), isOpen: true, nextSample: event.Time(100 * event.Millisecond)}
+	b := &simulatedBox{random: r, window: newWindow(time.Unix(0, 0)), nextSample: event.Time(100 * event.Millisecond)}
 	b.load = simulatedLoad{bytes: between(1e3, 3e4), work: between(1e-4, 2e-3), roundTrip: event.Duration(between(1, 30) * float64(event.Millisecond))}
 	if r.IntN(2) == 0 {
 		b.load.length = event.Duration(between(0.2, 5) * float64(event.Second))
@@ -107,7 +103,6 @@
 
 // run offers perSecond connections a second for some time.
 func (b *simulatedBox) run(length event.Duration, perSecond float64) {
-	b.offered = perSecond
 	for end := b.now.Add(length); b.now < end; b.now = b.now.Add(simulatedStep) {
 		b.drain()
 		b.sample()
@@ -148,13 +143,14 @@
 	link := b.linkDelay() + b.load.roundTrip
 	s := &Sample{
 		RunQueue: b.runDelay(), Wait: b.runDelay(), Path: link + event.Duration(b.random.IntN(10))*event.Millisecond, OwnerRoundTrip: link, HasOwner: true,
-		Begun: b.begun, Ended: b.ended, Responses: len(b.ends), IsReached: b.isReached || !b.isOpen,
+		Begun: b.begun, Ended: b.ended, Responses: len(b.ends), IsReached: b.isReached || !b.window.isOpen,
 	}
+	b.window.observeRate(float64(b.begun) / (100 * event.Millisecond).Seconds())
 	b.begun, b.ended, b.isReached = 0, 0, false
 	interval := 100 * event.Millisecond
 	if b.waiting != nil {
 		limit := b.limiter.Step(b.now, *b.waiting)
-		b.bucket.set(b.clock(), limit.PerSecond, limit.IsPaused)
+		b.window.setLimit(b.clock(), limit.PerSecond, limit.IsPaused)
 		if limit.IsReached {
 			interval /= 2
 		}
@@ -166,14 +162,12 @@
 // openOrClose opens the box for connections and closes it, as a Listener does.
 func (b *simulatedBox) openOrClose() {
 	now := b.clock()
-	if !b.isOpen && (b.bucket.untilFull(now) == 0 || now.Sub(b.closedAt) >= maxClosed) {
-		b.isOpen, b.isUsed, b.openedAt = true, false, now
+	if !b.window.isOpen && b.window.untilBegin(now) == 0 {
+		b.window.begin(now)
 	}
-	openFor := now.Sub(b.openedAt)
-	isOver := openFor >= max(minUnused, time.Duration(unusedConnections/max(b.offered, 1)*float64(time.Second))) ||
-		b.isUsed && openFor >= windowRoundTrips*b.load.roundTrip
-	if b.isOpen && isOver && b.bucket.isEmpty(now, 0) {
-		b.isOpen, b.closedAt, b.isReached = false, now, true
+	if b.window.mustEnd(now) {
+		b.window.end(now)
+		b.isReached = true
 	}
 }
 
@@ -186,25 +180,25 @@
 	for len(b.handshakes) > 0 && b.handshakes[0].next <= b.now {
 		h := b.handshakes[0]
 		b.handshakes = b.handshakes[1:]
-		if !b.isOpen {
+		if !b.window.isOpen {
 			b.refused++
 			continue
 		}
 		b.linkQueue += b.load.bytes // sent with the end of the handshake, used or not
-		b.requests = append(b.requests, handshake{began: h.began, next: b.now.Add(b.load.roundTrip + b.linkDelay())})
+		b.requests = append(b.requests, handshake{began: h.began, answered: b.now, next: b.now.Add(b.load.roundTrip + b.linkDelay())})
 	}
 }
 
 // accept is the end of a handshake.
 func (b *simulatedBox) accept(h handshake) {
-	if !b.isOpen {
+	if !b.window.isOpen && b.window.mustDrop(b.clock()) {
 		b.lost++
 		return
 	}
 	b.accepted++
 	b.begun++
-	b.isUsed, b.lastAccept = true, b.now
-	b.bucket.spend(b.clock(), 1)
+	b.lastAccept = b.now
+	b.window.accept(b.clock(), time.Duration(b.now.Sub(h.answered)))
 	b.processorQueue += b.load.work
 	wait := passes * (b.linkDelay() + b.runDelay())
 	if b.now.Sub(h.began)+wait < simulatedDeadline {
@@ -265,8 +259,7 @@
 	}
 }
 
-// TestGoodputStaysFlat: handshakes that are under way when the socket closes cost a narrow link more, the more callers
-// come. Goodput must not fall by more than a quarter.
+// TestGoodputStaysFlat: goodput fell the further, the more callers came. It must not fall by more than a quarter.
 func TestGoodputStaysFlat(t *testing.T) {
 	full := meanGoodput(t, 0.9, true)
 	for _, factor := range []float64{1.3, 2, 3, 5} {
