overload: a listener whose kernel loses handshakes under way closes its socket as before

Its sockets take SO_BINDTOIFINDEX without any effect, so a socket that was to refuse handshakes took them until the limit's debt was reached.

An entry now tries the option at its start, on a socket of its own that it then dials. Where it has no effect, the window ends by closing the socket; it lasts for a handshake at least, and connections that are complete are accepted first, as before. The simulation and the listener's tests run both kinds.

--- a/overload/listener.go
+++ b/overload/listener.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"os"
 	"sync"
@@ -13,7 +12,6 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 )
 
 // Parameters of a Listener.
@@ -22,14 +20,12 @@
 	checkInterval = minWindow
 	// retryInterval is the time between two attempts to open the socket.
 	retryInterval = 20 * time.Millisecond
-	// noInterface is the index of a network interface that does not exist.
-	noInterface = math.MaxInt32
 )
 
 // Listener accepts connections on an address, and about as many as a limit allows. While the limit is reached its socket
 // takes no new handshakes, so that the kernel refuses further connections before their callers send a request. Those under
-// way are completed and accepted, as their requests come anyway. A new socket is opened when the limit allows a burst
-// again, and after maxClosed at the latest.
+// way are completed and accepted, as their requests come anyway, or lost where the kernel can't tell them from new ones. A
+// new socket is opened when the limit allows a burst again, and after maxClosed at the latest.
 type Listener struct {
 	config  net.ListenConfig
 	address string
@@ -53,7 +49,7 @@
 // NewListener returns a Listener without a limit. Open opens it.
 func NewListener(config net.ListenConfig, address string, log *zap.Logger) *Listener {
 	now := time.Now()
-	l := &Listener{config: config, address: address, log: log, window: newWindow(now), countedAt: now}
+	l := &Listener{config: config, address: address, log: log, window: newWindow(now, true), countedAt: now}
 	l.changed.L = &l.mu
 	return l
 }
@@ -62,7 +58,11 @@
 func (l *Listener) Open() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.listen()
+	if err := l.listen(); err != nil {
+		return err
+	}
+	l.window.losesHandshakes = !canRefuseHandshakes(l.socket.Addr())
+	return nil
 }
 
 func (l *Listener) listen() error {
@@ -149,34 +149,19 @@
 
 // endWindow has the kernel refuse new handshakes if the limit is reached.
 func (l *Listener) endWindow(now time.Time) {
-	if l.isClosed || l.socket == nil || !l.window.mustEnd(now) {
+	if l.isClosed || l.socket == nil || !l.window.mustEnd(now) || l.window.mayDrain(now) && hasPending(l.socket) {
 		return
 	}
 	l.window.end(now)
 	l.isReached = true
 	l.closures.Add(1)
-	if err := refuseHandshakes(l.socket); err != nil {
-		l.closeSocket() // older kernels can only refuse those under way, too
+	if l.window.losesHandshakes || refuseHandshakes(l.socket) != nil {
+		l.closeSocket()
 	}
 	l.setDeadline(now)
 	l.scheduleReopen(now)
 }
 
-// refuseHandshakes has the kernel refuse new handshakes of a listening socket, by an interface on which none arrive.
-// Handshakes under way are completed.
-func refuseHandshakes(socket *net.TCPListener) error {
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "SO_BINDTOIFINDEX")
-	}
-	if controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
-	}); controlErr != nil {
-		err = controlErr
-	}
-	return errors.Wrap(err, "SO_BINDTOIFINDEX")
-}
-
 // closeSocket closes the socket, with the connections that were not accepted yet.
 func (l *Listener) closeSocket() {
 	if l.socket != nil {
--- a/overload/listener_test.go
+++ b/overload/listener_test.go
@@ -57,7 +57,7 @@
 func TestWindow(t *testing.T) {
 	const handshake = 20 * time.Millisecond
 	now := time.Unix(1000, 0)
-	w := newWindow(now)
+	w := newWindow(now, false)
 	now = now.Add(time.Hour)
 	w.observeRate(1000)
 	w.observeRate(1000)
@@ -117,12 +117,13 @@
 }
 
 // openListener returns an open Listener on loopback whose connections are accepted and answered with a byte.
-func openListener(t *testing.T) *Listener {
+func openListener(t *testing.T, losesHandshakes bool) *Listener {
 	t.Helper()
 	l := NewListener(net.ListenConfig{}, "127.0.0.1:0", zap.NewNop())
 	if err := l.Open(); err != nil {
 		t.Fatal(err)
 	}
+	l.window.losesHandshakes = losesHandshakes
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -137,6 +138,12 @@
 	return l
 }
 
+// forEachKind runs a test for kernels that complete handshakes under way, and for those that lose them.
+func forEachKind(t *testing.T, test func(t *testing.T, losesHandshakes bool)) {
+	t.Run("handshakes are completed", func(t *testing.T) { test(t, false) })
+	t.Run("handshakes are lost", func(t *testing.T) { test(t, true) })
+}
+
 // dial reports whether a connection is accepted and answered.
 func dial(l *Listener) (accepted bool, err error) {
 	c, err := net.DialTimeout("tcp", l.Addr().String(), time.Second)
@@ -151,8 +158,10 @@
 
 // TestListenerRefusesBeyondLimit: the kernel refuses connections beyond the limit at once, about as many as the limit
 // allows are accepted, and none is refused any more once it is lifted.
-func TestListenerRefusesBeyondLimit(t *testing.T) {
-	l := openListener(t)
+func TestListenerRefusesBeyondLimit(t *testing.T) { forEachKind(t, checkRefusals) }
+
+func checkRefusals(t *testing.T, losesHandshakes bool) {
+	l := openListener(t, losesHandshakes)
 	for range 20 {
 		if ok, err := dial(l); !ok {
 			t.Fatalf("not accepted without a limit: %v", err)
@@ -192,8 +201,10 @@
 }
 
 // TestPausedListenerAcceptsSome: a box that refused all connections would be lost for callers that have no other.
-func TestPausedListenerAcceptsSome(t *testing.T) {
-	l := openListener(t)
+func TestPausedListenerAcceptsSome(t *testing.T) { forEachKind(t, checkPause) }
+
+func checkPause(t *testing.T, losesHandshakes bool) {
+	l := openListener(t, losesHandshakes)
 	l.SetLimit(100, true)
 	var accepted atomic.Int64
 	for end := time.Now().Add(3 * maxClosed); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
@@ -208,11 +219,14 @@
 
 // TestLateProcessAcceptsPending: connections whose handshakes are complete are accepted, some bursts of them, before the
 // socket is closed. A process that ran late had reset them all, with the requests that they brought.
-func TestLateProcessAcceptsPending(t *testing.T) {
+func TestLateProcessAcceptsPending(t *testing.T) { forEachKind(t, checkPending) }
+
+func checkPending(t *testing.T, losesHandshakes bool) {
 	l := NewListener(net.ListenConfig{}, "127.0.0.1:0", zap.NewNop())
 	if err := l.Open(); err != nil {
 		t.Fatal(err)
 	}
+	l.window.losesHandshakes = losesHandshakes
 	defer l.Close()
 	l.SetLimit(100, false)
 	const pending = 25
@@ -262,6 +276,9 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
+	if l.window.losesHandshakes {
+		t.Fatal("the kernel does not tell handshakes under way from new ones")
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -67,10 +67,22 @@
 	return min(b.width/(l.bytes+l.streamBytes*l.length.Seconds()), b.share/(l.work+l.streamed*l.length.Seconds()))
 }
 
-func newSimulatedBox(seed uint64, isLimited bool) *simulatedBox {
+// refusal is how a box refuses connections.
+type refusal uint8
+
+const (
+	refusesNothing refusal = iota
+	losesHandshakes
+	completesHandshakes
+)
+
+// refusals are those of a box with a limit.
+var refusals = map[string]refusal{"handshakes under way are lost": losesHandshakes, "handshakes under way are completed": completesHandshakes}
+
+func newSimulatedBox(seed uint64, how refusal) *simulatedBox {
 	r := rand.New(rand.NewPCG(seed, 1))
 	between := func(from, to float64) float64 { return from * math.Pow(to/from, r.Float64()) }
-	b := &simulatedBox{random: r, window: newWindow(time.Unix(0, 0)), nextSample: event.Time(100 * event.Millisecond)}
+	b := &simulatedBox{random: r, window: newWindow(time.Unix(0, 0), how == losesHandshakes), nextSample: event.Time(100 * event.Millisecond)}
 	b.load = simulatedLoad{bytes: between(1e3, 3e4), work: between(1e-4, 2e-3), roundTrip: event.Duration(between(1, 30) * float64(event.Millisecond))}
 	if r.IntN(2) == 0 {
 		b.load.length = event.Duration(between(0.2, 5) * float64(event.Second))
@@ -86,7 +98,7 @@
 	} else {
 		b.share *= between(2, 10)
 	}
-	if isLimited {
+	if how != refusesNothing {
 		b.limiter = NewLimiter(Config{})
 	}
 	return b
@@ -191,7 +203,7 @@
 
 // accept is the end of a handshake.
 func (b *simulatedBox) accept(h handshake) {
-	if !b.window.isOpen && b.window.mustDrop(b.clock()) {
+	if !b.window.isOpen && (b.window.losesHandshakes || b.window.mustDrop(b.clock())) {
 		b.lost++
 		return
 	}
@@ -220,9 +232,9 @@
 }
 
 // overload offers a box a multiple of what it can serve, after a calm time.
-func overload(seed uint64, factor float64, isLimited bool) overloadResult {
+func overload(seed uint64, factor float64, how refusal) overloadResult {
 	const calm, contact, length = 5 * event.Second, 3 * event.Second, 20 * event.Second
-	b := newSimulatedBox(seed, isLimited)
+	b := newSimulatedBox(seed, how)
 	b.run(calm, 0.4*b.capacity())
 	b.run(contact, factor*b.capacity())
 	accepted, inTime := b.accepted, b.inTime
@@ -236,11 +248,11 @@
 }
 
 // meanGoodput returns the mean goodput of all boxes under a multiple of what they can serve.
-func meanGoodput(t *testing.T, factor float64, isLimited bool) float64 {
+func meanGoodput(t *testing.T, factor float64, how refusal) float64 {
 	t.Helper()
 	sum := 0.0
 	for seed := range uint64(simulatedBoxes) {
-		sum += overload(seed, factor, isLimited).goodput
+		sum += overload(seed, factor, how).goodput
 	}
 	t.Logf("load %v of the capacity: mean goodput %.2f", factor, sum/simulatedBoxes)
 	return sum / simulatedBoxes
@@ -249,21 +261,31 @@
 // TestGoodputCollapse: goodput fell to almost nothing when more requests came than a box could serve. Half of what it can
 // serve must remain.
 func TestGoodputCollapse(t *testing.T) {
-	if without := meanGoodput(t, 2, false); without > 0.1 {
+	if without := meanGoodput(t, 2, refusesNothing); without > 0.1 {
 		t.Errorf("without a limit the goodput is %.2f: the simulation does not show the fault", without)
 	}
-	for _, factor := range []float64{1.3, 2} {
-		if goodput := meanGoodput(t, factor, true); goodput < 0.5 {
-			t.Errorf("%.2f of the capacity are served in time under %v times the capacity", goodput, factor)
+	for name, how := range refusals {
+		for _, factor := range []float64{1.3, 2} {
+			if goodput := meanGoodput(t, factor, how); goodput < 0.5 {
+				t.Errorf("%s: %.2f of the capacity are served in time under %v times the capacity", name, goodput, factor)
+			}
 		}
 	}
 }
 
-// TestGoodputStaysFlat: goodput fell the further, the more callers came. It must not fall by more than a quarter.
-func TestGoodputStaysFlat(t *testing.T) {
-	full := meanGoodput(t, 0.9, true)
+// TestGoodputStaysFlat: goodput fell the further, the more callers came.
+func TestGoodputStaysFlat(t *testing.T) { checkGoodput(t, completesHandshakes) }
+
+// TestGoodputStaysFlatWithLostHandshakes: the same where the kernel loses handshakes that are under way when the socket is
+// closed.
+func TestGoodputStaysFlatWithLostHandshakes(t *testing.T) { checkGoodput(t, losesHandshakes) }
+
+// checkGoodput checks that the goodput falls by a quarter at most when more comes than the boxes can serve.
+func checkGoodput(t *testing.T, how refusal) {
+	t.Helper()
+	full := meanGoodput(t, 0.9, how)
 	for _, factor := range []float64{1.3, 2, 3, 5} {
-		if goodput := meanGoodput(t, factor, true); goodput < 0.75*full {
+		if goodput := meanGoodput(t, factor, how); goodput < 0.75*full {
 			t.Errorf("%.2f of the capacity are served in time under %v times the capacity, %.2f under 0.9 of it", goodput, factor, full)
 		}
 	}
@@ -272,14 +294,16 @@
 // TestReadRequestsAreServed: an entry read requests that it could not serve. Three quarters of those that it reads must be
 // served in time, and no time of 4 s may pass in which it accepts no connection.
 func TestReadRequestsAreServed(t *testing.T) {
-	for seed := range uint64(simulatedBoxes) {
-		for _, factor := range []float64{1.3, 2, 3, 5} {
-			r := overload(seed, factor, true)
-			if r.served < 0.75 {
-				t.Errorf("seed %d: %.2f of the requests that are read are served in time under %v times the capacity; %+v", seed, r.served, factor, r.box.load)
-			}
-			if r.box.longestRest > 4*event.Second {
-				t.Errorf("seed %d: no connection was accepted for %v under %v times the capacity", seed, r.box.longestRest, factor)
+	for name, how := range refusals {
+		for seed := range uint64(simulatedBoxes) {
+			for _, factor := range []float64{1.3, 2, 3, 5} {
+				r := overload(seed, factor, how)
+				if r.served < 0.75 {
+					t.Errorf("%s, seed %d: %.2f of the requests that are read are served in time under %v times the capacity; %+v", name, seed, r.served, factor, r.box.load)
+				}
+				if r.box.longestRest > 4*event.Second {
+					t.Errorf("%s, seed %d: no connection was accepted for %v under %v times the capacity", name, seed, r.box.longestRest, factor)
+				}
 			}
 		}
 	}
@@ -287,29 +311,33 @@
 
 // TestNoRefusalBelowCapacity: a box that can serve twice what comes refuses nothing, also where requests come in bursts.
 func TestNoRefusalBelowCapacity(t *testing.T) {
-	for seed := range uint64(simulatedBoxes) {
-		b := newSimulatedBox(seed, true)
-		for range 40 {
-			b.run(400*event.Millisecond, 0.4*b.capacity())
-			b.run(100*event.Millisecond, b.capacity())
-		}
-		if b.refused > 0 {
-			t.Errorf("seed %d: %d of %d connections were refused", seed, b.refused, b.accepted+b.refused)
+	for name, how := range refusals {
+		for seed := range uint64(simulatedBoxes) {
+			b := newSimulatedBox(seed, how)
+			for range 40 {
+				b.run(400*event.Millisecond, 0.4*b.capacity())
+				b.run(100*event.Millisecond, b.capacity())
+			}
+			if b.refused > 0 {
+				t.Errorf("%s, seed %d: %d of %d connections were refused", name, seed, b.refused, b.accepted+b.refused)
+			}
 		}
 	}
 }
 
 // TestRecoveryAfterOverload: soon after an overload, and the end of the streams that it left, nothing is refused.
 func TestRecoveryAfterOverload(t *testing.T) {
-	for seed := range uint64(simulatedBoxes) {
-		b := newSimulatedBox(seed, true)
-		b.run(5*event.Second, 0.4*b.capacity())
-		b.run(10*event.Second, 3*b.capacity())
-		b.run(b.load.length+3*event.Second, 0.4*b.capacity())
-		b.refused, b.accepted = 0, 0
-		b.run(10*event.Second, 0.4*b.capacity())
-		if b.refused > 0 {
-			t.Errorf("seed %d: %d of %d connections were refused 3 s after an overload", seed, b.refused, b.accepted+b.refused)
+	for name, how := range refusals {
+		for seed := range uint64(simulatedBoxes) {
+			b := newSimulatedBox(seed, how)
+			b.run(5*event.Second, 0.4*b.capacity())
+			b.run(10*event.Second, 3*b.capacity())
+			b.run(b.load.length+3*event.Second, 0.4*b.capacity())
+			b.refused, b.accepted = 0, 0
+			b.run(10*event.Second, 0.4*b.capacity())
+			if b.refused > 0 {
+				t.Errorf("%s, seed %d: %d of %d connections were refused 3 s after an overload", name, seed, b.refused, b.accepted+b.refused)
+			}
 		}
 	}
 }
--- a/overload/window.go
+++ b/overload/window.go
@@ -6,11 +6,13 @@
 
 // Parameters of a window.
 const (
-	// minWindow is the shortest time for which connections are admitted.
-	minWindow = 5 * time.Millisecond
-	// pausedConnections is how many connections are expected in a window during a pause, and maxPausedWindow its longest time.
-	pausedConnections = 10
-	maxPausedWindow   = time.Second
+	// minWindow is the shortest time for which connections are admitted, and maxWindow the longest time that is waited for
+	// handshakes.
+	minWindow, maxWindow = 5 * time.Millisecond, 50 * time.Millisecond
+	// unusedConnections is how many connections are expected in a window in which none is accepted; minUnused and maxUnused
+	// limit its time. On a saturated link no handshake ends in a shorter one.
+	unusedConnections    = 10
+	minUnused, maxUnused = 100 * time.Millisecond, time.Second
 	// maxDebt is how many bursts more are accepted if their handshakes are under way when a window ends, as their callers
 	// send requests, and no time would be saved.
 	maxDebt = 3
@@ -23,7 +25,10 @@
 // window decides when connections are admitted, by a limit. It is a reducer: all times are passed to it. While connections
 // are admitted, more than were accepted are under way; the window ends when all of them use up what the limit allows.
 type window struct {
-	bucket    bucket
+	bucket bucket
+	// losesHandshakes is set if those under way when a window ends are reset.
+	losesHandshakes bool
+
 	isOpen    bool
 	openedAt  time.Time
 	closedAt  time.Time
@@ -35,8 +40,8 @@
 	isForced  bool          // the window began during a pause
 }
 
-func newWindow(now time.Time) window {
-	return window{bucket: newBucket(), isOpen: true, openedAt: now, isFirst: true}
+func newWindow(now time.Time, losesHandshakes bool) window {
+	return window{bucket: newBucket(), losesHandshakes: losesHandshakes, isOpen: true, openedAt: now, isFirst: true}
 }
 
 // setLimit changes the limit.
@@ -62,9 +67,9 @@
 	w.handshake += time.Duration(handshakeWeight * float64(handshake-w.handshake))
 }
 
-// underWay returns how many connections are expected to be under way.
+// underWay returns how many connections are expected to be accepted after the window.
 func (w *window) underWay(now time.Time) float64 {
-	if !w.isBusy {
+	if !w.isBusy || w.losesHandshakes {
 		return 0
 	}
 	return max(0, w.offered*now.Sub(w.openedAt).Seconds()-float64(w.used))
@@ -73,19 +78,42 @@
 // mustEnd reports whether no more connections may begin for now.
 func (w *window) mustEnd(now time.Time) bool {
 	openFor := now.Sub(w.openedAt)
-	switch {
-	case !w.isOpen || !w.bucket.hasLimit() || openFor < minWindow:
+	if !w.isOpen || !w.bucket.hasLimit() || openFor < w.minLength() {
+		return false
+	}
+	if w.used == 0 && !w.isFirst && (w.bucket.isPaused || w.losesHandshakes) && openFor < w.unusedLength() {
 		return false
-	case w.bucket.isPaused:
-		return w.isFirst || w.used > 0 || openFor.Seconds() >= min(pausedConnections/max(w.offered, 1), maxPausedWindow.Seconds())
 	}
 	w.bucket.refill(now)
-	return w.bucket.tokens-w.underWay(now) < 1
+	return w.bucket.isPaused || w.bucket.tokens-w.underWay(now) < 1
+}
+
+// minLength returns the shortest length of the window.
+func (w *window) minLength() time.Duration {
+	if !w.losesHandshakes || w.isFirst {
+		return minWindow
+	}
+	return min(max(w.handshake, minWindow), maxWindow)
+}
+
+// unusedLength returns the length of the window if no connection is accepted.
+func (w *window) unusedLength() time.Duration {
+	length := time.Duration(unusedConnections / max(w.offered, 1) * float64(time.Second))
+	if !w.losesHandshakes {
+		return min(length, maxUnused)
+	}
+	return min(max(length, minUnused), maxUnused)
 }
 
 // end ends the window.
 func (w *window) end(now time.Time) { w.isOpen, w.closedAt = false, now }
 
+// mayDrain reports whether connections that are complete may be accepted before the window ends, if the others are lost.
+func (w *window) mayDrain(now time.Time) bool {
+	w.bucket.refill(now)
+	return w.losesHandshakes && !w.bucket.isPaused && w.bucket.tokens > -maxDebt*w.bucket.burst()
+}
+
 // mustDrop reports whether what is under way from a window that has ended must not be accepted. One connection of each
 // window is, and no more of a window during a pause.
 func (w *window) mustDrop(now time.Time) bool {
@@ -97,7 +125,10 @@
 // accepted.
 func (w *window) untilBegin(now time.Time) time.Duration {
 	wait := min(w.bucket.untilFull(now), w.closedAt.Add(maxClosed).Sub(now))
-	return max(0, wait, w.closedAt.Add(w.handshake).Sub(now))
+	if w.losesHandshakes {
+		return max(0, wait)
+	}
+	return max(0, wait, w.closedAt.Add(min(w.handshake, maxWindow)).Sub(now))
 }
 
 // begin begins a window.
