gateway: tests of resumptions wait until the entry has the versions

The test sends the versions on the owner's connection and a request right after it; until the entry has applied them it knows one version only, and binds the stream to it, as it should. The checks are as before.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -21,7 +21,7 @@
 func TestStreamIsNotResumedAtAnotherVersion(t *testing.T) {
 	one, two := newFakeEndpoint(t, events(3, true)), newFakeEndpoint(t, events(6, false))
 	r := newTestGateway(t, one, two)
-	r.owner.setVersions("v1", "v2")
+	r.setVersions(t, "v1", "v2")
 	_, body, complete := r.do(t, r.request(http.MethodPost, "/stream/1", "q"))
 	if complete || strings.Contains(body, "part 4") || two.runs() > 0 {
 		t.Errorf("the response is %q, complete %v; %d requests reached the other version", body, complete, two.runs())
@@ -37,7 +37,7 @@
 func TestStreamIsResumedAtItsVersion(t *testing.T) {
 	one, two := newFakeEndpoint(t, events(3, true)), newFakeEndpoint(t, events(6, false))
 	r := newTestGateway(t, one, two)
-	r.owner.setVersions("v1", "v1")
+	r.setVersions(t, "v1", "v1")
 	if _, body, complete := r.do(t, r.request(http.MethodPost, "/stream/1", "q")); !complete || strings.Count(body, "part") != 6 {
 		t.Errorf("the response is %q, complete %v", body, complete)
 	}
@@ -47,7 +47,7 @@
 func TestRetryBeforeFirstEventMayUseAnyVersion(t *testing.T) {
 	one, two := newFakeEndpoint(t, reset), newFakeEndpoint(t, events(6, false))
 	r := newTestGateway(t, one, two)
-	r.owner.setVersions("v1", "v2")
+	r.setVersions(t, "v1", "v2")
 	if _, body, complete := r.do(t, r.request(http.MethodPost, "/stream/1", "q")); !complete || strings.Count(body, "part") != 6 {
 		t.Errorf("the response is %q, complete %v", body, complete)
 	}
@@ -73,7 +73,7 @@
 // of the named attempt of its own team, or of no stream if the attempt is missing or invalid.
 func TestOwnerDecidesOnUnknownStream(t *testing.T) {
 	r := newTestGateway(t, newFakeEndpoint(t, events(6, false)), newFakeEndpoint(t, events(6, false)))
-	r.owner.setVersions("v1", "v2")
+	r.setVersions(t, "v1", "v2")
 	r.owner.mu.Lock()
 	r.owner.refuse = event.ReasonStreamUnknown
 	r.owner.mu.Unlock()
@@ -104,7 +104,7 @@
 func TestEntryKnowsItsStreams(t *testing.T) {
 	one, two := newFakeEndpoint(t, events(4, true)), newFakeEndpoint(t, events(6, false))
 	r := newTestGateway(t, one, two)
-	r.owner.setVersions("v1", "v2")
+	r.setVersions(t, "v1", "v2")
 	q := r.request(http.MethodPost, "/stream/1", "q")
 	q.Header.Set("X-Request", "first")
 	if _, body, _ := r.do(t, q); !strings.Contains(body, "part 3") {
--- a/gateway/rig_test.go
+++ b/gateway/rig_test.go
@@ -227,8 +227,20 @@
 	c.Send(&message.Envelope{Nodes: nodes})
 }
 
-// setVersions gives the endpoints versions, and tells the agent that streams may have any of them.
-func (o *fakeOwner) setVersions(versions ...string) {
+// setVersions gives the endpoints versions, and waits until the agent knows that streams may have any of them. Before that
+// it takes the versions of all streams for known.
+func (r *testGateway) setVersions(t *testing.T, versions ...string) {
+	t.Helper()
+	revision := r.owner.setVersions(versions...)
+	waitFor(t, "the agent has the versions", func() bool {
+		applied := make(chan bool)
+		r.agent.input <- func(event.Time) { applied <- r.agent.client.versions.revision == revision }
+		return <-applied
+	})
+}
+
+// setVersions gives the endpoints versions, and sends them to the agent. It returns their revision.
+func (o *fakeOwner) setVersions(versions ...string) (revision uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []message.Endpoint
@@ -239,6 +251,7 @@
 	slices.Sort(versions)
 	o.versions = &message.Versions{Revision: o.versions.Revision + 1, List: []message.ServiceVersions{{Service: "s", Versions: slices.Compact(versions)}}}
 	o.conn.Send(&message.Envelope{View: &message.View{Listed: message.NewListing(list), Versions: o.versions}})
+	return o.versions.Revision
 }
 
 func (o *fakeOwner) serve(c *link.Conn[message.Envelope]) {
