--- a/overload/listener.go
+++ b/overload/listener.go
@@ -165,7 +165,7 @@
 // closeSocket closes the socket, with the connections that were not accepted yet.
 func (l *Listener) closeSocket() {
 	if l.socket != nil {
-		_ = l.socket.Close() // nothing is lost that is wanted
+		_ = l.socket.Close() // it isn't used any more
 		l.socket = nil
 	}
 }
--- a/overload/window.go
+++ b/overload/window.go
@@ -13,8 +13,8 @@
 	// limit its time. On a saturated link no handshake ends in a shorter one.
 	unusedConnections    = 10
 	minUnused, maxUnused = 100 * time.Millisecond, time.Second
-	// maxDebt is how many bursts more are accepted if their handshakes are under way when a window ends, as their callers
-	// send requests, and no time would be saved.
+	// maxDebt is how many bursts more are accepted whose handshakes are under way when a window ends: their callers send
+	// their requests anyway.
 	maxDebt = 3
 	// offeredWeight is the weight of a new measurement in window.offered.
 	offeredWeight = 0.5
@@ -36,7 +36,7 @@
 	offered   float64       // connections a second that callers begin while the window is open
 	handshake time.Duration // average time of handshakes
 	isFirst   bool          // the window began without a limit
-	isBusy    bool          // the last window used up much of what the limit allowed
+	isBusy    bool          // the last window used up half of a burst at least: offered holds
 	isForced  bool          // the window began during a pause
 }
 
