--- a/sched/forecast.go
+++ b/sched/forecast.go
@@ -151,3 +151,41 @@
 	m.samples++
 	m.mean += max(runTimeWeight, 1/float64(m.samples)) * (ran.Seconds() - m.mean)
 }
+
+// observeTimes updates the estimates of speeds and run times from a finished request. One that its entry delayed tells
+// nothing about them.
+func (s *State) observeTimes(now event.Time, g *grant, e *event.Finished) {
+	s.observeRejection(now, g, e)
+	if e.Void || e.Delayed {
+		return
+	}
+	s.observeSpeed(now, g, e)
+	s.observeTransit(now, g, e)
+	class := s.classes.forRank(g.originalRank)
+	class.runTime.observe(now.Sub(g.at))
+	s.runTime.observe(now.Sub(g.at))
+	if s.pool.ExpectedWork {
+		class.workRatio.observe(now.Sub(g.at).Seconds(), g.expectedWork)
+	}
+}
+
+// rateWindow is the averaging window of throughputs.
+const rateWindow = 5 * event.Second
+
+// throughput is a windowed average of an amount per second. The zero value is
+// ready to use.
+type throughput struct {
+	last event.Time
+	rate float64 // per second
+}
+
+func (t *throughput) add(now event.Time, amount float64) {
+	gap := now.Sub(t.last).Seconds()
+	t.last = now
+	keep := max(0, 1-gap/rateWindow.Seconds())
+	t.rate = t.rate*keep + amount/rateWindow.Seconds()
+}
+
+func (t *throughput) perSecond(now event.Time) float64 {
+	return t.rate * max(0, 1-now.Sub(t.last).Seconds()/rateWindow.Seconds())
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -65,9 +65,6 @@
 // request.
 const reserveTime = 5 * event.Second
 
-// rateWindow is the averaging window of throughputs.
-const rateWindow = 5 * event.Second
-
 // grant is a request granted to an endpoint that has not ended.
 type grant struct {
 	endpoint        *endpoint
@@ -200,12 +197,6 @@
 	s.refuseOverdue(now, e, out)
 }
 
-// Waiting returns the number of waiting requests.
-func (s *State) Waiting() int { return s.queue.len() }
-
-// Running returns the number of granted requests that have not ended.
-func (s *State) Running() int { return len(s.grants) }
-
 func (s *State) setPool(now event.Time, p event.Pool) {
 	p.ExpectedWork = p.ExpectedWork || p.ExpectedWorkIfSlowed && s.pool.ExpectedWork
 	s.pool = p
@@ -370,23 +361,6 @@
 	s.release(now, e.ID)
 }
 
-// observeTimes updates the estimates of speeds and run times from a finished request. One that its entry delayed tells
-// nothing about them.
-func (s *State) observeTimes(now event.Time, g *grant, e *event.Finished) {
-	s.observeRejection(now, g, e)
-	if e.Void || e.Delayed {
-		return
-	}
-	s.observeSpeed(now, g, e)
-	s.observeTransit(now, g, e)
-	class := s.classes.forRank(g.originalRank)
-	class.runTime.observe(now.Sub(g.at))
-	s.runTime.observe(now.Sub(g.at))
-	if s.pool.ExpectedWork {
-		class.workRatio.observe(now.Sub(g.at).Seconds(), g.expectedWork)
-	}
-}
-
 // release removes a grant.
 func (s *State) release(now event.Time, id event.RequestID) {
 	g, ok := s.grants[id]
@@ -457,45 +431,3 @@
 		slices.Sort(out.Dropped[first:])
 	}
 }
-
-// throughput is a windowed average of an amount per second. The zero value is
-// ready to use.
-type throughput struct {
-	last event.Time
-	rate float64 // per second
-}
-
-func (t *throughput) add(now event.Time, amount float64) {
-	gap := now.Sub(t.last).Seconds()
-	t.last = now
-	keep := max(0, 1-gap/rateWindow.Seconds())
-	t.rate = t.rate*keep + amount/rateWindow.Seconds()
-}
-
-func (t *throughput) perSecond(now event.Time) float64 {
-	return t.rate * max(0, 1-now.Sub(t.last).Seconds()/rateWindow.Seconds())
-}
-
-// EndpointStatus is the state of an endpoint as shown to operators.
-type EndpointStatus struct {
-	ID      event.EndpointID
-	Running int
-	// Available is set while the endpoint may be granted requests.
-	Available bool
-}
-
-// Endpoints returns the status of all endpoints, sorted by ID.
-func (s *State) Endpoints(now event.Time) []EndpointStatus {
-	list := make([]EndpointStatus, 0, len(s.endpoints))
-	for _, e := range s.endpoints {
-		list = append(list, EndpointStatus{ID: e.ID, Running: e.inflight, Available: e.isAvailable(now) && e.Concurrency > 0})
-	}
-	slices.SortFunc(list, func(a, b EndpointStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return list
-}
-
-// Waits reports whether a request is waiting in the queue.
-func (s *State) Waits(id event.RequestID) bool {
-	_, ok := s.queue.byID[id]
-	return ok
-}
