overload: one way to a socket's descriptor; the delay of a limit has the wait in it

Three copies of the descent to a socket's descriptor become withDescriptor, and the test of SinceReceived uses the package's newConnection.

--- a/overload/handshakes.go
+++ b/overload/handshakes.go
@@ -17,15 +17,9 @@
 // refuseHandshakes has the kernel refuse new handshakes of a listening socket, as none arrives on the interface that it is
 // bound to. Handshakes under way are completed.
 func refuseHandshakes(socket *net.TCPListener) error {
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "SO_BINDTOIFINDEX")
-	}
-	if controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
-	}); controlErr != nil {
-		err = controlErr
-	}
+	err := withDescriptor(socket, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
+	})
 	return errors.Wrap(err, "SO_BINDTOIFINDEX")
 }
 
@@ -54,15 +48,11 @@
 
 // hasPending reports whether a connection can be accepted at once.
 func hasPending(socket *net.TCPListener) bool {
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isReadable := false
-	err = raw.Control(func(fd uintptr) {
+	readable := 0
+	err := withDescriptor(socket, func(fd int) (err error) {
 		fds := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, pollErr := unix.Poll(fds[:], 0)
-		isReadable = pollErr == nil && n == 1
+		readable, err = unix.Poll(fds[:], 0)
+		return err
 	})
-	return err == nil && isReadable
+	return err == nil && readable == 1
 }
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -177,12 +177,13 @@
 		l.reachedAt = now
 	}
 	l.average(interval, s, delay)
-	l.countDelay(interval, max(delay, s.Wait))
+	longest := max(delay, s.Wait)
+	l.countDelay(interval, longest)
 	if !l.limited && (l.delayed >= onset || l.delayedMuch >= quickOnset) {
 		l.begin(now)
 	}
 	if !l.limited {
-		return l.limit(now, s, delay)
+		return l.limit(now, s, longest)
 	}
 	if processor := max(s.RunQueue, s.Wait); max(processor, link) > l.config.Delay/2 {
 		l.reason = ReasonProcessor
@@ -191,7 +192,7 @@
 		}
 	}
 	l.adjust(now, interval, s, delay)
-	return l.limit(now, s, delay)
+	return l.limit(now, s, longest)
 }
 
 // average updates the average rates.
@@ -290,7 +291,7 @@
 // limit returns the limit in force.
 func (l *Limiter) limit(now event.Time, s Sample, delay event.Duration) Limit {
 	if !l.limited {
-		return Limit{PerSecond: math.Inf(1), Delay: delay, IsDelaying: float64(max(delay, s.Wait)) > pauseAt*float64(l.config.Delay)}
+		return Limit{PerSecond: math.Inf(1), Delay: delay, IsDelaying: float64(delay) > pauseAt*float64(l.config.Delay)}
 	}
 	return Limit{
 		PerSecond: l.rate.limit, IsPaused: l.isPaused || float64(s.Responses) >= l.responses.limit,
--- a/overload/tcp_info.go
+++ b/overload/tcp_info.go
@@ -3,6 +3,7 @@
 package overload
 
 import (
+	"cmp"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -13,14 +14,21 @@
 
 // tcpInfo returns what the kernel knows of a connection.
 func tcpInfo(c syscall.Conn) (info *unix.TCPInfo, err error) {
-	raw, err := c.SyscallConn()
+	err = withDescriptor(c, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
+	return info, errors.Wrap(err, "TCP_INFO")
+}
+
+// withDescriptor calls f with the descriptor of a socket.
+func withDescriptor(socket syscall.Conn, f func(fd int) error) error {
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return nil, errors.Wrap(err, "TCP_INFO")
+		return err
 	}
-	if controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); controlErr != nil {
-		err = controlErr
-	}
-	return info, errors.Wrap(err, "TCP_INFO")
+	controlErr := raw.Control(func(fd uintptr) { err = f(int(fd)) })
+	return cmp.Or(controlErr, err)
 }
 
 // SinceReceived returns how long ago the kernel received the last bytes of a connection, in whole milliseconds. If they
--- a/overload/tcp_info_test.go
+++ b/overload/tcp_info_test.go
@@ -13,21 +13,7 @@
 
 // TestSinceReceived: bytes that wait in the kernel show for how long, and those that just arrived don't.
 func TestSinceReceived(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	caller, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer caller.Close()
-	c, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	caller, c := newConnection(t)
 	const pause = 200 * time.Millisecond
 	for _, waits := range []time.Duration{0, pause} {
 		time.Sleep(pause) // what came before must not count
