--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -162,7 +162,7 @@
 	limits := map[string]any{"memoryMb": 280, "maxFds": 4096}
 	if m.Role == "entry" {
 		listen = map[string]any{"front": m.Front(), "readiness": fmt.Sprintf("%s:%d", m.IP, readyPort)}
-		limits = map[string]any{"memoryMb": 284, "maxFds": 4200}
+		limits = map[string]any{"memoryMb": EntryMemory, "maxFds": 4200}
 	}
 	text := fill(f.template, map[string]any{
 		"nodeName": m.Name, "role": m.Role, "zone": "z1", "ip": m.IP, "listen": listen, "limits": limits,
@@ -172,7 +172,7 @@
 			"graceS": GraceS, "revokeMs": 5000, "quotaWindowS": 8, "quotaOvershoot": 0.1, "quotaSlack": 140000,
 			"budgetWindowS": 10, "retryBudgetRatio": 0.2, "budgetMinRetries": 52,
 		},
-		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota"},
+		"contracts": Contracts,
 	})
 	file := filepath.Join(m.dir, "local.yaml")
 	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
@@ -193,6 +193,12 @@
 	return nil
 }
 
+// Contracts are the contracts in force.
+var Contracts = []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "quota"}
+
+// EntryMemory is the memory limit of an entry, in MB.
+var EntryMemory = 284
+
 // GraceS is the time from SIGTERM to SIGKILL, in seconds.
 const GraceS = 8
 
@@ -318,3 +324,6 @@
 	}
 	return nil
 }
+
+// Pid returns the number of the machine's process.
+func (m *Machine) Pid() int { return m.process.Process.Pid }
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -123,3 +123,8 @@
 	close(s.stop)
 	_ = s.server.Close()
 }
+
+// Note adds a line about the replica to the record.
+func (s *Replica) Note(format string, args ...any) {
+	s.fleet.Record.Add("replica %s: %s", s.ID, fmt.Sprintf(format, args...))
+}
