review 1: a replica that spoils answers fills the entries' memory

Seen: entries keep all of a spoiled answer whose bytes hold no line end; 65 to 85 MB of it put an entry over its 134 MB, and the platform kills it with all requests in flight (Fault).

Cause: readHead reads an answer's head with http.ReadResponse from a reader without any limit.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -2,154 +2,191 @@
 
 // SPDX-License-Identifier: MIT
 
-// Case 1: requests that an entry has passed on are cut about 3.1 s after its SIGTERM, though graceS is 8.
+// Case 1: a replica whose answers are bytes that form no answer fills the memory of entries until they are killed.
 package main
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lynxramp.org/review/stand"
 )
 
 const config = `{"version":7,"routes":[
- {"name":"r1","hostname":"a.example","pathPrefix":"/card/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":0,"service":"card-api","maxAttempts":1,"public":true}],
- "services":[{"name":"card-api","healthPath":"/health","maxConnections":96}],
+ {"name":"r1","hostname":"a.example","pathPrefix":"/record/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":300,"priority":0,"service":"archive-api","maxAttempts":1,"public":true},
+ {"name":"r2","hostname":"a.example","pathPrefix":"/draft/","kind":"streaming","resumable":false,"timeoutMs":12000,"targetLatencyMs":1200,"targetGapMs":600,"priority":0,"service":"lynx-scribe","maxAttempts":1,"public":true}],
+ "services":[{"name":"archive-api","healthPath":"/health","maxConnections":100},{"name":"lynx-scribe","healthPath":"/health","maxConnections":360}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
 
 const (
-	work     = 2 * time.Second // of each request, at a replica that has free slots
-	timeout  = 3 * time.Second // timeoutMs, and Deadline-Ms of the clients
-	interval = 100 * time.Millisecond
-	traffic  = 9 * time.Second
-	stopAt   = 3 * time.Second // of the traffic
+	entryMemory  = 134  // MB, of an entry of the site
+	replicaCount = 4    // of each service
+	spoiling     = 2    // replicas of lynx-scribe: a share of 0.5
+	spoiledShare = 0.02 // of its answers
+	traffic      = 45 * time.Second
+	clients      = 16 // of lynx-scribe, and as many of archive-api that ask a tenth as often
+	ends         = 3
+	linkRate     = 1000e6 / 8 // bytes a second, of an entry's link
 )
 
 func main() {
 	root, folder := os.Args[1], os.Args[2]
 	record := stand.NewRecord()
-	lost, err := play(record, root, os.Getenv("TROUBLE") != "0")
+	broken, err := play(record, root, os.Getenv("TROUBLE") != "0")
 	code := 0
 	switch {
 	case err != nil:
 		record.Add("the case could not run: %v", err)
 		code = 2
-	case lost > 0:
-		record.Add("LOST broken: %d requests", lost)
+	case broken:
+		record.Add("Fault broken")
 		code = 1
 	default:
-		record.Add("LOST held")
+		record.Add("Fault held")
 	}
 	if err := record.Write(filepath.Join(folder, "record.txt")); err != nil {
 		code = 2
 	}
-	fmt.Println("lost:", lost, "error:", err)
+	fmt.Println("broken:", broken, "error:", err)
 	os.Exit(code)
 }
 
-func play(record *stand.Record, root string, trouble bool) (lost int, err error) {
+func play(record *stand.Record, root string, trouble bool) (broken bool, err error) {
+	stand.EntryMemory = entryMemory
 	f, err := stand.New(record, root, 3, 2)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	defer f.Close()
 	if err := f.PutConfig(config, 20*time.Second); err != nil {
-		return 0, err
+		return false, err
 	}
-	var replicas []*stand.Replica
-	for i := range 4 {
-		s, err := f.NewReplica(fmt.Sprintf("i-%d", i+1), "card-api", 40, answer)
-		if err != nil {
-			return 0, err
+	for i := range replicaCount {
+		spoils := trouble && i < spoiling
+		for service, work := range map[string]func(*stand.Replica, http.ResponseWriter, *http.Request){"archive-api": answer, "lynx-scribe": stream(spoils)} {
+			s, err := f.NewReplica(fmt.Sprintf("i-%s-%d", service, i+1), service, 6, work)
+			if err != nil {
+				return false, err
+			}
+			defer s.Close()
 		}
-		defer s.Close()
-		replicas = append(replicas, s)
 	}
 	b := f.NewBalancer()
 	defer b.Close()
 	if !b.AwaitAll(20 * time.Second) {
-		return 0, fmt.Errorf("the entries were not ready in time")
+		return false, fmt.Errorf("the entries were not ready in time")
 	}
 	time.Sleep(2 * time.Second)
-	results := send(f, b, trouble)
-	served := 0
-	for _, r := range results {
-		if r.Err == nil && r.Status == http.StatusOK {
-			served++
-		}
-		if isLost(record, r, replicas) {
-			lost++
+	ended := f.EnforceMemory()
+	sent, served := send(f, b)
+	record.Add("%d requests sent, %d served", sent, served)
+	machines := 0
+	for _, m := range f.Entries {
+		n := ended(m)
+		record.Add("%s: its process ended %d times for its memory", m.Name, n)
+		if n >= ends {
+			machines++
 		}
 	}
-	record.Add("%d requests sent, %d served", len(results), served)
-	if served < len(results)/2 {
-		return lost, fmt.Errorf("only %d of %d requests were served", served, len(results))
+	if served < sent/2 {
+		return machines >= 2, fmt.Errorf("only %d of %d requests were served", served, sent)
 	}
-	return lost, nil
+	return machines >= 2, nil
 }
 
-// answer is the work of a sound replica: it takes a while and ends early only if the connection closes.
 func answer(_ *stand.Replica, w http.ResponseWriter, r *http.Request) {
-	select {
-	case <-time.After(work):
+	time.Sleep(60 * time.Millisecond)
+	w.Header().Set("Replica-Signature", "signed."+r.Header.Get("Attempt-Id"))
+	fmt.Fprintf(w, "answer to %s", r.Header.Get("Attempt-Id"))
+}
+
+// stream returns the work of a replica that answers with 20 events. If it spoils answers, some are bytes that form no
+// answer, until the connection closes.
+func stream(spoils bool) func(*stand.Replica, http.ResponseWriter, *http.Request) {
+	return func(s *stand.Replica, w http.ResponseWriter, r *http.Request) {
+		if spoils && rand.Float64() < spoiledShare {
+			spoil(s, w, r.Header.Get("Attempt-Id"))
+			return
+		}
 		w.Header().Set("Replica-Signature", "signed."+r.Header.Get("Attempt-Id"))
-		fmt.Fprintf(w, "answer to %s", r.Header.Get("Attempt-Id"))
-	case <-r.Context().Done():
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range 20 {
+			fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i+1)
+			w.(http.Flusher).Flush()
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+}
+
+func spoil(s *stand.Replica, w http.ResponseWriter, id string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	data := bytes.Repeat([]byte("spoiled "), 8<<10)
+	total := 0
+	for began := time.Now(); ; {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(total) / linkRate * float64(time.Second)))))
+		n, err := c.Write(data)
+		if total += n; err != nil {
+			s.Note("%s: %d bytes that form no answer were taken until its connection closed", id, total)
+			return
+		}
 	}
 }
 
-// send sends a request on a new connection each interval, and stops an entry meanwhile.
-func send(f *stand.Fleet, b *stand.Balancer, trouble bool) []stand.Result {
+// send has clients of both services send requests one after the other on kept connections.
+func send(f *stand.Fleet, b *stand.Balancer) (sent, served int64) {
 	var (
-		wait    sync.WaitGroup
-		mu      sync.Mutex
-		results []stand.Result
+		wait       sync.WaitGroup
+		all, right atomic.Int64
 	)
-	began := time.Now()
-	stopped := !trouble
-	for i := 0; time.Since(began) < traffic; i++ {
-		if !stopped && time.Since(began) >= stopAt {
-			stopped = true
-			f.Terminate(f.Entries[0])
+	end := time.Now().Add(traffic)
+	for n := range 2 * clients {
+		path, deadline, pause := "/record/1", 1500*time.Millisecond, time.Second
+		if n%2 == 0 {
+			path, deadline, pause = "/draft/1", 12*time.Second, 100*time.Millisecond
 		}
-		m := b.Pick()
 		wait.Go(func() {
-			if m == nil {
-				return
-			}
-			c, err := f.Dial(m)
-			if err != nil {
-				f.Record.Add("client: no connection to %s: %v", m.Name, err)
-				return
+			var c *stand.Conn
+			for i := 0; time.Now().Before(end); i++ {
+				if c == nil {
+					m := b.Pick()
+					var err error
+					if m != nil {
+						c, err = f.Dial(m)
+					}
+					if m == nil || err != nil {
+						c = nil
+						time.Sleep(100 * time.Millisecond)
+						continue
+					}
+				}
+				r := c.Send(http.MethodPost, path, "", "q", fmt.Sprintf("a-%d-%d", n, i), deadline)
+				all.Add(1)
+				if r.Err == nil && r.Status == http.StatusOK {
+					right.Add(1)
+				}
+				if r.Err != nil || r.Header.Get("Connection") == "close" {
+					_ = c.Close()
+					c = nil
+				}
+				time.Sleep(pause)
 			}
-			defer c.Close()
-			r := c.Send(http.MethodPost, "/card/1", "", "q", fmt.Sprintf("a-%03d", i), timeout)
-			mu.Lock()
-			defer mu.Unlock()
-			results = append(results, r)
 		})
-		time.Sleep(interval)
 	}
 	wait.Wait()
-	return results
-}
-
-// isLost reports whether the connection of a request ended without a complete answer once a replica had it, while that
-// replica was at work, and before the deadline and the route's timeout.
-func isLost(record *stand.Record, r stand.Result, replicas []*stand.Replica) bool {
-	if r.Err == nil || r.Ended.Sub(r.Sent) >= timeout {
-		return false
-	}
-	for _, s := range replicas {
-		for _, run := range s.Runs(r.ID) {
-			record.Add("LOST: %s, sent to %s, was at work at %s for %.3f s when its connection ended: %v",
-				r.ID, r.Entry, run.Replica, r.Ended.Sub(run.Began).Seconds(), r.Err)
-			return true
-		}
-	}
-	return false
+	return all.Load(), right.Load()
 }
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -2,12 +2,11 @@
 
 // SPDX-License-Identifier: MIT
 
-// Case 2: a request that may run once runs at a second replica after the first one has run it and failed with 503.
+// Case 2: requests that an entry has passed on are cut about 3.1 s after its SIGTERM, though graceS is 8.
 package main
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -18,41 +17,41 @@
 )
 
 const config = `{"version":7,"routes":[
- {"name":"r1","hostname":"a.example","pathPrefix":"/record/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":300,"priority":0,"service":"archive-api","maxAttempts":2,"public":true}],
- "services":[{"name":"archive-api","healthPath":"/health","maxConnections":100}],
+ {"name":"r1","hostname":"a.example","pathPrefix":"/card/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":0,"service":"card-api","maxAttempts":1,"public":true}],
+ "services":[{"name":"card-api","healthPath":"/health","maxConnections":96}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
 
 const (
-	replicaCount = 7   // one of them is grey: a share of 0.143
-	greyShare    = 0.4 // of its requests fail
-	deadline     = 1500 * time.Millisecond
-	traffic      = 8 * time.Second
-	clients      = 6
+	work     = 2 * time.Second // of each request, at a replica that has free slots
+	timeout  = 3 * time.Second // timeoutMs, and Deadline-Ms of the clients
+	interval = 100 * time.Millisecond
+	traffic  = 9 * time.Second
+	stopAt   = 3 * time.Second // of the traffic
 )
 
 func main() {
 	root, folder := os.Args[1], os.Args[2]
 	record := stand.NewRecord()
-	twice, err := play(record, root, os.Getenv("TROUBLE") != "0")
+	lost, err := play(record, root, os.Getenv("TROUBLE") != "0")
 	code := 0
 	switch {
 	case err != nil:
 		record.Add("the case could not run: %v", err)
 		code = 2
-	case twice > 0:
-		record.Add("TWICE broken: %d requests", twice)
+	case lost > 0:
+		record.Add("LOST broken: %d requests", lost)
 		code = 1
 	default:
-		record.Add("TWICE held")
+		record.Add("LOST held")
 	}
 	if err := record.Write(filepath.Join(folder, "record.txt")); err != nil {
 		code = 2
 	}
-	fmt.Println("twice:", twice, "error:", err)
+	fmt.Println("lost:", lost, "error:", err)
 	os.Exit(code)
 }
 
-func play(record *stand.Record, root string, trouble bool) (twice int, err error) {
+func play(record *stand.Record, root string, trouble bool) (lost int, err error) {
 	f, err := stand.New(record, root, 3, 2)
 	if err != nil {
 		return 0, err
@@ -62,12 +61,8 @@
 		return 0, err
 	}
 	var replicas []*stand.Replica
-	for i := range replicaCount {
-		share := 0.0
-		if trouble && i == 0 {
-			share = greyShare
-		}
-		s, err := f.NewReplica(fmt.Sprintf("i-%d", i+1), "archive-api", 6, work(share))
+	for i := range 4 {
+		s, err := f.NewReplica(fmt.Sprintf("i-%d", i+1), "card-api", 40, answer)
 		if err != nil {
 			return 0, err
 		}
@@ -80,84 +75,81 @@
 		return 0, fmt.Errorf("the entries were not ready in time")
 	}
 	time.Sleep(2 * time.Second)
-	results := send(f, b)
+	results := send(f, b, trouble)
 	served := 0
 	for _, r := range results {
 		if r.Err == nil && r.Status == http.StatusOK {
 			served++
 		}
-		if ranTwice(record, r, replicas) {
-			twice++
+		if isLost(record, r, replicas) {
+			lost++
 		}
 	}
 	record.Add("%d requests sent, %d served", len(results), served)
 	if served < len(results)/2 {
-		return twice, fmt.Errorf("only %d of %d requests were served", served, len(results))
+		return lost, fmt.Errorf("only %d of %d requests were served", served, len(results))
 	}
-	return twice, nil
+	return lost, nil
 }
 
-// work runs each request. A share of them then fails with the replica's own 503; none is said not to have run.
-func work(failing float64) func(*stand.Replica, http.ResponseWriter, *http.Request) {
-	return func(s *stand.Replica, w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("Attempt-Id")
-		time.Sleep(30 * time.Millisecond)
-		w.Header().Set("Replica-Signature", "signed."+s.ID+"."+id)
-		if rand.Float64() < failing {
-			s.Note("%s ran and failed: 503, Retry-After 1, no Not-Executed", id)
-			w.Header().Set("Retry-After", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
-			fmt.Fprintf(w, "%s failed", id)
-			return
-		}
-		fmt.Fprintf(w, "answer to %s", id)
+// answer is the work of a sound replica: it takes a while and ends early only if the connection closes.
+func answer(_ *stand.Replica, w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-time.After(work):
+		w.Header().Set("Replica-Signature", "signed."+r.Header.Get("Attempt-Id"))
+		fmt.Fprintf(w, "answer to %s", r.Header.Get("Attempt-Id"))
+	case <-r.Context().Done():
 	}
 }
 
-// send has some clients send requests one after the other, each on a new connection.
-func send(f *stand.Fleet, b *stand.Balancer) []stand.Result {
+// send sends a request on a new connection each interval, and stops an entry meanwhile.
+func send(f *stand.Fleet, b *stand.Balancer, trouble bool) []stand.Result {
 	var (
 		wait    sync.WaitGroup
 		mu      sync.Mutex
 		results []stand.Result
 	)
-	end := time.Now().Add(traffic)
-	for n := range clients {
+	began := time.Now()
+	stopped := !trouble
+	for i := 0; time.Since(began) < traffic; i++ {
+		if !stopped && time.Since(began) >= stopAt {
+			stopped = true
+			f.Terminate(f.Entries[0])
+		}
+		m := b.Pick()
 		wait.Go(func() {
-			for i := 0; time.Now().Before(end); i++ {
-				m := b.Pick()
-				if m == nil {
-					time.Sleep(50 * time.Millisecond)
-					continue
-				}
-				c, err := f.Dial(m)
-				if err != nil {
-					continue
-				}
-				r := c.Send(http.MethodPost, "/record/1", "", "q", fmt.Sprintf("a-%d-%03d", n, i), deadline)
-				_ = c.Close()
-				mu.Lock()
-				results = append(results, r)
-				mu.Unlock()
-				time.Sleep(60 * time.Millisecond)
+			if m == nil {
+				return
+			}
+			c, err := f.Dial(m)
+			if err != nil {
+				f.Record.Add("client: no connection to %s: %v", m.Name, err)
+				return
 			}
+			defer c.Close()
+			r := c.Send(http.MethodPost, "/card/1", "", "q", fmt.Sprintf("a-%03d", i), timeout)
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, r)
 		})
+		time.Sleep(interval)
 	}
 	wait.Wait()
 	return results
 }
 
-// ranTwice reports whether replicas began to work on a request more than once.
-func ranTwice(record *stand.Record, r stand.Result, replicas []*stand.Replica) bool {
-	var at []string
+// isLost reports whether the connection of a request ended without a complete answer once a replica had it, while that
+// replica was at work, and before the deadline and the route's timeout.
+func isLost(record *stand.Record, r stand.Result, replicas []*stand.Replica) bool {
+	if r.Err == nil || r.Ended.Sub(r.Sent) >= timeout {
+		return false
+	}
 	for _, s := range replicas {
 		for _, run := range s.Runs(r.ID) {
-			at = append(at, run.Replica)
+			record.Add("LOST: %s, sent to %s, was at work at %s for %.3f s when its connection ended: %v",
+				r.ID, r.Entry, run.Replica, r.Ended.Sub(run.Began).Seconds(), r.Err)
+			return true
 		}
 	}
-	if len(at) < 2 {
-		return false
-	}
-	record.Add("TWICE: %s ran at %v; its client got %d, Replica-Signature %q", r.ID, at, r.Status, r.Header.Get("Replica-Signature"))
-	return true
+	return false
 }
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -53,7 +53,7 @@
 	if r.Err != nil {
 		c.fleet.Record.Add("client: %s has no complete answer after %.3f s: %v", id, r.Ended.Sub(r.Sent).Seconds(), r.Err)
 	} else {
-		c.fleet.Record.Add("client: %s answered %d %q after %.3f s, Replica-Signature %q", id, r.Status, r.Body, r.Ended.Sub(r.Sent).Seconds(), r.Header.Get("Replica-Signature"))
+		c.fleet.Record.Add("client: %s answered %d %.60q after %.3f s, Replica-Signature %q", id, r.Status, r.Body, r.Ended.Sub(r.Sent).Seconds(), r.Header.Get("Replica-Signature"))
 	}
 	return r
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -20,6 +20,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -92,6 +93,8 @@
 	program, template string
 	dir               string
 	reserved          net.Listener
+	closing           sync.Mutex // no process is started after it
+	isClosed          atomic.Bool
 }
 
 // New starts a deployment, all machines at once. Program and template are those of the deploy file.
@@ -222,6 +225,9 @@
 
 // Close ends all processes and removes their files.
 func (f *Fleet) Close() {
+	f.closing.Lock()
+	defer f.closing.Unlock()
+	f.isClosed.Store(true)
 	for _, m := range f.machines() {
 		if m.process != nil && m.process.Process != nil {
 			_ = m.process.Process.Signal(syscall.SIGCONT)
