--- a/review/1/main.go
+++ b/review/1/main.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	_ "embed"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -19,18 +20,15 @@
 	"lynxramp.org/review/stand"
 )
 
-const config = `{"version":7,"routes":[
- {"name":"r1","hostname":"a.example","pathPrefix":"/record/","kind":"non_idempotent","timeoutMs":800,"targetLatencyMs":300,"priority":0,"service":"archive-api","maxAttempts":1,"public":true},
- {"name":"r2","hostname":"a.example","pathPrefix":"/draft/","kind":"streaming","resumable":false,"timeoutMs":12000,"targetLatencyMs":1200,"targetGapMs":600,"priority":0,"service":"lynx-scribe","maxAttempts":1,"public":true}],
- "services":[{"name":"archive-api","healthPath":"/health","maxConnections":100},{"name":"lynx-scribe","healthPath":"/health","maxConnections":360}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
+//go:embed config.json
+var config string
 
 const (
 	entryMemory  = 134  // MB, of an entry of the site
 	replicaCount = 4    // of each service
 	spoiling     = 2    // replicas of lynx-scribe: a share of 0.5
 	spoiledShare = 0.02 // of its answers
-	traffic      = 45 * time.Second
+	traffic      = 75 * time.Second
 	clients      = 16 // of lynx-scribe, and as many of archive-api that ask a tenth as often
 	ends         = 3
 	linkRate     = 1000e6 / 8 // bytes a second, of an entry's link
@@ -103,8 +101,8 @@
 
 func answer(_ *stand.Replica, w http.ResponseWriter, r *http.Request) {
 	time.Sleep(60 * time.Millisecond)
-	w.Header().Set("Replica-Signature", "signed."+r.Header.Get("Attempt-Id"))
-	fmt.Fprintf(w, "answer to %s", r.Header.Get("Attempt-Id"))
+	w.Header().Set(stand.Wire.Signature, "signed."+r.Header.Get(stand.Wire.AttemptID))
+	fmt.Fprintf(w, "answer to %s", r.Header.Get(stand.Wire.AttemptID))
 }
 
 // stream returns the work of a replica that answers with 20 events. If it spoils answers, some are bytes that form no
@@ -112,10 +110,10 @@
 func stream(spoils bool) func(*stand.Replica, http.ResponseWriter, *http.Request) {
 	return func(s *stand.Replica, w http.ResponseWriter, r *http.Request) {
 		if spoils && rand.Float64() < spoiledShare {
-			spoil(s, w, r.Header.Get("Attempt-Id"))
+			spoil(s, w, r.Header.Get(stand.Wire.AttemptID))
 			return
 		}
-		w.Header().Set("Replica-Signature", "signed."+r.Header.Get("Attempt-Id"))
+		w.Header().Set(stand.Wire.Signature, "signed."+r.Header.Get(stand.Wire.AttemptID))
 		w.Header().Set("Content-Type", "text/event-stream")
 		for i := range 20 {
 			fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i+1)
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -6,6 +6,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"net/http"
 	"os"
@@ -16,10 +17,8 @@
 	"lynxramp.org/review/stand"
 )
 
-const config = `{"version":7,"routes":[
- {"name":"r1","hostname":"a.example","pathPrefix":"/card/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":0,"service":"card-api","maxAttempts":1,"public":true}],
- "services":[{"name":"card-api","healthPath":"/health","maxConnections":96}],
- "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[]}`
+//go:embed config.json
+var config string
 
 const (
 	work     = 2 * time.Second // of each request, at a replica that has free slots
@@ -96,8 +95,8 @@
 func answer(_ *stand.Replica, w http.ResponseWriter, r *http.Request) {
 	select {
 	case <-time.After(work):
-		w.Header().Set("Replica-Signature", "signed."+r.Header.Get("Attempt-Id"))
-		fmt.Fprintf(w, "answer to %s", r.Header.Get("Attempt-Id"))
+		w.Header().Set(stand.Wire.Signature, "signed."+r.Header.Get(stand.Wire.AttemptID))
+		fmt.Fprintf(w, "answer to %s", r.Header.Get(stand.Wire.AttemptID))
 	case <-r.Context().Done():
 	}
 }
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -43,9 +43,9 @@
 func (c *Conn) Send(method, path, headers, body, id string, deadline time.Duration) Result {
 	r := Result{ID: id, Entry: c.entry.Name, Sent: time.Now()}
 	_ = c.SetDeadline(r.Sent.Add(deadline + time.Second))
-	c.fleet.Record.Add("client: %s sent to %s: %s %s, Deadline-Ms %d", id, c.entry.Name, method, path, deadline.Milliseconds())
-	_, r.Err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		method, path, id, deadline.Milliseconds(), headers, len(body), body)
+	c.fleet.Record.Add("client: %s sent to %s: %s %s, deadline %d ms", id, c.entry.Name, method, path, deadline.Milliseconds())
+	_, r.Err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, path, Wire.AttemptID, id, Wire.Deadline, deadline.Milliseconds(), headers, len(body), body)
 	if r.Err == nil {
 		r.read(c, method)
 	}
@@ -53,7 +53,7 @@
 	if r.Err != nil {
 		c.fleet.Record.Add("client: %s has no complete answer after %.3f s: %v", id, r.Ended.Sub(r.Sent).Seconds(), r.Err)
 	} else {
-		c.fleet.Record.Add("client: %s answered %d %.60q after %.3f s, Replica-Signature %q", id, r.Status, r.Body, r.Ended.Sub(r.Sent).Seconds(), r.Header.Get("Replica-Signature"))
+		c.fleet.Record.Add("client: %s answered %d %.60q after %.3f s, signature %q", id, r.Status, r.Body, r.Ended.Sub(r.Sent).Seconds(), r.Header.Get(Wire.Signature))
 	}
 	return r
 }
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -83,7 +83,7 @@
 // Ready asks the machine whether it is ready.
 func (m *Machine) Ready() bool {
 	client := http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	a, err := client.Get("http://" + m.address(readyPort) + "/lynxramp/ready")
+	a, err := client.Get("http://" + m.address(readyPort) + Wire.ReadyPath)
 	if err != nil {
 		return false
 	}
@@ -220,7 +220,7 @@
 		return err
 	}
 	m.process = exec.Command(f.program)
-	m.process.Env = append(os.Environ(), "LYNXRAMP_SETTINGS="+file)
+	m.process.Env = append(os.Environ(), Wire.Settings+"="+file)
 	m.process.Stdout, m.process.Stderr = &m.output, &m.output
 	if err := m.process.Start(); err != nil {
 		return err
@@ -361,8 +361,8 @@
 
 // PutConfig sends a configuration until it is acknowledged.
 func (f *Fleet) PutConfig(text string, timeout time.Duration) error {
-	status, answer := f.Call(http.MethodPut, "/lynxramp/config", []byte(text), timeout)
-	f.Record.Add("operator: PUT /lynxramp/config: %d", status)
+	status, answer := f.Call(http.MethodPut, Wire.ConfigPath, []byte(text), timeout)
+	f.Record.Add("operator: PUT %s: %d", Wire.ConfigPath, status)
 	if status != http.StatusOK {
 		return fmt.Errorf("the configuration got status %d: %s", status, answer)
 	}
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -72,19 +72,19 @@
 	if err != nil {
 		panic(err) // texts and numbers always encode
 	}
-	status, _ := s.fleet.Call(http.MethodPut, "/lynxramp/replicas/"+s.ID, body, timeout)
+	status, _ := s.fleet.Call(http.MethodPut, Wire.ReplicaPath+s.ID, body, timeout)
 	return status == http.StatusOK
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("Replica-Id", s.ID)
+		w.Header().Set(Wire.ReplicaID, s.ID)
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
-	if expected := r.Header.Get("Expect-Replica"); expected != "" && expected != s.ID {
+	id := r.Header.Get(Wire.AttemptID)
+	w.Header().Set(Wire.AttemptID, id)
+	if expected := r.Header.Get(Wire.ExpectReplica); expected != "" && expected != s.ID {
 		s.fleet.Record.Add("replica %s: %s is for %s: 421", s.ID, id, expected)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -93,7 +93,7 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
-	s.fleet.Record.Add("replica %s: %s begins to run, Deadline-Ms %s", s.ID, id, r.Header.Get("Deadline-Ms"))
+	s.fleet.Record.Add("replica %s: %s begins to run, deadline %s ms", s.ID, id, r.Header.Get(Wire.Deadline))
 	s.Work(s, w, r)
 	s.mu.Lock()
 	run.Answered, run.Closed = r.Context().Err() == nil, r.Context().Err() != nil
