gateway: the heads of a response are limited, each and together

Callers saw: for a spell of 5 s in which two of four endpoints spoiled each 50th response with bytes that have no line end, kept connections of sound endpoints closed without a response, 9 to 25 at an entry.

Cause: readHead gave the connection to http.ReadResponse, which reads a status line or header line of any length, and any number of lines. All limits of the gateway (1 MiB of a response, 256 KiB of an event, 8 interim responses, the account of held memory) began after the head. The only end was the request's deadline.

Evidence: the replicas' record of the case: 65 to 85 MB of one response were taken until the process ended.

Why this works: a head is complete in the connection's buffer before it is parsed. The buffer grows from 4 KiB only as bytes arrive, up to the limit (endpoints.head_kb, 64 KiB; 256 lines, as a parsed short line takes many times its length), and every step, like the parsed form above 8 KiB, is held by the account first. The limits count the heads of a response together with those of its interim responses. So no head is larger than the limit, and all of them no larger than the account and 8 KiB for each request. The account exists in all deployments now, not only with the contract "pressure". A sound head fits in the first 4 KiB: it costs one scan and takes no lock.

A response beyond a limit is one with an unknown outcome, as bytes that are no response were before: 502, or a repetition where the route allows it. Its connection is closed and nothing is read on; the owner takes the endpoint for suspect. If the account has no room, the endpoint isn't. Both have a log line ("response refused") and a counter. A head that trickles within the limit ends by the request's deadline, as an endpoint's silence is no reason to end a request sooner; its slot is held so long, as the endpoint may be at work.

Tests: TestLongHeadIsNotKept and TestHeadsTogetherAreBounded failed with the check left out (504 at the deadline, 33,554,432 bytes taken of two responses; the heads not counted); TestSoundHeadsAreTaken holds that heads of 16,384 bytes and of 100 lines are served on a connection that is used again. TestWithoutHeldMemoryNothingIsBuffered asks the account itself what is held instead of a method that is gone; its checks are the same.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -49,7 +49,7 @@
 	g := gateway.New(gateway.Config{
 		Agent: agent, Headers: d.Headers, ParseFeedback: d.ParseFeedback, ParseLoad: d.ParseLoad, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Instance: instance,
 		MaxHeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldBytesFraction), Descriptors: f.Resources.Descriptors,
-		HeldMemory: held, Listener: listener, Overload: overload.Config{Delay: event.Duration(f.Overload.Delay)},
+		AccountBytes: accountBytes(f), MaxHead: f.Endpoints.HeadKB << 10, HeldMemory: held, Listener: listener, Overload: overload.Config{Delay: event.Duration(f.Overload.Delay)},
 	})
 	go agent.Run(run)
 	go g.Run(run)
--- a/fleet/held.go
+++ b/fleet/held.go
@@ -9,6 +9,11 @@
 	"lynxramp.org/settings"
 )
 
+// accountBytes returns the bytes that the account of an entry may hold; 0 if the memory of the box is not known.
+func accountBytes(f settings.Fleet) int64 {
+	return int64(float64(f.Resources.MemoryMB<<20) * f.Held.Share)
+}
+
 // heldMemory returns the configuration of an entry's account of held memory. It is nil if the deployment does not turn
 // the account on, or if the memory of the box is not known.
 func heldMemory(f settings.Fleet, d Dialect) *gateway.HeldMemory {
@@ -17,7 +22,7 @@
 	}
 	return &gateway.HeldMemory{
 		Limits: heldmem.Limits{
-			Total:   int64(float64(f.Resources.MemoryMB<<20) * f.Held.Share),
+			Total:   accountBytes(f),
 			MinRate: int64(f.Held.Rate),
 			Pause:   event.Duration(f.Held.Pause),
 		},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"lynxramp.org/backpressure"
 	"lynxramp.org/event"
+	"lynxramp.org/heldmem"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/overload"
 	"lynxramp.org/poison"
@@ -53,6 +54,11 @@
 	MaxHeldBytes int64
 	// HeldMemory turns on the account of held memory, which replaces MaxHeldBytes; nil is off.
 	HeldMemory *HeldMemory
+	// AccountBytes limits, without HeldMemory, the account of what is held of endpoints' responses, which may take three
+	// quarters of it. 0 is 32 MiB.
+	AccountBytes int64
+	// MaxHead limits the heads of one response in bytes; 0 is 64 KiB.
+	MaxHead int
 	// Descriptors is the process's limit of file descriptors; 0 sets no limit from them.
 	Descriptors int
 	// Listener accepts the callers' connections. It is limited while the box is overloaded, as Overload says; without
@@ -86,12 +92,13 @@
 	refusesStreams     atomic.Bool // new streams are refused
 	meters             meters
 	memory             *heldMemory // nil without the account of held memory
+	account            *heldmem.Account
 	delays             boxDelays
 	arrivals           overload.Delays // of the first requests of callers' connections
 	waits              overload.Delays // of these requests for the process
 
 	// Limits of log lines, see record.go.
-	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter, loadLimiter *logx.RateLimiter
+	failedLimiter, briefLimiter, sampledLimiter, feedbackLimiter, cutLimiter, loadLimiter, refusedLimiter *logx.RateLimiter
 }
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
@@ -100,11 +107,16 @@
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.delays.limiter, g.delays.leastRoundTrip = overload.NewLimiter(c.Overload), overload.NewLeastDelay()
 	g.delays.limit.Store(noLimit())
+	if c.MaxHead > 0 {
+		g.upstream.maxHead = c.MaxHead
+	}
 	g.memory = newHeldMemory(c.HeldMemory)
+	g.account = newAccount(c, g.memory)
 	g.upstream.memory = g.memory
 	g.meters = newMeters(g)
 	g.failedLimiter, g.briefLimiter, g.sampledLimiter = logx.NewRateLimiter(failedLines), logx.NewRateLimiter(briefLines), logx.NewRateLimiter(sampledLines)
 	g.feedbackLimiter, g.cutLimiter, g.loadLimiter = logx.NewRateLimiter(feedbackLines), logx.NewRateLimiter(cutLines), logx.NewRateLimiter(loadLines)
+	g.refusedLimiter = logx.NewRateLimiter(refusedLines)
 	return g
 }
 
@@ -202,10 +214,10 @@
 	headSent   bool
 	relay      *relay // nil without the account of held memory
 	relayError error  // of passing the response on
-	// Bytes that the account holds for the body, and for whole responses.
-	bodyMemory, responseBytes int64
-	lastEventID               string
-	eventsSent                int
+	// Bytes that the account holds for the body, for heads of responses, and for whole responses.
+	bodyMemory, headBytes, responseBytes int64
+	lastEventID                          string
+	eventsSent                           int
 }
 
 // ServeHTTP implements http.Handler.
@@ -226,6 +238,7 @@
 	c.removeReservedHeaders()
 	defer c.logSteps()
 	defer c.releaseBody()
+	defer c.releaseHeads()
 	c.newRelay()
 	defer c.closeRelay()
 	if !c.admit() {
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -3,7 +3,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -11,7 +10,6 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"lynxramp.org/event"
 	"lynxramp.org/heldmem"
 )
 
@@ -171,7 +169,7 @@
 	}
 	size = min(size, limit+1) // one more, so that the read after the last byte finds the end
 	more := size - int64(cap(c.body))
-	if more <= 0 || !g.memory.hold(c.r.Context(), heldmem.KindBody, more, holdTimeout, g.agent.clock) {
+	if more <= 0 || !g.hold(c.r.Context(), heldmem.KindBody, more, holdTimeout) {
 		return false
 	}
 	c.bodyMemory += more
@@ -191,10 +189,10 @@
 
 // holdResponse holds n bytes of a whole response.
 func (c *call) holdResponse(n int64) bool {
-	memory := c.gateway.memory
+	g := c.gateway
 	if c.responseBytes+n <= smallResponse {
-		memory.account.Force(heldmem.KindResponse, n)
-	} else if !memory.hold(c.r.Context(), heldmem.KindResponse, n, memory.patience/2, c.gateway.agent.clock) {
+		g.account.Force(heldmem.KindResponse, n)
+	} else if !g.hold(c.r.Context(), heldmem.KindResponse, n, unreadPatience/2) {
 		return false
 	}
 	c.responseBytes += n
@@ -203,7 +201,7 @@
 
 // releaseResponse releases what is held of whole responses.
 func (c *call) releaseResponse() {
-	c.gateway.memory.account.Release(heldmem.KindResponse, c.responseBytes)
+	c.gateway.account.Release(heldmem.KindResponse, c.responseBytes)
 	c.responseBytes = 0
 }
 
@@ -286,42 +284,5 @@
 	return grown, true
 }
 
-// hold holds n bytes. If the limit does not allow it, it cuts overdue callers and waits for their memory.
-func (m *heldMemory) hold(ctx context.Context, k heldmem.Kind, n int64, timeout time.Duration, clock event.Clock) bool {
-	if m.account.TryHold(k, n) {
-		return true
-	}
-	if k == heldmem.KindBody && m.account.FullOfBodies(n) {
-		return false
-	}
-	for end := time.Now().Add(timeout); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(holdPoll) {
-		m.account.Reclaim(clock.Now(), n)
-		if m.account.TryHold(k, n) {
-			return true
-		}
-	}
-	return false
-}
-
-// held returns the number of bytes held of a kind, for metrics.
-func (m *heldMemory) held(k heldmem.Kind) float64 {
-	if m == nil {
-		return 0
-	}
-	return float64(m.account.Held(k))
-}
-
-// limit returns the account's limit in bytes, for metrics; 0 if the account is off.
-func (m *heldMemory) limit() float64 {
-	if m == nil {
-		return 0
-	}
-	return float64(m.account.Limit())
-}
-
 // reclaimMemory cuts overdue callers if floors exceed the limit, as no response may be waiting for memory then.
-func (g *Gateway) reclaimMemory() {
-	if g.memory != nil {
-		g.memory.account.Reclaim(g.agent.clock.Now(), 0)
-	}
-}
+func (g *Gateway) reclaimMemory() { g.account.Reclaim(g.agent.clock.Now(), 0) }
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -480,7 +480,7 @@
 		t.Errorf("the caller was disconnected after %v, want the write timeout of %v", took, r.gateway.callerWriteTimeout)
 	}
 	for _, k := range heldmem.Kinds {
-		if held := r.gateway.memory.held(k); held != 0 {
+		if held := r.gateway.account.Held(k); held != 0 {
 			t.Errorf("%v bytes of kind %s are held", held, k)
 		}
 	}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -22,9 +22,9 @@
 	set.NewGauge("lynxramp_gateway_held_requests", func() float64 { return float64(g.inFlight.Load()) })
 	set.NewGauge("lynxramp_gateway_held_bytes", func() float64 { return float64(g.bodyBytes.Load()) })
 	for _, k := range heldmem.Kinds {
-		set.NewGauge(`lynxramp_gateway_held_memory_bytes{kind="`+k.String()+`"}`, func() float64 { return g.memory.held(k) })
+		set.NewGauge(`lynxramp_gateway_held_memory_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(g.account.Held(k)) })
 	}
-	set.NewGauge("lynxramp_gateway_held_memory_limit_bytes", func() float64 { return g.memory.limit() })
+	set.NewGauge("lynxramp_gateway_held_memory_limit_bytes", func() float64 { return float64(g.account.Limit()) })
 	set.NewGauge("lynxramp_gateway_ready", func() float64 { return float64(boolToInt(g.Ready())) })
 	set.NewGauge("lynxramp_gateway_configuration_version", func() float64 {
 		if t := g.agent.LastTable(); t != nil {
@@ -66,6 +66,9 @@
 	for why := range cutReasons {
 		m.cutCallers(why)
 	}
+	for why := range refusals {
+		m.refusedResponses(why)
+	}
 	for _, kind := range []string{loadBasic, loadSlowdown, loadInvalid} {
 		m.loadReports(kind)
 	}
@@ -149,6 +152,11 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_cut_callers_total{why="` + why.String() + `"}`)
 }
 
+// refusedResponses counts the responses of endpoints that were not read on because of a limit.
+func (m *meters) refusedResponses(why refusal) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_responses_total{why="` + why.String() + `"}`)
+}
+
 // restrictedGrants counts the grants that were not used because of a roll-out.
 func (m *meters) restrictedGrants() *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_grants_total{by="rollout"}`)
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -26,6 +26,8 @@
 	feedbackLines = 20
 	// loadLines is the number of lines a second about invalid load reports.
 	loadLines = 2
+	// refusedLines is the number of lines a second about responses that exceed a limit.
+	refusedLines = 20
 )
 
 // The steps of a request, as log messages.
@@ -94,9 +96,9 @@
 // logSuppressed logs how many lines were suppressed, and how many failed requests have no line at all.
 func (g *Gateway) logSuppressed() {
 	failed, sampled, unlogged, feedback, cut := g.failedLimiter.TakeDropped(), g.sampledLimiter.TakeDropped(), g.briefLimiter.TakeDropped(), g.feedbackLimiter.TakeDropped(), g.cutLimiter.TakeDropped()
-	load := g.loadLimiter.TakeDropped()
-	if failed+sampled+unlogged+feedback+cut+load > 0 {
+	load, refused := g.loadLimiter.TakeDropped(), g.refusedLimiter.TakeDropped()
+	if failed+sampled+unlogged+feedback+cut+load+refused > 0 {
 		g.log.Info("log lines suppressed", zap.Uint64("of_failed", failed), zap.Uint64("of_others", sampled), zap.Uint64("failed_without_a_line", unlogged),
-			zap.Uint64("of_what_endpoints_ask", feedback), zap.Uint64("of_cut_callers", cut), zap.Uint64("of_load_reports", load))
+			zap.Uint64("of_what_endpoints_ask", feedback), zap.Uint64("of_cut_callers", cut), zap.Uint64("of_load_reports", load), zap.Uint64("of_refused_responses", refused))
 	}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -314,6 +314,7 @@
 	a.reported = true
 	failed := a.outcome != outcomeDone || a.err != nil
 	c.gateway.meters.countAttempt(a.outcome)
+	c.reportRefused(a)
 	f := message.Finish{
 		Finished: event.Finished{
 			ID: c.id, Pool: c.service, Tokens: a.tokens, Failed: failed,
@@ -328,6 +329,9 @@
 	f.Print, f.Ran = c.fingerprint, a.runResult()
 	f.NoResponse = a.outcome == outcomeUnknown && a.firstByteAfter == 0 && isCancelled(a.err)
 	f.Abandoned = c.r.Context().Err() != nil || errors.Is(a.err, errCallerWrite)
+	if errors.Is(a.err, errNoMemory) {
+		f.Suspect = false // it is the box that lacks memory
+	}
 	f.Delayed = c.gateway.isDelaying()
 	if f.Delayed && (f.NoResponse || isTimeout(a.err)) {
 		f.Suspect = false // the box itself may have used up the time
@@ -372,7 +376,9 @@
 	c.attempts++
 	c.addStep(stepDispatched, zap.String("endpoint", string(d.Endpoint)), zap.String("address", d.Address),
 		zap.Bool("connection_kept", conn.reused), zap.Int("attempt", c.attempts))
-	x, err := c.gateway.upstream.send(ctx, conn, c.outgoing(d), c.gateway.config.Headers.RequestID)
+	request := c.outgoing(d)
+	request.hold = c.holdHead(ctx)
+	x, err := c.gateway.upstream.send(ctx, conn, request, c.gateway.config.Headers.RequestID)
 	if err != nil {
 		a.err = err
 		a.outcome = outcomeUnknown
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -46,6 +46,7 @@
 // upstream is a pool of connections to endpoints.
 type upstream struct {
 	maxConnections int          // in use and idle; 0 is no limit
+	maxHead        int          // bytes of the heads of one response
 	memory         *heldMemory  // nil without the account of held memory
 	open           atomic.Int64 // connections, in use and idle
 	// acknowledgements has the times that endpoints take to acknowledge requests.
@@ -56,7 +57,9 @@
 	idle       map[string][]*upstreamConn // by address and endpoint, oldest first
 }
 
-func newUpstream() *upstream { return &upstream{idle: make(map[string][]*upstreamConn)} }
+func newUpstream() *upstream {
+	return &upstream{maxHead: defaultMaxHead, idle: make(map[string][]*upstreamConn)}
+}
 
 // upstreamConn is a connection to an endpoint.
 type upstreamConn struct {
@@ -220,6 +223,7 @@
 	header            http.Header
 	body              []byte
 	id                string
+	hold              func(bytes int64) bool // has the account hold bytes for the response
 }
 
 func (o *upstreamRequest) head() []byte {
@@ -301,7 +305,11 @@
 }
 
 func (x *exchange) readHead(o *upstreamRequest) error {
+	heads := headReader{conn: x.conn, maxBytes: x.conn.pool.maxHead, hold: o.hold}
 	for range maxInterimResponses {
+		if err := heads.await(); err != nil {
+			return errors.Wrap(err, "read response")
+		}
 		r, err := http.ReadResponse(x.conn.reader, &http.Request{Method: o.method})
 		if err != nil {
 			return errors.Wrap(err, "read response")
@@ -312,7 +320,7 @@
 			return nil
 		}
 	}
-	return errors.New("read response: too many interim (1xx) responses")
+	return &refusedResponse{refusedInterim, maxInterimResponses, maxInterimResponses}
 }
 
 // readKeepAlive reads how long the endpoint keeps the connection.
@@ -353,6 +361,7 @@
 		_ = x.conn.Close()
 		return
 	}
+	x.conn.shrinkReader()
 	u.put(x.conn, x.idleTimeout)
 }
 
--- a/heldmem/account.go
+++ b/heldmem/account.go
@@ -22,14 +22,16 @@
 	KindStream
 	// KindSocket is the socket buffers of a response whose caller has fallen behind.
 	KindSocket
+	// KindHead is the head of a response, read and parsed.
+	KindHead
 	kinds
 )
 
 // Kinds lists all kinds.
-var Kinds = [...]Kind{KindBody, KindResponse, KindStream, KindSocket}
+var Kinds = [...]Kind{KindBody, KindResponse, KindStream, KindSocket, KindHead}
 
 // String returns the kind as used in metrics.
-func (k Kind) String() string { return [...]string{"body", "response", "stream", "socket"}[k] }
+func (k Kind) String() string { return [...]string{"body", "response", "stream", "socket", "head"}[k] }
 
 // shareOfOneSide is the part of the limit that bodies may take together, and that responses may.
 const shareOfOneSide = 0.75
@@ -96,7 +98,7 @@
 
 // free returns how many bytes of a kind the limit still allows. It is negative if floors exceed the limit.
 func (a *Account) free(k Kind) int64 {
-	responses := a.held[KindResponse] + a.held[KindStream] + a.held[KindSocket]
+	responses := a.held[KindResponse] + a.held[KindStream] + a.held[KindSocket] + a.held[KindHead]
 	bodies := a.held[KindBody]
 	side := responses
 	if k == KindBody {
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -28,6 +28,7 @@
 	Resources   FleetResources `yaml:"resources"`
 	Bounds      FleetBounds    `yaml:"bounds"`
 	Held        FleetHeld      `yaml:"held"`
+	Endpoints   FleetEndpoints `yaml:"endpoints"`
 	Overload    FleetOverload  `yaml:"overload"`
 	// Contracts names the platform's contracts in force. The adapter decodes them into the
 	// features of the deployment; it ignores names that it does not know.
@@ -56,10 +57,10 @@
 	Descriptors int `yaml:"descriptors"`
 }
 
-// FleetHeld limits the memory that an entry holds for callers and endpoints, where the deployment turns the account of
-// it on.
+// FleetHeld limits the memory that an entry holds for callers and endpoints. All but Share matters only where the
+// deployment turns the account of slow callers on.
 type FleetHeld struct {
-	// Share is the fraction of MemoryMB that may be held in all.
+	// Share is the fraction of MemoryMB that may be held in all. Responses may take three quarters of it.
 	Share float64 `yaml:"share"`
 	// ResponseKB is how many kibibytes of one response may wait for its caller.
 	ResponseKB int `yaml:"response_kb"`
@@ -69,6 +70,16 @@
 	Pause catalog.Duration `yaml:"pause"`
 }
 
+// FleetEndpoints limits what an entry accepts from one endpoint.
+type FleetEndpoints struct {
+	// HeadKB limits the heads of one response, with those of its interim responses, in kibibytes. It should not be below
+	// what the deployment lets callers send.
+	HeadKB int `yaml:"head_kb"`
+}
+
+// Bounds of FleetEndpoints.HeadKB. Callers may send heads of 16 KiB.
+const minHeadKB, maxHeadKB = 16, 1024
+
 // FleetOverload says when an entry limits new connections.
 type FleetOverload struct {
 	// Delay is how long requests may wait for the entry's own processor or link, as a rule. It must be longer than the
@@ -157,6 +168,7 @@
 	defaultHeldResponseKB    = 4096
 	defaultHeldRate          = 16 << 10
 	defaultHeldPause         = 1500 * time.Millisecond
+	defaultHeadKB            = 64
 )
 
 // LoadFleet reads the settings of a box in a fleet.
@@ -198,6 +210,9 @@
 	}
 	d.checkFleetBounds(f.Bounds)
 	d.checkFleetHeld(f.Held)
+	if kb := f.Endpoints.HeadKB; kb != 0 && (kb < minHeadKB || kb > maxHeadKB) {
+		d.addAt("endpoints.head_kb", "%d is not between %d and %d", kb, minHeadKB, maxHeadKB)
+	}
 	d.checkFleetOverload(f.Overload)
 	d.checkLog(f.Log)
 }
@@ -265,6 +280,7 @@
 	f.Held.ResponseKB = orDefault(f.Held.ResponseKB, defaultHeldResponseKB)
 	f.Held.Rate = orDefault(f.Held.Rate, defaultHeldRate)
 	f.Held.Pause = orDefault(f.Held.Pause, catalog.Duration(defaultHeldPause))
+	f.Endpoints.HeadKB = orDefault(f.Endpoints.HeadKB, defaultHeadKB)
 	f.Log.Level = orDefault(f.Log.Level, defaultLogLevel)
 	b := &f.Bounds
 	b.HeartbeatInterval = orDefault(b.HeartbeatInterval, catalog.Duration(defaultHeartbeatInterval))
--- a/settings/fleet_test.go
+++ b/settings/fleet_test.go
@@ -64,6 +64,8 @@
 		"held response": {"seeds:", "held: {response_kb: 8}\nseeds:", "held.response_kb:"},
 		"held rate":     {"seeds:", "held: {rate: -1}\nseeds:", "held.rate:"},
 		"held pause":    {"seeds:", "held: {pause: 3s}\nseeds:", "held.pause:"},
+		"short heads":   {"seeds:", "endpoints: {head_kb: 15}\nseeds:", "endpoints.head_kb:"},
+		"long heads":    {"seeds:", "endpoints: {head_kb: 1025}\nseeds:", "endpoints.head_kb:"},
 		"short delay":   {"seeds:", "overload: {delay: 10ms}\nseeds:", "overload.delay:"},
 		"long delay":    {"seeds:", "overload: {delay: 1s}\nseeds:", "overload.delay:"},
 		"no number":     {"quota_window: 8s", "expose_share: .nan", "bounds.expose_share:"},
