gateway: whole responses and events together are limited in every fleet

Without the contract "pressure" there was no account of held memory: a response is buffered up to 1 MiB and an event up to 256 KiB, up to 2,000 requests are in flight, and nothing added them up. Half the endpoints with responses of 800 KiB that pause before their end suffice.

Evidence: 60 such responses at once grew the heap of the test's process by 50,916,728 bytes, 60 events of 180 KiB by 16,559,816. Nothing counted them.

Why this works: the account that every entry has now holds a whole response and the buffer of long events before memory is taken. A whole response that finds no room is forwarded as it arrives, as a longer one is, at once: without slow callers to cut there is nothing to wait for. An event has to be complete before it is passed on; it waits for 2 s, as long as an endpoint may be left unread, and then the stream is broken off, and resumed where the route allows it. Bodies that are read only to be dropped are no longer kept (up to 1 MiB each before).

A whole response whose length is over 1 MiB is forwarded from its beginning also without the contract, as with it. A break in its first MiB now cuts it, where it could be repeated before.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -10,8 +10,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 256 << 10
+	// freeEvent is the size of the buffer that each stream may have without the account, in bytes.
+	freeEvent = 8 << 10
+)
 
 // errBrokenEvent is returned if a stream ends in the middle of an event.
 var errBrokenEvent = errors.New("stream ended in the middle of an event")
@@ -20,10 +24,27 @@
 type eventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	hold   func(bytes int64) bool // has the account hold bytes for the buffer
+}
+
+func newEventReader(r io.Reader, hold func(int64) bool) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, readBufferSize), hold: hold}
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, readBufferSize)}
+// grow makes room for n more bytes in the buffer.
+func (e *eventReader) grow(n int) error {
+	size := len(e.buffer) + n
+	if size <= cap(e.buffer) {
+		return nil
+	}
+	size = max(size, 2*cap(e.buffer), readBufferSize)
+	if size > freeEvent && !e.hold(int64(size)) {
+		return errNoMemory
+	}
+	grown := make([]byte, len(e.buffer), size)
+	copy(grown, e.buffer)
+	e.buffer = grown
+	return nil
 }
 
 // next returns the next event, including its final blank line, and its ID, or "" if it has none. The bytes
@@ -37,14 +58,18 @@
 		if part {
 			err = nil
 		}
+		if len(e.buffer)+len(line) > maxEventBytes {
+			return nil, "", &refusedResponse{refusedEvent, len(e.buffer) + len(line), maxEventBytes}
+		}
+		if err := e.grow(len(line)); err != nil {
+			return nil, "", err
+		}
 		e.buffer = append(e.buffer, line...)
 		switch {
 		case err == io.EOF && len(e.buffer) > 0:
 			return nil, "", errBrokenEvent
 		case err != nil:
 			return nil, "", err
-		case len(e.buffer) > maxEventBytes:
-			return nil, "", errors.New("stream event is too long")
 		}
 		if !inLine && isBlank(line) && len(e.buffer) > len(line) {
 			return e.buffer, idOf(e.buffer), nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -214,10 +214,11 @@
 	headSent   bool
 	relay      *relay // nil without the account of held memory
 	relayError error  // of passing the response on
-	// Bytes that the account holds for the body, for heads of responses, and for whole responses.
-	bodyMemory, headBytes, responseBytes int64
-	lastEventID                          string
-	eventsSent                           int
+	// Bytes that the account holds for the body, and for heads, events and whole bodies of responses.
+	bodyMemory, headBytes, eventBytes, responseBytes int64
+
+	lastEventID string
+	eventsSent  int
 }
 
 // ServeHTTP implements http.Handler.
@@ -238,7 +239,7 @@
 	c.removeReservedHeaders()
 	defer c.logSteps()
 	defer c.releaseBody()
-	defer c.releaseHeads()
+	defer c.releaseReceived()
 	c.newRelay()
 	defer c.closeRelay()
 	if !c.admit() {
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -76,7 +76,6 @@
 		return
 	}
 	c.relay.close()
-	c.releaseResponse()
 	c.reportCut()
 }
 
@@ -192,17 +191,28 @@
 	g := c.gateway
 	if c.responseBytes+n <= smallResponse {
 		g.account.Force(heldmem.KindResponse, n)
-	} else if !g.hold(c.r.Context(), heldmem.KindResponse, n, unreadPatience/2) {
+	} else if !g.hold(c.r.Context(), heldmem.KindResponse, n, g.wholeTimeout()) {
 		return false
 	}
 	c.responseBytes += n
 	return true
 }
 
+// wholeTimeout is how long a whole response waits for memory before it is forwarded as it arrives. Without slow callers
+// to cut, there is nothing to wait for.
+func (g *Gateway) wholeTimeout() time.Duration {
+	if g.memory == nil {
+		return 0
+	}
+	return unreadPatience / 2
+}
+
 // releaseResponse releases what is held of whole responses.
 func (c *call) releaseResponse() {
-	c.gateway.account.Release(heldmem.KindResponse, c.responseBytes)
-	c.responseBytes = 0
+	if c.responseBytes > 0 {
+		c.gateway.account.Release(heldmem.KindResponse, c.responseBytes)
+		c.responseBytes = 0
+	}
 }
 
 // forwardWhole writes a complete response to the caller.
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -41,7 +41,7 @@
 // heldBytes returns what the account holds in all.
 func (r *testGateway) heldBytes() (sum int64) {
 	for _, k := range heldmem.Kinds {
-		sum += r.gateway.memory.account.Held(k)
+		sum += r.gateway.account.Held(k)
 	}
 	return sum
 }
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -16,6 +16,9 @@
 // maxBufferedResponse is the longest response that is buffered before it is forwarded, in bytes.
 const maxBufferedResponse = 1 << 20
 
+// copyBuffer is the part of a longer response that is in memory at once, in bytes.
+const copyBuffer = 16 << 10
+
 // hopHeaders returns the names of hop-by-hop headers.
 func hopHeaders(h http.Header) []string {
 	names := []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
@@ -41,7 +44,7 @@
 
 // receiveWhole buffers a response to its end and forwards it, unless it is a server error.
 func (c *call) receiveWhole(x *exchange, a *attempt, started time.Time) {
-	data, all, err := c.readResponse(x)
+	data, all, err := c.readWhole(x)
 	switch {
 	case err != nil:
 		a.outcome = outcomeUnknown
@@ -69,14 +72,6 @@
 	c.forward(kept)
 }
 
-// readResponse reads the body of a response; false if it is too long to be buffered.
-func (c *call) readResponse(x *exchange) ([]byte, bool, error) {
-	if c.relay != nil {
-		return c.readWhole(x)
-	}
-	return x.readAll(maxBufferedResponse)
-}
-
 // forward sends an endpoint's complete response to the caller.
 func (c *call) forward(r *response) {
 	h := c.w.Header()
@@ -124,8 +119,9 @@
 	}
 	caller := callerErrorWriter{c.w}
 	_, err := caller.Write(prefix)
+	c.releaseResponse()
 	if err == nil {
-		_, err = io.Copy(caller, x.response.Body)
+		_, err = io.CopyBuffer(caller, x.response.Body, make([]byte, copyBuffer))
 	}
 	if err != nil {
 		x.abort()
--- a/gateway/received.go
+++ b/gateway/received.go
@@ -58,12 +58,26 @@
 	}
 }
 
-// releaseHeads releases what is held for the heads of responses.
-func (c *call) releaseHeads() {
+// holdEvent holds bytes for the events of a stream until the call ends.
+func (c *call) holdEvent(n int64) bool {
+	if !c.gateway.hold(c.r.Context(), heldmem.KindEvent, n, unreadPatience) {
+		return false
+	}
+	c.eventBytes += n
+	return true
+}
+
+// releaseReceived releases what is held of the responses to a call.
+func (c *call) releaseReceived() {
 	if c.headBytes > 0 {
 		c.gateway.account.Release(heldmem.KindHead, c.headBytes)
 		c.headBytes = 0
 	}
+	if c.eventBytes > 0 {
+		c.gateway.account.Release(heldmem.KindEvent, c.eventBytes)
+		c.eventBytes = 0
+	}
+	c.releaseResponse()
 }
 
 // reportRefused counts and logs a response that was not read on because of a limit.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -449,20 +449,12 @@
 func (c *call) receiveRefusedResumption(x *exchange, a *attempt) {
 	a.outcome = outcomeFailed
 	a.err = errors.Errorf("endpoint responded with status %d instead of resuming the stream", x.response.StatusCode)
-	if _, all, err := x.readAll(maxBufferedResponse); err == nil && all {
-		x.finish(c.gateway.upstream)
-		return
-	}
-	x.abort()
+	x.discard(c.gateway.upstream)
 }
 
 // receiveNotRun reads a response that states that the endpoint did not run the request.
 func (c *call) receiveNotRun(x *exchange, a *attempt) {
 	a.outcome = outcomeNotRun
 	a.err = errors.Errorf("endpoint responded with status %d without running the request", x.response.StatusCode)
-	if _, all, err := x.readAll(maxBufferedResponse); err == nil && all {
-		x.finish(c.gateway.upstream)
-		return
-	}
-	x.abort()
+	x.discard(c.gateway.upstream)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,7 +17,7 @@
 // receiveStream forwards a stream event by event, each without delay. The response head is that of the first
 // endpoint that responded.
 func (c *call) receiveStream(x *exchange, a *attempt, started time.Time) {
-	events := newEventReader(x.response.Body)
+	events := newEventReader(x.response.Body, c.holdEvent)
 	control := http.NewResponseController(c.w)
 	var last time.Time
 	var gaps []time.Duration
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -365,11 +365,13 @@
 	u.put(x.conn, x.idleTimeout)
 }
 
-// readAll reads the body of a response; false if it is longer than limit.
-func (x *exchange) readAll(limit int64) ([]byte, bool, error) {
-	data, err := io.ReadAll(io.LimitReader(x.response.Body, limit+1))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "read response")
+// discard reads the body of a response that isn't used and ends the exchange. A connection with a longer body than
+// maxBufferedResponse is closed.
+func (x *exchange) discard(u *upstream) {
+	n, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, maxBufferedResponse+1))
+	if err != nil || n > maxBufferedResponse {
+		x.abort()
+		return
 	}
-	return data, int64(len(data)) <= limit, nil
+	x.finish(u)
 }
--- a/heldmem/account.go
+++ b/heldmem/account.go
@@ -24,14 +24,18 @@
 	KindSocket
 	// KindHead is the head of a response, read and parsed.
 	KindHead
+	// KindEvent is the buffer of a stream's long events.
+	KindEvent
 	kinds
 )
 
 // Kinds lists all kinds.
-var Kinds = [...]Kind{KindBody, KindResponse, KindStream, KindSocket, KindHead}
+var Kinds = [...]Kind{KindBody, KindResponse, KindStream, KindSocket, KindHead, KindEvent}
 
 // String returns the kind as used in metrics.
-func (k Kind) String() string { return [...]string{"body", "response", "stream", "socket", "head"}[k] }
+func (k Kind) String() string {
+	return [...]string{"body", "response", "stream", "socket", "head", "event"}[k]
+}
 
 // shareOfOneSide is the part of the limit that bodies may take together, and that responses may.
 const shareOfOneSide = 0.75
@@ -98,7 +102,7 @@
 
 // free returns how many bytes of a kind the limit still allows. It is negative if floors exceed the limit.
 func (a *Account) free(k Kind) int64 {
-	responses := a.held[KindResponse] + a.held[KindStream] + a.held[KindSocket] + a.held[KindHead]
+	responses := a.held[KindResponse] + a.held[KindStream] + a.held[KindSocket] + a.held[KindHead] + a.held[KindEvent]
 	bodies := a.held[KindBody]
 	side := responses
 	if k == KindBody {
