gateway: the memory of a box limits its requests in flight

Each request may hold 8 KiB of parsed heads and 8 KiB of events or 16 KiB of a whole response without the account, beside its stacks and buffers, and 2,000 requests were allowed whatever the memory: 96 MB of an entry's 88.

Why this works: requests in flight are limited to 0.4 of the memory in units of 48 KiB (750 in 88 MB, 1,143 in 134), so that they, bodies (0.2), responses (0.225) and the process itself fit together. Beyond the limit a request gets the same 503 as before. It was in no log and no metric; now it has a line ("ended", with the limit) and a counter.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -48,7 +48,7 @@
 	listener := overload.NewListener(listenConfig, f.Listen.Callers, log)
 	g := gateway.New(gateway.Config{
 		Agent: agent, Headers: d.Headers, ParseFeedback: d.ParseFeedback, ParseLoad: d.ParseLoad, Log: log, Entry: f.ID, DataCentre: f.DataCentre, Instance: instance,
-		MaxHeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldBytesFraction), Descriptors: f.Resources.Descriptors,
+		MaxHeldBytes: int64(float64(f.Resources.MemoryMB<<20) * heldBytesFraction), Descriptors: f.Resources.Descriptors, Memory: int64(f.Resources.MemoryMB) << 20,
 		AccountBytes: accountBytes(f), MaxHead: f.Endpoints.HeadKB << 10, HeldMemory: held, Listener: listener, Overload: overload.Config{Delay: event.Duration(f.Overload.Delay)},
 	})
 	go agent.Run(run)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,11 @@
 
 // Limits on what an entry holds.
 const (
-	maxInFlight = 2000 // requests, if file descriptors don't impose a lower limit
+	maxInFlight = 2000 // requests, if file descriptors and memory don't impose a lower limit
+	// requestBytes is the memory of a request beside the account: stacks, buffers and heads of both connections, and what
+	// it may hold of a response without the account. requestsShare is the part of the memory that all may take.
+	requestBytes  = 48 << 10
+	requestsShare = 0.4
 	// descriptorsPerRequest counts the caller's connection and the endpoint's;
 	// reservedDescriptors are for everything else.
 	descriptorsPerRequest = 2
@@ -36,6 +40,8 @@
 	// retryAfterDraining is the Retry-After if another entry can serve the request at once.
 	retryAfterDraining = 50 * event.Millisecond
 	sweepInterval      = time.Second
+	// tooManyHeld is the response to a request beyond the limit of requests in flight.
+	tooManyHeld = "too many requests are held"
 	// maxCallerTimeoutMillis limits a caller's timeout, in milliseconds, to what a Duration can hold.
 	maxCallerTimeoutMillis = 1e12
 )
@@ -59,8 +65,10 @@
 	AccountBytes int64
 	// MaxHead limits the heads of one response in bytes; 0 is 64 KiB.
 	MaxHead int
-	// Descriptors is the process's limit of file descriptors; 0 sets no limit from them.
+	// Descriptors is the process's limit of file descriptors, and Memory that of its memory in bytes; 0 sets no limit from
+	// them.
 	Descriptors int
+	Memory      int64
 	// Listener accepts the callers' connections. It is limited while the box is overloaded, as Overload says; without
 	// it, nothing is.
 	Listener   *overload.Listener
@@ -103,7 +111,7 @@
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.delays.limiter, g.delays.leastRoundTrip = overload.NewLimiter(c.Overload), overload.NewLeastDelay()
 	g.delays.limit.Store(noLimit())
@@ -120,12 +128,16 @@
 	return g
 }
 
-// inFlightLimit returns the limit of requests in flight for a number of file descriptors.
-func inFlightLimit(descriptors int) int64 {
-	if descriptors == 0 {
-		return maxInFlight
+// inFlightLimit returns the limit of requests in flight for a number of file descriptors and bytes of memory.
+func inFlightLimit(descriptors int, memory int64) int64 {
+	limit := int64(maxInFlight)
+	if descriptors > 0 {
+		limit = min(limit, int64(MaxConnections(descriptors)))
+	}
+	if memory > 0 {
+		limit = min(limit, max(1, int64(requestsShare*float64(memory))/requestBytes))
 	}
-	return int64(min(maxInFlight, MaxConnections(descriptors)))
+	return limit
 }
 
 // MaxConnections returns how many connections from callers a process with a number of file
@@ -225,7 +237,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.inFlight.Add(-1)
 	if g.inFlight.Add(1) > g.inFlightLimit {
-		writeError(w, http.StatusServiceUnavailable, retryAfterFull, "too many requests are held")
+		g.refuseFull(w, r)
 		return
 	}
 	defer g.endedCount.Add(1)
@@ -256,6 +268,16 @@
 	c.run()
 }
 
+// refuseFull refuses a request because the limit of requests in flight is reached.
+func (g *Gateway) refuseFull(w http.ResponseWriter, r *http.Request) {
+	g.meters.fullRefusals().Inc()
+	if g.briefLimiter.Allow(time.Now(), 1) {
+		g.log.Info(stepEnded, zap.String("request", r.Header.Get(g.config.Headers.RequestID)), zap.Int("status", http.StatusServiceUnavailable),
+			zap.String("why", tooManyHeld), zap.Int64("limit", g.inFlightLimit))
+	}
+	writeError(w, http.StatusServiceUnavailable, retryAfterFull, tooManyHeld)
+}
+
 // age returns the time since the request arrived, remaining the time until its deadline. Both include
 // time in which the machine was suspended. Deadlines of package time don't, and would give endpoints
 // more time than the caller waits.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -381,12 +381,31 @@
 
 func TestDescriptorsLimitInFlight(t *testing.T) {
 	for descriptors, want := range map[int]int64{0: maxInFlight, 100: 1, 1400: 500, 100000: maxInFlight} {
-		if got := inFlightLimit(descriptors); got != want {
+		if got := inFlightLimit(descriptors, 0); got != want {
 			t.Errorf("a limit of %d requests with %d descriptors, want %d", got, descriptors, want)
 		}
 	}
 }
 
+// TestMemoryLimitsInFlight guards against requests whose heads and small responses, each too small for the account,
+// together fill the memory.
+func TestMemoryLimitsInFlight(t *testing.T) {
+	for memory, want := range map[int64]int64{0: 1850, 88 << 20: 750, 134 << 20: 1143, 1 << 30: 1850, 1: 1} {
+		if got := inFlightLimit(4100, memory); got != want {
+			t.Errorf("a limit of %d requests with %d bytes, want %d", got, memory, want)
+		}
+	}
+	r := newTestGateway(t, newFakeEndpoint(t, whole(200, "answer")))
+	r.gateway.inFlightLimit = 0
+	before := r.gateway.meters.fullRefusals().Get()
+	if status, _, _ := r.do(t, r.request("POST", "/once/x", "q")); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d above the limit, want 503", status)
+	}
+	if n := r.gateway.meters.fullRefusals().Get() - before; n != 1 {
+		t.Errorf("%d refusals were counted, want 1", n)
+	}
+}
+
 // TestUnusedGrantIsReturned: a grant withdrawn before dispatch, and one that arrives after its request was
 // withdrawn, are finished as not sent.
 func TestUnusedGrantIsReturned(t *testing.T) {
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -20,6 +20,7 @@
 func newMeters(g *Gateway) meters {
 	set := metrics.NewSet()
 	set.NewGauge("lynxramp_gateway_held_requests", func() float64 { return float64(g.inFlight.Load()) })
+	set.NewGauge("lynxramp_gateway_held_requests_limit", func() float64 { return float64(g.inFlightLimit) })
 	set.NewGauge("lynxramp_gateway_held_bytes", func() float64 { return float64(g.bodyBytes.Load()) })
 	for _, k := range heldmem.Kinds {
 		set.NewGauge(`lynxramp_gateway_held_memory_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(g.account.Held(k)) })
@@ -79,6 +80,7 @@
 		m.refusals(event.ReasonShed, work)
 	}
 	m.restrictedGrants()
+	m.fullRefusals()
 	for _, by := range []string{resumedByCaller, resumedByEntry} {
 		m.resumptions(by)
 	}
@@ -152,6 +154,11 @@
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_cut_callers_total{why="` + why.String() + `"}`)
 }
 
+// fullRefusals counts the requests that were refused because too many were in flight.
+func (m *meters) fullRefusals() *metrics.Counter {
+	return m.set.GetOrCreateCounter("lynxramp_gateway_full_refusals_total")
+}
+
 // refusedResponses counts the responses of endpoints that were not read on because of a limit.
 func (m *meters) refusedResponses(why refusal) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_responses_total{why="` + why.String() + `"}`)
