gateway: the heads of callers' requests are limited together

A caller's head is limited to 68 KiB by net/http, but its lines are not, and nothing counts what 1,850 connections hold: a head of 15,000 short lines takes some 0.4 MB once parsed, and heads of 60,000 bytes from all connections more than the 88 to 134 MB of an entry. The account of held memory began with the body.

Evidence: with the listener of this change left out, 60 unfinished heads of 15,000 lines "a:" grew the heap of the process of the test by 24,263,752 bytes, 6,029,312 allowed, and nothing was counted.

Why this works: a caller's connection counts the bytes and lines of a head as it is read, before net/http parses them, and holds them, above 8 KiB, in the account. At 1,000 lines the caller gets 400; without memory for 0.3 s the connection is closed before the request was read, which is true and lets the caller repeat it. What is held is released when the request ends. Heads and bodies share a side of the account, so responses keep their room.

Tests: TestCallerHeadsTogetherAreBounded failed without the listener in all cases; TestSoundCallerHeadsAreRead holds that heads of 16,384 bytes and of 100 lines are served, and that bodies and requests that arrive together don't count.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -60,10 +61,16 @@
 	defer ready.Close()
 	callerServer := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
 	callerServer.ConnContext = g.CallerContext
+	callerServer.MaxHeaderBytes = gateway.MaxCallerHead
+	observeIdle := callerServer.ConnState
+	callerServer.ConnState = func(c net.Conn, state http.ConnState) {
+		g.ObserveCaller(c, state)
+		observeIdle(c, state)
+	}
 	if err := listener.Open(); err != nil {
 		return err
 	}
-	go func() { _ = callerServer.Serve(listener) }() // returns when the server is closed
+	go func() { _ = callerServer.Serve(g.LimitHeads(listener)) }() // returns when the server is closed
 	go watch(run, file, log, func(f settings.Fleet) { agent.AddControlBoxes(controlAddresses(f)) })
 	<-ctx.Done()
 	return drainEntry(g, callerServer, time.Duration(f.Bounds.StopTimeout), log)
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -79,6 +79,9 @@
 	for work := range event.WorkGroups {
 		m.refusals(event.ReasonShed, work)
 	}
+	for _, why := range []string{"head_bytes", "head_lines", "memory"} {
+		m.refusedHeads(why)
+	}
 	m.restrictedGrants()
 	m.fullRefusals()
 	for _, by := range []string{resumedByCaller, resumedByEntry} {
@@ -159,6 +162,11 @@
 	return m.set.GetOrCreateCounter("lynxramp_gateway_full_refusals_total")
 }
 
+// refusedHeads counts the requests of callers whose head was not read on because of a limit.
+func (m *meters) refusedHeads(why string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_heads_total{why="` + why + `"}`)
+}
+
 // refusedResponses counts the responses of endpoints that were not read on because of a limit.
 func (m *meters) refusedResponses(why refusal) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_responses_total{why="` + why.String() + `"}`)
--- a/heldmem/account.go
+++ b/heldmem/account.go
@@ -26,18 +26,23 @@
 	KindHead
 	// KindEvent is the buffer of a stream's long events.
 	KindEvent
+	// KindCallerHead is the head of a caller's request, read and parsed.
+	KindCallerHead
 	kinds
 )
 
 // Kinds lists all kinds.
-var Kinds = [...]Kind{KindBody, KindResponse, KindStream, KindSocket, KindHead, KindEvent}
+var Kinds = [...]Kind{KindBody, KindResponse, KindStream, KindSocket, KindHead, KindEvent, KindCallerHead}
 
 // String returns the kind as used in metrics.
 func (k Kind) String() string {
-	return [...]string{"body", "response", "stream", "socket", "head", "event"}[k]
+	return [...]string{"body", "response", "stream", "socket", "head", "event", "caller_head"}[k]
 }
 
-// shareOfOneSide is the part of the limit that bodies may take together, and that responses may.
+// isRequest reports whether the memory is held for a caller's request.
+func (k Kind) isRequest() bool { return k == KindBody || k == KindCallerHead }
+
+// shareOfOneSide is the part of the limit that requests may take together, and that responses may.
 const shareOfOneSide = 0.75
 
 // Limits are the limits of an account.
@@ -78,7 +83,7 @@
 func (a *Account) TryHold(k Kind, n int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if k != KindBody && a.waiting.Len() > 0 || a.free(k) < n {
+	if !k.isRequest() && a.waiting.Len() > 0 || a.free(k) < n {
 		return false
 	}
 	a.held[k] += n
@@ -103,23 +108,23 @@
 // free returns how many bytes of a kind the limit still allows. It is negative if floors exceed the limit.
 func (a *Account) free(k Kind) int64 {
 	responses := a.held[KindResponse] + a.held[KindStream] + a.held[KindSocket] + a.held[KindHead] + a.held[KindEvent]
-	bodies := a.held[KindBody]
+	requests := a.held[KindBody] + a.held[KindCallerHead]
 	side := responses
-	if k == KindBody {
-		side = bodies
+	if k.isRequest() {
+		side = requests
 	}
-	return min(a.limits.Total-responses-bodies, a.sideLimit()-side)
+	return min(a.limits.Total-responses-requests, a.sideLimit()-side)
 }
 
-// sideLimit is the number of bytes that bodies may take together, and that responses may.
+// sideLimit is the number of bytes that requests may take together, and that responses may.
 func (a *Account) sideLimit() int64 { return int64(shareOfOneSide * float64(a.limits.Total)) }
 
-// FullOfBodies reports whether n more bytes of bodies exceed what bodies may take together. Cutting responses does not
+// FullOfBodies reports whether n more bytes of bodies exceed what requests may take together. Cutting responses does not
 // help then.
 func (a *Account) FullOfBodies(n int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.held[KindBody]+n > a.sideLimit()
+	return a.held[KindBody]+a.held[KindCallerHead]+n > a.sideLimit()
 }
 
 // grant grants memory to the requests that wait, in order of arrival, as far as the limit allows.
