internal/bounded: clients limit the responses of engines, slots and boxes

An operator or caller would see a process that ends for its memory.

Why this works: all of them use one transport that limits heads to 64 KiB, and calls between boxes fail beyond MaxMessage (8 MiB), the limit of what such a call may send. A poll of an engine's load reads 64 KiB at most.

A plain service whose connection was lost now reports that cause, not that it can't resume.

--- a/bench/client.go
+++ b/bench/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"lynxramp.org/engine"
+	"lynxramp.org/internal/bounded"
 )
 
 // Target is the destination of requests.
@@ -24,7 +25,9 @@
 
 // newClient returns a client that keeps many idle connections to one host.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	transport := bounded.NewTransport()
+	transport.MaxIdleConnsPerHost = 1024
+	return &http.Client{Transport: transport}
 }
 
 // post sends a completion request.
--- a/box/box.go
+++ b/box/box.go
@@ -16,6 +16,7 @@
 	"lynxramp.org/catalog"
 	"lynxramp.org/entry"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/bounded"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/wait"
 	"lynxramp.org/rpc"
@@ -85,12 +86,11 @@
 
 // newBoxClient returns the HTTP client for calls between boxes.
 func newBoxClient(keys Keys) *http.Client {
-	return &http.Client{Transport: rpc.WithKey(keys.Boxes, &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	})}
+	transport := bounded.NewTransport()
+	transport.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
+	transport.MaxIdleConnsPerHost = 8
+	transport.IdleConnTimeout = time.Minute
+	return rpc.NewClient(keys.Boxes, transport)
 }
 
 func newEntry(s settings.Box, keys Keys, i instance, client *http.Client, log *zap.Logger) *entry.Entry {
--- a/box/control.go
+++ b/box/control.go
@@ -16,6 +16,7 @@
 	"lynxramp.org/consensus"
 	"lynxramp.org/control"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/bounded"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/random"
 	"lynxramp.org/internal/wait"
@@ -145,7 +146,7 @@
 	if r.platform == "" {
 		return
 	}
-	client := &http.Client{Timeout: platformTimeout}
+	client := &http.Client{Timeout: platformTimeout, Transport: bounded.NewTransport()}
 	ticker := time.NewTicker(platformInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
--- a/cmd/lynxramp/operate.go
+++ b/cmd/lynxramp/operate.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/user"
 	"strings"
@@ -18,6 +17,7 @@
 
 	"lynxramp.org/catalog"
 	"lynxramp.org/event"
+	"lynxramp.org/internal/bounded"
 	"lynxramp.org/rpc"
 	"lynxramp.org/settings"
 	"lynxramp.org/store"
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: rpc.WithKey(key, http.DefaultTransport)}
+	client := rpc.NewClient(key, bounded.NewTransport())
 	var lastErr error
 	for _, address := range r.Control {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/bounded"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/once"
 	"lynxramp.org/rpc"
@@ -44,12 +45,10 @@
 }
 
 func newSlotClient(key string, log *zap.Logger) *slotClient {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerSlot,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
+	transport := bounded.NewTransport()
+	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerSlot
+	transport.IdleConnTimeout = idleConnTimeout
 	return &slotClient{
 		http: &http.Client{Transport: rpc.WithKey(key, transport)},
 		log:  log,
--- a/rpc/auth.go
+++ b/rpc/auth.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"lynxramp.org/internal/bounded"
 )
 
 // HeaderKey carries the key that the system's own processes share.
@@ -45,6 +47,12 @@
 	return &keyTransport{key: key, base: base}
 }
 
+// NewClient returns a client for generated clients, which read whole bodies. It adds the shared key to each call and limits
+// the bodies of responses to MaxMessage.
+func NewClient(key string, base http.RoundTripper) *http.Client {
+	return &http.Client{Transport: WithKey(key, bounded.LimitBodies(base, MaxMessage))}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
--- a/slot/report.go
+++ b/slot/report.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -140,6 +141,9 @@
 	return true, ""
 }
 
+// maxLoadBytes is the limit of the response to a poll of the load.
+const maxLoadBytes = 64 << 10
+
 // watchLoad polls the endpoint's load until ctx ends.
 func (s *Slot) watchLoad(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
@@ -168,5 +172,5 @@
 	if response.StatusCode != http.StatusOK {
 		return load, errors.Errorf("fetch load: status %d", response.StatusCode)
 	}
-	return load, errors.Wrap(json.NewDecoder(response.Body).Decode(&load), "decode load")
+	return load, errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&load), "decode load")
 }
--- a/slot/run.go
+++ b/slot/run.go
@@ -92,7 +92,7 @@
 		u.buffer.Begin(response.StatusCode, response.Header)
 		err = s.copyResponse(ctx, u, response.Body)
 	}
-	for attempt := 0; attempt < maxResumes && errors.Is(err, errConnLost); attempt++ {
+	for attempt := 0; s.config.IsModel && attempt < maxResumes && errors.Is(err, errConnLost); attempt++ {
 		err = s.resumeAtEngine(ctx, u)
 	}
 	return err
@@ -128,11 +128,8 @@
 	}
 }
 
-// resumeAtEngine fetches the rest of a lost response from a model engine.
+// resumeAtEngine fetches the rest of a lost response from a model engine. A plain service cannot resume.
 func (s *Slot) resumeAtEngine(ctx context.Context, u *run) error {
-	if !s.config.IsModel {
-		return errors.New("connection to the endpoint was lost, and a plain service cannot resume")
-	}
 	response, err := s.fetchFromEngine(ctx, u.call.id, u.buffer.Size())
 	if err != nil {
 		return err
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/bounded"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/meter"
 )
@@ -58,12 +59,10 @@
 // New returns a slot. The incarnation must differ from that of every earlier slot of
 // the endpoint.
 func New(c Config, incarnation event.Incarnation, log *zap.Logger) *Slot {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
+	transport := bounded.NewTransport()
+	transport.DialContext = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	transport.MaxIdleConnsPerHost = 64
+	transport.IdleConnTimeout = 30 * time.Second
 	return &Slot{
 		config:      c,
 		incarnation: incarnation,
--- a/slot/slot_test.go
+++ b/slot/slot_test.go
@@ -153,3 +153,17 @@
 		}
 	}
 }
+
+// TestLongHeadOfEngineIsNotKept guards against an engine's response whose head is read into memory up to the 10 MB that
+// net/http allows by default, for each run.
+func TestLongHeadOfEngineIsNotKept(t *testing.T) {
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Long", strings.Repeat("x", 1<<20))
+	}))
+	defer engine.Close()
+	s := New(Config{EndpointURL: engine.URL, MaxBody: 1 << 20}, 1, zap.NewNop())
+	u := &run{call: call{id: "long", method: http.MethodGet, path: "/"}, buffer: NewResponseBuffer(false)}
+	if err := s.dispatch(context.Background(), u); err == nil || !strings.Contains(err.Error(), "headers exceeded 65536 bytes") {
+		t.Errorf("dispatch: %v, want a head that is too long", err)
+	}
+}
