reqlimit: control boxes limit the requests that they hold together

A control box limited a configuration to 32 MB, a heartbeat to 64 KiB and a head to 68 KiB, and nothing added them up: the operator may have eight orders under way, 256 MB of a control box's 256, and thousands of endpoints send heartbeats. Callers would see control boxes that are killed for their memory. The lines of a head had no limit, as at entries.

Why this works: the limiter of callers' heads becomes package reqlimit. The server of operators and endpoints, and that of an entry's readiness, use it too; at a control box it also reads bodies, which are held by an account of three quarters of 0.3 of the memory until their call is answered. A body that finds no room for 0.3 s gets 503, upon which its sender tries another box; one that is too long 413 (400 before). Bodies up to 4 KiB, as heartbeats are, need no account. Each refusal has a log line and a counter.

Tests: TestBodyLimits; before, eight bodies of the limit were read whatever was held. TestSlowConfigurationUpload moves with the function that it tests.

--- a/cluster/server.go
+++ b/cluster/server.go
@@ -21,6 +21,7 @@
 	"lynxramp.org/link"
 	"lynxramp.org/message"
 	"lynxramp.org/registry"
+	"lynxramp.org/reqlimit"
 	"lynxramp.org/rollout"
 	"lynxramp.org/store"
 )
@@ -52,7 +53,9 @@
 	Bootstrap bool
 	DataDir   string
 	Settings  Settings
-	Log       *zap.Logger
+	// Requests limits what is held of the requests of operators and endpoints.
+	Requests *reqlimit.Limiter
+	Log      *zap.Logger
 }
 
 // Server runs a control box.
@@ -371,6 +374,9 @@
 	return Answer{CallID: id, Status: StatusUnknown}
 }
 
+// Requests returns the limiter of the requests of operators and endpoints.
+func (s *Server) Requests() *reqlimit.Limiter { return s.config.Requests }
+
 // PutDocument replicates a configuration. StatusDone means that it or a higher version is
 // committed. An invalid configuration is not replicated; the error has all problems.
 func (s *Server) PutDocument(ctx context.Context, data []byte) (Answer, error) {
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -54,23 +53,18 @@
 	})
 	go agent.Run(run)
 	go g.Run(run)
-	ready, err := serve(f.Listen.Readiness, newServer(withMetrics(readinessHandler(g, d), d), idleTimeout))
+	ready, err := serve(f.Listen.Readiness, newServer(withMetrics(readinessHandler(g, d), d), idleTimeout), g.HeadLimiter())
 	if err != nil {
 		return err
 	}
 	defer ready.Close()
 	callerServer := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
 	callerServer.ConnContext = g.CallerContext
-	callerServer.MaxHeaderBytes = gateway.MaxCallerHead
-	observeIdle := callerServer.ConnState
-	callerServer.ConnState = func(c net.Conn, state http.ConnState) {
-		g.ObserveCaller(c, state)
-		observeIdle(c, state)
-	}
+	callers := g.HeadLimiter().Apply(callerServer, listener)
 	if err := listener.Open(); err != nil {
 		return err
 	}
-	go func() { _ = callerServer.Serve(g.LimitHeads(listener)) }() // returns when the server is closed
+	go func() { _ = callerServer.Serve(callers) }() // returns when the server is closed
 	go watch(run, file, log, func(f settings.Fleet) { agent.AddControlBoxes(controlAddresses(f)) })
 	<-ctx.Done()
 	return drainEntry(g, callerServer, time.Duration(f.Bounds.StopTimeout), log)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 	"lynxramp.org/gateway"
 	"lynxramp.org/internal/logx"
 	"lynxramp.org/link"
+	"lynxramp.org/reqlimit"
 	"lynxramp.org/rollout"
 	"lynxramp.org/routing"
 	"lynxramp.org/settings"
@@ -43,9 +44,8 @@
 	// idleTimeout is the idle timeout of connections to the operators' and readiness
 	// addresses. maxCallerIdle is the upper bound for callers' connections; the
 	// configuration may set a shorter one.
-	idleTimeout    = 15 * time.Second
-	maxCallerIdle  = 10 * time.Minute
-	maxHeaderBytes = 64 << 10
+	idleTimeout   = 15 * time.Second
+	maxCallerIdle = 10 * time.Minute
 	// heldBytesFraction is the fraction of an entry's memory that request bodies may take.
 	heldBytesFraction = 0.2
 )
@@ -177,7 +177,9 @@
 }
 
 func runControl(ctx context.Context, file string, f settings.Fleet, d Dialect, log *zap.Logger) error {
+	requests := newControlLimiter(f, log)
 	server, err := cluster.Open(cluster.Config{
+		Requests:          requests,
 		LinkAddress:       f.Listen.Link,
 		LinkListenAddress: f.Listen.LinkBind,
 		OperatorAddress:   f.Listen.Operators,
@@ -198,7 +200,7 @@
 		return err
 	}
 	handler := withMetrics(d.OperatorHandler(server), d)
-	operators, err := serve(f.Listen.Operators, newServer(handler, idleTimeout))
+	operators, err := serve(f.Listen.Operators, newServer(handler, idleTimeout), requests)
 	if err != nil {
 		return err
 	}
@@ -220,19 +222,20 @@
 func newServer(h http.Handler, idle time.Duration) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idle,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(zap.NewNop()),
+		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 }
 
 // listenConfig is that of all listeners.
 var listenConfig = net.ListenConfig{KeepAliveConfig: link.KeepAlive}
 
-// serve listens at an address and serves on a goroutine until s is closed.
-func serve(address string, s *http.Server) (*http.Server, error) {
+// serve listens at an address and serves on a goroutine until s is closed. Its requests' heads are limited.
+func serve(address string, s *http.Server, limiter *reqlimit.Limiter) (*http.Server, error) {
 	l, err := listenConfig.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	go func() { _ = s.Serve(l) }() // returns when the server is closed
+	limited := limiter.Apply(s, l)
+	go func() { _ = s.Serve(limited) }() // returns when the server is closed
 	return s, nil
 }
--- a/gateway/caller_head_test.go
+++ b/gateway/caller_head_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/heldmem"
+	"lynxramp.org/reqlimit"
 )
 
 // limitHeads serves a gateway at another address, with callers' heads accounted for, and returns the address.
@@ -27,10 +28,10 @@
 		t.Fatal(err)
 	}
 	server := &http.Server{
-		Handler: r.gateway, ConnContext: r.gateway.CallerContext, ConnState: r.gateway.ObserveCaller,
-		MaxHeaderBytes: MaxCallerHead, ErrorLog: zap.NewStdLog(zap.NewNop()),
+		Handler: r.gateway, ConnContext: r.gateway.CallerContext, ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
-	go func() { _ = server.Serve(r.gateway.LimitHeads(l)) }()
+	limited := r.gateway.HeadLimiter().Apply(server, l)
+	go func() { _ = server.Serve(limited) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
 }
@@ -46,11 +47,11 @@
 	const callers, account = 60, 2 << 20
 	for name, c := range map[string]struct {
 		head string
-		why  string
+		why  reqlimit.Reason
 	}{
-		"long lines":  {callerHead("X-Long: " + strings.Repeat("a", 60_000)), "memory"},
-		"short lines": {callerHead(strings.Repeat("a:\r\n", 15_000)), "head_lines"},
-		"too long":    {callerHead("X-Long: " + strings.Repeat("a", 80_000)), ""},
+		"long lines":  {callerHead("X-Long: " + strings.Repeat("a", 60_000)), reqlimit.HeadMemory},
+		"short lines": {callerHead(strings.Repeat("a:\r\n", 15_000)), reqlimit.HeadLines},
+		"too long":    {callerHead("X-Long: " + strings.Repeat("a", 80_000)), reqlimit.HeadMemory},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newTestGateway(t, newFakeEndpoint(t, whole(200, "answer")))
@@ -75,7 +76,7 @@
 			if limit := int64(account + callers*64<<10); used > limit {
 				t.Errorf("the heap grew by %d bytes, want %d at most", used, limit)
 			}
-			if n := r.gateway.meters.refusedHeads(c.why).Get() - before; c.why != "" && n < callers/2 {
+			if n := r.gateway.meters.refusedHeads(c.why).Get() - before; n < callers/2 {
 				t.Errorf("%d heads were counted as refused for %s, want most of %d", n, c.why, callers)
 			}
 			if status, body := post(t, address, callerHead("\r\n")+"hi"); status != http.StatusOK || body != "answer" {
--- a/gateway/caller_socket.go
+++ b/gateway/caller_socket.go
@@ -29,8 +29,8 @@
 // ConnContext bounds the send buffer of a caller's connection and makes the connection known to its requests. It is
 // the hook of an http.Server whose gateway accounts for held memory.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if h, ok := c.(*headConn); ok {
-		c = h.TCPConn
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
 	}
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -235,9 +235,6 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
-		headRead(conn.conn)
-	}
 	defer g.inFlight.Add(-1)
 	if g.inFlight.Add(1) > g.inFlightLimit {
 		g.refuseFull(w, r)
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -12,6 +12,7 @@
 	"lynxramp.org/event"
 	"lynxramp.org/heldmem"
 	"lynxramp.org/overload"
+	"lynxramp.org/reqlimit"
 )
 
 // meters are the gateway's metrics; docs/METRICS.md lists them.
@@ -79,7 +80,7 @@
 	for work := range event.WorkGroups {
 		m.refusals(event.ReasonShed, work)
 	}
-	for _, why := range []string{"head_bytes", "head_lines", "memory"} {
+	for _, why := range []reqlimit.Reason{reqlimit.HeadBytes, reqlimit.HeadLines, reqlimit.HeadMemory} {
 		m.refusedHeads(why)
 	}
 	m.restrictedGrants()
@@ -163,8 +164,8 @@
 }
 
 // refusedHeads counts the requests of callers whose head was not read on because of a limit.
-func (m *meters) refusedHeads(why string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_heads_total{why="` + why + `"}`)
+func (m *meters) refusedHeads(why reqlimit.Reason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_heads_total{why="` + why.String() + `"}`)
 }
 
 // refusedResponses counts the responses of endpoints that were not read on because of a limit.
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"lynxramp.org/reqlimit"
 )
 
 const (
@@ -17,10 +19,6 @@
 	// maxHeadLines is the limit of the lines of the heads of one response. The parsed form of a short line takes many
 	// times its length.
 	maxHeadLines = 256
-	// headLineBytes is what the parsed form of a line takes beside its text, in bytes.
-	headLineBytes = 160
-	// freeHead is the size of parsed heads that each request may have without the account, in bytes.
-	freeHead = 8 << 10
 )
 
 // errNoMemory is returned if the account grants no memory for a part of a response. It says nothing about the endpoint.
@@ -95,7 +93,7 @@
 		return err
 	}
 	h.bytes += size
-	if parsed := size + h.lines*headLineBytes; parsed > freeHead && !h.hold(int64(parsed)) {
+	if parsed := size + h.lines*reqlimit.HeadLineBytes; parsed > reqlimit.FreeHeadBytes && !h.hold(int64(parsed)) {
 		return errNoMemory
 	}
 	return nil
