link: long messages of all connections are limited together

A message between boxes may have 64 MiB, and gob takes up to 10 MB of memory once its length is announced. Nothing added up what all connections announce: 30 peers that announce 9 MiB and send one byte grew the heap by 285,882,400 bytes, more than the 256 MB of a control box.

Why this works: the connections of a process share a limit of 0.2 of its memory for messages above 64 KiB, taken when the length is known and before gob sees it, and released when the next message begins or the connection ends. One message of any length up to 64 MiB is received when no other long one is, so that growth can't get stuck on it.

--- a/cluster/incoming.go
+++ b/cluster/incoming.go
@@ -29,10 +29,11 @@
 func (s *Server) serve(c *link.Conn[message.Envelope]) {
 	in := &inboundConn{server: s, conn: c, id: s.lastConnection.Add(1)}
 	c.SetEncodings(in.peer.ServerEncodings())
+	c.SetMemory(s.received)
 	err := c.Serve(in.receive)
-	if errors.Is(err, link.ErrTooLong) || errors.Is(err, link.ErrSlowPeer) {
+	if errors.Is(err, link.ErrTooLong) || errors.Is(err, link.ErrSlowPeer) || errors.Is(err, link.ErrNoMemory) {
 		// On other errors the peer sees the loss too, and reconnects.
-		s.log.Warn("closed a connection: message too long or peer too slow", zap.String("peer", c.RemoteAddress()), logx.Err(err))
+		s.log.Warn("closed a connection: message too long, peer too slow, or no memory", zap.String("peer", c.RemoteAddress()), logx.Err(err))
 	}
 	if in.session != 0 {
 		s.removeSession(in.session)
--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -23,8 +23,9 @@
 // peers sends messages to the other control boxes. A message that can't be sent at once
 // is dropped: the replicated log sends it again.
 type peers struct {
-	self string
-	log  *zap.Logger
+	self     string
+	received *link.Memory
+	log      *zap.Logger
 
 	mu      sync.Mutex
 	all     map[string]*peer
@@ -39,8 +40,8 @@
 	dialing  bool
 }
 
-func newPeers(self string, log *zap.Logger) *peers {
-	return &peers{self: self, log: log, all: make(map[string]*peer)}
+func newPeers(self string, received *link.Memory, log *zap.Logger) *peers {
+	return &peers{self: self, received: received, log: log, all: make(map[string]*peer)}
 }
 
 // add adds a box.
@@ -94,6 +95,7 @@
 	var other message.Peer
 	if err == nil {
 		conn.SetEncodings(other.ClientEncodings())
+		conn.SetMemory(p.received)
 		conn.Send(first.WithFormatVersion())
 	}
 	p.mu.Lock()
--- a/cluster/peers_test.go
+++ b/cluster/peers_test.go
@@ -21,7 +21,7 @@
 // without it.
 func TestDisconnectFollowsConnect(t *testing.T) {
 	s := &Server{
-		config: Config{LinkAddress: "127.0.0.1:1"}, log: zap.NewNop(), peers: newPeers("127.0.0.1:1", zap.NewNop()),
+		config: Config{LinkAddress: "127.0.0.1:1"}, log: zap.NewNop(), peers: newPeers("127.0.0.1:1", link.NewMemory(0), zap.NewNop()),
 		events: make(chan Event, eventQueueSize), logEvents: make(chan Event, eventQueueSize),
 	}
 	l, err := link.Listen("127.0.0.1:0", s.serve)
--- a/cluster/server.go
+++ b/cluster/server.go
@@ -55,7 +55,9 @@
 	Settings  Settings
 	// Requests limits what is held of the requests of operators and endpoints.
 	Requests *reqlimit.Limiter
-	Log      *zap.Logger
+	// LinkBytes limits the long messages that are being received on all links; 0 is 64 MiB.
+	LinkBytes int64
+	Log       *zap.Logger
 }
 
 // Server runs a control box.
@@ -66,7 +68,9 @@
 	state  *State
 	writer *store.Writer
 	peers  *peers
-	events chan Event
+	// received limits the messages that are being received on all links.
+	received *link.Memory
+	events   chan Event
 	// logEvents has the messages of the replicated log. They have priority over events: a burst of
 	// entries' messages must not make a lease lapse or an election fail.
 	logEvents      chan Event
@@ -116,7 +120,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s.peers = newPeers(c.LinkAddress, c.Log)
+	s.received = link.NewMemory(c.LinkBytes)
+	s.peers = newPeers(c.LinkAddress, s.received, c.Log)
 	s.writer = store.NewWriter(&store.RetryingDisk{Disk: opened, Context: context.Background(), Log: c.Log}, s.peers)
 	s.log.Info("control box starting", zap.String("member", string(identity.Member())), zap.Bool("founds", bootstraps),
 		zap.Uint64("last_entry", uint64(restored.Snapshot.Index)+uint64(len(restored.Entries))),
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -42,6 +42,7 @@
 		Limits:           newLimits(f.Bounds, d.features(f)),
 		ConfigValidity:   event.Duration(f.Bounds.ConfigValidity),
 		Decode:           d.Decode,
+		LinkBytes:        linkBytes(f),
 		Log:              log,
 	})
 	held := heldMemory(f, d)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -180,6 +180,7 @@
 	requests := newControlLimiter(f, log)
 	server, err := cluster.Open(cluster.Config{
 		Requests:          requests,
+		LinkBytes:         linkBytes(f),
 		LinkAddress:       f.Listen.Link,
 		LinkListenAddress: f.Listen.LinkBind,
 		OperatorAddress:   f.Listen.Operators,
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -20,8 +20,15 @@
 	defaultControlBytes = 64 << 20
 	// refusedLines is the number of log lines a second about requests that were not read on.
 	refusedLines = 20
+	// linkShare is the part of a box's memory that long messages on links may take while they are received.
+	linkShare = 0.2
 )
 
+// linkBytes returns the bytes of long messages that a box may receive at the same time; 0 if its memory is not known.
+func linkBytes(f settings.Fleet) int64 {
+	return int64(float64(f.Resources.MemoryMB<<20) * linkShare)
+}
+
 // newControlLimiter returns the limiter of the requests of operators and endpoints at a control box. They may take three
 // quarters of the box's account.
 func newControlLimiter(f settings.Fleet, log *zap.Logger) *reqlimit.Limiter {
--- a/gateway/agent.go
+++ b/gateway/agent.go
@@ -31,6 +31,7 @@
 	input    chan func(event.Time)
 	links    map[LinkID]*link.Conn[message.Envelope]
 	lastLink LinkID
+	received *link.Memory // limits the messages that are being received
 }
 
 // NewAgent returns an agent; Run starts it.
@@ -40,6 +41,8 @@
 		clock:  event.NewClock(),
 		input:  make(chan func(event.Time), inputQueueSize),
 		links:  make(map[LinkID]*link.Conn[message.Envelope]),
+
+		received: link.NewMemory(c.LinkBytes),
 	}
 }
 
@@ -174,6 +177,7 @@
 	linkID := <-id
 	var owner message.Peer
 	conn.SetEncodings(owner.ClientEncodings())
+	conn.SetMemory(a.received)
 	err = conn.Serve(func(m *message.Envelope) {
 		peerLevel := owner.FormatVersion()
 		a.input <- func(now event.Time) {
--- a/gateway/owner_client.go
+++ b/gateway/owner_client.go
@@ -65,7 +65,9 @@
 	ConfigValidity event.Duration
 	// Decode parses a configuration in its operator's format, as owners below level.Chunked send it.
 	Decode func([]byte) (*routing.Table, error)
-	Log    *zap.Logger
+	// LinkBytes limits the long messages that are being received from control boxes; 0 is 64 MiB.
+	LinkBytes int64
+	Log       *zap.Logger
 }
 
 // LinkID identifies a connection to a control box; 0 is none.
--- a/link/bounds_test.go
+++ b/link/bounds_test.go
@@ -195,3 +195,11 @@
 	}
 	runtime.KeepAlive(long)
 }
+
+// heapNow returns the bytes of the heap in use.
+func heapNow() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -72,6 +72,7 @@
 
 	maxMessage, maxQueued int64 // bytes
 	encodings             Encodings[M]
+	memory                *Memory // of the process; nil is no limit
 }
 
 // queued is a message in the send queue.
@@ -106,6 +107,9 @@
 // SetEncodings sets how messages are encoded on the connection. It must be called before Serve.
 func (c *Conn[M]) SetEncodings(e Encodings[M]) { c.encodings = e.withDefaults() }
 
+// SetMemory sets the limit that the connection shares with others of the process. It must be called before Serve.
+func (c *Conn[M]) SetMemory(m *Memory) { c.memory = m }
+
 // SetUserTimeout bounds how long, in milliseconds, sent bytes may stay
 // unacknowledged on a TCP connection. Other connections are left as they are.
 func SetUserTimeout(raw net.Conn, milliseconds int) {
@@ -188,7 +192,8 @@
 
 // read calls receive for each incoming message until the connection ends, and returns why.
 func (c *Conn[M]) read(receive func(*M)) error {
-	raw := &frameReader{in: bufio.NewReaderSize(&c.timeoutConn, bufferBytes), limit: c.maxMessage}
+	raw := &frameReader{in: bufio.NewReaderSize(&c.timeoutConn, bufferBytes), limit: c.maxMessage, memory: c.memory}
+	defer raw.release()
 	preamble, err := raw.readPreamble()
 	if err != nil {
 		return err
--- a/link/frames.go
+++ b/link/frames.go
@@ -26,9 +26,11 @@
 // limit, so that a length announced by the peer can't exhaust memory.
 type frameReader struct {
 	in          *bufio.Reader
-	limit       int64 // bytes
-	remaining   int64 // of the current message
-	lengthBytes int   // bytes of the length not yet read
+	limit       int64   // bytes
+	remaining   int64   // of the current message
+	lengthBytes int     // bytes of the length not yet read
+	memory      *Memory // nil is no limit of the sum
+	held        int64   // bytes of memory, for the current message
 }
 
 // Read implements io.Reader.
@@ -75,6 +77,9 @@
 	if r.lengthBytes > maxUintBytes || r.remaining > r.limit {
 		return errors.Wrapf(ErrTooLong, "peer announced at least %d bytes, limit %d", r.remaining, r.limit)
 	}
+	if r.lengthBytes == 0 {
+		return r.hold(r.remaining)
+	}
 	return nil
 }
 
