gateway: idle connections to endpoints that have sent something are closed

Related path of the responses' heads: what follows a whole response. It belongs to no request, and such a connection isn't used again, but it stayed open with what its endpoint had sent in the kernel's buffers until its idle timeout (3 s, or what the endpoint's Keep-Alive says), as it was looked at only when a request wanted it. The users' platform counts bytes that have arrived as the process's.

Extensions and lines of chunks and trailers are limited by net/http, by the connection's buffer of 4 KiB: TestSurplusBytesAreNotKept shows it for each, and failed for what follows a response, whose connection was not closed.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -176,7 +176,8 @@
 	u.idle[c.key] = append(u.idle[c.key], c)
 }
 
-// sweep closes the connections whose idle timeout has expired.
+// sweep closes the connections whose idle timeout has expired, and those on which the endpoint has sent something since:
+// it belongs to no request, and the kernel would hold it.
 func (u *upstream) sweep() {
 	now := time.Now()
 	u.mu.Lock()
@@ -184,11 +185,11 @@
 	for key, list := range u.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && isIdle(c.Conn) {
 				kept = append(kept, c)
 				continue
 			}
-			_ = c.Close() // expired
+			_ = c.Close() // expired, or not idle
 		}
 		u.idle[key] = kept
 		if len(kept) == 0 {
