fleet: a planned stop of an entry uses the time that it is given

Cause: drainEntry had times of its own. It waited for streams until 1 s before the stop timeout, but gave all other requests 0.6 s, from 2.5 s after SIGTERM on or from the end of the last stream, and then returned whatever was in flight. http.Server.Shutdown also drops a request that has been read while it closes connections.

All requests are accepted while load balancers may still send callers; their deadlines, which owner and endpoints are told, end with the stop. Then only requests are accepted whose deadlines end before it, as long as earlier ones are in flight; others get 503 at once, unsent, and so do all once these have ended. Each response closes its connection, also that to a request from before the stop. What is in flight in the last second (an eighth of a shorter timeout) gets its response then: 503 if no endpoint has it, else 502. The owner isn't told that an endpoint failed.

Connections without a request are closed by a read deadline in the past and only if nothing has arrived on them, so a request that has been read is answered; the listener has the kernel refuse new connections first, and those that are pending are accepted. Server.Shutdown isn't used any more.

bounds.stop below 0.5 s or above 5 minutes is refused at the start.

--- a/fleet/descriptors_test.go
+++ b/fleet/descriptors_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	s := newCallerServer(handler, func() time.Duration { return time.Minute }, maxDescriptors)
+	s, _ := newCallerServer(handler, func() time.Duration { return time.Minute }, maxDescriptors)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -12,25 +12,11 @@
 	"lynxramp.org/cluster"
 	"lynxramp.org/event"
 	"lynxramp.org/gateway"
-	"lynxramp.org/internal/logx"
 	"lynxramp.org/internal/random"
 	"lynxramp.org/overload"
 	"lynxramp.org/settings"
 )
 
-// Times of the graceful shutdown of an entry.
-const (
-	// shutdownDelay is how long an entry keeps serving after its readiness check
-	// starts to fail, as load balancers still send callers to it.
-	shutdownDelay = 2500 * time.Millisecond
-	// streamMargin is how long before the stop timeout an entry stops waiting for open
-	// streams; shutdownTimeout bounds the wait for the other requests after that.
-	streamMargin    = 1000 * time.Millisecond
-	shutdownTimeout = 600 * time.Millisecond
-	// drainPoll is how often an entry checks whether streams are open.
-	drainPoll = 50 * time.Millisecond
-)
-
 func runEntry(ctx context.Context, file string, f settings.Fleet, d Dialect, log *zap.Logger) error {
 	instance := random.Uint64()
 	run, cancel := context.WithCancel(context.Background())
@@ -59,7 +45,7 @@
 		return err
 	}
 	defer ready.Close()
-	callerServer := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
+	callerServer, conns := newCallerServer(g, g.IdleTimeout, f.Resources.Descriptors)
 	callerServer.ConnContext = g.CallerContext
 	callers := g.HeadLimiter().Apply(callerServer, listener)
 	if err := listener.Open(); err != nil {
@@ -68,15 +54,18 @@
 	go func() { _ = callerServer.Serve(callers) }() // returns when the server is closed
 	go watch(run, file, log, func(f settings.Fleet) { agent.AddControlBoxes(controlAddresses(f)) })
 	<-ctx.Done()
-	return drainEntry(g, callerServer, time.Duration(f.Bounds.StopTimeout), log)
+	stop := drain{gateway: g, listener: listener, callers: callerServer, conns: conns, times: newDrainTimes(time.Duration(f.Bounds.StopTimeout)), log: log}
+	stop.run()
+	return nil
 }
 
-// newCallerServer returns the HTTP server for callers. idle returns the current idle timeout of
+// newCallerServer returns the HTTP server for callers and its connections. idle returns the current idle timeout of
 // connections. Their number is bounded by the file descriptor limit; 0 means no bound.
-func newCallerServer(h http.Handler, idle func() time.Duration, descriptors int) *http.Server {
+func newCallerServer(h http.Handler, idle func() time.Duration, descriptors int) (*http.Server, *callerConns) {
 	server := newServer(h, maxCallerIdle)
-	server.ConnState = newIdleCloser(idle, gateway.MaxConnections(descriptors)).observe
-	return server
+	conns := newCallerConns(idle, gateway.MaxConnections(descriptors))
+	server.ConnState = conns.observe
+	return server, conns
 }
 
 // controlAddresses returns the link addresses of the control boxes in f.Seeds.
@@ -97,27 +86,3 @@
 	})
 	return mux
 }
-
-// drainEntry shuts an entry down gracefully. The readiness check fails at once, while
-// requests are still accepted. Then new streams are refused, and when the open ones
-// have ended, or streamMargin before the timeout, the server shuts down.
-func drainEntry(g *gateway.Gateway, callers *http.Server, timeout time.Duration, log *zap.Logger) error {
-	began := time.Now()
-	all, streams := g.InFlight()
-	log.Info("stops", zap.Int("held", all), zap.Int("streams", streams))
-	g.StartDraining()
-	time.Sleep(min(shutdownDelay, timeout/3))
-	g.RefuseStreams()
-	for time.Since(began) < timeout-streamMargin {
-		if _, streams := g.InFlight(); streams == 0 {
-			break
-		}
-		time.Sleep(drainPoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	all, streams = g.InFlight()
-	log.Info("callers' server shut down", zap.Int("held", all), zap.Int("streams", streams), zap.Duration("after", time.Since(began)), logx.Err(err))
-	return nil
-}
--- a/fleet/idle_test.go
+++ b/fleet/idle_test.go
@@ -29,7 +29,7 @@
 func TestIdleConnectionIsClosedAfterTimeout(t *testing.T) {
 	const idleTimeout = 300 * time.Millisecond
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	server.Config.ConnState = newIdleCloser(func() time.Duration { return idleTimeout }, 0).observe
+	server.Config.ConnState = newCallerConns(func() time.Duration { return idleTimeout }, 0).observe
 	server.Start()
 	defer server.Close()
 	c, err := net.Dial("tcp", server.Listener.Addr().String())
@@ -62,7 +62,7 @@
 			<-hold
 		}
 	}))
-	closer := newIdleCloser(func() time.Duration { return 0 }, 3)
+	closer := newCallerConns(func() time.Duration { return 0 }, 3)
 	idleConns := make(chan net.Conn, 10)
 	server.Config.ConnState = func(c net.Conn, state http.ConnState) {
 		closer.observe(c, state)
--- a/gateway/caller.go
+++ b/gateway/caller.go
@@ -21,6 +21,8 @@
 	http.ResponseWriter
 	control *http.ResponseController
 	timeout time.Duration
+	// isClosing reports whether the connection is closed after the response; nil for no.
+	isClosing func() bool
 	// isInterrupted is set once nothing more may be written.
 	isInterrupted atomic.Bool
 }
@@ -32,6 +34,15 @@
 // Unwrap lets http.ResponseController reach the connection.
 func (w *callerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// WriteHeader implements http.ResponseWriter. A planned stop may have begun since the request arrived; the caller is told not
+// to send another request on the connection.
+func (w *callerWriter) WriteHeader(status int) {
+	if w.isClosing != nil && w.isClosing() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // extendDeadline restarts the write timeout. A connection without support for deadlines is limited by the
 // request's deadline only.
 func (w *callerWriter) extendDeadline() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,8 +96,10 @@
 	callerWriteTimeout time.Duration
 	requestCount       atomic.Uint64
 	endedCount         atomic.Uint64 // requests
-	draining           atomic.Bool
-	refusesStreams     atomic.Bool // new streams are refused
+	phase              atomic.Int32  // DrainPhase
+	stopAt             atomic.Int64  // event.Time at which a planned stop gives up the requests in flight
+	stopping           stopContext
+	late               atomic.Int64 // requests in flight that arrived in the phase Finishing or later
 	meters             meters
 	memory             *heldMemory // nil without the account of held memory
 	account            *heldmem.Account
@@ -111,7 +113,7 @@
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout, stopping: newStopContext()}
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.delays.limiter, g.delays.leastRoundTrip = overload.NewLimiter(c.Overload), overload.NewLeastDelay()
 	g.delays.limit.Store(noLimit())
@@ -167,7 +169,7 @@
 }
 
 // Ready reports whether the gateway accepts new callers.
-func (g *Gateway) Ready() bool { return !g.draining.Load() && g.agent.Table() != nil }
+func (g *Gateway) Ready() bool { return g.drainPhase() == NotDraining && g.agent.Table() != nil }
 
 // IdleTimeout returns how long a caller's connection may be idle; 0 is no limit.
 func (g *Gateway) IdleTimeout() time.Duration {
@@ -177,12 +179,6 @@
 	return 0
 }
 
-// StartDraining makes Ready false and has callers' connections closed after their responses.
-func (g *Gateway) StartDraining() { g.draining.Store(true) }
-
-// RefuseStreams refuses new streams, as the process will terminate before they would end.
-func (g *Gateway) RefuseStreams() { g.refusesStreams.Store(true) }
-
 // InFlight returns the number of requests in flight, and how many of them are streams.
 func (g *Gateway) InFlight() (all, streams int) { return int(g.inFlight.Load()), int(g.streams.Load()) }
 
@@ -241,10 +237,15 @@
 		return
 	}
 	defer g.endedCount.Add(1)
-	if g.draining.Load() || g.refusesConnections() {
+	if g.drainPhase() != NotDraining || g.refusesConnections() {
 		w.Header().Set("Connection", "close")
 	}
+	if g.drainPhase() >= Finishing {
+		g.late.Add(1)
+		defer g.late.Add(-1)
+	}
 	caller := newCallerWriter(w, g.callerWriteTimeout)
+	caller.isClosing = func() bool { return g.drainPhase() != NotDraining }
 	defer caller.extendDeadline() // covers what net/http writes after the handler returns
 	c := &call{gateway: g, w: caller, r: r, arrived: time.Now(), arrivedClock: g.agent.clock.Now(), callerID: r.Header.Get(g.config.Headers.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Instance&0xffff, g.requestCount.Add(1)))
@@ -260,10 +261,6 @@
 	if c.route.Kind == routing.KindStream {
 		g.streams.Add(1)
 		defer g.streams.Add(-1)
-		if g.refusesStreams.Load() {
-			c.respondError(http.StatusServiceUnavailable, retryAfterDraining, "the entry is shutting down")
-			return
-		}
 	}
 	c.run()
 }
@@ -329,6 +326,10 @@
 		c.callerTimeout = time.Duration(min(ms, maxCallerTimeoutMillis) * float64(time.Millisecond))
 		c.timeout = min(c.timeout, c.callerTimeout)
 	}
+	if !c.fitsStop() {
+		c.refuseForStop()
+		return false
+	}
 	if !c.readBody() {
 		return false
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -372,7 +372,8 @@
 // TestRefusedStreamReleasesBody guards against counting the body of a refused stream as held forever.
 func TestRefusedStreamReleasesBody(t *testing.T) {
 	r := newTestGateway(t, newFakeEndpoint(t, events(3, false)))
-	r.gateway.RefuseStreams()
+	r.gateway.StartDraining(time.Second)
+	r.gateway.SetDrainPhase(Finishing)
 	if status, _, _ := r.do(t, r.request("POST", "/stream/x", "question")); status != 503 {
 		t.Errorf("status %d, want 503", status)
 	}
--- a/gateway/held_test.go
+++ b/gateway/held_test.go
@@ -448,8 +448,8 @@
 	_, reads := r.start(t, "/single/x", testReceiveBuffer)
 	_, idle := r.start(t, "/single/x", testReceiveBuffer)
 	waitFor(t, "both endpoints have sent everything", func() bool { return s.done.Load() == 2 })
-	r.gateway.StartDraining()
-	r.gateway.RefuseStreams()
+	r.gateway.StartDraining(time.Minute)
+	r.gateway.SetDrainPhase(Finishing)
 	began := time.Now()
 	if n, whole := checkEvents(t, reads.Body, 9000); n != 60 || !whole {
 		t.Errorf("the caller that reads got %d of 60 events, complete: %t", n, whole)
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -85,6 +85,7 @@
 	}
 	m.restrictedGrants()
 	m.fullRefusals()
+	m.stopRefusals()
 	for _, by := range []string{resumedByCaller, resumedByEntry} {
 		m.resumptions(by)
 	}
@@ -163,6 +164,11 @@
 	return m.set.GetOrCreateCounter("lynxramp_gateway_full_refusals_total")
 }
 
+// stopRefusals counts the requests that were refused because of a planned stop.
+func (m *meters) stopRefusals() *metrics.Counter {
+	return m.set.GetOrCreateCounter("lynxramp_gateway_stop_refusals_total")
+}
+
 // refusedHeads counts the requests of callers whose head was not read on because of a limit.
 func (m *meters) refusedHeads(why reqlimit.Reason) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_heads_total{why="` + why.String() + `"}`)
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -115,6 +115,7 @@
 func (c *call) run() {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.remaining())
 	defer cancel()
+	defer context.AfterFunc(c.gateway.stopping, cancel)()
 	if c.relay != nil {
 		c.relay.setCancel(cancel)
 	}
@@ -269,6 +270,8 @@
 		c.forward(a.failure)
 	case c.remaining() <= 0:
 		c.respondError(http.StatusGatewayTimeout, 0, "the endpoint did not answer in time")
+	case c.gateway.hasStopped():
+		c.respondError(http.StatusBadGateway, 0, "the entry stopped before the endpoint answered")
 	default:
 		c.respondError(http.StatusBadGateway, 0, "the endpoint's answer was lost")
 	}
@@ -328,9 +331,9 @@
 	f.Slowdown, f.SlowdownAge = a.load.take()
 	f.Print, f.Ran = c.fingerprint, a.runResult()
 	f.NoResponse = a.outcome == outcomeUnknown && a.firstByteAfter == 0 && isCancelled(a.err)
-	f.Abandoned = c.r.Context().Err() != nil || errors.Is(a.err, errCallerWrite)
-	if errors.Is(a.err, errNoMemory) {
-		f.Suspect = false // it is the box that lacks memory
+	f.Abandoned = c.r.Context().Err() != nil || errors.Is(a.err, errCallerWrite) || c.gateway.hasStopped()
+	if errors.Is(a.err, errNoMemory) || c.gateway.hasStopped() {
+		f.Suspect = false // it is the box that lacks memory, or stops
 	}
 	f.Delayed = c.gateway.isDelaying()
 	if f.Delayed && (f.NoResponse || isTimeout(a.err)) {
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -13,7 +13,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -120,7 +119,7 @@
 		if c == nil {
 			break
 		}
-		if !newOnly && time.Now().Before(c.idleUntil) && isIdle(c.Conn) {
+		if !newOnly && time.Now().Before(c.idleUntil) && link.IsIdle(c.Conn) {
 			c.reused = true
 			return c, nil
 		}
@@ -185,7 +184,7 @@
 	for key, list := range u.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) && isIdle(c.Conn) {
+			if now.Before(c.idleUntil) && link.IsIdle(c.Conn) {
 				kept = append(kept, c)
 				continue
 			}
@@ -198,26 +197,6 @@
 	}
 }
 
-// isIdle reports whether an unused connection has nothing to read, neither data nor its end.
-func isIdle(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && idle
-}
-
 // upstreamRequest is a request as it is sent to an endpoint.
 type upstreamRequest struct {
 	method, uri, host string
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -34,13 +34,14 @@
 	closures atomic.Uint64 // of the socket to new handshakes, because of the limit
 	accepted atomic.Uint64 // connections
 
-	mu        sync.Mutex
-	changed   sync.Cond        // of socket and isClosed
-	socket    *net.TCPListener // takes new handshakes while window.isOpen; nil while nothing is accepted
-	isClosed  bool             // by Close
-	reopen    *time.Timer      // nil while the window is open
-	isReached bool             // the limit was reached since the last call of Reached
-	window    window
+	mu         sync.Mutex
+	changed    sync.Cond        // of socket and isClosed
+	socket     *net.TCPListener // takes new handshakes while window.isOpen; nil while nothing is accepted
+	isClosed   bool             // by Close
+	isRefusing bool             // by Refuse
+	reopen     *time.Timer      // nil while the window is open
+	isReached  bool             // the limit was reached since the last call of Reached
+	window     window
 	// What was counted at the last call of SetLimit.
 	countedAt time.Time
 	counted   uint64 // connections
@@ -149,7 +150,7 @@
 
 // endWindow has the kernel refuse new handshakes if the limit is reached.
 func (l *Listener) endWindow(now time.Time) {
-	if l.isClosed || l.socket == nil || !l.window.mustEnd(now) || l.window.mayDrain(now) && hasPending(l.socket) {
+	if l.isClosed || l.isRefusing || l.socket == nil || !l.window.mustEnd(now) || l.window.mayDrain(now) && hasPending(l.socket) {
 		return
 	}
 	l.window.end(now)
@@ -182,6 +183,28 @@
 	_ = l.socket.SetDeadline(end) // fails only on a closed socket
 }
 
+// Refuse has the kernel refuse new handshakes from now on; connections whose handshake is done or under way are still
+// accepted. Where the kernel can't tell them apart, all are accepted until Close.
+func (l *Listener) Refuse() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isRefusing = true
+	if l.reopen != nil {
+		l.reopen.Stop()
+		l.reopen = nil
+	}
+	if l.socket != nil && !l.window.losesHandshakes {
+		_ = refuseHandshakes(l.socket) // without it, Close refuses them
+	}
+}
+
+// HasPending reports whether there are connections to be accepted.
+func (l *Listener) HasPending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.socket != nil && hasPending(l.socket)
+}
+
 // Close implements net.Listener.
 func (l *Listener) Close() error {
 	l.mu.Lock()
@@ -214,7 +237,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.observeRate(now)
-	if l.isClosed || perSecond == l.window.bucket.rate && isPaused == l.window.bucket.isPaused {
+	if l.isClosed || l.isRefusing || perSecond == l.window.bucket.rate && isPaused == l.window.bucket.isPaused {
 		return
 	}
 	l.window.setLimit(now, perSecond, isPaused)
@@ -270,7 +293,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if l.isClosed || l.window.isOpen {
+	if l.isClosed || l.isRefusing || l.window.isOpen {
 		return
 	}
 	if l.window.untilBegin(now) > 0 {
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -131,6 +131,9 @@
 	ExposeSlack int     `yaml:"expose_slack"`
 }
 
+// Bounds of FleetBounds.StopTimeout. Below the first there is no time for the end of the process.
+const minStopTimeout, maxStopTimeout = 500 * time.Millisecond, 5 * time.Minute
+
 // QueueOrder is an order of waiting requests within a rank and team.
 type QueueOrder string
 
@@ -243,8 +246,11 @@
 	if b.QuotaOvershoot < 0 || b.QuotaSlack < 0 {
 		d.addAt("bounds.quota_overshoot", "a quota's overshoot and slack must not be negative")
 	}
+	if stop := time.Duration(b.StopTimeout); stop != 0 && (stop < minStopTimeout || stop > maxStopTimeout) {
+		d.addAt("bounds.stop", "%s is not between %s and %s", stop, minStopTimeout, maxStopTimeout)
+	}
 	for path, value := range map[string]catalog.Duration{
-		"bounds.beat": b.HeartbeatInterval, "bounds.stop": b.StopTimeout, "bounds.fresh": b.ConfigValidity,
+		"bounds.beat": b.HeartbeatInterval, "bounds.fresh": b.ConfigValidity,
 		"bounds.quota_window": b.QuotaWindow, "bounds.retry_window": b.RetryWindow,
 	} {
 		if value < 0 {
