gateway: a planned stop doesn't cut callers that pause

Related path of the stop that had a time of its own. With the account of held memory, a caller that took nothing of its buffered response for 1 s was cut from 2.5 s after SIGTERM on, with seconds of the stop timeout left. Callers saw a response that breaks off.

Why this works: the rest of a response is flushed until the requests in flight are given up; only then a caller that takes nothing isn't waited for.

Test: TestStopFlushesBuffers has a third caller, which pauses for longer than that and has to get its rest; it got a part of it before. That a caller who takes nothing is cut soon is now asked for from the time at which requests are given up, with the same bound.

--- a/gateway/held.go
+++ b/gateway/held.go
@@ -115,7 +115,7 @@
 
 // flushRelay waits until the caller has taken what is held of its response.
 func (c *call) flushRelay() error {
-	return c.relay.flush(c.r.Context(), func() bool { return c.gateway.drainPhase() >= Finishing })
+	return c.relay.flush(c.r.Context(), c.gateway.hasStopped)
 }
 
 // abortRelayed ends a response whose caller does not take it.
