fleet: SIGHUP ends no process that starts or stops

SIGHUP in the first milliseconds of a process ended it, as its handler was installed last, and so it did on a control box that was stopping, as the handler was removed with SIGTERM, in the middle of its transfer of leadership. Its callers lost their connections.

Why this works: the signal is ignored from the first line of Run until it is handled, and the handler stays. The milliseconds in which the runtime itself starts remain.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,7 @@
 
 // Run runs a box with the given settings file until SIGTERM or SIGINT.
 func Run(file string, d Dialect) error {
+	signal.Ignore(syscall.SIGHUP) // it would end the process until watch handles it
 	f, err := settings.LoadFleet(file)
 	if err != nil {
 		return err
@@ -148,8 +149,7 @@
 // It polls the file and checks it on SIGHUP. Invalid settings are logged and ignored.
 func watch(ctx context.Context, file string, log *zap.Logger, reload func(settings.Fleet)) {
 	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	signal.Notify(hangup, syscall.SIGHUP) // for good: without a handler the signal ends the process, also while it stops
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	previous, _ := os.ReadFile(file) // the error is ignored, as LoadFleet has just read the file
