entry: responses close their connections while an entry drains

Related path of the planned stop, for lynxrampd. Its entry kept callers' connections open until http.Server.Shutdown, which drops a request that it has read on one of them meanwhile. Callers saw a kept connection that closes without a response.

--- a/entry/http.go
+++ b/entry/http.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/go-chi/chi/v5"
 
@@ -17,6 +18,7 @@
 // Handler returns the HTTP handler for callers.
 func (e *Entry) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(e.closeDraining)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", e.serveReady)
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { e.metricSet.write(w) })
@@ -32,6 +34,31 @@
 	return r
 }
 
+// closeDraining has the connections of requests closed by their responses while the entry drains. The server drops a request
+// that arrives on a kept connection while it shuts down.
+func (e *Entry) closeDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&drainWriter{ResponseWriter: w, draining: &e.draining}, r)
+	})
+}
+
+// drainWriter adds Connection: close to a response that begins while the entry drains.
+type drainWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *drainWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *drainWriter) WriteHeader(status int) {
+	if w.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if e.draining.Load() || e.CatalogVersion() == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
