--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -61,7 +61,7 @@
 	d.began = time.Now()
 	d.gateway.StartDraining(d.times.giveUp)
 	d.logPhase(gateway.Accepting)
-	d.wait(d.times.accept, func() bool { return false })
+	time.Sleep(d.times.accept)
 	d.enter(gateway.Finishing)
 	d.wait(d.times.giveUp, func() bool { return d.gateway.AcceptedInFlight() == 0 })
 	d.enter(gateway.Refusing)
--- a/fleet/idle.go
+++ b/fleet/idle.go
@@ -31,7 +31,7 @@
 	timer *time.Timer // nil without an idle timeout
 }
 
-// newCallerConns returns connections without any that keep at most maxConns connections open, 0 for
+// newCallerConns returns callerConns that keeps at most maxConns connections open, 0 for
 // no limit. Connections with a request in flight are never closed.
 func newCallerConns(timeout func() time.Duration, maxConns int) *callerConns {
 	return &callerConns{timeout: timeout, maxConns: maxConns, open: make(map[net.Conn]*list.Element), fresh: make(map[net.Conn]time.Time), closing: make(map[net.Conn]bool)}
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,7 +3,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -45,7 +44,7 @@
 func (g *Gateway) SetDrainPhase(p DrainPhase) {
 	g.phase.Store(int32(p))
 	if p == Stopped {
-		g.stop()
+		g.giveUpAll()
 	}
 }
 
@@ -54,21 +53,8 @@
 // AcceptedInFlight returns the number of requests in flight that arrived before the phase Finishing.
 func (g *Gateway) AcceptedInFlight() int { return int(g.inFlight.Load() - g.late.Load()) }
 
-// stopContext has the requests in flight give up at Stopped.
-type stopContext struct {
-	context.Context
-	cancel context.CancelFunc
-}
-
-func newStopContext() stopContext {
-	ctx, cancel := context.WithCancel(context.Background())
-	return stopContext{ctx, cancel}
-}
-
-func (g *Gateway) stop() { g.stopping.cancel() }
-
-// isStopped reports whether the requests in flight are given up.
-func (g *Gateway) hasStopped() bool { return g.stopping.Err() != nil }
+// hasStopped reports whether the requests in flight are given up.
+func (g *Gateway) hasStopped() bool { return g.stopped.Err() != nil }
 
 // fitsStop limits the call's time to that of a planned stop. It returns false for a request that must be refused, as it
 // might not end in time.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,10 +95,11 @@
 	// callerWriteTimeout is the longest time in which a caller may accept no byte of its response.
 	callerWriteTimeout time.Duration
 	requestCount       atomic.Uint64
-	endedCount         atomic.Uint64 // requests
-	phase              atomic.Int32  // DrainPhase
-	stopAt             atomic.Int64  // event.Time at which a planned stop gives up the requests in flight
-	stopping           stopContext
+	endedCount         atomic.Uint64   // requests
+	phase              atomic.Int32    // DrainPhase
+	stopAt             atomic.Int64    // event.Time at which a planned stop gives up the requests in flight
+	stopped            context.Context // ends when the requests in flight are given up, by giveUpAll
+	giveUpAll          context.CancelFunc
 	late               atomic.Int64 // requests in flight that arrived in the phase Finishing or later
 	meters             meters
 	memory             *heldMemory // nil without the account of held memory
@@ -113,7 +114,8 @@
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout, stopping: newStopContext()}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
+	g.stopped, g.giveUpAll = context.WithCancel(context.Background())
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.delays.limiter, g.delays.leastRoundTrip = overload.NewLimiter(c.Overload), overload.NewLeastDelay()
 	g.delays.limit.Store(noLimit())
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -115,7 +115,7 @@
 func (c *call) run() {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.remaining())
 	defer cancel()
-	defer context.AfterFunc(c.gateway.stopping, cancel)()
+	defer context.AfterFunc(c.gateway.stopped, cancel)()
 	if c.relay != nil {
 		c.relay.setCancel(cancel)
 	}
--- a/gateway/upstream_head_test.go
+++ b/gateway/upstream_head_test.go
@@ -31,7 +31,7 @@
 	for total := n; err == nil; total += n {
 		s.sent.Add(int64(n))
 		if total >= s.most {
-			_, err = c.Read(make([]byte, 1)) // until the gateway closes the connection
+			_, _ = c.Read(make([]byte, 1)) // until the gateway closes the connection
 			break
 		}
 		n, err = io.WriteString(c, s.part)
