--- a/gateway/upstream_head_test.go
+++ b/gateway/upstream_head_test.go
@@ -134,19 +134,7 @@
 	}
 	r := newTestGateway(t, append(endpoints, newFakeEndpoint(t, whole(200, "answer")))...)
 	r.gateway.account = heldmem.NewAccount(heldmem.Limits{Total: 1 << 20})
-	stop := make(chan struct{})
-	var most atomic.Int64
-	var sampling sync.WaitGroup
-	sampling.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Millisecond):
-				most.Store(max(most.Load(), r.gateway.account.Held(heldmem.KindHead)))
-			}
-		}
-	})
+	held := r.sampleHeld()
 	var all sync.WaitGroup
 	for range requests {
 		all.Go(func() {
@@ -160,9 +148,7 @@
 		t.Errorf("status %d %q beside the spoiled responses, want 200", status, body)
 	}
 	all.Wait()
-	close(stop)
-	sampling.Wait()
-	if got := most.Load(); got == 0 || got > 1<<20 {
+	if got := held(); got == 0 || got > 1<<20 {
 		t.Errorf("%d bytes were held for heads, want 1 MiB at most", got)
 	}
 	waitFor(t, "nothing is held", func() bool { return r.gateway.account.Held(heldmem.KindHead) == 0 })
