reqlimit: a body that arrives with its head is no part of it

Found by reading the change. Bytes of a body that one read returned together with the end of the head counted as the head's, twice, so a sound request with 3.5 KB of a body needed the account. While that was full, its connection was closed after 0.3 s although it had been read whole; the comment says that it was not read.

Why this works: only bytes up to the head's end count.

Test: TestBodyIsNoPartOfTheHead failed before ("connection reset by peer", refused for head_memory).

--- a/reqlimit/heads.go
+++ b/reqlimit/heads.go
@@ -55,7 +55,7 @@
 	*net.TCPConn
 	limiter *Limiter
 	reading atomic.Bool // a head, whose end was not seen
-	bytes   int         // of the head, with what was read of the body together with it
+	bytes   int         // of the head
 	lines   int
 	inLine  bool // the current line has begun
 	held    int64
@@ -78,8 +78,8 @@
 
 // count counts a part of a head and holds memory for it.
 func (c *conn) count(part []byte) error {
-	c.bytes += len(part)
-	isComplete := c.countLines(part)
+	size, isComplete := c.countLines(part)
+	c.bytes += size
 	c.reading.Store(!isComplete)
 	if c.lines > MaxHeadLines {
 		c.limiter.Refused(c.RemoteAddr().String(), HeadLines, c.lines, MaxHeadLines)
@@ -92,21 +92,21 @@
 	return c.hold()
 }
 
-// countLines counts the lines of a part of a head and reports whether it has the head's end. Empty lines before the first
-// line don't count, as the server skips them.
-func (c *conn) countLines(part []byte) bool {
-	for _, b := range part {
+// countLines counts the lines of a part of a head. It returns how many bytes belong to the head, and whether its end is among
+// them. Empty lines before the first line don't count as lines, as the server skips them.
+func (c *conn) countLines(part []byte) (size int, isComplete bool) {
+	for i, b := range part {
 		switch {
 		case b == '\n' && c.inLine:
 			c.lines++
 			c.inLine = false
 		case b == '\n' && c.lines > 0:
-			return true
+			return i + 1, true
 		case b != '\n' && b != '\r':
 			c.inLine = true
 		}
 	}
-	return false
+	return len(part), false
 }
 
 // hold holds memory for the head as far as it was read: its text, read and parsed, and the rest of the parsed form.
