overload: the limit of a process that is kept from running follows what it serves

Cause: such a process begins all that came during a pause at once. The limit was set, grew and was cut by what began, or by itself, and neither has to do with what the box serves: windows opened and filled up during one pause, so the limit never bound, and it doubled within seconds. At four times what overloaded the box it was lifted although it was reached, and the entry read all for half a second. While the process is paused nothing arrives, so the wait of requests is unknown just when it is longest.

Why this works: a late sample shows the pause itself. For 2 s after one the rate is cut to what was served on average, which no burst changes; time in which the process didn't run doesn't count as time without an overload; a limit that is reached isn't lifted, but grows on.

--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -30,7 +30,7 @@
 	// drainRate is how much the delay falls at least during a pause, as a part of the time, unless responses under way
 	// need all that the box has.
 	drainRate = 0.25
-	// A limit is lifted when it has grown to liftFactor times what overloaded the box.
+	// A limit that isn't reached is lifted when it has grown to liftFactor times what overloaded the box.
 	liftFactor = 4
 	// minFirstLimit is the first limit at least, as a part of the rate at which requests begin.
 	minFirstLimit = 0.4
@@ -42,6 +42,12 @@
 	// usualWindow is the time constant of the average rate of requests, rateWindow that of the current rates.
 	usualWindow = 10 * event.Second
 	rateWindow  = 300 * event.Millisecond
+	// maxInterval is the time between two samples of a process that runs, as a rule.
+	maxInterval = 100 * event.Millisecond
+	// stallFor is how long a process counts as stalled after it was kept from running. servedWindow is the time constant of
+	// the average rate that it serves; it spans several stalls.
+	stallFor     = 2 * event.Second
+	servedWindow = 2 * event.Second
 )
 
 // Reason is the resource that requests wait for.
@@ -125,6 +131,7 @@
 	least LeastDelay // of the link
 	// Average rates, in requests a second. usual is that of begun while there is no limit.
 	begun, ended, usual float64
+	served              float64 // ended, over servedWindow
 	// For how long the delay has been above Config.Delay, and above quickDelay times as much.
 	delayed, delayedMuch event.Duration
 
@@ -138,6 +145,7 @@
 	pausedAt    event.Time
 	pausedDelay event.Duration
 	reachedAt   event.Time // when the limit was last reached
+	stalledAt   event.Time // when the process was last kept from running
 	reason      Reason
 }
 
@@ -177,6 +185,10 @@
 		l.reachedAt = now
 	}
 	l.average(interval, s, delay)
+	isStalled := max(s.Wait, interval-maxInterval) > l.config.Delay
+	if isStalled && s.RunQueue <= l.config.Delay {
+		l.stalledAt = now
+	}
 	longest := max(delay, s.Wait)
 	l.countDelay(interval, longest)
 	if !l.limited && (l.delayed >= onset || l.delayedMuch >= quickOnset) {
@@ -191,7 +203,9 @@
 			l.reason = ReasonLink
 		}
 	}
-	l.adjust(now, interval, s, delay)
+	// Without an owner and without traffic, only what is admitted now and then tells how long requests wait.
+	mustPause := isStalled || l.isTooLong(delay) || !s.isLinkKnown()
+	l.adjust(now, interval, s, delay, mustPause)
 	return l.limit(now, s, longest)
 }
 
@@ -206,6 +220,7 @@
 	}
 	update(&l.begun, s.Begun, rateWindow)
 	update(&l.ended, s.Ended, rateWindow)
+	update(&l.served, s.Ended, servedWindow)
 	if !l.limited && delay <= l.config.Delay {
 		update(&l.usual, s.Begun, usualWindow)
 	}
@@ -230,20 +245,23 @@
 	l.cutAt, l.reachedAt = now, now
 	first := max(l.usual, minFirstLimit*l.begun, min(l.ended, cutFactor*l.begun), minRate)
 	l.rate = bound{limit: first, overloads: max(l.begun, minRate), min: minRate}
+	if l.isStalled(now) {
+		l.rate.overloads = first // begun has what came while the process didn't run
+	}
 	l.responses = bound{limit: math.Inf(1), min: minResponses}
 }
 
 // adjust begins or ends a pause, and changes the bounds.
-func (l *Limiter) adjust(now event.Time, interval event.Duration, s Sample, delay event.Duration) {
+func (l *Limiter) adjust(now event.Time, interval event.Duration, s Sample, delay event.Duration, mustPause bool) {
 	wasPaused := l.isPaused
-	// Without an owner and without traffic, only what is admitted now and then tells how long requests wait.
-	l.isPaused = l.isTooLong(delay) || s.Wait > l.config.Delay || !s.isLinkKnown()
+	l.isPaused = mustPause
 	switch {
 	case !l.isPaused:
+		interval = min(interval, maxInterval) // in the rest the process didn't run
 		l.calm += interval
 		l.rate.grow(interval, l.calm)
 		l.responses.grow(interval, l.calm)
-		l.limited = l.rate.limit < liftFactor*l.rate.overloads
+		l.limited = l.rate.limit < liftFactor*l.rate.overloads || l.isReached(now)
 	case !wasPaused:
 		l.calm = 0
 		l.pausedAt, l.pausedDelay = now, delay
@@ -277,6 +295,9 @@
 	if l.isReached(now) {
 		overloads = l.rate.limit // begun is less during pauses
 	}
+	if l.isStalled(now) {
+		overloads = min(overloads, l.served)
+	}
 	l.rate.cut(overloads)
 }
 
@@ -285,6 +306,10 @@
 	return float64(l.pausedDelay-delay) >= drainRate*float64(now.Sub(l.pausedAt))
 }
 
+// isStalled reports whether the process was kept from running lately. It begins what came meanwhile all at once, and the
+// delays that it measures are long or short by chance; what it serves on average tells what it can.
+func (l *Limiter) isStalled(now event.Time) bool { return now.Sub(l.stalledAt) < stallFor }
+
 // isReached reports whether the limit was reached lately.
 func (l *Limiter) isReached(now event.Time) bool { return now.Sub(l.reachedAt) < reachedFor }
 
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -177,3 +177,18 @@
 		t.Error("a step without time changes the average rates")
 	}
 }
+
+// TestReachedLimitGrows: a limit that is kept while callers reach it must not stay at what overloaded the box once.
+func TestReachedLimitGrows(t *testing.T) {
+	l := NewLimiter(Config{})
+	now, _, _ := feed(l, 0, 5*event.Second, calm)
+	long := calm
+	long.RunQueue, long.Begun = event.Second, 30
+	now, first, _ := feed(l, now, event.Second, long)
+	reached := calm
+	reached.IsReached = true
+	_, last, _ := feed(l, now, 10*event.Second, reached)
+	if !last.IsLimited() || last.PerSecond < 2*liftFactor*first.PerSecond {
+		t.Errorf("limit %+v after 10 s without an overload, %+v at its end", last, first)
+	}
+}
