overload, gateway: a full link to callers is noticed behind a balancer

What callers saw: an entry whose callers come by way of a balancer that ends their connections, and that gets more than the link to it carries, served none of the first tries that it read.

Cause: the delay of the link was the lesser of the paths' and the owner's round trip, so that a slow caller or owner is no overload. Behind such a balancer only the callers' link is full: its kernel acknowledges all at once, endpoints and the owner are reached over others. The arrival of requests was measured and logged, but counted only together with the round trip.

Evidence: the users' line of the entry, arrival 0.19 to 2.6 s with limit 0.

Why this works: a full link delays all callers alike. The least arrival of eight or more small requests counts by itself, above its least value of the last 30 to 60 s, if it is half of their median at least; one fast caller, slow uploads, and connections opened ahead of their requests make it 0. What waits for the processor explain of it doesn't count.

--- a/gateway/box_delays.go
+++ b/gateway/box_delays.go
@@ -28,6 +28,8 @@
 	// callers' requests does. A single pause of the process delays all that came in it.
 	delayValidity = event.Second
 	waitValidity  = event.Duration(delayInterval) * 3 / 2
+	// smallRequest is the size of a body, in bytes, that arrives at once unless its caller or the link is slow.
+	smallRequest = 16 << 10
 	// delayLogInterval is the least time between two log lines about delays.
 	delayLogInterval = time.Second
 	// loggedDelay is the least delay that is logged.
@@ -40,7 +42,9 @@
 	send       measuredDelay // until bytes sent to endpoints are acknowledged
 	connection measuredDelay // until a connection is made
 	arrival    measuredDelay // from the acceptance of a caller's connection to the end of its first request
-	wait       measuredDelay // from the time when the kernel received a caller's first request until it is handled
+	// commonArrival is what the arrivals of small requests have in common.
+	commonArrival measuredDelay
+	wait          measuredDelay // from the time when the kernel received a caller's first request until it is handled
 
 	probe controlProbe
 	// leastRoundTrip is that of the owner, which may be far away.
@@ -53,23 +57,36 @@
 	accepted     uint64 // connections
 }
 
-// measuredDelay is the last median of a delay's samples.
+// measuredDelay is the last median of a delay's samples, or what they have in common.
 type measuredDelay struct {
-	median atomic.Int64 // event.Duration; 0 if unknown
-	at     event.Time   // of the measurement
+	last atomic.Int64 // event.Duration; 0 if unknown
+	at   event.Time   // of the measurement
 }
 
 // update takes the median of new samples if there are enough.
 func (d *measuredDelay) update(now event.Time, samples *overload.Delays, validity event.Duration) {
 	if median, ok := samples.Median(); ok {
-		d.median.Store(int64(median))
+		d.last.Store(int64(median))
 		d.at = now
 	} else if now.Sub(d.at) > validity {
-		d.median.Store(0)
+		d.last.Store(0)
 	}
 }
 
-func (d *measuredDelay) value() event.Duration { return event.Duration(d.median.Load()) }
+// updateCommon takes what new samples have in common if there are enough. Samples that are too few for longer than validity are
+// discarded.
+func (d *measuredDelay) updateCommon(now event.Time, samples *overload.Delays, validity event.Duration) {
+	if common, ok := samples.Common(); ok {
+		d.last.Store(int64(common))
+		d.at = now
+	} else if now.Sub(d.at) > validity {
+		d.last.Store(0)
+		d.at = now
+		samples.Discard()
+	}
+}
+
+func (d *measuredDelay) value() event.Duration { return event.Duration(d.last.Load()) }
 
 // path returns how long the path to endpoints and callers takes, whatever their processes do.
 func (d *boxDelays) path() event.Duration {
@@ -129,6 +146,7 @@
 	d.send.update(now, &g.upstream.acknowledgements.Delays, delayValidity)
 	d.connection.update(now, &g.upstream.connecting, delayValidity)
 	d.arrival.update(now, &g.arrivals, delayValidity)
+	d.commonArrival.updateCommon(now, &g.smallArrivals, delayValidity)
 	d.wait.update(now, &g.waits, waitValidity)
 	if g.config.Listener != nil {
 		g.limitConnections(now)
@@ -140,7 +158,7 @@
 	d, listener := &g.delays, g.config.Listener
 	begun, ended, accepted := g.requestCount.Load(), g.endedCount.Load(), listener.Accepted()
 	sample := overload.Sample{
-		RunQueue: event.Duration(d.runQueue.Load()), Wait: d.wait.value(), Path: d.path(),
+		RunQueue: event.Duration(d.runQueue.Load()), Wait: d.wait.value(), Path: d.path(), Arrival: d.commonArrival.value(),
 		Begun: int(begun - d.begun), Ended: int(ended - d.ended), IsReached: listener.Reached(),
 	}
 	sample.Responses = int(g.responses.Load())
@@ -178,7 +196,7 @@
 	limit := d.limit.Load()
 	fields := []zap.Field{
 		zap.Duration("run_queue", event.Duration(d.runQueue.Load())), zap.Duration("wait", d.wait.value()), zap.Duration("send", d.send.value()),
-		zap.Duration("connection", d.connection.value()), zap.Duration("arrival", d.arrival.value()),
+		zap.Duration("connection", d.connection.value()), zap.Duration("arrival", d.arrival.value()), zap.Duration("common_arrival", d.commonArrival.value()),
 		zap.Duration("owner_round_trip", owner), zap.Bool("has_owner", hasOwner),
 		zap.Int64("requests", g.inFlight.Load()), zap.Int64("streams", g.streams.Load()), zap.Int64("responses", g.responses.Load()),
 		zap.Float64("limit_per_second", perSecond(*limit)), zap.Bool("paused", limit.IsPaused),
@@ -241,7 +259,11 @@
 	if !ok || !conn.hasBegun.CompareAndSwap(false, true) {
 		return
 	}
-	c.gateway.arrivals.Add(time.Since(conn.acceptedAt))
+	arrival := time.Since(conn.acceptedAt)
+	c.gateway.arrivals.Add(arrival)
+	if size := c.r.ContentLength; size >= 0 && size <= smallRequest {
+		c.gateway.smallArrivals.Add(arrival)
+	}
 	socket, ok := conn.conn.(syscall.Conn)
 	if !ok {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 	account            *heldmem.Account
 	delays             boxDelays
 	arrivals           overload.Delays // of the first requests of callers' connections
+	smallArrivals      overload.Delays // of those with a small body
 	waits              overload.Delays // of these requests for the process
 
 	// Limits of log lines, see record.go.
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -39,7 +39,9 @@
 	set.NewGauge("lynxramp_gateway_slowed_endpoints", func() float64 { return float64(g.agent.client.slowedEndpoints.Load()) })
 	set.NewGauge("lynxramp_gateway_request_wait_seconds", func() float64 { return g.delays.wait.value().Seconds() })
 	set.NewGauge("lynxramp_gateway_run_queue_seconds", func() float64 { return event.Duration(g.delays.runQueue.Load()).Seconds() })
-	for path, delay := range map[string]*measuredDelay{"send": &g.delays.send, "connection": &g.delays.connection, "arrival": &g.delays.arrival} {
+	for path, delay := range map[string]*measuredDelay{
+		"send": &g.delays.send, "connection": &g.delays.connection, "arrival": &g.delays.arrival, "common_arrival": &g.delays.commonArrival,
+	} {
 		set.NewGauge(`lynxramp_gateway_path_seconds{of="`+path+`"}`, func() float64 { return delay.value().Seconds() })
 	}
 	set.NewGauge("lynxramp_gateway_owner_round_trip_seconds", func() float64 {
--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -37,6 +37,8 @@
 	// minRate and minResponses are the least bounds.
 	minRate      = 2 // requests a second
 	minResponses = 4
+	// arrivalWakeups is how often a request waits for the processor until it has arrived.
+	arrivalWakeups = 2
 	// reachedFor is how long a limit counts as reached after it was.
 	reachedFor = event.Second
 	// usualWindow is the time constant of the average rate of requests, rateWindow that of the current rates.
@@ -77,6 +79,9 @@
 	Wait event.Duration
 	// Path is how long the path to endpoints and callers takes, without their processes; 0 if nothing was sent lately.
 	Path event.Duration
+	// Arrival is the delay that the first requests of many connections have in common; 0 if unknown. It tells of the link to
+	// callers also where what is at its other end acknowledges all at once.
+	Arrival event.Duration
 	// OwnerRoundTrip is how long the owner takes to answer. It is ignored without an owner.
 	OwnerRoundTrip event.Duration
 	HasOwner       bool
@@ -129,6 +134,8 @@
 
 	last  event.Time // of the last step
 	least LeastDelay // of the link
+	// leastArrival is that of Sample.Arrival.
+	leastArrival LeastDelay
 	// Average rates, in requests a second. usual is that of begun while there is no limit.
 	begun, ended, usual float64
 	served              float64 // ended, over servedWindow
@@ -172,7 +179,7 @@
 	if c.Delay <= 0 {
 		c.Delay = DefaultDelay
 	}
-	return &Limiter{config: c, least: NewLeastDelay()}
+	return &Limiter{config: c, least: NewLeastDelay(), leastArrival: NewLeastDelay()}
 }
 
 // Step applies a sample and returns the limit from now on.
@@ -180,6 +187,10 @@
 	interval := now.Sub(l.last)
 	l.last = now
 	link := s.link() - l.least.Update(now, s.link())
+	if s.Arrival > 0 {
+		arrival := s.Arrival - l.leastArrival.Update(now, s.Arrival)
+		link = max(link, arrival-arrivalWakeups*max(s.RunQueue, s.Wait))
+	}
 	delay := max(s.RunQueue, link)
 	if s.IsReached {
 		l.reachedAt = now
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -22,7 +22,7 @@
 
 const ms = event.Millisecond
 
-var calm = Sample{RunQueue: 2 * ms, Path: 5 * ms, OwnerRoundTrip: 3 * ms, HasOwner: true, Begun: 5, Ended: 5}
+var calm = Sample{RunQueue: 2 * ms, Path: 5 * ms, Arrival: 4 * ms, OwnerRoundTrip: 3 * ms, HasOwner: true, Begun: 5, Ended: 5}
 
 // TestNoLimitForOthersDelays: an entry must not refuse connections because the owner, endpoints or callers are slow, or
 // because one of them is far away.
@@ -31,6 +31,7 @@
 		"slow owner":                   func(s *Sample) { s.OwnerRoundTrip = 900 * ms },
 		"slow endpoints or callers":    func(s *Sample) { s.Path = 900 * ms },
 		"no owner":                     func(s *Sample) { s.HasOwner = false },
+		"slow or idle callers":         func(s *Sample) { s.Path, s.Arrival = 900*ms, 0 },
 		"many responses under way":     func(s *Sample) { s.Responses = 10000 },
 		"more requests than responses": func(s *Sample) { s.Begun, s.Ended = 100, 1 },
 	} {
@@ -44,6 +45,7 @@
 	}
 	far := calm
 	far.Path, far.OwnerRoundTrip = 300*ms, 300*ms
+	far.Arrival = 600 * ms
 	if _, _, wasLimited := feed(NewLimiter(Config{}), 0, 20*event.Second, far); wasLimited {
 		t.Error("all far away: connections are limited")
 	}
@@ -84,6 +86,7 @@
 		{ReasonProcessor, func(s *Sample) { s.RunQueue, s.Wait = 100*ms, 200*ms }},
 		{ReasonLink, func(s *Sample) { s.Path, s.OwnerRoundTrip = 300*ms, 200*ms }},
 		{ReasonLink, func(s *Sample) { s.Path, s.HasOwner = 300*ms, false }},
+		{ReasonLink, func(s *Sample) { s.Arrival = 300 * ms }},
 	} {
 		l := NewLimiter(Config{})
 		now, _, _ := feed(l, 0, 5*event.Second, calm)
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -139,3 +139,30 @@
 		t.Errorf("after a response %d sends are watched, with %d samples", len(a.watched), len(a.samples))
 	}
 }
+
+// TestCommonDelay: one fast sender among slow or idle ones shows that the link isn't full.
+func TestCommonDelay(t *testing.T) {
+	alike, mixed := make([]event.Duration, minUnrelated), make([]event.Duration, minUnrelated)
+	for i := range alike {
+		alike[i] = event.Duration(300+10*i) * event.Millisecond
+		mixed[i] = event.Duration(300*i+1) * event.Millisecond
+	}
+	for name, c := range map[string]struct {
+		samples []event.Duration
+		want    event.Duration
+		isKnown bool
+	}{
+		"full link":    {alike, alike[0], true},
+		"slow senders": {mixed, 0, true},
+		"few of them":  {alike[1:], 0, false},
+		"none":         {nil, 0, false},
+	} {
+		var d Delays
+		for _, sample := range c.samples {
+			d.Add(sample)
+		}
+		if got, isKnown := d.Common(); got != c.want || isKnown != c.isKnown {
+			t.Errorf("%s: %v, %v, want %v, %v", name, got, isKnown, c.want, c.isKnown)
+		}
+	}
+}
