--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -186,11 +186,7 @@
 func (l *Limiter) Step(now event.Time, s Sample) Limit {
 	interval := now.Sub(l.last)
 	l.last = now
-	link := s.link() - l.least.Update(now, s.link())
-	if s.Arrival > 0 {
-		arrival := s.Arrival - l.leastArrival.Update(now, s.Arrival)
-		link = max(link, arrival-arrivalWakeups*max(s.RunQueue, s.Wait))
-	}
+	link := l.linkDelay(now, s)
 	delay := max(s.RunQueue, link)
 	if s.IsReached {
 		l.reachedAt = now
@@ -214,12 +210,23 @@
 			l.reason = ReasonLink
 		}
 	}
+	wasPaused := l.isPaused
 	// Without an owner and without traffic, only what is admitted now and then tells how long requests wait.
-	mustPause := isStalled || l.isTooLong(delay) || !s.isLinkKnown()
-	l.adjust(now, interval, s, delay, mustPause)
+	l.isPaused = isStalled || l.isTooLong(delay) || !s.isLinkKnown()
+	l.adjust(now, interval, s, delay, wasPaused)
 	return l.limit(now, s, longest)
 }
 
+// linkDelay returns how much longer than usual the link takes.
+func (l *Limiter) linkDelay(now event.Time, s Sample) event.Duration {
+	link := s.link() - l.least.Update(now, s.link())
+	if s.Arrival == 0 {
+		return link
+	}
+	arrival := s.Arrival - l.leastArrival.Update(now, s.Arrival)
+	return max(link, arrival-arrivalWakeups*max(s.RunQueue, s.Wait))
+}
+
 // average updates the average rates.
 func (l *Limiter) average(interval event.Duration, s Sample, delay event.Duration) {
 	if interval <= 0 {
@@ -262,10 +269,8 @@
 	l.responses = bound{limit: math.Inf(1), min: minResponses}
 }
 
-// adjust begins or ends a pause, and changes the bounds.
-func (l *Limiter) adjust(now event.Time, interval event.Duration, s Sample, delay event.Duration, mustPause bool) {
-	wasPaused := l.isPaused
-	l.isPaused = mustPause
+// adjust changes the bounds.
+func (l *Limiter) adjust(now event.Time, interval event.Duration, s Sample, delay event.Duration, wasPaused bool) {
 	switch {
 	case !l.isPaused:
 		interval = min(interval, maxInterval) // in the rest the process didn't run
--- a/overload/paused_test.go
+++ b/overload/paused_test.go
@@ -110,7 +110,7 @@
 	if b.now >= b.nextSample {
 		b.sample()
 	}
-	b.openOrClose()
+	b.isReached = openOrClose(&b.window, b.clock()) || b.isReached
 }
 
 // accept takes the connections whose requests were received.
@@ -124,7 +124,7 @@
 			b.accepted++
 			b.begun++
 			b.window.accept(b.clock(), time.Millisecond)
-			b.openOrClose()
+			b.isReached = openOrClose(&b.window, b.clock()) || b.isReached
 			b.waits = append(b.waits, b.now.Sub(r.next))
 			b.handled = append(b.handled, r)
 		}
@@ -158,18 +158,6 @@
 	b.nextSample = b.now.Add(interval)
 }
 
-// openOrClose opens the box for connections and closes it, as a Listener does.
-func (b *pausedBox) openOrClose() {
-	now := b.clock()
-	if !b.window.isOpen && b.window.untilBegin(now) == 0 {
-		b.window.begin(now)
-	}
-	if b.window.mustEnd(now) {
-		b.window.end(now)
-		b.isReached = true
-	}
-}
-
 // TestLimitOfPausedProcessFollowsWhatItServes: the limit of a process that is kept from running by a quota grew to many times
 // what it serves, and the process read more than it could serve. The bounds are those of other boxes.
 func TestLimitOfPausedProcessFollowsWhatItServes(t *testing.T) {
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -118,7 +118,7 @@
 	for end := b.now.Add(length); b.now < end; b.now = b.now.Add(simulatedStep) {
 		b.drain()
 		b.sample()
-		b.openOrClose()
+		b.isReached = openOrClose(&b.window, b.clock()) || b.isReached
 		for range b.poisson(perSecond * simulatedStep.Seconds()) {
 			b.linkQueue += packetBytes
 			b.handshakes = append(b.handshakes, handshake{began: b.now, next: b.now.Add(b.linkDelay())})
@@ -171,16 +171,16 @@
 	b.nextSample = b.now.Add(interval)
 }
 
-// openOrClose opens the box for connections and closes it, as a Listener does.
-func (b *simulatedBox) openOrClose() {
-	now := b.clock()
-	if !b.window.isOpen && b.window.untilBegin(now) == 0 {
-		b.window.begin(now)
+// openOrClose opens a box for connections and closes it, as a Listener does. It reports whether it closed it.
+func openOrClose(w *window, now time.Time) (isClosed bool) {
+	if !w.isOpen && w.untilBegin(now) == 0 {
+		w.begin(now)
 	}
-	if b.window.mustEnd(now) {
-		b.window.end(now)
-		b.isReached = true
+	if !w.mustEnd(now) {
+		return false
 	}
+	w.end(now)
+	return true
 }
 
 // receive takes the packets that the link has brought.
