--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -46,9 +46,9 @@
 	rateWindow  = 300 * event.Millisecond
 	// maxInterval is the time between two samples of a process that runs, as a rule.
 	maxInterval = 100 * event.Millisecond
-	// stallFor is how long a process counts as stalled after it was kept from running. servedWindow is the time constant of
+	// stalledFor is how long a process counts as stalled after it was kept from running. servedWindow is the time constant of
 	// the average rate that it serves; it spans several stalls.
-	stallFor     = 2 * event.Second
+	stalledFor     = 2 * event.Second
 	servedWindow = 2 * event.Second
 )
 
@@ -324,7 +324,7 @@
 
 // isStalled reports whether the process was kept from running lately. It begins what came meanwhile all at once, and the
 // delays that it measures are long or short by chance; what it serves on average tells what it can.
-func (l *Limiter) isStalled(now event.Time) bool { return now.Sub(l.stalledAt) < stallFor }
+func (l *Limiter) isStalled(now event.Time) bool { return now.Sub(l.stalledAt) < stalledFor }
 
 // isReached reports whether the limit was reached lately.
 func (l *Limiter) isReached(now event.Time) bool { return now.Sub(l.reachedAt) < reachedFor }
