--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -48,7 +48,7 @@
 	maxInterval = 100 * event.Millisecond
 	// stalledFor is how long a process counts as stalled after it was kept from running. servedWindow is the time constant of
 	// the average rate that it serves; it spans several stalls.
-	stalledFor     = 2 * event.Second
+	stalledFor   = 2 * event.Second
 	servedWindow = 2 * event.Second
 )
 
