gateway, fleet: a planned stop logs which requests it ends and what they waited for

The log of a stop told how many requests were in flight when the callers' connections were closed, but not which, nor whether their endpoints had ended: it could not tell a stop that ends too early from responses that wait for their callers. Each request that a stop ends now has a line (100 at most) and is counted by how it ended and what it waited for. Connections whose responses net/http still sends are counted, too.

--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -71,9 +71,11 @@
 		d.enter(gateway.Stopped)
 		d.wait(d.times.end, isDone)
 	}
-	err := d.callers.Close()
+	connections := d.conns.closeUnused()
 	all, streams := d.gateway.InFlight()
-	d.log.Info("callers' server closed", zap.Int("held", all), zap.Int("streams", streams), zap.Duration("after", time.Since(d.began)), logx.Err(err))
+	d.gateway.ReportClosed()
+	err := d.callers.Close()
+	d.log.Info("callers' server closed", zap.Int("held", all), zap.Int("streams", streams), zap.Int("connections", connections), zap.Duration("after", time.Since(d.began)), logx.Err(err))
 }
 
 // wait waits until done, or until a time since the beginning; it returns whether it is done.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -44,6 +44,7 @@
 func (g *Gateway) SetDrainPhase(p DrainPhase) {
 	g.phase.Store(int32(p))
 	if p == Stopped {
+		g.reportStopped(stopGivesUp)
 		g.giveUpAll()
 	}
 }
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -7,8 +7,13 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // heldRequest is a request in flight, with what its caller gets.
@@ -114,6 +119,55 @@
 	}
 }
 
+// TestStopLogsRequestsThatItEnds guards against a stop whose log doesn't tell which requests it ended and what they waited for.
+func TestStopLogsRequestsThatItEnds(t *testing.T) {
+	began := make(chan struct{}, 2)
+	endpoint := newFakeEndpoint(t, func(c net.Conn, q *http.Request) bool {
+		if q.URL.Path == "/once/long" {
+			fmt.Fprintf(c, "%sContent-Length: 2\r\n\r\nh", head(q, 200, ""))
+		}
+		began <- struct{}{}
+		_, _ = c.Read(make([]byte, 1)) // until the gateway closes the connection
+		return false
+	})
+	r := newTestGateway(t, endpoint, endpoint)
+	core, lines := observer.New(zap.WarnLevel)
+	r.gateway.log = zap.New(core)
+	results := []chan heldRequest{r.send(t, "/once/x")}
+	var cut sync.WaitGroup
+	cut.Go(func() {
+		if a, err := http.DefaultClient.Do(r.request("POST", "/once/long", "q")); err == nil {
+			_ = a.Body.Close() // the stop cuts it
+		}
+	})
+	<-began
+	<-began
+	r.owner.mu.Lock()
+	r.owner.hold = true
+	r.owner.mu.Unlock()
+	results = append(results, r.send(t, "/safe/x"))
+	waitFor(t, "all are in flight, one with the beginning of its response", func() bool {
+		all, _ := r.gateway.InFlight()
+		return all == 3 && r.gateway.responses.Load() == 1
+	})
+	r.gateway.StartDraining(time.Second)
+	r.gateway.SetDrainPhase(Stopped)
+	for _, result := range results {
+		<-result
+	}
+	cut.Wait()
+	got := make(map[string]int)
+	for _, line := range lines.FilterMessage("ended by the stop").All() {
+		fields := line.ContextMap()
+		_, hasEndpoint := fields["endpoint"]
+		got[fmt.Sprintf("%v %v %v %t", fields["how"], fields["route"], fields["waits_for"], hasEndpoint)]++
+	}
+	want := map[string]int{"given_up once response true": 1, "given_up once rest_of_response true": 1, "given_up safe endpoint false": 1}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("logged requests (-want +got):\n%s", diff)
+	}
+}
+
 // TestKeptConnectionIsClosedByResponse guards against a kept connection that is closed without a word during a planned stop:
 // also the response to a request from before the stop tells its caller that the connection closes.
 func TestKeptConnectionIsClosedByResponse(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,7 @@
 	stopped            context.Context // ends when the requests in flight are given up, by giveUpAll
 	giveUpAll          context.CancelFunc
 	late               atomic.Int64 // requests in flight that arrived in the phase Finishing or later
+	calls              *callSet     // in flight
 	meters             meters
 	memory             *heldMemory // nil without the account of held memory
 	account            *heldmem.Account
@@ -115,7 +116,7 @@
 
 // New returns a gateway. Run closes its idle connections and logs what was suppressed.
 func New(c Config) *Gateway {
-	g := &Gateway{config: c, agent: c.Agent, log: c.Log, upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
+	g := &Gateway{config: c, agent: c.Agent, log: c.Log, calls: newCallSet(), upstream: newUpstream(), inFlightLimit: inFlightLimit(c.Descriptors, c.Memory), bodyIdleTimeout: bodyIdleTimeout, callerWriteTimeout: callerWriteTimeout}
 	g.stopped, g.giveUpAll = context.WithCancel(context.Background())
 	g.upstream.maxConnections = MaxConnections(c.Descriptors)
 	g.delays.limiter, g.delays.leastRoundTrip = overload.NewLimiter(c.Overload), overload.NewLeastDelay()
@@ -214,6 +215,7 @@
 	mayHaveRun bool
 	cooldown   event.Duration // Retry-After of a refusal because of cooldowns; 0 if none
 	record     requestRecord
+	awaited    callAwaited
 
 	stream *StreamRequest // nil if it can't be resumed
 	// isBound is set once the first event arrived, if the version of its endpoint is known: only endpoints of
@@ -252,6 +254,8 @@
 	defer caller.extendDeadline() // covers what net/http writes after the handler returns
 	c := &call{gateway: g, w: caller, r: r, arrived: time.Now(), arrivedClock: g.agent.clock.Now(), callerID: r.Header.Get(g.config.Headers.RequestID)}
 	c.id = event.RequestID(fmt.Sprintf("%s-%x-%x", g.config.Entry, g.config.Instance&0xffff, g.requestCount.Add(1)))
+	g.calls.add(c)
+	defer g.calls.remove(c)
 	c.removeReservedHeaders()
 	defer c.logSteps()
 	defer c.releaseBody()
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -104,6 +104,7 @@
 	c.releaseBody()
 	err := a.err
 	if err == nil {
+		c.setAwaited(sendingResponse)
 		err = c.flushRelay()
 	}
 	if err != nil {
--- /dev/null
+++ b/gateway/in_flight.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// awaited is what a request in flight waits for.
+type awaited int32
+
+const (
+	readingRequest     awaited = iota // the rest of the request
+	waitingForEndpoint                // a decision, or a connection
+	waitingForResponse                // the head of the response; the endpoint has the request
+	receivingResponse                 // the rest of the response
+	sendingResponse                   // the caller, which has not taken all of a complete response
+	awaitedKinds
+)
+
+// String returns it as used in logs and metrics.
+func (p awaited) String() string {
+	return [...]string{"request", "endpoint", "response", "rest_of_response", "caller"}[p]
+}
+
+// stopLines is the most requests that have a line when a planned stop ends them.
+const stopLines = 100
+
+// callSet is a set of calls.
+type callSet struct {
+	mu    sync.Mutex
+	calls map[*call]struct{}
+}
+
+func newCallSet() *callSet { return &callSet{calls: make(map[*call]struct{})} }
+
+func (s *callSet) add(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[c] = struct{}{}
+}
+
+func (s *callSet) remove(c *call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, c)
+}
+
+func (s *callSet) list() []*call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*call, 0, len(s.calls))
+	for c := range s.calls {
+		list = append(list, c)
+	}
+	return list
+}
+
+// callAwaited is what a call waits for, to be read by other goroutines.
+type callAwaited struct {
+	now      atomic.Int32 // awaited
+	since    atomic.Int64 // nanoseconds from the call's arrival to now
+	endpoint atomic.Pointer[Decision]
+}
+
+func (c *call) setAwaited(p awaited) {
+	c.awaited.since.Store(int64(time.Since(c.arrived)))
+	c.awaited.now.Store(int32(p))
+}
+
+// How a planned stop ends requests, as used in logs and metrics.
+const (
+	stopGivesUp = "given_up" // it responds that time was up, or cuts the response
+	stopCloses  = "closed"   // it closes their connections
+)
+
+// ReportClosed logs and counts the requests that are still in flight when the connections of callers are closed.
+func (g *Gateway) ReportClosed() { g.reportStopped(stopCloses) }
+
+// reportStopped logs and counts the requests in flight, which a planned stop ends.
+func (g *Gateway) reportStopped(how string) {
+	list := g.calls.list()
+	for i, c := range list {
+		now := awaited(c.awaited.now.Load())
+		g.meters.stoppedRequests(how, now).Inc()
+		if i >= stopLines {
+			continue
+		}
+		fields := []zap.Field{
+			zap.String("request", c.callerID), zap.String("id", string(c.id)), zap.String("how", how), zap.Stringer("waits_for", now),
+			zap.Duration("age", time.Since(c.arrived)), zap.Duration("waits", time.Since(c.arrived)-time.Duration(c.awaited.since.Load())),
+		}
+		if now > readingRequest {
+			fields = append(fields, zap.String("route", c.route.Name), zap.Duration("left", c.remaining()))
+		}
+		if d := c.awaited.endpoint.Load(); d != nil {
+			fields = append(fields, zap.String("endpoint", string(d.Endpoint)))
+		}
+		g.log.Warn("ended by the stop", fields...)
+	}
+	if rest := len(list) - stopLines; rest > 0 {
+		g.log.Warn("more requests ended by the stop", zap.Int("requests", rest), zap.String("how", how))
+	}
+}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -88,6 +88,10 @@
 	m.restrictedGrants()
 	m.fullRefusals()
 	m.stopRefusals()
+	for p := range awaitedKinds {
+		m.stoppedRequests(stopGivesUp, p)
+		m.stoppedRequests(stopCloses, p)
+	}
 	for _, by := range []string{resumedByCaller, resumedByEntry} {
 		m.resumptions(by)
 	}
@@ -171,6 +175,11 @@
 	return m.set.GetOrCreateCounter("lynxramp_gateway_stop_refusals_total")
 }
 
+// stoppedRequests counts the requests that a planned stop ended, by how and by what they waited for.
+func (m *meters) stoppedRequests(how string, p awaited) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_requests_total{how="` + how + `",waits_for="` + p.String() + `"}`)
+}
+
 // refusedHeads counts the requests of callers whose head was not read on because of a limit.
 func (m *meters) refusedHeads(why reqlimit.Reason) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`lynxramp_gateway_refused_heads_total{why="` + why.String() + `"}`)
--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -74,6 +74,7 @@
 
 // forward sends an endpoint's complete response to the caller.
 func (c *call) forward(r *response) {
+	c.setAwaited(sendingResponse)
 	h := c.w.Header()
 	copyHeader(h, r.header)
 	if c.r.Method != http.MethodHead {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -123,6 +123,7 @@
 	isRetry := false
 	var last *attempt
 	for {
+		c.setAwaited(waitingForEndpoint)
 		decision, ok := c.decide(ctx, isRetry, last)
 		if !ok {
 			return
@@ -375,6 +376,8 @@
 		_ = conn.Close() // feedback or a restriction arrived while the connection was opened
 		return a
 	}
+	c.awaited.endpoint.Store(&a.decision)
+	c.setAwaited(waitingForResponse)
 	a.sent, a.previousSends = time.Now(), c.attempts
 	c.attempts++
 	c.addStep(stepDispatched, zap.String("endpoint", string(d.Endpoint)), zap.String("address", d.Address),
@@ -420,6 +423,7 @@
 
 // receive reads an endpoint's response.
 func (c *call) receive(x *exchange, a *attempt, started time.Time) {
+	c.setAwaited(receivingResponse)
 	c.gateway.responses.Add(1)
 	defer c.gateway.responses.Add(-1)
 	names := &c.gateway.config.Headers
