gateway: a planned stop hands complete responses over to the kernel

Callers saw: responses cut around a planned stop although their endpoints had ended long before. They read 32 kB/s of 400 kB, so that the response waited for its caller when the stop timeout ended.

Cause: at the end of a stop the callers' connections are closed. What the process still holds of a response then is lost, also where the whole response is in its memory, as its connections have send buffers of 32 kB (pressure) or what the kernel has given them.

TestStopHandsOverCompleteResponses failed before (2 of 2 cases).

Why this works: when the requests in flight are given up, connections with complete responses get send buffers that take the rest. It takes no more memory than the response has in the process, and the kernel goes on sending after the process has exited. What the kernel doesn't take, as its limit is lower, is cut as before, with a line.

--- a/gateway/caller_socket.go
+++ b/gateway/caller_socket.go
@@ -29,11 +29,8 @@
 // ConnContext bounds the send buffer of a caller's connection and makes the connection known to its requests. It is
 // the hook of an http.Server whose gateway accounts for held memory.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = wrapped.NetConn()
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
+	tcp := tcpConn(c)
+	if tcp == nil {
 		return ctx
 	}
 	_ = tcp.SetWriteBuffer(callerSendBuffer) // with another size, only the count is wrong
@@ -46,6 +43,15 @@
 	return context.WithValue(ctx, callerSocketKey{}, s)
 }
 
+// tcpConn returns the TCP connection of a caller's connection; nil for one of another kind.
+func tcpConn(c net.Conn) *net.TCPConn {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	tcp, _ := c.(*net.TCPConn)
+	return tcp
+}
+
 // callerSocket tells whether a write to a caller would wait for the caller.
 type callerSocket struct {
 	conn *net.TCPConn
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -40,12 +40,11 @@
 }
 
 // SetDrainPhase moves on to a later phase of the stop. Stopped gives up the requests in flight: those that no endpoint
-// has are answered, the others end as if their time were up.
+// has are answered, the others end as if their time were up. Complete responses are handed over to the kernel.
 func (g *Gateway) SetDrainPhase(p DrainPhase) {
 	g.phase.Store(int32(p))
 	if p == Stopped {
-		g.reportStopped(stopGivesUp)
-		g.giveUpAll()
+		g.endInFlight()
 	}
 }
 
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -3,10 +3,15 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -168,6 +173,43 @@
 	}
 }
 
+// TestStopHandsOverCompleteResponses guards against a planned stop that cuts a response which its endpoint has completed,
+// because the caller reads slowly.
+func TestStopHandsOverCompleteResponses(t *testing.T) {
+	text := strings.Repeat("abcdefgh", 400<<10/8)
+	for name, held := range map[string]*HeldMemory{"held memory": heldLimits(), "without": nil} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newHeldGateway(t, held, newFakeEndpoint(t, whole(200, text)))
+			r.server = httptest.NewUnstartedServer(r.gateway)
+			r.server.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+				_ = c.(*net.TCPConn).SetWriteBuffer(callerSendBuffer) // a larger one takes the whole response at once
+				return r.gateway.CallerContext(ctx, c)
+			}
+			r.server.Start()
+			t.Cleanup(r.server.Close)
+			c := r.dialCaller(t, testReceiveBuffer)
+			fmt.Fprint(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request: r-1\r\nAuthorization: Key key\r\nContent-Length: 1\r\n\r\nq")
+			waitFor(t, "the response waits for its caller", func() bool {
+				list := r.gateway.calls.list()
+				return len(list) == 1 && awaited(list[0].awaited.now.Load()) == sendingResponse
+			})
+			r.gateway.StartDraining(time.Second)
+			r.gateway.SetDrainPhase(Stopped)
+			r.checkNothingHeld(t)
+			_ = r.server.Config.Close() // as at the end of a stop
+			a, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(a.Body)
+			if err != nil || string(got) != text {
+				t.Errorf("%d of %d bytes arrived, %v", len(got), len(text), err)
+			}
+		})
+	}
+}
+
 // TestKeptConnectionIsClosedByResponse guards against a kept connection that is closed without a word during a planned stop:
 // also the response to a request from before the stop tells its caller that the connection closes.
 func TestKeptConnectionIsClosedByResponse(t *testing.T) {
--- a/gateway/in_flight.go
+++ b/gateway/in_flight.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,16 +75,51 @@
 
 // How a planned stop ends requests, as used in logs and metrics.
 const (
-	stopGivesUp = "given_up" // it responds that time was up, or cuts the response
-	stopCloses  = "closed"   // it closes their connections
+	stopGivesUp   = "given_up"    // it responds that time was up, or cuts the response
+	stopHandsOver = "handed_over" // the kernel sends the rest of their complete responses
+	stopCloses    = "closed"      // it closes their connections
 )
 
+// handOverBuffer is the send buffer of a connection whose response is handed over to the kernel, in bytes. The kernel allocates
+// twice as much at most, and less where its own limit is lower.
+const handOverBuffer = 2 * maxBufferedResponse
+
+// handOver has the kernel take the rest of a complete response, which it sends to the caller also once the process has exited. It
+// takes no more memory than the response does in the process.
+func (c *call) handOver() {
+	var conn *net.TCPConn
+	if socket, ok := c.r.Context().Value(callerSocketKey{}).(*callerSocket); ok {
+		conn = socket.conn
+	} else if caller, ok := c.r.Context().Value(callerConnKey{}).(*callerConn); ok {
+		conn = tcpConn(caller.conn)
+	}
+	if conn != nil {
+		_ = conn.SetWriteBuffer(handOverBuffer) // with a smaller one, less is handed over
+	}
+}
+
+// endInFlight hands over complete responses and gives up the other requests in flight.
+func (g *Gateway) endInFlight() {
+	var others []*call
+	var complete []*call
+	for _, c := range g.calls.list() {
+		if awaited(c.awaited.now.Load()) == sendingResponse {
+			c.handOver()
+			complete = append(complete, c)
+		} else {
+			others = append(others, c)
+		}
+	}
+	g.reportStopped(complete, stopHandsOver)
+	g.reportStopped(others, stopGivesUp)
+	g.giveUpAll()
+}
+
 // ReportClosed logs and counts the requests that are still in flight when the connections of callers are closed.
-func (g *Gateway) ReportClosed() { g.reportStopped(stopCloses) }
+func (g *Gateway) ReportClosed() { g.reportStopped(g.calls.list(), stopCloses) }
 
-// reportStopped logs and counts the requests in flight, which a planned stop ends.
-func (g *Gateway) reportStopped(how string) {
-	list := g.calls.list()
+// reportStopped logs and counts requests that a planned stop ends.
+func (g *Gateway) reportStopped(list []*call, how string) {
 	for i, c := range list {
 		now := awaited(c.awaited.now.Load())
 		g.meters.stoppedRequests(how, now).Inc()
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -92,6 +92,7 @@
 		m.stoppedRequests(stopGivesUp, p)
 		m.stoppedRequests(stopCloses, p)
 	}
+	m.stoppedRequests(stopHandsOver, sendingResponse)
 	for _, by := range []string{resumedByCaller, resumedByEntry} {
 		m.resumptions(by)
 	}
