fleet: a planned stop of a control box answers the calls in progress

Callers saw: operators' calls whose connections closed without a response 0.6 s after SIGTERM to a control box, 7.4 s before the stop timeout: configurations whose bodies still arrived.

Cause: the class of the stops of entries, a time of its own instead of the time that it is given. The box waited 0.6 s for another leader, then closed all connections; with a stop timeout of 0.5 s it would have been killed.

Why this works: after the transfer, which now takes at most half of the stop timeout, the box refuses connections, closes kept ones with their responses or while they are idle, and exits when all calls have their responses, 1 s (an eighth of a short timeout) before the stop timeout at the latest. A call that waits for a commit is answered after 0.9 s as before. Without calls in progress the stop takes as long as before.

--- a/cluster/server.go
+++ b/cluster/server.go
@@ -34,8 +34,9 @@
 	// leaderTimeout is how long a voter may be without a leader before it asks to join
 	// again: it may have been replaced.
 	leaderTimeout = 2 * event.Second
-	// transferTimeout is how long a planned stop waits for another leader.
+	// transferTimeout is how long a planned stop waits for another leader, at most transferShare of the stop timeout.
 	transferTimeout = 600 * time.Millisecond
+	transferShare   = 0.5
 )
 
 // initialIncarnation is the incarnation of the first disk of each initial member. It is the same
@@ -57,7 +58,14 @@
 	Requests *reqlimit.Limiter
 	// LinkBytes limits the long messages that are being received on all links; 0 is 64 MiB.
 	LinkBytes int64
-	Log       *zap.Logger
+	// StopTimeout is the time that a planned stop may take.
+	StopTimeout time.Duration
+	Log         *zap.Logger
+}
+
+// TransferTime returns how long a planned stop with a given timeout waits for another leader.
+func TransferTime(stopTimeout time.Duration) time.Duration {
+	return min(transferTimeout, time.Duration(transferShare*float64(stopTimeout)))
 }
 
 // Server runs a control box.
@@ -163,9 +171,9 @@
 	return net.JoinHostPort(host, port)
 }
 
-// Run serves until ctx ends, then transfers leadership to another box. It returns an error if the
-// box found data that only a later build can read.
-func (s *Server) Run(ctx context.Context) error {
+// Run serves until ctx ends, then transfers leadership to another box and calls finish, which waits for calls in progress. It
+// returns an error if the box found data that only a later build can read.
+func (s *Server) Run(ctx context.Context, finish func()) error {
 	listener, err := link.Listen(cmp.Or(s.config.LinkListenAddress, s.config.LinkAddress), s.serve)
 	if err != nil {
 		return err
@@ -190,7 +198,8 @@
 	}
 	s.log.Info("control box stopping; transferring leadership")
 	s.events <- &StopRequested{}
-	time.Sleep(transferTimeout)
+	time.Sleep(TransferTime(s.config.StopTimeout))
+	finish()
 	return nil
 }
 
--- a/cluster/server_test.go
+++ b/cluster/server_test.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
 		cancel()
-		time.Sleep(transferTimeout)
+		time.Sleep(transferTimeout) // the servers are closed by then
 	})
 	var list []*Server
 	for i, operators := range seeds {
@@ -64,7 +64,7 @@
 			s.clock = event.NewClockFrom(clocks[i])
 		}
 		list = append(list, s)
-		go func() { _ = s.Run(ctx) }() // returns when ctx ends
+		go func() { _ = s.Run(ctx, func() {}) }() // returns when ctx ends
 	}
 	return list
 }
--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -40,8 +40,8 @@
 	})
 	go agent.Run(run)
 	go g.Run(run)
-	ready, err := serve(f.Listen.Readiness, newServer(withMetrics(readinessHandler(g, d), d), idleTimeout), g.HeadLimiter())
-	if err != nil {
+	ready := newServer(withMetrics(readinessHandler(g, d), d), idleTimeout)
+	if _, err := serve(f.Listen.Readiness, ready, g.HeadLimiter()); err != nil {
 		return err
 	}
 	defer ready.Close()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -177,6 +177,7 @@
 }
 
 func runControl(ctx context.Context, file string, f settings.Fleet, d Dialect, log *zap.Logger) error {
+	stopTimeout := time.Duration(f.Bounds.StopTimeout)
 	requests := newControlLimiter(f, log)
 	server, err := cluster.Open(cluster.Config{
 		Requests:          requests,
@@ -195,19 +196,20 @@
 			Decode:            d.Decode,
 			Rollouts:          newRolloutLimits(f, d),
 		},
-		Log: log,
+		StopTimeout: stopTimeout,
+		Log:         log,
 	})
 	if err != nil {
 		return err
 	}
 	handler := withMetrics(d.OperatorHandler(server), d)
-	operators, err := serve(f.Listen.Operators, newServer(handler, idleTimeout), requests)
+	operators, err := serveOperators(f.Listen.Operators, handler, requests, log)
 	if err != nil {
 		return err
 	}
 	defer operators.Close()
 	go watch(ctx, file, log, func(f settings.Fleet) { server.AddSeeds(f.Seeds) })
-	return server.Run(ctx)
+	return server.Run(ctx, func() { operators.drain(newDrainTimes(stopTimeout).giveUp - cluster.TransferTime(stopTimeout)) })
 }
 
 // withMetrics adds the metrics path to a handler.
@@ -230,13 +232,14 @@
 // listenConfig is that of all listeners.
 var listenConfig = net.ListenConfig{KeepAliveConfig: link.KeepAlive}
 
-// serve listens at an address and serves on a goroutine until s is closed. Its requests' heads are limited.
-func serve(address string, s *http.Server, limiter *reqlimit.Limiter) (*http.Server, error) {
+// serve listens at an address and serves on a goroutine until s or the listener, which it returns, is closed. Its requests'
+// heads are limited.
+func serve(address string, s *http.Server, limiter *reqlimit.Limiter) (net.Listener, error) {
 	l, err := listenConfig.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	limited := limiter.Apply(s, l)
-	go func() { _ = s.Serve(limited) }() // returns when the server is closed
-	return s, nil
+	go func() { _ = s.Serve(limited) }() // returns when the server or the listener is closed
+	return l, nil
 }
