gateway: a response whose head is malformed is refused at once

Callers saw: 504 after their whole deadline from an endpoint that sent bytes which are no response, a few at a time. Cause: the head was read to its end or to its limit of bytes before it was parsed. Now the protocol and the status line are checked as they arrive, and each line as it is complete; the response is refused, counted and logged as malformed, and its connection closed.

--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -33,27 +33,31 @@
 	refusedInterim                  // too many interim (1xx) responses
 	refusedEvent                    // an event is too long
 	refusedMemory                   // the account granted no memory
+	refusedMalformed                // its head is none of HTTP/1
 	refusals
 )
 
 // String returns the reason as used in logs and metrics.
 func (r refusal) String() string {
-	return [...]string{"head_bytes", "head_lines", "interim", "event", "memory"}[r]
+	return [...]string{"head_bytes", "head_lines", "interim", "event", "memory", "malformed"}[r]
 }
 
-// refusedResponse is the error of a response that exceeds a limit.
+// refusedResponse is the error of a response that exceeds a limit, or that is malformed.
 type refusedResponse struct {
 	why         refusal
-	read, limit int // in the unit of the limit
+	read, limit int // in the unit of the limit; bytes and 0 of one that is malformed
 }
 
 // Error implements error.
 func (e *refusedResponse) Error() string {
+	if e.why == refusedMalformed {
+		return fmt.Sprintf("response is malformed after %d bytes", e.read)
+	}
 	return fmt.Sprintf("response exceeds a limit: %s %d, limit %d", e.why, e.read, e.limit)
 }
 
 // headReader has each head of a response complete in the connection's buffer before it is parsed, so that its size is
-// checked before memory is taken for it. The limits are for all heads of the response, with those of interim responses.
+// checked before memory is taken for it, and what can't become a head isn't waited for. The limits are for all heads of the response, with those of interim responses.
 type headReader struct {
 	conn     *upstreamConn
 	maxBytes int
@@ -69,15 +73,21 @@
 		reader := h.conn.reader
 		data, _ := reader.Peek(reader.Buffered()) // what is buffered can be peeked
 		for end := bytes.IndexByte(data[scanned:], '\n'); end >= 0; end = bytes.IndexByte(data[scanned:], '\n') {
-			line := data[lineStart : scanned+end]
+			line := bytes.TrimSuffix(data[lineStart:scanned+end], []byte{'\r'})
+			if lineStart == 0 && !isStatusLine(line) || lineStart > 0 && !isFieldLine(line) {
+				return &refusedResponse{refusedMalformed, scanned + end, 0}
+			}
 			scanned += end + 1
 			lineStart = scanned
 			h.lines++
-			if len(bytes.TrimSuffix(line, []byte{'\r'})) == 0 {
+			if len(line) == 0 {
 				return h.complete(scanned)
 			}
 		}
 		scanned = len(data)
+		if lineStart == 0 && !mayBeStatusLine(data) {
+			return &refusedResponse{refusedMalformed, scanned, 0}
+		}
 		if err := h.check(scanned); err != nil {
 			return err
 		}
@@ -87,6 +97,27 @@
 	}
 }
 
+// protocol is what the status line of each response begins with; a digit follows.
+const protocol = "HTTP/1."
+
+// mayBeStatusLine reports whether a status line can begin with these bytes.
+func mayBeStatusLine(start []byte) bool {
+	n := min(len(start), len(protocol))
+	return string(start[:n]) == protocol[:n]
+}
+
+// isStatusLine reports whether a line has a protocol and a status of three digits.
+func isStatusLine(line []byte) bool {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	return len(version) == len(protocol)+1 && mayBeStatusLine(version) && len(status) == 3 && len(bytes.Trim(status, "0123456789")) == 0
+}
+
+// isFieldLine reports whether a line is a header field, its continuation, or the empty line after the last one.
+func isFieldLine(line []byte) bool {
+	return len(line) == 0 || line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') > 0
+}
+
 // complete adds a head of a given size and holds memory for its parsed form.
 func (h *headReader) complete(size int) error {
 	if err := h.check(size); err != nil {
