gateway: bodies of responses that aren't used are read for 100 ms at most

Callers saw: 503 or a cut stream after their whole deadline although another endpoint was free. An endpoint rejected the request, or refused to resume a stream, with a body without end that arrived slowly; it was read, up to 1 MiB, so that the connection could be used again, before the next endpoint was asked. Now 64 KiB and 100 ms are the limits, after which the connection is closed. 3 cases of TestEndlessResponsesAreClosed took 2.5 s before.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -345,11 +345,18 @@
 	u.put(x.conn, x.idleTimeout)
 }
 
-// discard reads the body of a response that isn't used and ends the exchange. A connection with a longer body than
-// maxBufferedResponse is closed.
+// Limits of a body that is read only so that its connection can be used again.
+const (
+	maxDiscarded   = 64 << 10 // bytes
+	discardTimeout = 100 * time.Millisecond
+)
+
+// discard reads the body of a response that isn't used and ends the exchange. The connection is closed if the body is longer than
+// maxDiscarded, or doesn't arrive within discardTimeout.
 func (x *exchange) discard(u *upstream) {
-	n, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, maxBufferedResponse+1))
-	if err != nil || n > maxBufferedResponse {
+	slow := time.AfterFunc(discardTimeout, func() { _ = x.conn.Close() })
+	n, err := io.Copy(io.Discard, io.LimitReader(x.response.Body, maxDiscarded+1))
+	if !slow.Stop() || err != nil || n > maxDiscarded {
 		x.abort()
 		return
 	}
