gateway: comments of a stream have a limit between two events

Callers saw: bytes at full speed until their deadline (467 MB in 2.5 s on loopback) from an endpoint whose stream went on with comments, or blocks without a field, and never ended. Each block was passed on as an event. Now a stream with more than 256 KiB of them between two events is refused as one with an event that is too long is.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -25,6 +25,7 @@
 	reader *bufio.Reader
 	buffer []byte
 	hold   func(bytes int64) bool // has the account hold bytes for the buffer
+	empty  int                    // bytes of blocks without a field since the last event
 }
 
 func newEventReader(r io.Reader, hold func(int64) bool) *eventReader {
@@ -47,7 +48,7 @@
 	return nil
 }
 
-// next returns the next event, including its final blank line, and its ID, or "" if it has none. The bytes
+// next returns the next event or block of comments, including its final blank line, and its ID, or "" if it has none. The bytes
 // are valid until the next call. At the end of the stream it returns io.EOF.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.buffer = e.buffer[:0]
@@ -72,12 +73,37 @@
 			return nil, "", err
 		}
 		if !inLine && isBlank(line) && len(e.buffer) > len(line) {
-			return e.buffer, idOf(e.buffer), nil
+			id := idOf(e.buffer)
+			return e.buffer, id, e.checkEmpty(id)
 		}
 		inLine = part
 	}
 }
 
+// checkEmpty limits what a stream may have between two events, such as comments that keep it alive.
+func (e *eventReader) checkEmpty(id string) error {
+	if id != "" || hasField(e.buffer) {
+		e.empty = 0
+		return nil
+	}
+	if e.empty += len(e.buffer); e.empty > maxEventBytes {
+		return &refusedResponse{refusedEvent, e.empty, maxEventBytes}
+	}
+	return nil
+}
+
+// hasField reports whether a block has one of the fields of an event.
+func hasField(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+	}
+	return false
+}
+
 func isBlank(line []byte) bool {
 	return len(line) > 0 && line[len(line)-1] == '\n' && len(bytes.TrimRight(line, "\r\n")) == 0
 }
