entry, lynxramp: responses whose status is enough, and metrics, have limits

An entry of lynxrampd read the response of a slot to a short call, such as that a request may not start, for up to 2 s as fast as it came (1.8 GB); the command for format levels read metrics without end for 3 s into its memory (189 MB). Both have limits in bytes now.

--- a/cmd/lynxramp/levels.go
+++ b/cmd/lynxramp/levels.go
@@ -17,11 +17,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lynxramp.org/internal/bounded"
 )
 
 // metricsTimeout bounds the request of one box's metrics.
 const metricsTimeout = 3 * time.Second
 
+// maxMetricsBytes limits one box's metrics.
+const maxMetricsBytes = 8 << 20
+
 type levelsCommand struct {
 	Boxes []string `arg:"" help:"Operators' addresses of control boxes (IP:port); the owner among them knows of all."`
 	Path  string   `default:"/metrics" help:"Where boxes tell their figures."`
@@ -66,7 +71,9 @@
 	if err != nil {
 		return errors.Wrap(err, "metrics URL")
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{Transport: bounded.LimitBodies(bounded.NewTransport(), maxMetricsBytes)}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
 	if err != nil {
 		return errors.Wrap(err, "metrics request")
 	}
--- a/cmd/lynxramp/levels_test.go
+++ b/cmd/lynxramp/levels_test.go
@@ -5,8 +5,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"lynxramp.org/internal/endless"
 )
 
 // TestLevelReport guards against metrics that are missing in the report: the group's level, its
@@ -35,3 +38,23 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// TestEndlessMetricsAreRefused guards against a box whose metrics have no end and fill the memory of the command, or keep it.
+func TestEndlessMetricsAreRefused(t *testing.T) {
+	line := `lynxramp_control_level_held{by="` + strings.Repeat("b", 1000) + "\"} 1\n"
+	for name, start := range map[string]string{
+		"head": "", "by close": "HTTP/1.1 200 OK\r\n\r\n", "by length": "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peer := endless.Serve(t, start, line, 0)
+			if err := newLevelReport().fetch(t.Context(), "http://"+peer.Address+"/metrics"); err == nil {
+				t.Error("no error")
+			}
+			peer.AwaitClosed(t, time.Second)
+			if sent := peer.Sent(); sent > 2*maxMetricsBytes {
+				t.Errorf("%d bytes were taken", sent)
+			}
+		})
+	}
+}
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -26,7 +26,9 @@
 
 // Timeouts and limits of the calls to slots.
 const (
-	dialTimeout         = time.Second
+	dialTimeout = time.Second
+	// maxDiscarded is the most that is read of the body of a response whose status is enough, in bytes.
+	maxDiscarded        = 4 << 10
 	callTimeout         = 2 * time.Second
 	ackInterval         = 100 * time.Millisecond
 	ackThreshold        = 256 << 10
@@ -136,7 +138,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, path)
 	}
-	_, _ = io.Copy(io.Discard, response.Body) // read to the end, so that the connection is reused
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscarded)) // a body that is read to its end lets the connection be reused
 	return response.StatusCode, errors.Wrap(response.Body.Close(), path)
 }
 
