cluster: simulations of power lost on all boxes with two disks

Quotas and retry budgets hold while all boxes and entries lose power (24 deployments, four losses each).

--- a/cluster/fleet_harm_test.go
+++ b/cluster/fleet_harm_test.go
@@ -65,3 +65,19 @@
 	f.stop(name)
 	f.restartAt[name] = f.now.Add(off)
 }
+
+// losePower has all control boxes and entries lose power for up to a second, and lostDisks control boxes their disks.
+func (f *fleetSim) losePower() {
+	off := func() event.Duration { return event.Duration(1+f.random.IntN(1000)) * event.Millisecond }
+	for _, e := range f.entries {
+		f.killEntry(e, off())
+	}
+	for _, name := range f.order {
+		f.killBox(name, off())
+	}
+	for _, i := range f.random.Perm(len(f.order))[:lostDisks] {
+		f.emptyBoxes++
+		b := f.boxes[f.order[i]]
+		b.disk = newEmptyDisk(b.name, f.emptyBoxes)
+	}
+}
--- a/cluster/quota_sim_test.go
+++ b/cluster/quota_sim_test.go
@@ -107,6 +107,38 @@
 	})
 }
 
+// TestBudgetsHoldWhileAllLosePower guards against an owner that forgets what was spent, or lent, when all boxes lose power and
+// some control boxes their disks with it.
+func TestBudgetsHoldWhileAllLosePower(t *testing.T) {
+	for entries, seeds := range map[int]uint64{4: 16, 22: 8} {
+		for seed := range seeds * seedFactor(t) {
+			t.Run(fmt.Sprintf("%d entries, seed %d", entries, seed+1), func(t *testing.T) {
+				t.Parallel()
+				f := newFleetSim(t, entries, seed+1)
+				f.runFleet(4 * event.Second)
+				for range 4 {
+					f.runFleet(event.Duration(f.random.IntN(300)) * simStep)
+					f.losePower()
+					f.runFleet(12 * event.Second)
+					if got := len(f.voters()); got != 2*lostDisks+1 {
+						t.Errorf("%d voters 12 s after a loss of power, want %d", got, 2*lostDisks+1)
+					}
+				}
+				most, from := maxInWindow(f.arrivals, fleetLimits.QuotaWindow)
+				if float64(most) > fleetQuotaBound {
+					t.Errorf("%d tokens were sent and run in %v from %v, allowed %.0f", most, fleetLimits.QuotaWindow, event.Duration(from), fleetQuotaBound)
+				}
+				if float64(most) < fleetQuotaBound/2 {
+					t.Errorf("at most %d tokens in a window: less than half of the bound, so the test checks nothing", most)
+				}
+				if over, from := maxRepeatsOverBudget(f); over > 0 {
+					t.Errorf("%d retries more than allowed arrived in %v from %v", over, fleetLimits.RetryWindow, event.Duration(from))
+				}
+			})
+		}
+	}
+}
+
 // TestRetryBudgetHoldsUnderFaults: under the same faults, the retries that arrive in any window stay within
 // the retry budget of the service.
 func TestRetryBudgetHoldsUnderFaults(t *testing.T) {
--- a/cluster/sim_test.go
+++ b/cluster/sim_test.go
@@ -150,9 +150,14 @@
 // addEmpty starts a box with an empty disk.
 func (s *sim) addEmpty(name string) {
 	s.emptyBoxes++
-	s.add(name, &simDisk{member: consensus.Member{
-		ID: consensus.MakeID(event.BoxID(name), event.Incarnation(100+s.emptyBoxes)), Address: name + ":operators",
-	}})
+	s.add(name, newEmptyDisk(name, s.emptyBoxes))
+}
+
+// newEmptyDisk returns an empty disk of a box; number differs from that of every other empty disk.
+func newEmptyDisk(name string, number int) *simDisk {
+	return &simDisk{member: consensus.Member{
+		ID: consensus.MakeID(event.BoxID(name), event.Incarnation(100+number)), Address: name + ":operators",
+	}}
 }
 
 // start starts a box from the content of its disk.
