--- a/hashtree/hashtree_test.go
+++ b/hashtree/hashtree_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -271,6 +272,33 @@
 	}
 }
 
+// TestWorkOfLargestChangeIsBounded guards against work of an entry for a large change that grows faster than its routes. Unlike
+// processor time, allocations don't depend on the computer.
+func TestWorkOfLargestChangeIsBounded(t *testing.T) {
+	const (
+		routes       = 14_000
+		allocsARoute = 1
+		bytesARoute  = 1024 // with those that are kept
+	)
+	tree := Build(tableOf(3, routes, 16, 2), nil)
+	var before, after runtime.MemStats
+	var f Fetcher
+	runtime.ReadMemStats(&before)
+	if nodes, _ := fetchAll(t, &f, tree, 1, 32<<10); nodes != tree.Len() {
+		t.Errorf("%d nodes were received, the tree has %d", nodes, tree.Len())
+	}
+	if got := len(f.Table().Routes); got != routes {
+		t.Fatalf("%d routes, want %d", got, routes)
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.Mallocs - before.Mallocs; n > allocsARoute*routes {
+		t.Errorf("%d allocations for %d routes", n, routes)
+	}
+	if n := after.TotalAlloc - before.TotalAlloc; n > bytesARoute*routes {
+		t.Errorf("%d bytes were allocated for %d routes", n, routes)
+	}
+}
+
 // BenchmarkTree measures the cost of 14,000 routes for the owner and an entry.
 func BenchmarkTree(b *testing.B) {
 	table := tableOf(3, 14000, 16, 2)
