--- a/gateway/in_flight.go
+++ b/gateway/in_flight.go
@@ -24,8 +24,8 @@
 )
 
 // String returns it as used in logs and metrics.
-func (p awaited) String() string {
-	return [...]string{"request", "endpoint", "response", "rest_of_response", "caller"}[p]
+func (a awaited) String() string {
+	return [...]string{"request", "endpoint", "response", "rest_of_response", "caller"}[a]
 }
 
 // stopLines is the most requests that have a line when a planned stop ends them.
@@ -68,9 +68,9 @@
 	endpoint atomic.Pointer[Decision]
 }
 
-func (c *call) setAwaited(p awaited) {
+func (c *call) setAwaited(a awaited) {
 	c.awaited.since.Store(int64(time.Since(c.arrived)))
-	c.awaited.now.Store(int32(p))
+	c.awaited.now.Store(int32(a))
 }
 
 // How a planned stop ends requests, as used in logs and metrics.
@@ -100,8 +100,7 @@
 
 // endInFlight hands over complete responses and gives up the other requests in flight.
 func (g *Gateway) endInFlight() {
-	var others []*call
-	var complete []*call
+	var complete, others []*call
 	for _, c := range g.calls.list() {
 		if awaited(c.awaited.now.Load()) == sendingResponse {
 			c.handOver()
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -88,9 +88,9 @@
 	m.restrictedGrants()
 	m.fullRefusals()
 	m.stopRefusals()
-	for p := range awaitedKinds {
-		m.stoppedRequests(stopGivesUp, p)
-		m.stoppedRequests(stopCloses, p)
+	for a := range awaitedKinds {
+		m.stoppedRequests(stopGivesUp, a)
+		m.stoppedRequests(stopCloses, a)
 	}
 	m.stoppedRequests(stopHandsOver, sendingResponse)
 	for _, by := range []string{resumedByCaller, resumedByEntry} {
@@ -177,8 +177,8 @@
 }
 
 // stoppedRequests counts the requests that a planned stop ended, by how and by what they waited for.
-func (m *meters) stoppedRequests(how string, p awaited) *metrics.Counter {
-	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_requests_total{how="` + how + `",waits_for="` + p.String() + `"}`)
+func (m *meters) stoppedRequests(how string, a awaited) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`lynxramp_gateway_stopped_requests_total{how="` + how + `",waits_for="` + a.String() + `"}`)
 }
 
 // refusedHeads counts the requests of callers whose head was not read on because of a limit.
