--- a/internal/endless/endless.go
+++ b/internal/endless/endless.go
@@ -51,7 +51,7 @@
 func (p *Peer) send(c net.Conn) {
 	defer p.open.Add(-1)
 	defer c.Close()
-	_ = c.(*net.TCPConn).SetWriteBuffer(sendBuffer) // with a larger one, more is counted
+	_ = c.(*net.TCPConn).SetWriteBuffer(sendBuffer)             // with a larger one, more is counted
 	if _, err := c.Read(make([]byte, sendBuffer)); err != nil { // a request
 		return
 	}
