Review case 6: a version that fails more, and the rule's second bound

Few replicas were needed in the first form, so that one run with two processors held. Now four answers in five fail, replicas take 80 ms, and the bad version stands for 8 s after rolled_back.

--- a/review/rig/next_order.go
+++ b/review/rig/next_order.go
@@ -22,7 +22,7 @@
 	rollbackTime  = 5 * time.Second
 	orderDuration = 12 * time.Second
 	// leaveAfter is when the replicas of a version that was rolled back say that they drain.
-	leaveAfter = 6 * time.Second
+	leaveAfter = 8 * time.Second
 )
 
 // playNextOrder: a bad version is ordered and rolled back; while its replicas still stand, the next version is ordered.
@@ -58,7 +58,7 @@
 
 	var calls atomic.Int64
 	bad, err := f.group("v2", 4, func(w http.ResponseWriter, _ *http.Request, id string) bool {
-		if calls.Add(1)%2 == 0 {
+		if calls.Add(1)%5 == 0 {
 			return false
 		}
 		f.rec.line("bad", "%s", id)
@@ -101,7 +101,7 @@
 func (f *fleet) group(version string, count int, fail func(http.ResponseWriter, *http.Request, string) bool) ([]*replica, error) {
 	var list []*replica
 	for i := range count {
-		r, err := f.newReplica(fmt.Sprintf("i-%s-%d", version, i+1), "api", version, 6, 10*time.Millisecond)
+		r, err := f.newReplica(fmt.Sprintf("i-%s-%d", version, i+1), "api", version, 4, 80*time.Millisecond)
 		if err != nil {
 			return nil, err
 		}
