--- a/review/rig/cooldown.go
+++ b/review/rig/cooldown.go
@@ -20,11 +20,11 @@
 )
 
 // playCooldown: for four seconds the replicas fail two in five of their requests after they have run them, with a 503 that
-// has Retry-After and no Not-Executed. The requests are on non_idempotent routes.
+// has Retry-After and doesn't say that they were not run. The requests are on routes that must not repeat them.
 func playCooldown(f *fleet, trouble bool) ([]string, error) {
 	route := func(name, prefix string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "hostname": "a.example", "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 300,
+			"name": name, "hostname": "a.example", "pathPrefix": prefix, "kind": wire["once"], "timeoutMs": 1500, wire["target"]: 300,
 			"priority": 0, "service": "api", "maxAttempts": attempts, "public": true,
 		}
 	}
@@ -56,7 +56,7 @@
 				return false
 			}
 			failed.Add(1)
-			f.rec.line("failed", "%s after its run, 503 with Retry-After and without Not-Executed", id)
+			f.rec.line("failed", "%s after its run, 503 with Retry-After, not said to be not run", id)
 			w.Header().Set("Retry-After", "0.2")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			fmt.Fprintf(w, "failed %s", id)
--- a/review/rig/early_reset.go
+++ b/review/rig/early_reset.go
@@ -34,7 +34,7 @@
 	config := map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
-			"name": "r", "hostname": "a.example", "pathPrefix": "/r/", "kind": "non_idempotent", "timeoutMs": 5000, "targetLatencyMs": 2000,
+			"name": "r", "hostname": "a.example", "pathPrefix": "/r/", "kind": wire["once"], "timeoutMs": 5000, wire["target"]: 2000,
 			"priority": 0, "service": "api", "maxAttempts": 1, "public": true,
 		}},
 		"services": []any{map[string]any{"name": "api", "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false}},
@@ -98,14 +98,14 @@
 	}
 	r.GetBody = nil // the transport must not send it again by itself
 	r.Host = "a.example"
-	r.Header.Set("Attempt-Id", id)
-	r.Header.Set("Deadline-Ms", "5000")
+	r.Header.Set(wire["attempt"], id)
+	r.Header.Set(wire["deadline"], "5000")
 	f.rec.line("sent", "%s POST /r/upload with %d bytes to %s", id, longBody, b.name)
 	a, err := client.Do(r)
 	if err == nil {
 		body, err = io.ReadAll(a.Body)
 		_ = a.Body.Close()
-		status, signature = a.StatusCode, a.Header.Get("Replica-Signature")
+		status, signature = a.StatusCode, a.Header.Get(wire["signature"])
 	}
 	f.rec.line("answer", "%s status=%d signature=%q bytes=%d error=%v", id, status, signature, len(body), err)
 	return status, signature, body, err
@@ -146,9 +146,9 @@
 		if err != nil {
 			return
 		}
-		id := q.Header.Get("Attempt-Id")
+		id := q.Header.Get(wire["attempt"])
 		f.rec.line("run", "%s at %s", id, replica)
-		head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nReplica-Signature: signed-" + replica + "-" + id + "\r\n"
+		head := "HTTP/1.1 200 OK\r\n" + wire["attempt"] + ": " + id + "\r\n" + wire["signature"] + ": signed-" + replica + "-" + id + "\r\n"
 		if isEarly() {
 			early.Add(1)
 			_, _ = io.CopyN(io.Discard, q.Body, readHead) // the rest is not read
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -185,7 +185,7 @@
 		return err
 	}
 	b.process = exec.Command(f.target)
-	b.process.Env = append(os.Environ(), "LYNXRAMP_SETTINGS="+file)
+	b.process.Env = append(os.Environ(), wire["settings"]+"="+file)
 	b.process.Stdout, b.process.Stderr = b.output, b.output
 	b.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := b.process.Start(); err != nil {
@@ -269,7 +269,7 @@
 	for deadline := time.Now().Add(timeout); ; time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, b := range f.entries() {
-			a, err := f.client.Get("http://" + b.ip + ":" + f.readyPort + "/lynxramp/ready")
+			a, err := f.client.Get("http://" + b.ip + ":" + f.readyPort + wire["base"] + "ready")
 			if err == nil {
 				_ = a.Body.Close()
 				if a.StatusCode == http.StatusOK {
@@ -336,8 +336,8 @@
 	if err != nil {
 		return err
 	}
-	status, answer := f.order(http.MethodPut, "/lynxramp/config", body, 15*time.Second)
-	f.rec.line("operator", "PUT /lynxramp/config %s -> %d", body, status)
+	status, answer := f.order(http.MethodPut, wire["base"]+"config", body, 15*time.Second)
+	f.rec.line("operator", "PUT config %s -> %d", body, status)
 	if status != http.StatusOK {
 		return fmt.Errorf("configuration not acknowledged: %d %s", status, answer)
 	}
--- a/review/rig/next_order.go
+++ b/review/rig/next_order.go
@@ -32,7 +32,7 @@
 	config := map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
-			"name": "r", "hostname": "a.example", "pathPrefix": "/r/", "kind": "non_idempotent", "timeoutMs": 1500, "targetLatencyMs": 300,
+			"name": "r", "hostname": "a.example", "pathPrefix": "/r/", "kind": wire["once"], "timeoutMs": 1500, wire["target"]: 300,
 			"priority": 0, "service": "api", "maxAttempts": 1, "public": true,
 		}},
 		"services": []any{map[string]any{"name": "api", "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false}},
@@ -116,8 +116,8 @@
 	if err != nil {
 		return err
 	}
-	status, answer := f.order(http.MethodPost, "/lynxramp/rollouts", body, 5*time.Second)
-	f.rec.line("operator", "POST /lynxramp/rollouts %s -> %d", body, status)
+	status, answer := f.order(http.MethodPost, wire["base"]+"rollouts", body, 5*time.Second)
+	f.rec.line("operator", "POST rollouts %s -> %d", body, status)
 	if status != http.StatusOK {
 		return fmt.Errorf("the order of %s was not acknowledged: %d %s", version, status, answer)
 	}
@@ -128,9 +128,9 @@
 func (f *fleet) awaitState(version string, timeout time.Duration) (string, time.Time) {
 	var state struct{ State, TargetVersion string }
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
-		status, data := f.order(http.MethodGet, "/lynxramp/rollouts/api", nil, 2*time.Second)
+		status, data := f.order(http.MethodGet, wire["base"]+"rollouts/api", nil, 2*time.Second)
 		if status == http.StatusOK && json.Unmarshal(data, &state) == nil && state.TargetVersion == version && state.State != "in_progress" {
-			f.rec.line("operator", "GET /lynxramp/rollouts/api -> %s", data)
+			f.rec.line("operator", "GET rollouts/api -> %s", data)
 			return state.State, time.Now()
 		}
 	}
--- a/review/rig/standins.go
+++ b/review/rig/standins.go
@@ -91,7 +91,7 @@
 		return false
 	}
 	for _, address := range r.fleet.seeds() {
-		status, _, err := r.fleet.callControl(address, http.MethodPut, "/lynxramp/replicas/"+r.id, body)
+		status, _, err := r.fleet.callControl(address, http.MethodPut, wire["base"]+"replicas/"+r.id, body)
 		if err == nil && status == http.StatusOK {
 			return true
 		}
@@ -121,11 +121,11 @@
 
 // ServeHTTP runs a request.
 func (r *replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	id := q.Header.Get("Attempt-Id")
+	id := q.Header.Get(wire["attempt"])
 	h := w.Header()
-	h.Set("Attempt-Id", id)
-	if expected := q.Header.Get("Expect-Replica"); expected != "" && expected != r.id {
-		h.Set("Not-Executed", "1")
+	h.Set(wire["attempt"], id)
+	if expected := q.Header.Get(wire["expect"]); expected != "" && expected != r.id {
+		h.Set(wire["notRun"], "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -137,7 +137,7 @@
 	r.mu.Unlock()
 	r.fleet.rec.line("run", "%s at %s (version %s)", id, r.id, r.version)
 	time.Sleep(r.work)
-	h.Set("Replica-Signature", "signed-"+r.id+"-"+id)
+	h.Set(wire["signature"], "signed-"+r.id+"-"+id)
 	if r.fail != nil && r.fail(w, q, id) {
 		return
 	}
@@ -194,14 +194,14 @@
 	}
 	r.GetBody = nil // the transport must not send it again by itself
 	r.Host = s.host
-	r.Header.Set("Attempt-Id", q.id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(wire["attempt"], q.id)
+	r.Header.Set(wire["deadline"], fmt.Sprint(deadline.Milliseconds()))
 	s.fleet.rec.line("sent", "%s %s %s to %s", q.id, method, path, b.name)
 	a, err := s.client.Do(r)
 	if err == nil {
 		_, err = io.ReadAll(a.Body)
 		_ = a.Body.Close()
-		q.status, q.signature = a.StatusCode, a.Header.Get("Replica-Signature")
+		q.status, q.signature = a.StatusCode, a.Header.Get(wire["signature"])
 	}
 	q.err = err
 	s.fleet.rec.line("answer", "%s %d signature=%q retry-after=%q error=%v", q.id, q.status, q.signature, retryAfter(a), err)
