rollout: a version that was rolled back gets nothing until it is ordered again

Callers saw: requests failed at a version that the operator had been told is rolled back.

Cause: Tracker.Mode looked at the newest order only. An order in progress restricted its own version and gave all others the normal mode; an ended one restricted what it named. That an earlier order was rolled back was known for one order back, and only to recognize an order that is sent again. With a later order completed, the version came back 30 s after its deadline.

Change: the Ledger keeps the versions of each service whose last order was not completed (RolledBack, at most 32 of a service, the latest), and so does a new owner. Such a version is blocked until it is ordered again; then it is unproved, also where it has the only endpoints. Below it a new owner knows the last two orders, which earlier builds keep.

Why this works: the set follows from the committed records alone, so each member and each owner has the same, and nothing but an order takes a version out of it. Use in package rollout is the only place that derives a mode from it, for grants and for the restrictions that entries are sent.

--- a/cluster/levels_test.go
+++ b/cluster/levels_test.go
@@ -55,6 +55,12 @@
 		commands = append(commands, encodeEndpoint(registry.Endpoint{ID: "i", Service: "r", Address: "127.0.0.1:5", Version: "v1", Sequence: 1}),
 			encodeVersions(affinity.Record{Service: "r", Version: "v2"}))
 	}
+	if l >= level.PastOrders {
+		for i, phase := range []rollout.Phase{rollout.PhaseCompleted, rollout.PhaseRolledBack, rollout.PhaseRolledBack, rollout.PhaseCanary} {
+			order := rollout.Order{Service: "r", Version: fmt.Sprint("v", i), Duration: event.Second}
+			commands = append(commands, encodeRollout(rollout.Record{Order: order, Number: uint64(i + 2), Phase: phase}))
+		}
+	}
 	for i, c := range commands {
 		if _, err := m.apply(consensus.Index(i+1), c); err != nil {
 			t.Fatal(err)
@@ -79,7 +85,7 @@
 // TestSnapshotsOfAllFormatVersions: this build must restore the snapshots of all format versions, and write those
 // of an earlier one for a group that has it.
 func TestSnapshotsOfAllFormatVersions(t *testing.T) {
-	for _, l := range []level.Level{level.Listed, level.Chunked, level.Suspects, level.Negotiated, level.Instances, level.Rollouts, level.Versions} {
+	for _, l := range []level.Level{level.Listed, level.Chunked, level.Suspects, level.Negotiated, level.Instances, level.Rollouts, level.Versions, level.PastOrders} {
 		m := fullMachine(t, l)
 		var restored stateMachine
 		if err := restored.restore(m.snapshot(), level.Newest); err != nil {
--- a/cluster/machine.go
+++ b/cluster/machine.go
@@ -30,7 +30,7 @@
 	budgets budget.Ledger
 	// poison holds the records of poison requests in the log.
 	poison poison.Ledger
-	// rollouts holds the newest roll-out of each service.
+	// rollouts holds the roll-outs of each service.
 	rollouts rollout.Ledger
 	// versions has the software versions that the streams of each service may have.
 	versions affinity.Ledger
@@ -99,7 +99,17 @@
 }
 
 // observeFormat records that the log contains a format version, so that all members support it.
-func (m *stateMachine) observeFormat(l level.Level) { m.formatVersion = max(m.formatVersion, l) }
+func (m *stateMachine) observeFormat(l level.Level) {
+	m.formatVersion = max(m.formatVersion, l)
+	m.keepPastOrders()
+}
+
+// keepPastOrders keeps the past orders of roll-outs in the state once all members do.
+func (m *stateMachine) keepPastOrders() {
+	if m.formatVersion >= level.PastOrders {
+		m.rollouts.KeepPastOrders()
+	}
+}
 
 // encodeEndpoint returns the command that stores the state reported by an endpoint.
 func encodeEndpoint(e registry.Endpoint) []byte {
--- a/cluster/rollout_sim_test.go
+++ b/cluster/rollout_sim_test.go
@@ -24,6 +24,7 @@
 	failShare  float64 // share of the responses of v2 that fail
 	slowdown   int     // of v2; 0 for none
 	hasNew     bool    // v2 was started
+	hasNext    bool    // v3 was started
 	orderedAt  event.Time
 	arrivals   []rolloutArrival
 	violations []string
@@ -75,6 +76,22 @@
 			}
 		}
 	}
+	if r.hasNext {
+		r.sendNextHeartbeats(f)
+	}
+}
+
+// sendNextHeartbeats sends the heartbeats of the endpoints of v3.
+func (r *rolloutSim) sendNextHeartbeats(f *fleetSim) {
+	for i := range r.endpoints {
+		for _, name := range f.order {
+			if b := f.boxes[name]; b.state != nil {
+				f.heartbeat(b, registry.Endpoint{
+					ID: fmt.Sprint("v3-", i), Service: "s", Address: fmt.Sprintf("10.0.1.%d:80", i), Slots: 40, Sequence: f.sequence, Version: "v3",
+				})
+			}
+		}
+	}
 }
 
 // dispatch sends a granted request to its endpoint, as a gateway does.
@@ -110,9 +127,14 @@
 func (r *rolloutSim) mustOrder(f *fleetSim) {
 	f.t.Helper()
 	r.orderedAt = f.now
+	r.mustOrderVersion(f, simOrder)
+}
+
+func (r *rolloutSim) mustOrderVersion(f *fleetSim, order rollout.Order) {
+	f.t.Helper()
 	for range 500 {
 		if owner := f.owner(); owner != nil {
-			call := f.submitOrder(owner, simOrder)
+			call := f.submitOrder(owner, order)
 			f.runFleet(50 * event.Millisecond)
 			if f.answers[call].Status == StatusDone {
 				return
@@ -248,3 +270,33 @@
 		}
 	})
 }
+
+// TestRolledBackVersionGetsNothingUnderFaults guards against requests at a version that was rolled back, once another
+// version is ordered: whatever faults owners, entries and connections have meanwhile, and after the end of that order.
+func TestRolledBackVersionGetsNothingUnderFaults(t *testing.T) {
+	forRolloutSeeds(t, func(t *testing.T, entries int, seed uint64) {
+		f := newRolloutFleet(t, entries, seed)
+		f.rollout.failShare = 1
+		f.compactThreshold = 1 // snapshots after each entry
+		f.rollout.mustOrder(f)
+		for f.rollout.phase(f) != rollout.PhaseRolledBack {
+			f.runFleet(100 * event.Millisecond)
+		}
+		const underWay = 500 * event.Millisecond // requests that were sent before
+		rolledBackAt := f.now.Add(underWay)
+		f.rollout.hasNext = true
+		next := simOrder
+		next.Version = []string{"v3", "v1"}[seed%2]
+		f.rollout.mustOrderVersion(f, next)
+		for f.now < rolledBackAt.Add(8*event.Second) {
+			f.injectFault()
+			f.runFleet(event.Duration(100+f.random.IntN(900)) * event.Millisecond)
+		}
+		f.runFleet(45 * event.Second)
+		for _, a := range f.rollout.arrivals {
+			if a.isNew && a.at > rolledBackAt {
+				t.Fatalf("a request reached v2 %v after it was rolled back", a.at.Sub(rolledBackAt)+underWay)
+			}
+		}
+	})
+}
--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -3,6 +3,8 @@
 package cluster
 
 import (
+	"bytes"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -371,3 +373,30 @@
 		t.Errorf("%d versions are restricted where no endpoint has the completed one, want 0", n)
 	}
 }
+
+// TestEarlierSnapshotsKeepTheLastOrders guards against versions that were rolled back and are used again by the first
+// owner of this build, as the snapshots of earlier builds have the last two orders only.
+func TestEarlierSnapshotsKeepTheLastOrders(t *testing.T) {
+	data, err := os.ReadFile("testdata/snapshots/82950f4")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m stateMachine
+	if err := m.restore(data, level.Newest); err != nil || m.formatVersion != level.Versions {
+		t.Fatalf("format version %d, error %v", m.formatVersion, err)
+	}
+	if !bytes.Equal(m.snapshot(), data) {
+		t.Errorf("the snapshot of that build is %q, of this one for its level %q", data, m.snapshot())
+	}
+	for _, isRaised := range []bool{false, true} {
+		if isRaised {
+			m.observeFormat(level.PastOrders)
+		}
+		tracker := rollout.NewTracker(0, &m.rollouts, simRolloutLimits)
+		for version, want := range map[string]event.EndpointMode{"v2": event.ModeBlocked, "v3": event.ModeCanary, "v1": event.ModeNormal} {
+			if got := tracker.Mode("s", version); got != want {
+				t.Errorf("raised %v: mode %v of %s, want %v", isRaised, got, version, want)
+			}
+		}
+	}
+}
--- a/cluster/snapshot.go
+++ b/cluster/snapshot.go
@@ -178,6 +178,7 @@
 	if m.formatVersion >= level.Rollouts && len(r.data) > 0 {
 		r.json(&m.rollouts)
 	}
+	m.keepPastOrders()
 	if m.formatVersion >= level.Versions && len(r.data) > 0 {
 		r.json(&m.versions)
 	}
--- a/cluster/upgrade_sim_test.go
+++ b/cluster/upgrade_sim_test.go
@@ -176,7 +176,7 @@
 // commands that others apply.
 func TestRollingUpgrade(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated, level.Feedback, level.Rollouts}).Draw(rt, "from")
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated, level.Feedback, level.Rollouts, level.Versions}).Draw(rt, "from")
 		u := newUpgradeSim(t, from, rapid.SampledFrom([]int{3, 5}).Draw(rt, "boxes"), rapid.Uint64().Draw(rt, "seed"))
 		defer func() {
 			if t.Failed() {
@@ -216,7 +216,7 @@
 // same folders.
 func TestRollback(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated, level.Feedback, level.Rollouts}).Draw(rt, "from")
+		from := rapid.SampledFrom([]level.Level{level.Listed, level.Compressed, level.Chunked, level.Suspects, level.Negotiated, level.Feedback, level.Rollouts, level.Versions}).Draw(rt, "from")
 		u := newUpgradeSim(t, from, 3, rapid.Uint64().Draw(rt, "seed"))
 		u.run(2 * event.Second)
 		for _, to := range []level.Level{level.Newest, from} {
--- a/level/level.go
+++ b/level/level.go
@@ -35,10 +35,12 @@
 	// Versions: the log has the versions of all endpoints and those that the streams of a service may have. The owner
 	// sends them to entries that read this level, and these report the versions of streams.
 	Versions
+	// PastOrders: snapshots have the versions that were rolled back and the last completed order of each service.
+	PastOrders
 )
 
 // Newest is the highest level that this build reads.
-const Newest = Versions
+const Newest = PastOrders
 
 // Readers says who must be able to read an encoding.
 type Readers uint8
@@ -68,7 +70,8 @@
 	{Instances, Members | Entries, "heartbeats of endpoints with their start time; endpoint IDs with that time, of which requests carry the name alone; endpoints listed by column", "4538dad"},
 	{Feedback, Members, "feedback in the responses of endpoints, sent to the owner, and by it to each entry that reads it", "fe3f9e0"},
 	{Rollouts, Members, "versions of endpoints and records of roll-outs, in the log; versions and restrictions, sent to each entry that reads them", "1a283b3"},
-	{Versions, Members, "versions that streams may have, in the log, and versions of streams, in messages with each entry that reads them", ""},
+	{Versions, Members, "versions that streams may have, in the log, and versions of streams, in messages with each entry that reads them", "7239567"},
+	{PastOrders, Members, "versions that were rolled back, and the last completed order of each service, in snapshots", ""},
 }
 
 // Affects reports whether any of the readers r must read an encoding above one level and up to
--- a/rollout/ledger.go
+++ b/rollout/ledger.go
@@ -16,16 +16,21 @@
 const maxServices = 4096
 
 // Ledger is the state of all orders in the replicated log: the newest Record of each service,
-// and that of the order before it. The zero value is empty. It is not safe for concurrent use.
+// that of the order before it, and what earlier orders left behind. The zero value is empty. It
+// is not safe for concurrent use.
 type Ledger struct {
 	lines map[string]*line
+	// keepsPastOrders is set if the lines have past orders. Without it, only the newest order of a
+	// service and the one before are known.
+	keepsPastOrders bool
 }
 
 // line has the records of one service. Fields with names are replicated.
 type line struct {
 	Newest Record `json:"newest"`
 	// Previous is the last record of the order before: it may be sent again.
-	Previous *Record `json:"previous,omitempty"`
+	Previous   *Record `json:"previous,omitempty"`
+	pastOrders         // empty while the Ledger does not keep them
 
 	// startedAt and previousStartedAt are when the orders started at the latest, by the clock
 	// of this box and the elapsed times of the records. Records may be applied late.
@@ -43,7 +48,8 @@
 	switch {
 	case !ok:
 		l.evict()
-		l.lines[r.Service] = &line{Newest: r, startedAt: now.Add(-r.Elapsed)}
+		known = &line{Newest: r, startedAt: now.Add(-r.Elapsed)}
+		l.lines[r.Service] = known
 	case r.Number > known.Newest.Number:
 		previous := known.Newest
 		known.Previous, known.previousStartedAt = &previous, known.startedAt
@@ -52,6 +58,38 @@
 		known.Newest = known.Newest.merge(r)
 		known.startedAt = min(known.startedAt, now.Add(-r.Elapsed))
 	}
+	if l.keepsPastOrders {
+		known.updatePastOrders()
+	}
+}
+
+// KeepPastOrders keeps past orders from now on, beginning with the last two of each service. As they are a part of
+// snapshots, all boxes of a group must call it after the same record.
+func (l *Ledger) KeepPastOrders() {
+	if l.keepsPastOrders {
+		return
+	}
+	l.keepsPastOrders = true
+	for _, known := range l.lines {
+		known.updatePastOrders()
+	}
+}
+
+// pastOrdersOf returns the past orders of a service, as far as they are known.
+func (l *Ledger) pastOrdersOf(known *line) pastOrders {
+	copied := *known
+	copied.pastOrders = known.pastOrders.clone()
+	copied.updatePastOrders()
+	return copied.pastOrders
+}
+
+// updatePastOrders adds the previous and the newest order. To add an order again changes nothing.
+func (n *line) updatePastOrders() {
+	if n.Previous != nil {
+		n.begin(*n.Previous, n.previousStartedAt)
+		n.replace(*n.Previous)
+	}
+	n.begin(n.Newest, n.startedAt)
 }
 
 // isSameOrder reports whether two records are of one order.
@@ -73,20 +111,28 @@
 	return next
 }
 
-// evict makes room for one more service.
+// evict makes room for one more service. Services with versions that were rolled back are kept for longest.
 func (l *Ledger) evict() {
 	if len(l.lines) < maxServices {
 		return
 	}
 	oldest := ""
 	for service, known := range l.lines {
-		if known.Newest.Phase.IsFinal() && (oldest == "" || known.Newest.Number < l.lines[oldest].Newest.Number) {
+		if known.Newest.Phase.IsFinal() && (oldest == "" || known.isLessUseful(l.lines[oldest])) {
 			oldest = service
 		}
 	}
 	delete(l.lines, oldest)
 }
 
+// isLessUseful reports whether a line is removed before another.
+func (n *line) isLessUseful(other *line) bool {
+	if isEmpty := len(n.RolledBack) == 0; isEmpty != (len(other.RolledBack) == 0) {
+		return isEmpty
+	}
+	return n.Newest.Number < other.Newest.Number
+}
+
 // MarkReceived sets the receive time of what was loaded from a snapshot.
 func (l *Ledger) MarkReceived(now event.Time) {
 	for _, known := range l.lines {
@@ -103,6 +149,9 @@
 	if n.Previous != nil {
 		n.previousStartedAt = now.Add(-n.Previous.Elapsed)
 	}
+	if n.Completed != nil {
+		n.completedStartedAt = now.Add(-n.Completed.Elapsed)
+	}
 }
 
 // Get returns the newest Record of a service.
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -41,7 +41,7 @@
 	ReasonFails
 	// ReasonSlow: responses are slower.
 	ReasonSlow
-	// ReasonDrained: no request runs on the other versions.
+	// ReasonDrained: no request runs on any other version.
 	ReasonDrained
 	// ReasonDeadline: the deadline is near, and the version is proved.
 	ReasonDeadline
@@ -178,7 +178,7 @@
 	case isLate:
 		p.reason = ReasonDeadline
 		return PhaseCompleted
-	case elapsed >= o.record.earliestCompletion() && others(s.running, o.record.Version) == 0 && !p.isDoubted():
+	case elapsed >= o.record.earliestCompletion() && s.otherRunning(o.record.Version) == 0 && !p.isDoubted():
 		p.reason = ReasonDrained
 		return PhaseCompleted
 	default:
@@ -207,7 +207,7 @@
 	version := o.record.Version
 	slots := s.capacity[version]
 	switch {
-	case slots == 0 || float64(slots) < minCapacity*float64(others(s.capacity, version)):
+	case slots == 0 || float64(slots) < minCapacity*float64(s.otherCapacity(version)):
 		return ReasonCapacity
 	case !o.progress.isProved():
 		return ReasonUnproved
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -16,7 +16,7 @@
 	// proposalTimeout is the time after which a proposal that is not committed is lost: an
 	// owner that commits nothing for this long has no lease.
 	proposalTimeout = 10 * event.Second
-	// oldStopTime is how long after an order's deadline the endpoints of other versions get nothing if it was
+	// oldStopTime is how long after an order's deadline the endpoints of the versions before it get nothing if it was
 	// completed. They stop at once, without draining.
 	oldStopTime = 30 * event.Second
 )
@@ -33,12 +33,13 @@
 	name string
 	// capacity and running are by version: slots of its endpoints, and requests on them.
 	capacity, running map[string]int
-	// oldStopped is set once the endpoints of other versions have had the time to stop after the newest
-	// order was completed.
+	// oldStopped is set once the endpoints of other versions have had the time to stop after the last
+	// order that was completed.
 	oldStopped bool
 
 	newest, previous *order // committed; nil for none
 	proposed         *order // not committed yet; nil for none
+	pastOrders
 }
 
 // order is an order with the time of its start.
@@ -69,6 +70,7 @@
 		if known.Previous != nil {
 			s.previous = &order{record: *known.Previous, startedAt: known.previousStartedAt}
 		}
+		s.pastOrders = l.pastOrdersOf(known)
 		t.lastNumber = max(t.lastNumber, known.Newest.Number)
 	}
 	return t
@@ -123,17 +125,20 @@
 	return s.proposed != nil && s.proposed.elapsed(now) < proposalTimeout
 }
 
-// firstPhase returns the phase in which an order begins. The version that the last order
-// completed is proved. One that has the only endpoints serves all requests already, and
-// would get the exposure of an unproved version only.
+// firstPhase returns the phase in which an order begins. A version that was rolled back is unproved. The one
+// that the last order completed is proved. One that has the only endpoints serves all requests already, and would
+// get the exposure of an unproved version only.
 func (s *service) firstPhase(version string) Phase {
-	if s.capacity[version] > 0 && others(s.capacity, version) == 0 {
-		return PhaseCompleted
-	}
-	if s.newest != nil && s.newest.record.Phase == PhaseCompleted && s.newest.record.Version == version {
+	_, wasRolledBack := s.rollBackOf(version)
+	switch {
+	case wasRolledBack:
+		return PhaseCanary
+	case s.newest != nil && s.newest.record.Phase == PhaseCompleted && s.newest.record.Version == version,
+		s.capacity[version] > 0 && len(s.capacity) == 1:
 		return PhaseCompleted
+	default:
+		return PhaseCanary
 	}
-	return PhaseCanary
 }
 
 // Withdraw reports that the record of a submitted order was not appended to the log, and
@@ -151,23 +156,31 @@
 	t.lastNumber = max(t.lastNumber, r.Number)
 	switch {
 	case s.newest == nil || r.Number > s.newest.record.Number:
-		s.begin(t, now, r)
+		s.start(t, now, r)
 	case s.newest.record.mayBecome(r):
 		s.newest.record = s.newest.record.merge(r)
 		s.newest.committed(s.newest.record)
+		if r.Phase.IsFinal() {
+			s.end(s.newest.record, s.newest.startedAt)
+			s.oldStopped = false
+		}
 	}
 }
 
-// begin starts a committed order.
-func (s *service) begin(t *Tracker, now event.Time, r Record) {
+// start starts a committed order.
+func (s *service) start(t *Tracker, now event.Time, r Record) {
 	begun := t.inherit(r, now.Add(-r.Elapsed))
 	if s.proposed != nil && s.proposed.record.isSameOrder(r) {
 		begun.startedAt = s.proposed.startedAt
 		begun.beginOwn()
 		s.proposed = nil
 	}
-	s.previous = s.newest
-	s.newest, s.oldStopped = begun, false
+	if s.newest != nil {
+		s.replace(s.newest.record)
+	}
+	s.previous, s.newest = s.newest, begun
+	s.begin(r, begun.startedAt)
+	s.oldStopped = false
 }
 
 // beginOwn is called for an order that this owner proposed: none of its ceiling is spent, and
@@ -215,10 +228,11 @@
 	counts[version] = n
 }
 
-// others returns the sum of the counts of all versions but one.
-func others(counts map[string]int, version string) int {
+// otherRunning returns the number of requests that run on all versions but one. Those that run on versions that are no
+// longer used count, too: all others are stopped once the order is completed.
+func (s *service) otherRunning(version string) int {
 	sum := 0
-	for v, n := range counts {
+	for v, n := range s.running {
 		if v != version {
 			sum += n
 		}
@@ -248,51 +262,6 @@
 	return max(0, p.ceiling-p.spent)
 }
 
-// Mode returns how the endpoints of a version may be used.
-func (t *Tracker) Mode(name, version string) event.EndpointMode {
-	s, p := t.active(name)
-	switch {
-	case s == nil:
-		return event.ModeNormal
-	case p != nil:
-		return p.mode(version == s.newest.record.Version)
-	case s.newest != nil:
-		return s.modeAfter(s.newest.record, version)
-	default:
-		return event.ModeNormal
-	}
-}
-
-// mode returns the mode of a version during the order.
-func (p *progress) mode(isTarget bool) event.EndpointMode {
-	switch {
-	case p.isBad && isTarget:
-		return event.ModeBlocked
-	case p.isBad:
-		return event.ModeNormal
-	case p.phase == PhaseCanary && isTarget:
-		return event.ModeCanary
-	case p.phase == PhaseShifting && !isTarget:
-		return event.ModeBlocked
-	default:
-		return event.ModeNormal
-	}
-}
-
-// modeAfter returns the mode of a version after an order that ended. Endpoints of the old versions are about to stop
-// after it was completed; later ones of another version replace the completed one without an order. Endpoints that
-// report no version are never blocked this way: they may be of any.
-func (s *service) modeAfter(r Record, version string) event.EndpointMode {
-	switch {
-	case r.Phase == PhaseRolledBack && version == r.Version:
-		return event.ModeBlocked
-	case r.Phase == PhaseCompleted && version != r.Version && version != "" && !s.oldStopped && s.capacity[r.Version] > 0:
-		return event.ModeBlocked
-	default:
-		return event.ModeNormal
-	}
-}
-
 // Cancel rolls back the order in progress of a service that the configuration removed.
 func (t *Tracker) Cancel(name string) {
 	if _, p := t.active(name); p != nil {
@@ -307,8 +276,8 @@
 		if s.newest == nil {
 			continue
 		}
+		s.oldStopped = s.Completed != nil && now.Sub(s.completedStartedAt) >= s.Completed.Duration+oldStopTime
 		if s.newest.progress == nil {
-			s.oldStopped = s.newest.elapsed(now) >= s.newest.record.Duration+oldStopTime
 			continue
 		}
 		if r, ok := s.tick(now, s.newest); ok {
