rollout: a new version is compared with the versions in use only

Callers saw: a good version was rolled back after two bad ones, with reason capacity, and the service stayed at the old version.

Cause: "the other versions" were all that have endpoints, also those that were rolled back and whose endpoints still stood. The new version needs half of the others' capacity: with 10 slots of its own and 10 each of v1 and three bad versions it can't have it. Responses of a bad version to requests that were sent before its end counted as those of the old version, and made a bad one look usual.

Change: capacity and evidence are those of the versions in use (isInUse). An order is still completed only once nothing runs on any other version, those that were rolled back included: their endpoints may be stopped then.

Evidence: TestGoodVersionAfterBadOnes failed before (119 responses, none failed, rolled_back for capacity), and TestLateResponsesAreNoEvidence (20 late responses counted).

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -74,13 +74,17 @@
 	}
 }
 
-// Observe adds the outcome of a request.
+// Observe adds the outcome of a request. The target is compared with versions in use only: responses of others, to
+// requests that were sent before, would hide a bad target.
 func (t *Tracker) Observe(sample Sample) {
 	s, p := t.active(sample.Service)
 	if p == nil {
 		return
 	}
-	p.evidence.add(sample, sample.Version == s.newest.record.Version)
+	isTarget := sample.Version == s.newest.record.Version
+	if isTarget || s.isInUse(sample.Version) {
+		p.evidence.add(sample, isTarget)
+	}
 }
 
 func (e *evidence) add(s Sample, isTarget bool) {
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -24,7 +24,7 @@
 	minShiftingPart = 0.5
 	// retryInterval is the time after which a record that is not committed is proposed again.
 	retryInterval = event.Second
-	// minCapacity is the least capacity of the new version, relative to the others.
+	// minCapacity is the least capacity of the new version, relative to the other versions in use.
 	minCapacity = 0.5
 )
 
--- a/rollout/rolled_back_test.go
+++ b/rollout/rolled_back_test.go
@@ -229,6 +229,36 @@
 	}
 }
 
+// TestGoodVersionAfterBadOnes guards against a good version that is rolled back because it is held against the
+// responses and the capacity of versions that were rolled back before.
+func TestGoodVersionAfterBadOnes(t *testing.T) {
+	w := newVersionsSim(t, "v1")
+	for _, bad := range []string{"v2", "v3", "v4"} {
+		w.rollBack(bad)
+	}
+	w.start("v9")
+	w.mustOrder("v9")
+	w.mustEnd(PhaseCompleted)
+	if e, _ := w.owner.Evidence("s"); e.ControlFailed > 0 {
+		t.Errorf("v9 was compared with %d failed responses of versions that were rolled back", e.ControlFailed)
+	}
+}
+
+// TestLateResponsesAreNoEvidence guards against a bad version that passes because it is compared with the responses of
+// one that was rolled back, to requests that were sent before.
+func TestLateResponsesAreNoEvidence(t *testing.T) {
+	w := newVersionsSim(t, "v1")
+	w.rollBack("v2")
+	w.start("v3")
+	w.mustOrder("v3")
+	for range 20 {
+		w.owner.Observe(Sample{Service: "s", Version: "v2", Route: "r", Endpoint: "v2-0", Failed: true})
+	}
+	if e, _ := w.owner.Evidence("s"); e.ControlFailed > 0 {
+		t.Errorf("v3 is compared with %d late responses of v2", e.ControlFailed)
+	}
+}
+
 // TestServicesAreIndependent guards against a version that is not used at a service because another service rolled
 // back the version with that name.
 func TestServicesAreIndependent(t *testing.T) {
--- a/rollout/use.go
+++ b/rollout/use.go
@@ -81,11 +81,17 @@
 	return Use{}
 }
 
-// otherCapacity returns the capacity of all versions but one.
+// isInUse reports whether a version may serve beside the target of the newest order, and is what that one is compared
+// with.
+func (s *service) isInUse(version string) bool {
+	return s.useOfOther(version).Mode == event.ModeNormal
+}
+
+// otherCapacity returns the capacity of all versions in use but one.
 func (s *service) otherCapacity(version string) int {
 	sum := 0
 	for v, slots := range s.capacity {
-		if v != version {
+		if v != version && s.isInUse(v) {
 			sum += slots
 		}
 	}
