rollout: the version in use is not limited by an order for it after a roll-back

Callers saw: after a roll-back the operator ordered the old version again, to be sure, and four in ten requests failed: 894 of 1,448 served, 816 requests at the version that was rolled back.

Cause: an order begins as completed if its version is the one that the last order completed, or has the only endpoints. After a roll-back the last order is another, and the version that was rolled back still has endpoints. So the version that served everything was limited to the exposure of an unproved one.

Change: the last order that was completed counts, also if others came since, and only the versions in use count as others.

--- a/rollout/rolled_back_test.go
+++ b/rollout/rolled_back_test.go
@@ -169,7 +169,7 @@
 // TestRolledBackVersionGetsNothingDuringLaterOrders guards against a version that was rolled back and is used again
 // because another one was ordered: while that order is in progress, once it has ended, and at a new owner.
 func TestRolledBackVersionGetsNothingDuringLaterOrders(t *testing.T) {
-	for _, next := range []string{"v3"} {
+	for _, next := range []string{"v1", "v3"} {
 		t.Run(next, func(t *testing.T) {
 			w := newVersionsSim(t, "v1")
 			w.run(event.Second)
@@ -259,6 +259,38 @@
 	}
 }
 
+// TestVersionInUseIsOrderedAfterRollback guards against a service whose only version in use is limited to the
+// exposure of an unproved one by an order for it.
+func TestVersionInUseIsOrderedAfterRollback(t *testing.T) {
+	w := newVersionsSim(t, "v1")
+	w.rollBack("v2")
+	w.mustOrder("v1")
+	w.run(event.Second)
+	if w.unserved > 0 {
+		t.Errorf("%d requests are not served", w.unserved)
+	}
+	if r, _ := w.owner.ledger.Get("s"); r.Phase != PhaseCompleted {
+		t.Errorf("the order is %v, want it completed at once", r.Phase)
+	}
+}
+
+// TestCompletedVersionIsOrderedAfterRollback guards against a proved version that is limited to the exposure of an
+// unproved one, as the newest order was for another.
+func TestCompletedVersionIsOrderedAfterRollback(t *testing.T) {
+	w := newVersionsSim(t, "v1", "v2")
+	w.mustOrder("v2")
+	w.mustEnd(PhaseCompleted)
+	w.stop("v1")
+	w.rollBack("v3")
+	w.run(oldStopTime + testOrder.Duration)
+	w.start("v4")
+	w.replaceOwner()
+	w.mustOrder("v2")
+	if mode := w.owner.Mode("s", "v2"); mode != event.ModeNormal {
+		t.Errorf("mode %v, want normal", mode)
+	}
+}
+
 // TestServicesAreIndependent guards against a version that is not used at a service because another service rolled
 // back the version with that name.
 func TestServicesAreIndependent(t *testing.T) {
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -126,15 +126,14 @@
 }
 
 // firstPhase returns the phase in which an order begins. A version that was rolled back is unproved. The one
-// that the last order completed is proved. One that has the only endpoints serves all requests already, and would
-// get the exposure of an unproved version only.
+// that the last completed order was for is proved. One that has the only endpoints in use serves all requests
+// already, and would get the exposure of an unproved version only.
 func (s *service) firstPhase(version string) Phase {
 	_, wasRolledBack := s.rollBackOf(version)
 	switch {
 	case wasRolledBack:
 		return PhaseCanary
-	case s.newest != nil && s.newest.record.Phase == PhaseCompleted && s.newest.record.Version == version,
-		s.capacity[version] > 0 && len(s.capacity) == 1:
+	case s.hasCompleted(version), s.capacity[version] > 0 && s.otherCapacity(version) == 0:
 		return PhaseCompleted
 	default:
 		return PhaseCanary
