rollout: endpoints that stop after a completed order get nothing during the next one

Callers saw, in the model: requests at the endpoints of the old version, which stop at once and without draining when an order is completed, as soon as the next version was ordered (168 in TestStoppingVersionGetsNothingDuringNextOrder, within 30 s of the deadline of the completed order).

Cause: that the other versions stop was known of the newest order only.

Change: it is known of the last order that was completed, whatever was ordered since. The version that is ordered next is unproved, not stopping.

Evidence: the test failed before, and passes now, also at a new owner.

--- a/rollout/rolled_back_test.go
+++ b/rollout/rolled_back_test.go
@@ -291,6 +291,22 @@
 	}
 }
 
+// TestStoppingVersionGetsNothingDuringNextOrder guards against requests to endpoints that stop without draining, as
+// their service was completed, because another version is ordered meanwhile.
+func TestStoppingVersionGetsNothingDuringNextOrder(t *testing.T) {
+	w := newVersionsSim(t, "v1", "v2")
+	w.mustOrder("v2")
+	w.mustEnd(PhaseCompleted)
+	before := w.received["v1"]
+	w.rollBack("v3")
+	w.run(event.Second)
+	w.replaceOwner()
+	w.run(event.Second)
+	if n := w.received["v1"] - before; n > 0 {
+		t.Errorf("%d requests reached v1, whose endpoints are stopping", n)
+	}
+}
+
 // TestServicesAreIndependent guards against a version that is not used at a service because another service rolled
 // back the version with that name.
 func TestServicesAreIndependent(t *testing.T) {
@@ -304,3 +320,40 @@
 		t.Errorf("mode %v of endpoints without a version, want normal", mode)
 	}
 }
+
+// TestRolledBackVersionsUnderRandomOrders checks over random series of orders, changes of owner and endpoints that
+// come and go: a version that was rolled back gets nothing until it is ordered again, v1 serves all others, and a
+// good version that serves beside it is completed.
+func TestRolledBackVersionsUnderRandomOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newVersionsSim(t, "v1")
+		rolledBack := make(map[string]bool)
+		for range rapid.IntRange(2, 8).Draw(t, "orders") {
+			version := rapid.SampledFrom([]string{"v1", "v2", "v3", "v4", "bad1", "bad2"}).Draw(t, "version")
+			w.failing["bad1"], w.failing["bad2"] = true, true
+			w.start(version)
+			before := maps.Clone(w.received)
+			if w.order(version) == ResultPropose {
+				delete(rolledBack, version)
+			}
+			if rapid.Bool().Draw(t, "owner changes") {
+				w.run(event.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * event.Millisecond)
+				w.replaceOwner()
+			}
+			if w.runUntilEnd() == PhaseRolledBack {
+				rolledBack[version] = true
+			} else if completed, _ := w.owner.ledger.Get("s"); completed.Version == "bad1" || completed.Version == "bad2" {
+				t.Fatalf("%s is completed", completed.Version)
+			}
+			w.run(event.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * event.Second)
+			for name := range rolledBack {
+				if n := w.received[name] - before[name]; n > 0 && name != version {
+					t.Fatalf("%d requests reached %s, which was rolled back and not ordered again", n, name)
+				}
+			}
+		}
+		if w.unserved > 0 {
+			t.Fatalf("%d of %d requests had no version in use", w.unserved, w.sent)
+		}
+	})
+}
--- a/rollout/use.go
+++ b/rollout/use.go
@@ -75,8 +75,8 @@
 	if number, ok := s.rollBackOf(version); ok {
 		return Use{event.ModeBlocked, CauseRolledBack, number}
 	}
-	if n := s.newest; n != nil && n.record.Phase == PhaseCompleted && version != n.record.Version && version != "" && !s.oldStopped && s.capacity[n.record.Version] > 0 {
-		return Use{event.ModeBlocked, CauseStopping, n.record.Number}
+	if s.Completed != nil && !s.hasCompleted(version) && version != "" && !s.oldStopped && s.capacity[s.Completed.Version] > 0 {
+		return Use{event.ModeBlocked, CauseStopping, s.Completed.Number}
 	}
 	return Use{}
 }
