cluster: entries without an owner use no version that was rolled back

Callers saw, in the model: nothing served by entries that lost the owner, though the version in use had endpoints.

Cause: such an entry uses one version of a service, that of the newest order if it was completed, else that of the endpoint that has not changed for longest, without the version of the newest order. After two roll-backs the first of these versions could be the oldest: entries were told to use only it, and, as the owner blocks it, not to use it either. After a completed order and a roll-back the completed version counted for nothing.

Change: the version of the last completed order, else the oldest one whose last order was not left open or rolled back.

--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -284,7 +284,7 @@
 			current[key] = mode
 		}
 	}
-	forEntries := s.entryModes(current, seen)
+	forEntries := o.entryModes(s, current, seen)
 	if maps.Equal(current, p.modes) && maps.Equal(forEntries, p.entryModes) {
 		return
 	}
@@ -306,9 +306,9 @@
 // entryModes returns the modes that entries apply, from those of the owner. An entry that loses the owner does not
 // hear of an order: it may know the endpoints of another version from before, so they are restricted from their
 // first heartbeat on, while the owner still uses them.
-func (s *State) entryModes(modes map[versionKey]event.EndpointMode, present map[versionKey]bool) map[versionKey]event.EndpointMode {
+func (o *owner) entryModes(s *State, modes map[versionKey]event.EndpointMode, present map[versionKey]bool) map[versionKey]event.EndpointMode {
 	all := maps.Clone(modes)
-	established := s.establishedVersions(present)
+	established := o.establishedVersions(s, present)
 	for key := range present {
 		version, ok := established[key.service]
 		if _, isRestricted := all[key]; ok && !isRestricted && key.version != version && key.version != "" {
@@ -318,19 +318,19 @@
 	return all
 }
 
-// establishedVersions returns the version of each service that entries may use without an owner: the one that
-// the newest order completed or is shifting to, if any endpoint has it, else that of the endpoint that has not changed
-// for longest, without the version of an order that is not completed.
-func (s *State) establishedVersions(present map[versionKey]bool) map[string]string {
+// establishedVersions returns the version of each service that entries may use without an owner: the one that was
+// proved by an order, if any endpoint has it, else that of the endpoint that has not changed for longest, without the
+// versions whose last order is not completed.
+func (o *owner) establishedVersions(s *State, present map[versionKey]bool) map[string]string {
 	versions := make(map[string]string)
 	oldest := make(map[string]uint64)
+	tracker := o.rollouts.tracker
 	for id, e := range s.machine.registry.Endpoints {
-		r, ok := s.machine.rollouts.Get(e.Service)
-		if ok && (r.Phase == rollout.PhaseCompleted || r.Phase == rollout.PhaseShifting) && present[versionKey{e.Service, r.Version}] {
-			versions[e.Service] = r.Version
+		if proved := tracker.Established(e.Service); proved != "" && present[versionKey{e.Service, proved}] {
+			versions[e.Service] = proved
 			continue
 		}
-		if ok && e.Version == r.Version || e.Version == "" {
+		if e.Version == "" || tracker.IsUnproved(e.Service, e.Version) {
 			continue
 		}
 		revision := s.machine.registry.Changed[id]
--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -374,6 +374,34 @@
 	}
 }
 
+// TestEntriesMayUseTheVersionInUseAfterRollbacks guards against entries that have no endpoint once they lose the owner:
+// the endpoints of versions that were rolled back have not changed for longest.
+func TestEntriesMayUseTheVersionInUseAfterRollbacks(t *testing.T) {
+	s := newRolloutSim(t, 3)
+	owner := s.mustOwner()
+	report := func(version string, sequence uint64, slots int) {
+		s.heartbeat(owner, registry.Endpoint{ID: "e-" + version, Service: "s", Address: version, Slots: slots, Sequence: sequence, Version: version})
+		s.run(200 * event.Millisecond)
+	}
+	report("v1", 1, 1)
+	report("v2", 1, 1)
+	report("v3", 1, 1)
+	s.run(affinity.AdmissionDelay)
+	for _, version := range []string{"v2", "v3"} {
+		order := rollout.Order{Service: "s", Version: version, Duration: event.Second}
+		s.mustOrder(order, StatusDone)
+		s.run(order.Duration)
+		if a := s.readRollout("s"); a.Rollout.Order != order || a.Rollout.Phase != rollout.PhaseRolledBack {
+			t.Fatalf("the order of %s is %+v", version, a.Rollout)
+		}
+	}
+	report("v1", 2, 2)
+	want := []message.Restriction{{Service: "s", Version: "v2", Mode: event.ModeBlocked}, {Service: "s", Version: "v3", Mode: event.ModeBlocked}}
+	if got := owner.state.owner.restrictions().List; !slices.Equal(got, want) {
+		t.Errorf("entries have the restrictions %+v, want %+v", got, want)
+	}
+}
+
 // TestEarlierSnapshotsKeepTheLastOrders guards against versions that were rolled back and are used again by the first
 // owner of this build, as the snapshots of earlier builds have the last two orders only.
 func TestEarlierSnapshotsKeepTheLastOrders(t *testing.T) {
--- a/rollout/use.go
+++ b/rollout/use.go
@@ -97,3 +97,29 @@
 	}
 	return sum
 }
+
+// Established returns the version of a service that is proved: the one that its newest order shifts to, or else that of
+// the last completed order; empty if there is none.
+func (t *Tracker) Established(name string) string {
+	s, p := t.active(name)
+	switch {
+	case s == nil:
+		return ""
+	case p != nil && p.phase == PhaseShifting && !p.isBad:
+		return s.newest.record.Version
+	case s.Completed != nil:
+		return s.Completed.Version
+	default:
+		return ""
+	}
+}
+
+// IsUnproved reports whether the last order for a version is in progress, or was not completed.
+func (t *Tracker) IsUnproved(name, version string) bool {
+	s, p := t.active(name)
+	if s == nil {
+		return false
+	}
+	_, wasRolledBack := s.rollBackOf(version)
+	return wasRolledBack || p != nil && version == s.newest.record.Version
+}
