cluster, gateway, explain: which versions are not used, since when and by which order

Cause: after a roll-back the log had the order's end, but nothing told for how long the version stayed blocked, and entries logged a count only. With several versions rolled back on-call could not tell them from the log of a new owner.

Change: the owner logs each version whose restriction changed (mode, cause, number of the order; at most 50 lines a change), and a new owner all of them. Gauges count restricted versions and their endpoints by cause. Entries name the first 20 restrictions. explain prints those of a request's service.

--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -25,9 +25,9 @@
 	tracker *rollout.Tracker
 	// counted are the versions with a capacity or running requests at the last tick.
 	counted map[versionKey]versionCount
-	// modes are the modes of the versions that are restricted, as last applied.
-	modes map[versionKey]event.EndpointMode
-	// entryModes are the modes that entries apply: modes, and those of versions that only an owner may use
+	// restricted are the versions of endpoints that are restricted, as last applied; restrictedLogged those of the log.
+	restricted, restrictedLogged map[versionKey]rollout.Use
+	// entryModes are the modes that entries apply: those of restricted, and those of versions that only an owner may use
 	// because they are not established (see establishedVersion).
 	entryModes map[versionKey]event.EndpointMode
 	// unsent is set if entryModes changed since they were last sent to the entries.
@@ -58,7 +58,6 @@
 	o.rollouts = &rolloutOwner{
 		tracker: rollout.NewTracker(now, &s.machine.rollouts, *s.settings.Rollouts),
 		counted: make(map[versionKey]versionCount),
-		modes:   make(map[versionKey]event.EndpointMode),
 
 		proposed:   make(map[versionKey]event.Time),
 		logged:     make(map[string]rollout.Evidence),
@@ -262,17 +261,20 @@
 // mayRestrict reports whether the modes of versions may differ from event.ModeNormal.
 func (o *owner) mayRestrict() bool { return o.rollouts != nil || o.versions != nil }
 
-func (p *rolloutOwner) modeOf(key versionKey) event.EndpointMode {
+func (p *rolloutOwner) modeOf(key versionKey) event.EndpointMode { return p.useOf(key).Mode }
+
+// useOf returns how a version may be used, and why.
+func (p *rolloutOwner) useOf(key versionKey) rollout.Use {
 	if _, ok := p.proposed[key]; ok {
-		return event.ModeBlocked
+		return rollout.Use{Mode: event.ModeBlocked, Cause: rollout.CauseUnproved}
 	}
-	return p.tracker.Mode(key.service, key.version)
+	return p.tracker.Use(key.service, key.version)
 }
 
 // updateModes applies the modes of all versions to the endpoints whose mode changed.
 func (o *owner) updateModes(now event.Time, s *State) {
 	p := o.rollouts
-	current := make(map[versionKey]event.EndpointMode)
+	current := make(map[versionKey]rollout.Use)
 	seen := make(map[versionKey]bool)
 	for _, e := range s.machine.registry.Endpoints {
 		key := versionKey{e.Service, e.Version}
@@ -280,21 +282,21 @@
 			continue
 		}
 		seen[key] = true
-		if mode := p.modeOf(key); mode != event.ModeNormal {
-			current[key] = mode
+		if use := p.useOf(key); use.Mode != event.ModeNormal {
+			current[key] = use
 		}
 	}
 	forEntries := o.entryModes(s, current, seen)
-	if maps.Equal(current, p.modes) && maps.Equal(forEntries, p.entryModes) {
+	if maps.Equal(current, p.restricted) && maps.Equal(forEntries, p.entryModes) {
 		return
 	}
-	before, beforeForEntries := p.modes, p.entryModes
-	p.modes, p.entryModes, p.unsent = current, forEntries, true
+	before, beforeForEntries := p.restricted, p.entryModes
+	p.restricted, p.entryModes, p.unsent = current, forEntries, true
 	markChanged := o.hasEntriesBelow(level.Rollouts) // they are sent the mode with the endpoint
 	for _, id := range slices.Sorted(maps.Keys(s.machine.registry.Endpoints)) {
 		e := s.machine.registry.Endpoints[id]
 		key := versionKey{e.Service, e.Version}
-		if before[key] != current[key] {
+		if before[key].Mode != current[key].Mode {
 			o.admission.SetEndpoint(now, o.messageEndpoint(e), &o.effects)
 		}
 		if markChanged && beforeForEntries[key] != forEntries[key] {
@@ -303,11 +305,14 @@
 	}
 }
 
-// entryModes returns the modes that entries apply, from those of the owner. An entry that loses the owner does not
+// entryModes returns the modes that entries apply, from the restrictions of the owner. An entry that loses the owner does not
 // hear of an order: it may know the endpoints of another version from before, so they are restricted from their
 // first heartbeat on, while the owner still uses them.
-func (o *owner) entryModes(s *State, modes map[versionKey]event.EndpointMode, present map[versionKey]bool) map[versionKey]event.EndpointMode {
-	all := maps.Clone(modes)
+func (o *owner) entryModes(s *State, restricted map[versionKey]rollout.Use, present map[versionKey]bool) map[versionKey]event.EndpointMode {
+	all := make(map[versionKey]event.EndpointMode)
+	for key, use := range restricted {
+		all[key] = use.Mode
+	}
 	established := o.establishedVersions(s, present)
 	for key := range present {
 		version, ok := established[key.service]
@@ -383,6 +388,7 @@
 		return
 	}
 	o.rollouts.unsent = false
+	o.rollouts.logRestrictions(out)
 	o.broadcastRestrictions(out)
 }
 
--- a/cluster/rollout_log.go
+++ b/cluster/rollout_log.go
@@ -3,6 +3,9 @@
 package cluster
 
 import (
+	"maps"
+	"slices"
+
 	"lynxramp.org/event"
 	"lynxramp.org/rollout"
 )
@@ -14,6 +17,8 @@
 	evidenceLogInterval = event.Second
 	// maxEvidenceLogLines bounds the lines of one interval.
 	maxEvidenceLogLines = 10
+	// maxRestrictionLogLines bounds the lines of one change of the restricted versions.
+	maxRestrictionLogLines = 50
 )
 
 // RolloutPhase is a change of phase of an order, and why.
@@ -73,3 +78,23 @@
 		out.logInfo("rollout evidence", append(rolloutFields(r), p.evidenceFields(service, evidence)...)...)
 	}
 }
+
+// logRestrictions logs the versions whose restriction changed. A new owner logs all restricted ones.
+func (p *rolloutOwner) logRestrictions(out *Effects) {
+	before, after := p.restrictedLogged, p.restricted
+	p.restrictedLogged = after
+	changed := maps.Clone(after)
+	for key := range before {
+		changed[key] = after[key]
+	}
+	maps.DeleteFunc(changed, func(key versionKey, use rollout.Use) bool { return before[key] == use })
+	for i, key := range slices.SortedFunc(maps.Keys(changed), compareVersionKeys) {
+		if i == maxRestrictionLogLines {
+			out.logInfo("restrictions of further versions changed", Field{"versions", len(changed) - i})
+			return
+		}
+		use := changed[key]
+		out.logInfo("restriction of a version changed", Field{"service", key.service}, Field{"version", key.version},
+			Field{"mode", use.Mode.String()}, Field{"cause", use.Cause.String()}, Field{"order", use.Number}, Field{"before", before[key].Cause.String()})
+	}
+}
--- a/cluster/rollout_meters.go
+++ b/cluster/rollout_meters.go
@@ -20,8 +20,13 @@
 	phases    [rollout.PhaseRolledBack + 1]*metrics.Gauge // services by the phase of their newest order
 	exposed   *metrics.Gauge                              // over the orders in progress, at the owner
 	ceiling   *metrics.Gauge
+	// endpoints and versions that an owner restricts, by cause
+	restrictedEndpoints, restrictedVersions [len(restrictionCauses)]*metrics.Gauge
 }
 
+// restrictionCauses are the causes for which an owner restricts versions.
+var restrictionCauses = [...]rollout.Cause{rollout.CauseUnproved, rollout.CauseRolledBack, rollout.CauseShifting, rollout.CauseStopping}
+
 func newRolloutMeters(set *metrics.Set) *rolloutMeters {
 	m := &rolloutMeters{
 		set:     set,
@@ -31,6 +36,11 @@
 	for phase := range m.phases {
 		m.phases[phase] = set.NewGauge(`lynxramp_control_rollouts{phase="`+rollout.Phase(phase).String()+`"}`, nil)
 	}
+	for i, cause := range restrictionCauses {
+		label := `{cause="` + cause.String() + `"}`
+		m.restrictedVersions[i] = set.NewGauge("lynxramp_control_restricted_versions"+label, nil)
+		m.restrictedEndpoints[i] = set.NewGauge("lynxramp_control_restricted_endpoints"+label, nil)
+	}
 	m.verdicts(rollout.PhaseCompleted, rollout.ReasonDrained)
 	m.verdicts(rollout.PhaseRolledBack, rollout.ReasonFails)
 	return m
@@ -66,4 +76,23 @@
 	}
 	m.exposed.Set(float64(exposed))
 	m.ceiling.Set(float64(ceiling))
+	m.updateRestricted(s)
+}
+
+// updateRestricted counts what this box restricts if it is the owner.
+func (m *rolloutMeters) updateRestricted(s *State) {
+	versions, endpoints := make(map[rollout.Cause]int), make(map[rollout.Cause]int)
+	if s.owner != nil && s.owner.rollouts != nil && len(s.owner.rollouts.restricted) > 0 {
+		restricted := s.owner.rollouts.restricted
+		for _, use := range restricted {
+			versions[use.Cause]++
+		}
+		for _, e := range s.machine.registry.Endpoints {
+			endpoints[restricted[versionKey{e.Service, e.Version}].Cause]++
+		}
+	}
+	for i, cause := range restrictionCauses {
+		m.restrictedVersions[i].Set(float64(versions[cause]))
+		m.restrictedEndpoints[i].Set(float64(endpoints[cause]))
+	}
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -91,16 +91,19 @@
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	states := make(map[string]Line) // the last state line, by box and subject
-	var history []Line              // the lines of the request
+	restricted := make(restrictions)
+	var history []Line // the lines of the request
 	for _, line := range lines {
 		if subject, ok := stateMessages[line.Message]; ok {
 			states[line.Box+" "+subject] = line
 		}
+		restricted.observe(line)
 		if line.Request != id && line.ID != id {
 			continue
 		}
 		if len(history) == 0 || history[len(history)-1].ID != line.ID {
 			writeState(w, line, states)
+			restricted.write(w, line)
 		}
 		history = append(history, line)
 		fmt.Fprintf(w, "%s  %-18s %-16s %s\n", line.At.Format("15:04:05.000"), line.Box, line.Message, formatFields(line))
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -45,3 +45,31 @@
 		t.Error("a request that is in no line was explained")
 	}
 }
+
+// TestExplainPrintsRestrictions guards against an explanation that does not say which versions of the service were not
+// used, as of the last owner, and of no other service.
+func TestExplainPrintsRestrictions(t *testing.T) {
+	lines, err := Read(strings.NewReader(testLog + `
+{"level":"info","time":"2026-01-01T10:00:01Z","msg":"restriction of a version changed","box":"c1","service":"s","version":"v0","mode":"blocked","cause":"stopping","order":1}
+{"level":"info","time":"2026-01-01T10:00:02Z","msg":"owns the pools","box":"c2"}
+{"level":"info","time":"2026-01-01T10:00:03Z","msg":"restriction of a version changed","box":"c2","service":"s","version":"v2","mode":"blocked","cause":"rolled_back","order":7}
+{"level":"info","time":"2026-01-01T10:00:03Z","msg":"restriction of a version changed","box":"c2","service":"s","version":"v3","mode":"canary","cause":"unproved","order":8}
+{"level":"info","time":"2026-01-01T10:00:04Z","msg":"restriction of a version changed","box":"c2","service":"s","version":"v3","mode":"normal","cause":"none","order":0}
+{"level":"info","time":"2026-01-01T10:00:04Z","msg":"restriction of a version changed","box":"c2","service":"other","version":"v4","mode":"blocked","cause":"rolled_back","order":9}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := Explain(&out, "r1", lines); err != nil {
+		t.Fatal(err)
+	}
+	if want := "c2: version v2 is blocked since 10:00:03.000 (2.0 s): rolled_back, order 7"; !strings.Contains(out.String(), want) {
+		t.Errorf("%q is missing in\n%s", want, out.String())
+	}
+	for _, other := range []string{"v0", "v3", "v4"} {
+		if strings.Contains(out.String(), "version "+other) {
+			t.Errorf("%s is named in\n%s", other, out.String())
+		}
+	}
+}
--- a/gateway/restriction.go
+++ b/gateway/restriction.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"fmt"
 	"maps"
 	"sync/atomic"
 
@@ -64,11 +65,23 @@
 		versions[serviceVersion{r.Service, r.Version}] = r.Mode
 	}
 	if !maps.Equal(versions, a.restrictions.versions) {
-		a.log.Info("restricted versions changed", zap.Int("count", len(list)))
+		a.log.Info("restricted versions changed", zap.Int("count", len(list)), zap.Strings("versions", describe(list)))
 	}
 	a.restrictions.versions = versions
 }
 
+// maxLoggedRestrictions bounds the restrictions that a log line names.
+const maxLoggedRestrictions = 20
+
+// describe returns the first restrictions as text.
+func describe(list []message.Restriction) []string {
+	texts := make([]string, 0, min(len(list), maxLoggedRestrictions))
+	for _, r := range list[:cap(texts)] {
+		texts = append(texts, fmt.Sprintf("%s/%s: %s", r.Service, r.Version, r.Mode))
+	}
+	return texts
+}
+
 // CheckRestriction returns an error if a grant must not be used: its endpoint was blocked since, or is a canary
 // and the entry decided by itself. It is safe for concurrent use.
 func (a *OwnerClient) CheckRestriction(d Decision) error {
