fleet: SIGHUP is ignored from the first packages of the program on

Callers saw: connections refused by an entry that had just been started again.

Cause: SIGHUP ends a process until it is ignored, which Run did first of all, but after the packages were initialized. Those of the daemon take some 3 ms, after some 3 ms in which the program is loaded and the runtime starts.

Change: package internal/sighup ignores the signal as it is initialized. It imports os/signal and syscall only, so none of our packages and nothing of net is initialized before it. What is left is the time until the runtime runs package initialization: operators are told to signal a process that has logged its start, and the tests do so (hangUp).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"lynxramp.org/event"
 	"lynxramp.org/gateway"
 	"lynxramp.org/internal/logx"
+	_ "lynxramp.org/internal/sighup" // until watch handles the signal
 	"lynxramp.org/link"
 	"lynxramp.org/reqlimit"
 	"lynxramp.org/rollout"
@@ -91,7 +92,6 @@
 
 // Run runs a box with the given settings file until SIGTERM or SIGINT.
 func Run(file string, d Dialect) error {
-	signal.Ignore(syscall.SIGHUP) // it would end the process until watch handles it
 	f, err := settings.LoadFleet(file)
 	if err != nil {
 		return err
