--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -194,7 +194,8 @@
 	}
 }
 
-// TestRemovedServiceRollsBack guards against an order in progress for a service that no longer exists.
+// TestRemovedServiceRollsBack guards against an order in progress for a service that no longer exists, and against its
+// version being used when the service returns.
 func TestRemovedServiceRollsBack(t *testing.T) {
 	s := newRolloutSim(t, 3)
 	s.mustOrder(simOrder, StatusDone)
@@ -213,6 +214,12 @@
 		t.Errorf("the order is %+v", a.Rollout)
 	}
 	s.mustOrder(simOrder, StatusDone) // the acknowledged order, sent again
+	s.settings = simRolloutSettings
+	s.put(s.mustOwner(), 3)
+	s.run(event.Second)
+	if use := s.mustOwner().state.owner.rollouts.useOf(versionKey{"s", "v2"}); use.Cause != rollout.CauseRolledBack {
+		t.Errorf("use of v2 is %+v once the service is back", use)
+	}
 }
 
 // newSimOfLevel starts a group of boxes that support a format version.
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -8,7 +8,7 @@
 // and passes through phases:
 //
 //   - PhaseCanary: the version is unproved. The owner grants it a bounded number of requests
-//     (Allowance) and compares its responses with those of the other versions.
+//     (Allowance) and compares its responses with those of the other versions in use.
 //   - PhaseShifting: the version was judged good. New requests go to it only, and those that
 //     run elsewhere finish.
 //   - PhaseCompleted, PhaseRolledBack: the end of the order.
@@ -16,6 +16,10 @@
 // A verdict of bad ends the order in either of the first two phases. An order that is not
 // judged good until its deadline is rolled back.
 //
+// What holds for a version outlasts later orders (Tracker.Use): one that was rolled back gets
+// nothing until it is ordered again, and the endpoints that a completed order replaced get nothing
+// while they stop. All others are in use. The Ledger keeps what that takes (pastOrders).
+//
 // The exposure of an unproved version is bounded by construction, whichever messages are
 // lost. The owner grants up to the ceiling of the last committed Record, and counts the whole
 // ceiling of its predecessors as spent. For each order
