gateway: a response without a length that was reset is not complete

Cause: a long request body is written beside the reading of the response, and the kernel reports a reset to one of both. If the writer gets it, the reader reads the end of the stream, and nothing asked the writer.

Change: where a response ends with its connection and the request body is still written, its end is unexpected if the writer was told of a reset.

--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -222,7 +222,8 @@
 	conn        *upstreamConn
 	response    *http.Response
 	idleTimeout time.Duration // for the connection after the exchange
-	bodyWritten chan error    // receives the result of writing a long body
+	bodyWritten chan struct{} // closed when writing a long body has ended; nil for short ones
+	bodyError   error         // of writing it, once bodyWritten is closed
 	bodyTimeout time.Duration // in which an endpoint must take a part of the body; 0 is no limit
 	bodyStalled atomic.Bool   // the endpoint did not
 	stopCancel  func() bool
@@ -276,9 +277,10 @@
 		return errors.Wrap(err, "send request")
 	}
 	if isSeparate {
-		x.bodyWritten = make(chan error, 1)
+		x.bodyWritten = make(chan struct{})
 		go func() {
-			x.bodyWritten <- x.writeBody(o.body)
+			x.bodyError = x.writeBody(o.body)
+			close(x.bodyWritten)
 		}()
 	}
 	return nil
@@ -296,6 +298,9 @@
 		}
 		if r.StatusCode >= http.StatusOK {
 			x.response = r
+			if x.bodyWritten != nil && r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+				r.Body = &closeDelimitedBody{r.Body, x}
+			}
 			x.readKeepAlive()
 			return nil
 		}
@@ -327,8 +332,8 @@
 	reusable := x.stopCancel()
 	if x.bodyWritten != nil {
 		select {
-		case err := <-x.bodyWritten:
-			reusable = reusable && err == nil
+		case <-x.bodyWritten:
+			reusable = reusable && x.bodyError == nil
 		default:
 			reusable = false // the endpoint responded before it received the body
 		}
--- a/gateway/upstream_body.go
+++ b/gateway/upstream_body.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"io"
 	"syscall"
 	"time"
 
@@ -45,6 +46,37 @@
 	_ = x.conn.Close()
 }
 
+// resetNotice is how long the writer of a request body may take to report that the connection was reset, after the
+// reader has seen its end.
+const resetNotice = 100 * time.Millisecond
+
+// closeDelimitedBody is the body of a response that ends with its connection, while the request body is still written. The
+// kernel reports a reset once: if it tells the writer, the reader sees an end as of a connection that was closed.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+// Read implements io.Reader. The end of a connection that was reset is io.ErrUnexpectedEOF.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.exchange.wasReset() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// wasReset reports whether the connection was reset before the endpoint closed it. If it is reset later, the error of
+// the writer is EPIPE.
+func (x *exchange) wasReset() bool {
+	select {
+	case <-x.bodyWritten:
+		return errors.Is(x.bodyError, syscall.ECONNRESET)
+	case <-time.After(resetNotice):
+		return false
+	}
+}
+
 // boundBuffers bounds the buffers of a connection to an endpoint before it is made. Without a bound, the kernel keeps up
 // to 4 MB of a request body that the endpoint does not read.
 func boundBuffers(_, _ string, raw syscall.RawConn) error {
