poison: parts that only one request had are tried at once

Cause: two terminations under a part make it suspected. Both attempts of one request are enough, and its parts, if no other request has them, are suspected together. Such a request waits jointPause for others that show which part it is, and there are none.

Change: where all terminations of the parts were under the attempts of one request, the one joint trial is not held off. The number of trials stays as it is, so a part that does terminate endpoints has no run more. A new owner, which doesn't know the requests, waits as before.

Evidence: TestPartsOfOneRequestAreTriedAtOnce failed before ("the repeated request is held off"); its second case, a part that terminates endpoints, is held off after the trial, as before.

--- a/poison/part.go
+++ b/poison/part.go
@@ -37,6 +37,7 @@
 	maxSoloTrials  = 2
 	maxJointTrials = 1
 	// jointPause is how long requests with several suspected parts are held off, so that others can show which one it is.
+	// Where all terminations were under the attempts of one request there are no others, and most likely no part is at fault.
 	jointPause = 2 * event.Second
 	// partQuarantine is how long a part is quarantined after its trials; and how long terminations count.
 	partQuarantine = provenQuarantine
@@ -67,9 +68,11 @@
 type partCase struct {
 	key          Fingerprint
 	terminations []terminatedInstance // since a response to a request with the part last began
-	solo, joint  int                  // counted trials
-	lastChange   event.Time
-	trial        *partTrial // in progress; nil for none
+	// request is the one under whose attempts all terminations were; empty if there are several, or it is not known.
+	request     event.RequestID
+	solo, joint int // counted trials
+	lastChange  event.Time
+	trial       *partTrial // in progress; nil for none
 }
 
 // partTrial is a run of a request with suspected parts.
@@ -109,6 +112,8 @@
 // nextTrialAt returns the earliest time of a trial.
 func (c *partCase) nextTrialAt(isJoint bool) event.Time {
 	switch {
+	case isJoint && c.joint < maxJointTrials && c.request != "":
+		return 0
 	case isJoint && c.joint < maxJointTrials:
 		return c.lastChange.Add(jointPause)
 	case !isJoint && c.solo == 0:
@@ -265,9 +270,12 @@
 			if !b.ensureCapacity() {
 				continue
 			}
-			c = &partCase{key: p}
+			c = &partCase{key: p, request: t.Request}
 			b.cases[p] = c
 		}
+		if c.request != t.Request {
+			c.request = ""
+		}
 		if trial != nil && c.trial == trial && trial.attempt == t.Attempt {
 			trial.endpointTerminated = true
 			b.addChange(TrialTerminatedEndpoint, c, t.Request)
@@ -433,7 +441,7 @@
 		}
 		return
 	}
-	c.lastChange = now
+	c.lastChange, c.request = now, ""
 	c.solo, c.joint = max(c.solo, line.Trials), max(c.joint, line.Joint)
 	for _, endpoint := range line.Terminations {
 		if len(c.terminations) < maxTerminations && !slices.ContainsFunc(c.terminations, func(t terminatedInstance) bool { return t.endpoint == endpoint }) {
--- a/poison/part_test.go
+++ b/poison/part_test.go
@@ -68,6 +68,39 @@
 	}
 }
 
+// TestPartsOfOneRequestAreTriedAtOnce guards against innocent requests that are held off: both attempts of one ran on
+// endpoints that terminated for other reasons, so that its parts, which no other request has, are suspected together. A part
+// that does terminate endpoints has no more runs by that.
+func TestPartsOfOneRequestAreTriedAtOnce(t *testing.T) {
+	for _, isInnocent := range []bool{true, false} {
+		var l Ledger
+		b := NewTracker(0, &l)
+		call := partCall(1, badPart, Part("s", "own"))
+		for attempt := range partThreshold {
+			call.Attempt = attempt + 1
+			if !tryPrompt(b, &l, at, call) {
+				t.Fatal("a request with an unknown part does not run")
+			}
+			b.RecordTermination(at, &Termination{
+				Parts: call.Parts, Endpoint: event.EndpointID(fmt.Sprint("e", attempt)), Request: call.Request, Attempt: call.Attempt, Ran: event.Millisecond,
+			})
+			b.Parts().RecordFinish(at, call.Request, false)
+		}
+		again := partCall(2, call.Parts...)
+		if !tryPrompt(b, &l, at, again) {
+			t.Fatalf("innocent %v: the repeated request is held off", isInnocent)
+		}
+		if isInnocent {
+			succeed(b, at, again)
+		} else {
+			terminate(b, at, again)
+		}
+		if runs := tryPrompt(b, &l, at.Add(jointPause), partCall(3, call.Parts...)); runs != isInnocent {
+			t.Errorf("innocent %v: the next request runs: %v", isInnocent, runs)
+		}
+	}
+}
+
 // TestSharedPartIsClearedByOthers: a part that all requests have is suspected with one that terminates endpoints. A
 // request without the latter must clear it, and not be held off for longer than one run.
 func TestSharedPartIsClearedByOthers(t *testing.T) {
