cmd/lynxramp: levels are compared as numbers

Operators saw, from level 10 on: "the group's level: 9" where one box that was disconnected still reports 9, as levels were compared as text.

Evidence: TestHighestGroupLevelIsReported failed before.

--- a/cmd/lynxramp/levels.go
+++ b/cmd/lynxramp/levels.go
@@ -13,6 +13,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
@@ -50,7 +51,7 @@
 
 // levelReport collects the builds and format levels from the metrics of control boxes.
 type levelReport struct {
-	group    string   // the control group's level; empty if unknown
+	group    int      // the control group's level; 0 if unknown
 	blockers []string // members that block the next level
 	boxes    map[string]boxLevel
 }
@@ -88,7 +89,11 @@
 	for lines.Scan() {
 		line := lines.Text()
 		if m := groupLevelRE.FindStringSubmatch(line); m != nil {
-			r.group = max(r.group, m[1])
+			group, err := strconv.Atoi(m[1])
+			if err != nil {
+				return errors.Wrap(err, "the group's level")
+			}
+			r.group = max(r.group, group)
 		}
 		if m := blockerRE.FindStringSubmatch(line); m != nil {
 			r.blockers = append(r.blockers, m[1])
@@ -101,7 +106,11 @@
 }
 
 func (r *levelReport) print(out io.Writer) error {
-	fmt.Fprintf(out, "the group's level: %s\n", cmp.Or(r.group, "unknown"))
+	if r.group > 0 {
+		fmt.Fprintf(out, "the group's level: %d\n", r.group)
+	} else {
+		fmt.Fprintln(out, "the group's level: unknown")
+	}
 	for _, by := range r.blockers {
 		fmt.Fprintf(out, "held back by %s\n", by)
 	}
--- a/cmd/lynxramp/levels_test.go
+++ b/cmd/lynxramp/levels_test.go
@@ -39,6 +39,23 @@
 	}
 }
 
+// TestHighestGroupLevelIsReported guards against levels that are compared as text, so that 9 counts as higher than 10.
+func TestHighestGroupLevelIsReported(t *testing.T) {
+	r := newLevelReport()
+	for _, group := range []string{"9", "10", "8"} {
+		if err := r.read(strings.NewReader("lynxramp_control_level " + group + "\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out strings.Builder
+	if err := r.print(&out); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.HasPrefix(out.String(), "the group's level: 10\n") {
+		t.Errorf("the report is\n%s", out.String())
+	}
+}
+
 // TestEndlessMetricsAreRefused guards against a box whose metrics have no end and fill the memory of the command, or keep it.
 func TestEndlessMetricsAreRefused(t *testing.T) {
 	line := `lynxramp_control_level_held{by="` + strings.Repeat("b", 1000) + "\"} 1\n"
