rollout: the next order does not block versions in use for a moment

Callers would have seen refusals for up to a tick: with an order completed long ago, versions that replaced the completed one without an order were blocked as stopping when another was ordered or rolled back, or the owner changed, until the owner's next tick.

Cause: whether the old endpoints have had the time to stop was reset with each order and at a new owner, and determined by ticks only.

Change: it is determined from the completed order whenever that may change.

--- a/rollout/rolled_back_test.go
+++ b/rollout/rolled_back_test.go
@@ -307,6 +307,34 @@
 	}
 }
 
+// TestNextOrderKeepsVersionsInUse guards against a version that is blocked for a moment when another is ordered, as if a
+// completed order of long ago had just ended.
+func TestNextOrderKeepsVersionsInUse(t *testing.T) {
+	w := newVersionsSim(t, "v1", "v2")
+	w.mustOrder("v2")
+	w.mustEnd(PhaseCompleted)
+	w.stop("v1")
+	w.run(testOrder.Duration + oldStopTime)
+	w.start("v3") // without an order
+	for _, step := range []struct {
+		name string
+		do   func()
+	}{
+		{"it was started", func() {}},
+		{"v4 was ordered", func() { w.start("v4"); w.mustOrder("v4") }},
+		{"the owner changed", func() {
+			w.owner = &owner{Tracker: NewTracker(w.now, w.owner.ledger, testLimits), ledger: w.owner.ledger}
+		}},
+		{"the order was rolled back", func() { w.owner.Cancel("s"); w.owner.tick(w.now) }},
+	} {
+		step.do()
+		w.owner.SetCapacity("s", "v2", 10)
+		if mode := w.owner.Mode("s", "v3"); mode != event.ModeNormal {
+			t.Errorf("mode %v of v3 once %s", mode, step.name)
+		}
+	}
+}
+
 // TestServicesAreIndependent guards against a version that is not used at a service because another service rolled
 // back the version with that name.
 func TestServicesAreIndependent(t *testing.T) {
--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -71,6 +71,7 @@
 			s.previous = &order{record: *known.Previous, startedAt: known.previousStartedAt}
 		}
 		s.pastOrders = l.pastOrdersOf(known)
+		s.updateStopped(now)
 		t.lastNumber = max(t.lastNumber, known.Newest.Number)
 	}
 	return t
@@ -161,9 +162,14 @@
 		s.newest.committed(s.newest.record)
 		if r.Phase.IsFinal() {
 			s.end(s.newest.record, s.newest.startedAt)
-			s.oldStopped = false
 		}
 	}
+	s.updateStopped(now)
+}
+
+// updateStopped determines whether the endpoints that the last completed order replaced have had the time to stop.
+func (s *service) updateStopped(now event.Time) {
+	s.oldStopped = s.Completed != nil && now.Sub(s.completedStartedAt) >= s.Completed.Duration+oldStopTime
 }
 
 // start starts a committed order.
@@ -179,7 +185,6 @@
 	}
 	s.previous, s.newest = s.newest, begun
 	s.begin(r, begun.startedAt)
-	s.oldStopped = false
 }
 
 // beginOwn is called for an order that this owner proposed: none of its ceiling is spent, and
@@ -275,7 +280,7 @@
 		if s.newest == nil {
 			continue
 		}
-		s.oldStopped = s.Completed != nil && now.Sub(s.completedStartedAt) >= s.Completed.Duration+oldStopTime
+		s.updateStopped(now)
 		if s.newest.progress == nil {
 			continue
 		}
