--- a/rollout/rolled_back_test.go
+++ b/rollout/rolled_back_test.go
@@ -157,7 +157,7 @@
 	w.mustEnd(PhaseRolledBack)
 }
 
-// checkReceived checks that a version gets no request while a function runs.
+// mustGetNothing checks that a version gets no request while a function runs.
 func (w *versionsSim) mustGetNothing(version string, run func()) {
 	before := w.received[version]
 	run()
