gateway: the calls of the endless test all run before the first response begins

Reproduced with eight copies beside each other (load 15), once in 40: callers that came some 100 ms late got 503 after 0.42 to 0.47 s, "the request bodies in memory exceed the limit". The endless responses of the calls before them had filled the account of 4 MiB, so no memory was left for their request, and they were refused as documented. That they all run is what the test prepares, not what it checks.

The endpoints begin their responses once all calls run; all checks stay. Eight copies beside each other again: 40 of 40 pass.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -23,6 +23,8 @@
 	pause       time.Duration // after each part
 	hasNoHead   bool          // start is the first that is sent; otherwise it follows a status line with the request's ID
 	status      int
+	// begin is closed when the responses may begin; nil for at once.
+	begin chan struct{}
 
 	sent  atomic.Int64 // bytes
 	open  atomic.Int64 // connections
@@ -37,6 +39,9 @@
 	began := time.Now()
 	defer func() { s.total.Add(int64(time.Since(began))) }()
 	_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10)
+	if s.begin != nil {
+		<-s.begin
+	}
 	start := s.start
 	if !s.hasNoHead {
 		start = head(r, s.status, "") + start
@@ -160,7 +165,10 @@
 				// caller is behind, and the beginning of a whole one.
 				withoutLimit = floorBlocks*blockBytes + callerSendBuffer + endpointReceiveBuffer + smallResponse
 			)
-			s := &endless{status: 200, start: c.start, part: c.part, pause: c.pause}
+			// The first responses fill the memory, and calls that begin after that are refused.
+			s := &endless{status: 200, start: c.start, part: c.part, pause: c.pause, begin: make(chan struct{})}
+			begin := sync.OnceFunc(func() { close(s.begin) })
+			t.Cleanup(begin)
 			var endpoints []*fakeEndpoint
 			for range calls {
 				endpoints = append(endpoints, newFakeEndpoint(t, s.script))
@@ -189,6 +197,7 @@
 				})
 			}
 			waitFor(t, "all run", func() bool { return s.runs.Load() == calls })
+			begin()
 			if c.stops {
 				r.gateway.StartDraining(time.Second)
 				time.Sleep(300 * time.Millisecond)
