sched: an endpoint in cooldown for one entry is not held back from all others

Callers waited: an endpoint that rejected a request was granted no other for 0.3 s, from any entry, also if it had asked for a cooldown of the entry that sent it. Meanwhile requests of other entries had no endpoint if all rejected, and those of the entry itself waited as well, as no endpoint counted as in cooldown. A cooldown says whom the endpoint wants nothing from, and for how long; the backoff is for rejections that do not. TestCooldownOfOneEntryHoldsUpNoOther failed before: neither a grant for the other entry nor a refusal for the entry itself.

--- a/sched/rest_test.go
+++ b/sched/rest_test.go
@@ -92,3 +92,33 @@
 		t.Errorf("grants %+v, %d endpoints with cooldowns", out.Grants, s.cooldownEndpoints)
 	}
 }
+
+// TestCooldownOfOneEntryHoldsUpNoOther guards against a rejection with a cooldown that makes the endpoint unavailable to
+// all entries for a while: requests of others waited, and so did those that the cooldown refuses.
+func TestCooldownOfOneEntryHoldsUpNoOther(t *testing.T) {
+	s := discoveredPool(1, 4)
+	var out event.Effects
+	s.Step(0, callFrom(1, "a", 500*event.Millisecond), &out)
+	if len(out.Grants) != 1 {
+		t.Fatalf("grants %+v", out.Grants)
+	}
+	now := event.Time(10 * event.Millisecond)
+	s.Step(now, &event.CooldownRequested{Entry: "a", Endpoint: "e0000", For: 2 * event.Second}, &out)
+	s.Step(now, &event.Finished{ID: "r1", Void: true}, &out)
+	out.Reset()
+	s.Step(now, callFrom(2, "b", 500*event.Millisecond), &out)
+	if len(out.Grants) != 1 || out.Grants[0].Entry != "b" {
+		t.Errorf("another entry: grants %+v, refusals %+v", out.Grants, out.Refusals)
+	}
+	out.Reset()
+	s.Step(now, callFrom(3, "a", 500*event.Millisecond), &out)
+	if len(out.Refusals) != 1 || out.Refusals[0].Reason != event.ReasonCooldown {
+		t.Errorf("the entry itself: grants %+v, refusals %+v", out.Grants, out.Refusals)
+	}
+	out.Reset()
+	s.Step(now, &event.Finished{ID: "r2", Void: true}, &out)
+	s.Step(now.Add(EndpointBackoff/2), callFrom(4, "b", 500*event.Millisecond), &out)
+	if len(out.Grants) != 0 {
+		t.Errorf("after a rejection without a cooldown: grants %+v", out.Grants)
+	}
+}
--- a/sched/state.go
+++ b/sched/state.go
@@ -24,8 +24,8 @@
 	// MissingGrantGrace is how long a grant may be missing from its slot's
 	// reports before it is treated as ended.
 	MissingGrantGrace = 2 * event.Second
-	// EndpointBackoff is how long an endpoint that did not accept a request is
-	// granted no other.
+	// EndpointBackoff is how long an endpoint that did not accept a request, and
+	// did not ask for a cooldown, is granted no other.
 	EndpointBackoff = 300 * event.Millisecond
 	// MinRetryAfter and MaxRetryAfter bound the Retry-After of refusals.
 	MinRetryAfter = event.Second
@@ -344,12 +344,14 @@
 }
 
 // finish ends a grant and updates the estimates. An endpoint that did not
-// accept the request is granted no other during EndpointBackoff.
+// accept the request is granted no other during EndpointBackoff, unless it asked
+// for a cooldown: that one is for the entry alone, and says how long it lasts.
 func (s *State) finish(now event.Time, e *event.Finished) {
 	if g, ok := s.grants[e.ID]; ok {
-		if e.Unused {
+		switch {
+		case e.Unused:
 			g.refundRateLimit()
-		} else if e.Void {
+		case e.Void && now >= g.endpoint.cooldowns[g.entry]:
 			g.endpoint.backoffUntil = now.Add(EndpointBackoff)
 		}
 		if !e.Failed && !e.Void {
