cluster: a version that was rolled back is not logged as used again once its endpoints are gone

Operators saw "restriction of a version changed" with mode "normal" and cause "none" for a version that stays rolled back: the log compared the restrictions of versions with endpoints, and in a soak of roll-outs the endpoints of v2 had drained. A restriction is logged as ended now only when it no longer holds. TestRestrictionIsLoggedUntilItEnds failed before ("they are gone: logged [none]").

--- a/cluster/rollout_log.go
+++ b/cluster/rollout_log.go
@@ -79,9 +79,9 @@
 	}
 }
 
-// logRestrictions logs the versions whose restriction changed. A new owner logs all restricted ones.
+// logRestrictions logs the versions whose restriction changed. A new owner logs all restricted ones that have endpoints.
 func (p *rolloutOwner) logRestrictions(out *Effects) {
-	before, after := p.restrictedLogged, p.restricted
+	before, after := p.restrictedLogged, p.withAbsent(p.restricted)
 	p.restrictedLogged = after
 	changed := maps.Clone(after)
 	for key := range before {
@@ -98,3 +98,18 @@
 			Field{"mode", use.Mode.String()}, Field{"cause", use.Cause.String()}, Field{"order", use.Number}, Field{"before", before[key].Cause.String()})
 	}
 }
+
+// withAbsent adds the logged restrictions that still hold to those of versions with endpoints.
+func (p *rolloutOwner) withAbsent(restricted map[versionKey]rollout.Use) map[versionKey]rollout.Use {
+	all := make(map[versionKey]rollout.Use, len(restricted))
+	maps.Copy(all, restricted)
+	for key := range p.restrictedLogged {
+		if _, hasEndpoints := restricted[key]; hasEndpoints {
+			continue
+		}
+		if use := p.useOf(key); use.Mode != event.ModeNormal {
+			all[key] = use
+		}
+	}
+	return all
+}
--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -435,3 +435,55 @@
 		}
 	}
 }
+
+// TestRestrictionIsLoggedUntilItEnds guards against a log that says that a version which was rolled back is used normally,
+// as its endpoints have gone.
+func TestRestrictionIsLoggedUntilItEnds(t *testing.T) {
+	tracker := rollout.NewTracker(0, &rollout.Ledger{}, simRolloutLimits)
+	order := func(now event.Time) {
+		r, result := tracker.Submit(now, simOrder)
+		if result != rollout.ResultPropose {
+			t.Fatalf("result %v of an order", result)
+		}
+		tracker.Committed(now, r)
+	}
+	key := versionKey{simOrder.Service, simOrder.Version}
+	p := &rolloutOwner{tracker: tracker}
+	tracker.SetCapacity("s", "v1", 1)
+	order(0)
+	tracker.Cancel("s")
+	for _, r := range tracker.Tick(0) {
+		tracker.Committed(0, r)
+	}
+	now := event.Time(simOrder.Duration)
+	for _, step := range []struct {
+		name         string
+		hasEndpoints bool
+		do           func()
+		want         []string
+	}{
+		{"it has endpoints", true, func() {}, []string{"rolled_back"}},
+		{"they are gone", false, func() {}, nil},
+		{"they are back", true, func() {}, nil},
+		{"it is ordered again", true, func() { order(now) }, []string{"unproved"}},
+	} {
+		step.do()
+		p.restricted = make(map[versionKey]rollout.Use)
+		if step.hasEndpoints {
+			p.restricted[key] = p.useOf(key)
+		}
+		var out Effects
+		p.logRestrictions(&out)
+		var causes []string
+		for _, record := range out.LogRecords {
+			for _, f := range record.Fields {
+				if f.Name == "cause" {
+					causes = append(causes, f.Value.(string))
+				}
+			}
+		}
+		if !slices.Equal(causes, step.want) {
+			t.Errorf("%s: logged %q, want %q", step.name, causes, step.want)
+		}
+	}
+}
