--- a/test.sh
+++ b/test.sh
@@ -21,6 +21,6 @@
 skip="^($(echo "$red" | cut -d, -f1 | paste -sd'|'))\$"
 # Tests of processes that measure times and shares under load run after all others: beside them they
 # would measure the load of the computer.
-alone='^Test(Roll(Loses|Beside)|(Entry|BusyEntry|EntryBehindBalancer)ReadsMore|SkewWhile|NoRefusalWithoutRoom|NoRequestsDuringCooldown|RolloutSoak|EndlessBytesAtListeners)'
+alone='^Test(Roll(Loses|Beside)|(Entry|BusyEntry|EntryBehindBalancer)ReadsMore|SkewWhile|NoRefusalWithoutRoom|NoRequestsDuringCooldown|RolloutSoak|StopEnds|EndlessBytesAtListeners)'
 go test -count=1 -parallel 4 -skip "$skip|$alone" ./...
 go test -count=1 -skip "$skip" -run "$alone" ./platform
