gateway: a failure with Retry-After is not taken for a rejection

TestFailureWithCooldownIsNoRejection failed before (200 from the other endpoint; a second request refused).

TestCooldownResponseIsRetriedElsewhere demanded the inference.

--- a/backpressure/word.go
+++ b/backpressure/word.go
@@ -14,7 +14,7 @@
 	// Unread is true if the response names a limit that can't be parsed. Such a response leaves the limit as it
 	// was.
 	Unread bool
-	// Rest is the cooldown: how long an endpoint that rejected the request wants none from the entry that received
+	// Rest is the cooldown: how long an endpoint that responded with a 503 wants none from the entry that received
 	// the response; 0 for none.
 	Rest event.Duration
 	// Leaving is true if the endpoint is draining: it accepts no new requests from any box.
--- a/gateway/asked.go
+++ b/gateway/asked.go
@@ -17,10 +17,10 @@
 
 // receiveFeedback records the feedback in a response. A misdirected response comes from another endpoint
 // than the one called, so its feedback is ignored.
-func (c *call) receiveFeedback(a *attempt, r *http.Response) (f backpressure.Feedback) {
+func (c *call) receiveFeedback(a *attempt, r *http.Response) {
 	g := c.gateway
 	if g.config.ParseFeedback == nil || r.StatusCode == http.StatusMisdirectedRequest {
-		return f
+		return
 	}
 	f, err := g.config.ParseFeedback(r.StatusCode, r.Header)
 	if err != nil {
@@ -32,7 +32,7 @@
 	}
 	endpoint := a.decision.Endpoint
 	if !f.Restricts() && !g.agent.client.gate.IsLimited(endpoint) {
-		return f
+		return
 	}
 	now := g.agent.clock.Now()
 	keptByOwner := !a.decision.Degraded && a.decision.Permit != backpressure.PermitLegacy
@@ -46,7 +46,6 @@
 	if isNew && g.feedbackLimiter.Allow(time.Now(), 1) {
 		g.log.With(zap.String("request", c.callerID)).Info(stepFeedback, fields...)
 	}
-	return f
 }
 
 // checkGate returns why a grant must not be used: the endpoint's feedback forbids it and the grant was made
--- a/gateway/asked_test.go
+++ b/gateway/asked_test.go
@@ -95,16 +95,34 @@
 	}
 }
 
-// TestCooldownResponseIsRetriedElsewhere: a response with a cooldown means that the request was not run, so even
-// one that is not repeatable is retried.
-func TestCooldownResponseIsRetriedElsewhere(t *testing.T) {
-	e1, e2 := newFakeEndpoint(t, withFeedback(503, "X-Rest: 3s")), newFakeEndpoint(t, whole(200, "answer"))
+// TestRejectionWithCooldownIsRetriedElsewhere: a request that an endpoint rejected, with a cooldown, is retried even if it is not
+// repeatable.
+func TestRejectionWithCooldownIsRetriedElsewhere(t *testing.T) {
+	e1, e2 := newFakeEndpoint(t, withFeedback(503, "X-Not-Run: 1\r\nX-Rest: 3s")), newFakeEndpoint(t, whole(200, "answer"))
 	r := newTestGateway(t, e1, e2)
 	if status, body, _ := r.do(t, r.request("POST", "/once/x", "q")); status != 200 || body != "answer" || e1.runs() != 1 {
 		t.Errorf("status %d, body %q after %d runs at the endpoint in cooldown, want 200 from the other endpoint", status, body, e1.runs())
 	}
 }
 
+// TestFailureWithCooldownIsNoRejection guards against a request that fails at an endpoint after it ran there, and is sent again
+// or said not to have run as the endpoint asks for a cooldown.
+func TestFailureWithCooldownIsNoRejection(t *testing.T) {
+	failed, other := newFakeEndpoint(t, withFeedback(503, "X-Rest: 3s")), newFakeEndpoint(t, whole(200, "answer"))
+	r := newTestGateway(t, failed, other)
+	a, err := http.DefaultClient.Do(r.request("POST", "/once/x", "q"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != 503 || a.Header.Get("X-Signature") == "" || other.runs() != 0 {
+		t.Errorf("status %d with signature %q, %d runs at the other endpoint, want the failure of the first one", a.StatusCode, a.Header.Get("X-Signature"), other.runs())
+	}
+	if status, _, _ := r.do(t, r.request("POST", "/safe/x", "q")); status != 200 || failed.runs() != 1 {
+		t.Errorf("status %d, %d runs at the endpoint in cooldown, want 200 from the other one", status, failed.runs())
+	}
+}
+
 // TestFeedbackHeadersAreForwarded: feedback headers stay in the response to the caller.
 func TestFeedbackHeadersAreForwarded(t *testing.T) {
 	r := newTestGateway(t, newFakeEndpoint(t, withFeedback(200, "X-Limit: 2\r\nX-Leaving: 1")))
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -428,11 +428,11 @@
 	defer c.gateway.responses.Add(-1)
 	names := &c.gateway.config.Headers
 	r := x.response
-	feedback := c.receiveFeedback(a, r)
+	c.receiveFeedback(a, r)
 	c.receiveLoad(a, r)
 	a.isFramed = r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
-	// An endpoint that asks for a cooldown has rejected the request.
-	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" || feedback.Rest > 0 {
+	// A cooldown alone does not say that the endpoint rejected the request: it may have failed after it ran.
+	if r.StatusCode == http.StatusMisdirectedRequest || r.Header.Get(names.NotRun) != "" {
 		c.receiveNotRun(x, a)
 		return
 	}
