cluster: endpoints that stand on after a completed order are used again

Callers lost capacity: endpoints of another version than the completed one get nothing until 30 s after the order's deadline, as they are about to stop. If they stood on, they got nothing after that either, until an endpoint changed or a service was ordered.

Cause: the restriction ends with time alone, and the owner applied modes only when endpoints changed or an order was in progress. Found by reading. A restriction that no longer agrees with its cause is now looked for with each tick, among the restricted versions only.

TestStandingEndpointsAreUsedAgainAfterCompletion failed before: "mode blocked, cause stopping after the time to stop".

--- a/cluster/rollout.go
+++ b/cluster/rollout.go
@@ -179,13 +179,23 @@
 			return
 		}
 	}
-	if isCounted {
+	if isCounted || o.rollouts.isOutdated() {
 		o.updateModes(now, s)
 	}
 	o.sendRestrictions(out)
 	o.rollouts.logEvidence(now, s, out)
 }
 
+// isOutdated reports whether a restriction has changed with time.
+func (p *rolloutOwner) isOutdated() bool {
+	for key, use := range p.restricted {
+		if p.useOf(key) != use {
+			return true
+		}
+	}
+	return false
+}
+
 // hasOrderInProgress reports whether an order has not ended.
 func (s *State) hasOrderInProgress() bool {
 	for _, service := range s.machine.rollouts.Services() {
--- a/cluster/rollout_test.go
+++ b/cluster/rollout_test.go
@@ -381,6 +381,34 @@
 	}
 }
 
+// TestStandingEndpointsAreUsedAgainAfterCompletion guards against endpoints that get nothing for good: those of another
+// version than the completed one get nothing while they have the time to stop, and stand on without any change.
+func TestStandingEndpointsAreUsedAgainAfterCompletion(t *testing.T) {
+	const stopTime = 30 * event.Second
+	s := newRolloutSim(t, 3)
+	owner := s.mustOwner()
+	s.heartbeat(owner, registry.Endpoint{ID: "e2", Service: "s", Address: "b", Slots: 1, Sequence: 1, Version: "v2"})
+	s.run(200 * event.Millisecond)
+	s.mustOrder(simOrder, StatusDone) // completed at once: there is no other version
+	s.heartbeat(owner, registry.Endpoint{ID: "e3", Service: "s", Address: "c", Slots: 1, Sequence: 1, Version: "v3"})
+	s.run(affinity.AdmissionDelay + 200*event.Millisecond)
+	if n := len(owner.state.owner.restrictions().List); n != 1 {
+		t.Errorf("%d versions are restricted beside the completed one, want 1", n)
+	}
+	for sequence := uint64(2); s.now < event.Time(simOrder.Duration+stopTime+5*event.Second); sequence++ {
+		s.heartbeat(owner, registry.Endpoint{ID: "e2", Service: "s", Address: "b", Slots: 1, Sequence: sequence, Version: "v2"})
+		s.heartbeat(owner, registry.Endpoint{ID: "e3", Service: "s", Address: "c", Slots: 1, Sequence: sequence, Version: "v3"})
+		s.run(event.Second)
+	}
+	for _, r := range owner.state.owner.rollouts.restricted {
+		t.Errorf("mode %s, cause %s after the time to stop", r.Mode, r.Cause)
+	}
+	want := []message.Restriction{{Service: "s", Version: "v3", Mode: event.ModeCanary}} // entries without an owner
+	if got := owner.state.owner.restrictions().List; !slices.Equal(got, want) {
+		t.Errorf("entries have the restrictions %+v, want %+v", got, want)
+	}
+}
+
 // TestEntriesMayUseTheVersionInUseAfterRollbacks guards against entries that have no endpoint once they lose the owner:
 // the endpoints of versions that were rolled back have not changed for longest.
 func TestEntriesMayUseTheVersionInUseAfterRollbacks(t *testing.T) {
