--- a/gateway/asked_test.go
+++ b/gateway/asked_test.go
@@ -34,7 +34,8 @@
 // TestGateChecksEverySend: a grant by an owner that lacks the endpoint's feedback is not used, for a first attempt,
 // a retry or a resumed stream. The feedback is reported, and the request submitted to the owner again.
 func TestGateChecksEverySend(t *testing.T) {
-	for header, status := range map[string]int{"X-Limit: 2": 200, "X-Leaving: 1": 200, "X-Rest: 3s": 503} {
+	const rejection = "X-Not-Run: 1\r\nX-Rest: 3s"
+	for header, status := range map[string]int{"X-Limit: 2": 200, "X-Leaving: 1": 200, rejection: 503} {
 		for _, attempt := range []struct {
 			name, path string
 			second     responder // of e2, tried before e1 is granted again; nil for a first attempt
