sched: a request waits for the end of a cooldown for half of its queue timeout

Callers saw late rejections while all endpoints of a service asked for cooldowns: 0.3 s and more after they had sent their request, with a target of 0.3 s.

Cause: a request waited for a cooldown that ends within its queue timeout, for up to 0.27 s of 0.3 s. The endpoint rejected it again, and no time was left for another attempt.

A request waits now only if the cooldown ends in the first half of its queue timeout; otherwise it is refused at once, and told when to come back.

TestRequestIsNotRefusedLateAfterCooldown failed before (no refusal).

--- a/sched/rest.go
+++ b/sched/rest.go
@@ -9,7 +9,7 @@
 )
 
 // This file implements cooldowns: an endpoint asks one entry to send nothing for a while. The entry's requests go
-// to other endpoints, wait if a cooldown ends in time, and are refused at once if none does.
+// to other endpoints, wait if a cooldown ends soon, and are refused at once if none does.
 
 // startCooldown records a cooldown that an endpoint asked of an entry.
 func (s *State) startCooldown(now event.Time, r *event.CooldownRequested) {
@@ -76,7 +76,7 @@
 // wait, and reports whether it did.
 func (s *State) refuseInCooldown(now event.Time, k *ticket, out *event.Effects) bool {
 	end, all := s.cooldownEnd(now, k)
-	if !all || end <= k.queueDeadline() {
+	if !all || end <= k.latestCooldownEnd() {
 		return false
 	}
 	wait := end.Sub(now)
@@ -84,6 +84,12 @@
 	return true
 }
 
+// latestCooldownEnd returns until when a request waits for the end of a cooldown: for half of its queue timeout. The
+// endpoint may reject it again, and the rest is for another attempt, or for a refusal while the caller still has time.
+func (k *ticket) latestCooldownEnd() event.Time {
+	return k.arrived.Add(k.queueDeadline().Sub(k.arrived) / 2)
+}
+
 // queueDeadline returns when a ticket's queue timeout ends.
 func (k *ticket) queueDeadline() event.Time {
 	if k.Patience == 0 {
--- a/sched/rest_test.go
+++ b/sched/rest_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// TestRequestIsNotRefusedLateAfterCooldown guards against a request that waits for the end of a cooldown until its
+// queue timeout is nearly over, is rejected again, and is refused late.
+func TestRequestIsNotRefusedLateAfterCooldown(t *testing.T) {
+	s := poolInCooldown("a")
+	var out event.Effects
+	now := event.Time(1600 * event.Millisecond)
+	s.Step(now, callFrom(1, "a", 500*event.Millisecond), &out)
+	if len(out.Refusals) != 1 || out.Refusals[0].Reason != event.ReasonCooldown {
+		t.Errorf("refusals %+v of a request that has 100 ms left after the cooldown", out.Refusals)
+	}
+}
+
 // TestRefusesWaitingRequestsOnCooldown checks that a cooldown at all endpoints also refuses requests that already
 // wait.
 func TestRefusesWaitingRequestsOnCooldown(t *testing.T) {
