overload: a limit rises soon after its cause is gone

Cause: a limit grows by a part of what overloaded the entry last. Cuts by a cause that doesn't depend on the rate leave next to nothing, so it grew by next to nothing. An overload that the admitted requests cause comes back soon; from 1.5 s after a pause on, the limit grows by a part of what the entry usually admits, if that is more.

With real processes the fault was not seen again on the code before, so the effect there is not shown.

--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -27,6 +27,9 @@
 	// A bound is cut to cutFactor of what overloaded the box, and grows by growth of that in the first second afterwards.
 	cutFactor = 0.85
 	growth    = 0.25
+	// overloadReturns is within which time after a pause an overload returns that the admitted requests cause. After that the
+	// rate grows by a part of what the box usually admits: what overloaded it last may be far below what it can serve.
+	overloadReturns = 1500 * event.Millisecond
 	// drainRate is how much the delay falls at least during a pause, as a part of the time, unless responses under way
 	// need all that the box has.
 	drainRate = 0.25
@@ -169,9 +172,9 @@
 	b.limit = max(cutFactor*b.overloads, b.min)
 }
 
-// grow raises a bound, faster the longer ago the last overload was.
-func (b *bound) grow(interval, calm event.Duration) {
-	b.limit += growth * b.overloads * interval.Seconds() * (1 + calm.Seconds())
+// grow raises a bound by a part of base a second, faster the longer ago the last overload was.
+func (b *bound) grow(interval, calm event.Duration, base float64) {
+	b.limit += growth * base * interval.Seconds() * (1 + calm.Seconds())
 }
 
 // NewLimiter returns a Limiter without a limit.
@@ -275,8 +278,8 @@
 	case !l.isPaused:
 		interval = min(interval, maxInterval) // in the rest the process didn't run
 		l.calm += interval
-		l.rate.grow(interval, l.calm)
-		l.responses.grow(interval, l.calm)
+		l.rate.grow(interval, l.calm, l.growthBase())
+		l.responses.grow(interval, l.calm, l.responses.overloads)
 		l.limited = l.rate.limit < liftFactor*l.rate.overloads || l.isReached(now)
 	case !wasPaused:
 		l.calm = 0
@@ -292,6 +295,14 @@
 	}
 }
 
+// growthBase returns the rate by a part of which the limit grows.
+func (l *Limiter) growthBase() float64 {
+	if l.calm < overloadReturns {
+		return l.rate.overloads
+	}
+	return max(l.rate.overloads, l.usual)
+}
+
 // isTooLong reports whether requests wait too long to admit more.
 func (l *Limiter) isTooLong(delay event.Duration) bool {
 	part := pauseAt
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -195,3 +195,31 @@
 		t.Errorf("limit %+v after 10 s without an overload, %+v at its end", last, first)
 	}
 }
+
+// TestLimitRisesSoonAfterItsCauseIsGone: an entry that other processes kept from running refused nearly all callers for ten
+// seconds and more after they had ended. What it usually admits must be admitted 3 s later.
+func TestLimitRisesSoonAfterItsCauseIsGone(t *testing.T) {
+	for name, change := range map[string]func(*Sample){
+		"run queue":    func(s *Sample) { s.RunQueue = 300 * ms },
+		"late process": func(s *Sample) { s.Wait = 300 * ms },
+		"link":         func(s *Sample) { s.Path, s.OwnerRoundTrip = 300*ms, 300*ms },
+	} {
+		l := NewLimiter(Config{})
+		usual := calm
+		usual.Begun, usual.Ended = 10, 10
+		now, _, _ := feed(l, 0, 20*event.Second, usual)
+		delayed, between := usual, usual
+		change(&delayed)
+		delayed.Begun, delayed.Ended, delayed.IsReached = 0, 0, true
+		between.Begun, between.Ended, between.IsReached = 1, 1, true
+		for range 20 {
+			now, _, _ = feed(l, now, 700*ms, delayed)
+			now, _, _ = feed(l, now, 300*ms, between)
+		}
+		reached := usual
+		reached.IsReached = true
+		if _, limit, _ := feed(l, now, 3*event.Second, reached); limit.IsPaused || limit.PerSecond < 100 {
+			t.Errorf("%s: limit %+v 3 s after its cause, 100 a second are usual", name, limit)
+		}
+	}
+}
