overload: an entry whose processor is free does not pause for want of an owner

Callers were refused: an entry that had refused connections as its processor was overloaded, and lost the owner, admitted one connection each 2 s until there was an owner again, though its run queue was empty.

Cause: without an owner and without traffic nothing tells how long the link takes, and that counted as a reason to pause whatever had overloaded the entry. It does now only if the link had.

TestLostOwnerProlongsNoPause failed before for the run queue and for a late process.

--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -214,8 +214,9 @@
 		}
 	}
 	wasPaused := l.isPaused
-	// Without an owner and without traffic, only what is admitted now and then tells how long requests wait.
-	l.isPaused = isStalled || l.isTooLong(delay) || !s.isLinkKnown()
+	// If the link was full, only what is admitted now and then tells how long requests wait, without an owner and traffic.
+	isLinkUnknown := l.reason == ReasonLink && !s.isLinkKnown()
+	l.isPaused = isStalled || l.isTooLong(delay) || isLinkUnknown
 	l.adjust(now, interval, s, delay, wasPaused)
 	return l.limit(now, s, longest)
 }
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -223,3 +223,28 @@
 		}
 	}
 }
+
+// TestLostOwnerProlongsNoPause guards against an entry that refuses nearly all callers until there is an owner again, though the
+// processor that requests waited for is free. What is known of a link ends with the owner and the traffic.
+func TestLostOwnerProlongsNoPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		change   func(*Sample)
+		isPaused bool
+	}{
+		"run queue":    {func(s *Sample) { s.RunQueue = 300 * ms }, false},
+		"late process": {func(s *Sample) { s.Wait = 300 * ms }, false},
+		"link":         {func(s *Sample) { s.Path, s.OwnerRoundTrip = 300*ms, 300*ms }, true},
+	} {
+		l := NewLimiter(Config{})
+		now, _, _ := feed(l, 0, 5*event.Second, calm)
+		delayed := calm
+		c.change(&delayed)
+		now, limit, _ := feed(l, now, event.Second, delayed)
+		if !limit.IsPaused {
+			t.Errorf("%s: limit %+v during the overload", name, limit)
+		}
+		if _, limit, _ = feed(l, now, 500*ms, Sample{RunQueue: 2 * ms}); limit.IsPaused != c.isPaused {
+			t.Errorf("%s: paused %v without an owner and traffic, want %v", name, limit.IsPaused, c.isPaused)
+		}
+	}
+}
