cluster: control boxes that were replaced leave room for new members

Operators would have lost the group: a control box keeps 64 addresses of others, for good. After that many replacements at new addresses it connects to no new member, so as the leader it sends it nothing of the log.

Cause: a full table refused each new address, members too. Now the box that was not used for longest is removed, if it is disconnected and no member, as the table of format versions (formats.peers) does already.

TestReplacedBoxesLeaveRoomForNewOnes failed before: "member member-3:1 can't be connected to".

--- a/cluster/peers.go
+++ b/cluster/peers.go
@@ -3,6 +3,7 @@
 package cluster
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	conn     *link.Conn[message.Envelope] // nil while disconnected
 	dialedAt time.Time
 	dialing  bool
+	usedAt   time.Time // when it was added, or last sent a message
 }
 
 func newPeers(self string, received *link.Memory, log *zap.Logger) *peers {
@@ -52,22 +54,42 @@
 }
 
 // get returns the peer of an address and adds it if needed; nil for this box itself, or if there
-// are maxPeers already.
+// are maxPeers already and none can be removed.
 func (p *peers) get(address string) *peer {
 	if address == p.self || address == "" {
 		return nil
 	}
 	remote, ok := p.all[address]
 	if !ok {
-		if len(p.all) >= maxPeers {
+		if len(p.all) >= maxPeers && !p.removeUnused() {
+			p.log.Debug("too many control boxes known; ignoring one", zap.String("address", address), zap.Int("most", maxPeers))
 			return nil
 		}
-		remote = &peer{address: address}
+		remote = &peer{address: address, usedAt: time.Now()}
 		p.all[address] = remote
 	}
 	return remote
 }
 
+// removeUnused removes the disconnected box that was not used for longest and is no member, and reports whether there
+// was one. Boxes that were replaced at other addresses would otherwise keep the new ones from being connected to.
+func (p *peers) removeUnused() bool {
+	var unused *peer
+	for address, remote := range p.all {
+		if remote.conn != nil || remote.dialing || slices.Contains(p.members, address) {
+			continue
+		}
+		if unused == nil || remote.usedAt.Before(unused.usedAt) {
+			unused = remote
+		}
+	}
+	if unused == nil {
+		return false
+	}
+	delete(p.all, unused.address)
+	return true
+}
+
 // Send implements store.Sender.
 func (p *peers) Send(m consensus.Message) {
 	p.send(string(m.To.Box()), &message.Envelope{Consensus: &m})
@@ -77,8 +99,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	remote := p.get(address)
+	if remote == nil {
+		return
+	}
+	remote.usedAt = time.Now()
 	switch {
-	case remote == nil:
 	case remote.conn != nil:
 		remote.conn.Send(m)
 	case !remote.dialing && time.Since(remote.dialedAt) > redialInterval:
--- a/cluster/peers_test.go
+++ b/cluster/peers_test.go
@@ -92,3 +92,29 @@
 		}
 	}
 }
+
+// TestReplacedBoxesLeaveRoomForNewOnes guards against a control box that connects to no new member: it knows maxPeers
+// addresses, most of boxes that were replaced at others.
+func TestReplacedBoxesLeaveRoomForNewOnes(t *testing.T) {
+	p := newPeers("127.0.0.1:1", link.NewMemory(0), zap.NewNop())
+	p.setMembers([]string{"127.0.0.1:1", "member-1:1", "member-2:1"})
+	p.all["member-1:1"].usedAt = time.Time{}
+	for i := range 2 * maxPeers {
+		p.addMembers(&message.Redirect{Members: []string{fmt.Sprintf("replaced-%d:1", i)}})
+	}
+	p.setMembers([]string{"127.0.0.1:1", "member-1:1", "member-3:1"})
+	for _, address := range []string{"member-1:1", "member-3:1"} {
+		if p.all[address] == nil {
+			t.Errorf("member %s can't be connected to", address)
+		}
+	}
+	if len(p.all) > maxPeers {
+		t.Errorf("%d addresses are kept, more than maxPeers", len(p.all))
+	}
+	for _, remote := range p.all {
+		remote.dialing = true
+	}
+	if p.get("one-more:1") != nil {
+		t.Error("a box that is being connected to was removed")
+	}
+}
