gateway: late long responses are logged

On-call found no line of a late request whose response is longer than 1 MiB, nor was it in lynxramp_gateway_first_byte_seconds: where such a response begins, its time was not compared with the target, and without an account of held memory its end wrote no step. Found by reading.

Both are recorded in one place for all responses of endpoints that are no streams. TestLateLongResponseIsLogged failed before, with and without the account.

--- a/gateway/pass.go
+++ b/gateway/pass.go
@@ -82,10 +82,20 @@
 	}
 	c.w.WriteHeader(r.status)
 	c.forwardWhole(r.body)
-	c.gateway.meters.countResponse(r.status, c.rankLabel())
+	c.recordFirstByte(r.status)
+	c.recordResponse(r.status)
+}
+
+// recordFirstByte records that an endpoint's response to the caller has begun.
+func (c *call) recordFirstByte(status int) {
 	c.gateway.meters.observeFirstByte(c.arrived, c.rankLabel())
-	c.record.failed = c.record.failed || r.status >= http.StatusInternalServerError || c.isLate(time.Now())
-	c.addStep(stepEnded, zap.Int("status", r.status), zap.String("why", "the endpoint's own response"), zap.Int("attempts", c.attempts))
+	c.record.failed = c.record.failed || status >= http.StatusInternalServerError || c.isLate(time.Now())
+}
+
+// recordResponse records the end of an endpoint's response to the caller.
+func (c *call) recordResponse(status int) {
+	c.gateway.meters.countResponse(status, c.rankLabel())
+	c.addStep(stepEnded, zap.Int("status", status), zap.String("why", "the endpoint's own response"), zap.Int("attempts", c.attempts))
 }
 
 // isLate reports whether a response that starts at a time misses the route's target.
@@ -114,6 +124,7 @@
 	}
 	c.w.WriteHeader(x.response.StatusCode)
 	c.headSent = true
+	c.recordFirstByte(x.response.StatusCode)
 	if c.relay != nil {
 		c.forwardLongRelayed(x, a, prefix)
 		return
@@ -133,5 +144,5 @@
 	}
 	x.finish(c.gateway.upstream)
 	a.outcome = outcomeDone
-	c.gateway.meters.countResponse(x.response.StatusCode, c.rankLabel())
+	c.recordResponse(x.response.StatusCode)
 }
--- a/gateway/record_test.go
+++ b/gateway/record_test.go
@@ -3,8 +3,12 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -56,3 +60,29 @@
 		t.Errorf("%d of %d successful requests are logged, want about %d", sampled, served, want)
 	}
 }
+
+// TestLateLongResponseIsLogged guards against a response that is too long to be buffered, is late and has no line in the log.
+func TestLateLongResponseIsLogged(t *testing.T) {
+	for name, held := range map[string]*HeldMemory{"without an account of held memory": nil, "with one": heldLimits()} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			endpoint := newFakeEndpoint(t, func(c net.Conn, q *http.Request) bool {
+				time.Sleep(1100 * time.Millisecond) // the route's target is 1 s
+				const length = 2 * maxBufferedResponse
+				fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", head(q, 200, ""), length)
+				_, _ = c.Write(bytes.Repeat([]byte("x"), length))
+				return true
+			})
+			r := newConfiguredGateway(t, event.NewClock(), testTable(1, "key"), held, endpoint)
+			core, lines := observer.New(zap.InfoLevel)
+			r.gateway.log = zap.New(core)
+			if status, body, _ := r.do(t, r.request("POST", "/once/x", "q")); status != 200 || len(body) != 2*maxBufferedResponse {
+				t.Fatalf("status %d and %d bytes", status, len(body))
+			}
+			waitFor(t, "the request is logged", func() bool { return lines.FilterMessage(stepEnded).Len() > 0 })
+			if status := lines.FilterMessage(stepEnded).All()[0].ContextMap()["status"]; status != int64(200) {
+				t.Errorf("the line has status %v", status)
+			}
+		})
+	}
+}
