entry: the full catalog is requested until it is applied

An entry of lynxrampd kept a catalog to which an update could not be applied, if the poll that requested the full one failed: the request was forgotten as the call was made, and the next call asked for updates only. Found by reading. The request holds until an update is applied.

TestFullCatalogIsRequestedAfterFailedCall failed before: "updates since version 3 are requested after a failed call".

--- a/entry/link.go
+++ b/entry/link.go
@@ -67,7 +67,7 @@
 
 	mu              sync.Mutex
 	current         int  // index into schedulers
-	wantFullCatalog bool // the next call requests the full catalog
+	wantFullCatalog bool // calls request the full catalog
 	epoch           uint64
 	ack             uint64
 	pending         map[event.RequestID]*pendingTicket
@@ -197,19 +197,20 @@
 	}
 	c.applyDecisions(response)
 	if response.Catalog != nil {
-		if err := c.catalogs.ApplyCatalog(response.Catalog); err != nil {
-			c.log.Error("failed to apply catalog update; requesting the full catalog", logx.Err(err))
-			c.requestFullCatalog()
-		}
+		c.applyCatalog(response.Catalog)
 	}
 	return true
 }
 
-// requestFullCatalog makes the next call request the full catalog.
-func (c *OwnerClient) requestFullCatalog() {
+// applyCatalog applies a catalog update. After one that fails, calls request the full catalog until an update is applied.
+func (c *OwnerClient) applyCatalog(update *rpc.CatalogNews) {
+	err := c.catalogs.ApplyCatalog(update)
+	if err != nil {
+		c.log.Error("failed to apply catalog update; requesting the full catalog", logx.Err(err))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wantFullCatalog = true
+	c.wantFullCatalog = err != nil
 }
 
 // currentScheduler returns the scheduler that was last known as the owner, and its index.
@@ -242,7 +243,6 @@
 	version := c.catalogs.CatalogVersion()
 	if c.wantFullCatalog {
 		version = 0
-		c.wantFullCatalog = false
 	}
 	return &rpc.ExchangeRequest{
 		Entry:       string(c.entry),
