--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -283,6 +283,9 @@
 		l.responses.grow(interval, l.calm, l.responses.overloads)
 		l.limited = l.rate.limit < liftFactor*l.rate.overloads || l.isReached(now)
 	case !wasPaused:
+		if l.calm >= overloadReturns {
+			l.usual = min(l.usual, l.served) // what it usually admits is more than it can serve now
+		}
 		l.calm = 0
 		l.pausedAt, l.pausedDelay = now, delay
 		l.cutRate(now)
--- a/overload/paused_test.go
+++ b/overload/paused_test.go
@@ -189,3 +189,25 @@
 		}
 	}
 }
+
+// TestLimitOfSlowedProcessFollowsWhatItServes guards against a limit that grows to what the box admitted before its share of the
+// processor became smaller.
+func TestLimitOfSlowedProcessFollowsWhatItServes(t *testing.T) {
+	const calm, contact, length = 20 * event.Second, 3 * event.Second, 20 * event.Second
+	for name, how := range refusals {
+		for _, part := range []float64{0.5, 0.3, 0.15} {
+			for seed := range uint64(simulatedBoxes) {
+				b := newPausedBox(seed, how)
+				load := 0.8 * b.capacity()
+				b.run(calm, load)
+				b.share *= part
+				b.run(contact, load)
+				accepted, inTime := b.accepted, b.inTime
+				b.run(length, load)
+				if served := float64(b.inTime-inTime) / float64(b.accepted-accepted); served < 0.75 {
+					t.Errorf("%s, seed %d: %.2f of the requests that are read are served in time with %v of the processor's share", name, seed, served, part)
+				}
+			}
+		}
+	}
+}
