overload: the next overload keeps what a box usually admits

An overload counted as the effect of a limit that was lifted long before, and lowered the rate to which the next limit grows: the time without a pause went on from the earlier limit. It begins with each limit now. TestNextOverloadKeepsWhatIsUsual failed before.

--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -263,7 +263,7 @@
 
 // begin sets a limit: what the box has finished lately, and no less than what it usually admits.
 func (l *Limiter) begin(now event.Time) {
-	l.limited, l.isPaused = true, false
+	l.limited, l.isPaused, l.calm = true, false, 0
 	l.cutAt, l.reachedAt = now, now
 	first := max(l.usual, minFirstLimit*l.begun, min(l.ended, cutFactor*l.begun), minRate)
 	l.rate = bound{limit: first, overloads: max(l.begun, minRate), min: minRate}
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -248,3 +248,17 @@
 		}
 	}
 }
+
+// TestNextOverloadKeepsWhatIsUsual guards against an overload that counts as the effect of a limit that was lifted before it.
+func TestNextOverloadKeepsWhatIsUsual(t *testing.T) {
+	l := NewLimiter(Config{})
+	overloaded := calm
+	overloaded.RunQueue, overloaded.Ended = 300*ms, 0
+	now, _, _ := feed(l, 0, 20*event.Second, calm)
+	now, _, _ = feed(l, now, event.Second, overloaded)
+	now, limit, _ := feed(l, now, 20*event.Second, calm)
+	usual := l.usual
+	if _, _, isLimited := feed(l, now, 500*ms, overloaded); limit.IsLimited() || !isLimited || l.usual < usual {
+		t.Errorf("limit %+v before the next overload; limited by it %v, usual rate %.0f after %.0f", limit, isLimited, l.usual, usual)
+	}
+}
