slot: the kernel takes a bounded part of an engine's response

Reproduced with eight copies beside each other: up to 5,988,371 bytes.

Cause: the slot stops reading once a response has 1 MiB unacknowledged, but the kernel goes on, up to its own limit of a receive buffer (33 MB here), which it raises with the rate of reading. The test is unchanged.

--- a/slot/slot.go
+++ b/slot/slot.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,9 @@
 	responseRetention = 60 * event.Second
 	// cancelTimeout limits a cancel call to the engine.
 	cancelTimeout = 2 * time.Second
+	// engineReceiveBuffer is the receive buffer of a connection to the engine, in bytes. Without a limit, the kernel takes
+	// up to tcp_rmem of a response that is not read.
+	engineReceiveBuffer = 256 << 10
 )
 
 // Config has the settings of a slot.
@@ -56,11 +60,19 @@
 	runs  map[event.DispatchID]*run
 }
 
+// boundReceiveBuffer bounds the receive buffer of a connection before it is made.
+func boundReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// With the kernel's own size, more of a response is taken.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, engineReceiveBuffer)
+	})
+}
+
 // New returns a slot. The incarnation must differ from that of every earlier slot of
 // the endpoint.
 func New(c Config, incarnation event.Incarnation, log *zap.Logger) *Slot {
 	transport := bounded.NewTransport()
-	transport.DialContext = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	transport.DialContext = (&net.Dialer{Timeout: 2 * time.Second, Control: boundReceiveBuffer}).DialContext
 	transport.MaxIdleConnsPerHost = 64
 	transport.IdleConnTimeout = 30 * time.Second
 	return &Slot{
