gateway: responses with a status that HTTP has not are refused

Callers got the body of a response with status 000 (or 099, or 101) as an answer, if the body began like one: 200, signed, on all routes. Without such a body they waited until the route's timeout and got 504. Statuses 600 to 999 were passed on.

Cause: the reader of heads checked that a status has three digits, and took each one below 200 for that of an interim response, after which it read on for the final one. What followed was the body.

Now a status outside of 100 to 599 is malformed (RFC 9110, section 15), and so is 101, as no request of an entry asks for an upgrade. The check is made when the status line is there, so that nothing behind it is read; what follows is as for other malformed heads: 502 or, where the route allows it, another endpoint; the connection is closed, the endpoint suspect, and the log has the cause. It is in a package of its own, for other readers of responses.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -60,7 +60,7 @@
 			err = nil
 		}
 		if len(e.buffer)+len(line) > maxEventBytes {
-			return nil, "", &refusedResponse{refusedEvent, len(e.buffer) + len(line), maxEventBytes}
+			return nil, "", &refusedResponse{why: refusedEvent, read: len(e.buffer) + len(line), limit: maxEventBytes}
 		}
 		if err := e.grow(len(line)); err != nil {
 			return nil, "", err
@@ -87,7 +87,7 @@
 		return nil
 	}
 	if e.empty += len(e.buffer); e.empty > maxEventBytes {
-		return &refusedResponse{refusedEvent, e.empty, maxEventBytes}
+		return &refusedResponse{why: refusedEvent, read: e.empty, limit: maxEventBytes}
 	}
 	return nil
 }
--- /dev/null
+++ b/gateway/malformed_test.go
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+)
+
+// In the texts of responses below, the argument is the request's ID.
+const (
+	// fields are those that each response of an endpoint has.
+	fields  = "X-Request: %[1]s\r\nX-Signature: sig\r\n"
+	spoiled = "Content-Length: 15\r\n\r\ndata: spoiled\n\n"
+	// spoiledResponse is a sound response, which must not be taken for one as it is the body of another response, or follows it.
+	spoiledResponse = "HTTP/1.1 200 OK\r\n" + fields + spoiled
+	hasSpoiledBody  = fields + "Content-Length: 95\r\n\r\n" + spoiledResponse
+)
+
+// malformedResponses are responses that HTTP/1 does not allow.
+var malformedResponses = map[string]string{
+	"status 000, a response in the body":   "HTTP/1.1 000 OK\r\n" + hasSpoiledBody,
+	"status 000, no body":                  "HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 0\r\n\r\n",
+	"status 000, no length":                "HTTP/1.1 000 OK\r\n" + fields + "\r\n",
+	"status 000 after an interim response": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n\r\n" + spoiledResponse,
+	"status 001":                           "HTTP/1.1 001 OK\r\n" + fields + spoiled,
+	"status 099, a response in the body":   "HTTP/1.1 099 OK\r\n" + hasSpoiledBody,
+	"status 101, a response in the body":   "HTTP/1.1 101 Switching Protocols\r\n" + hasSpoiledBody,
+	"status 101, a response follows":       "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n" + spoiledResponse,
+	"status 600":                           "HTTP/1.1 600 OK\r\n" + fields + spoiled,
+	"status 999":                           "HTTP/1.1 999 OK\r\n" + fields + spoiled,
+	"status with a sign":                   "HTTP/1.1 +20 OK\r\n" + fields + spoiled,
+	"status of two digits":                 "HTTP/1.1 20 OK\r\n" + fields + spoiled,
+	"status of four digits":                "HTTP/1.1 0200 OK\r\n" + fields + spoiled,
+}
+
+// sendsAndWaits is an endpoint that sends a text, whose argument is the request's ID, and waits until its connection is closed. Then
+// it closes the channel.
+func sendsAndWaits(text string, closed chan<- struct{}) responder {
+	return func(c net.Conn, r *http.Request) bool {
+		defer close(closed)
+		_, _ = fmt.Fprintf(c, text, r.Header.Get("X-Request"))
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	}
+}
+
+// TestMalformedResponsesAreRefused guards against malformed responses of endpoints that reach callers, as they are or with a body
+// that is taken for a further response, and against callers that wait for their deadline after them.
+func TestMalformedResponsesAreRefused(t *testing.T) {
+	for name, text := range malformedResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if !strings.Contains(text, "%[1]s") {
+				text += "%.0[1]s"
+			}
+			for _, path := range []string{"/once/x", "/single/x", "/safe/x"} {
+				checkRefused(t, path, text)
+			}
+		})
+	}
+}
+
+// checkRefused checks that a malformed response is refused at once, that only requests that are repeatable go to another
+// endpoint, and that the caller's connection goes on.
+func checkRefused(t *testing.T, path, text string) {
+	t.Helper()
+	const atOnce = 700 * time.Millisecond
+	closed := make(chan struct{})
+	first, second := newFakeEndpoint(t, sendsAndWaits(text, closed)), newFakeEndpoint(t, whole(200, "answer"))
+	r := newTestGateway(t, first, second, second)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	began := time.Now()
+	status, header, body, _ := r.doOn(t, client, path)
+	if took := time.Since(began); took > atOnce {
+		t.Errorf("%s: the response took %v", path, took)
+	}
+	switch {
+	case path == "/safe/x" && (status != http.StatusOK || body != "answer"):
+		t.Errorf("%s: status %d %q, want the response of the next endpoint", path, status, body)
+	case path != "/safe/x" && (status != http.StatusBadGateway || header.Get("X-Signature") != "" || strings.Contains(body, "spoiled")):
+		t.Errorf("%s: status %d %v %q, want 502 of the gateway's own", path, status, header, body)
+	}
+	status, _, body, reused := r.doOn(t, client, "/once/x")
+	if status != http.StatusOK || body != "answer" || !reused {
+		t.Errorf("%s: a sound request after it: status %d %q, on the same connection: %t", path, status, body, reused)
+	}
+	if n := r.gateway.meters.refusedResponses(refusedMalformed).Get(); n != 1 {
+		t.Errorf("%s: %d responses were counted as malformed, want 1", path, n)
+	}
+	waitFor(t, "the attempts are reported", func() bool {
+		r.owner.mu.Lock()
+		defer r.owner.mu.Unlock()
+		return len(r.owner.finished) >= 2
+	})
+	r.owner.mu.Lock()
+	defer r.owner.mu.Unlock()
+	if f := r.owner.finished[0]; !f.Failed || !f.Suspect || f.Void {
+		t.Errorf("%s: the attempt was reported as %+v, want a failure of a suspect endpoint that may have run it", path, f)
+	}
+	select {
+	case <-closed:
+	case <-time.After(atOnce):
+		t.Errorf("%s: the connection to the endpoint is open", path)
+	}
+}
+
+// doOn sends a request with a client and returns the response, and whether the client's connection was used before.
+func (r *testGateway) doOn(t *testing.T, client *http.Client, path string) (status int, header http.Header, body string, reused bool) {
+	t.Helper()
+	q := r.request("POST", path, "q")
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }}
+	a, err := client.Do(q.WithContext(httptrace.WithClientTrace(q.Context(), trace)))
+	if err != nil {
+		t.Errorf("%s: %v", path, err)
+		return 0, nil, "", reused
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	if err != nil {
+		t.Errorf("%s: status %d: %v", path, a.StatusCode, err)
+	}
+	return a.StatusCode, a.Header, string(data), reused
+}
--- a/gateway/received.go
+++ b/gateway/received.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lynxramp.org/heldmem"
+	"lynxramp.org/internal/logx"
 )
 
 // This file accounts for what is held of endpoints' responses, in every deployment. Without HeldMemory the account has
@@ -94,5 +95,5 @@
 	g.log.Warn("response refused", zap.String("request", c.callerID), zap.String("id", string(c.id)),
 		zap.String("endpoint", string(a.decision.Endpoint)), zap.String("address", a.decision.Address), zap.Stringer("why", refused.why),
 		zap.Int("read", refused.read), zap.Int("limit", refused.limit), zap.Int64("account_bytes", g.account.Limit()),
-		zap.Int("attempt", c.attempts))
+		zap.Int("attempt", c.attempts), logx.Cause(a.err))
 }
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -305,7 +305,7 @@
 			return nil
 		}
 	}
-	return &refusedResponse{refusedInterim, maxInterimResponses, maxInterimResponses}
+	return &refusedResponse{why: refusedInterim, read: maxInterimResponses, limit: maxInterimResponses}
 }
 
 // readKeepAlive reads how long the endpoint keeps the connection.
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"lynxramp.org/internal/httphead"
 	"lynxramp.org/reqlimit"
 )
 
@@ -24,6 +25,12 @@
 // errNoMemory is returned if the account grants no memory for a part of a response. It says nothing about the endpoint.
 var errNoMemory = errors.New("no memory for the response")
 
+// Causes of malformed heads.
+var (
+	errNoStatusLine = errors.New("it begins with no status line")
+	errNoField      = errors.New("a line of its head is no field")
+)
+
 // refusal is why a part of a response was not read on.
 type refusal uint8
 
@@ -45,13 +52,19 @@
 // refusedResponse is the error of a response that exceeds a limit, or that is malformed.
 type refusedResponse struct {
 	why         refusal
-	read, limit int // in the unit of the limit; bytes and 0 of one that is malformed
+	read, limit int   // in the unit of the limit; bytes and 0 of one that is malformed
+	cause       error // of one that is malformed
+}
+
+// malformed returns the error of a response that is malformed, after a number of bytes.
+func malformed(read int, cause error) error {
+	return &refusedResponse{why: refusedMalformed, read: read, cause: cause}
 }
 
 // Error implements error.
 func (e *refusedResponse) Error() string {
 	if e.why == refusedMalformed {
-		return fmt.Sprintf("response is malformed after %d bytes", e.read)
+		return fmt.Sprintf("response is malformed after %d bytes: %v", e.read, e.cause)
 	}
 	return fmt.Sprintf("response exceeds a limit: %s %d, limit %d", e.why, e.read, e.limit)
 }
@@ -74,8 +87,8 @@
 		data, _ := reader.Peek(reader.Buffered()) // what is buffered can be peeked
 		for end := bytes.IndexByte(data[scanned:], '\n'); end >= 0; end = bytes.IndexByte(data[scanned:], '\n') {
 			line := bytes.TrimSuffix(data[lineStart:scanned+end], []byte{'\r'})
-			if lineStart == 0 && !isStatusLine(line) || lineStart > 0 && !isFieldLine(line) {
-				return &refusedResponse{refusedMalformed, scanned + end, 0}
+			if err := checkLine(line, lineStart == 0); err != nil {
+				return malformed(scanned+end, err)
 			}
 			scanned += end + 1
 			lineStart = scanned
@@ -85,8 +98,8 @@
 			}
 		}
 		scanned = len(data)
-		if lineStart == 0 && !mayBeStatusLine(data) {
-			return &refusedResponse{refusedMalformed, scanned, 0}
+		if lineStart == 0 && !httphead.MayBeStatusLine(data) {
+			return malformed(scanned, errNoStatusLine)
 		}
 		if err := h.check(scanned); err != nil {
 			return err
@@ -97,20 +110,15 @@
 	}
 }
 
-// protocol is what the status line of each response begins with; a digit follows.
-const protocol = "HTTP/1."
-
-// mayBeStatusLine reports whether a status line can begin with these bytes.
-func mayBeStatusLine(start []byte) bool {
-	n := min(len(start), len(protocol))
-	return string(start[:n]) == protocol[:n]
-}
-
-// isStatusLine reports whether a line has a protocol and a status of three digits.
-func isStatusLine(line []byte) bool {
-	version, rest, _ := bytes.Cut(line, []byte{' '})
-	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-	return len(version) == len(protocol)+1 && mayBeStatusLine(version) && len(status) == 3 && len(bytes.Trim(status, "0123456789")) == 0
+// checkLine checks a line of a head.
+func checkLine(line []byte, isFirst bool) error {
+	if isFirst {
+		return httphead.CheckStatusLine(line)
+	}
+	if !isFieldLine(line) {
+		return errNoField
+	}
+	return nil
 }
 
 // isFieldLine reports whether a line is a header field, its continuation, or the empty line after the last one.
@@ -133,10 +141,10 @@
 // check checks the limits, with the given bytes of the current head.
 func (h *headReader) check(current int) error {
 	if h.lines > maxHeadLines {
-		return &refusedResponse{refusedHeadLines, h.lines, maxHeadLines}
+		return &refusedResponse{why: refusedHeadLines, read: h.lines, limit: maxHeadLines}
 	}
 	if h.bytes+current > h.maxBytes {
-		return &refusedResponse{refusedHeadBytes, h.bytes + current, h.maxBytes}
+		return &refusedResponse{why: refusedHeadBytes, read: h.bytes + current, limit: h.maxBytes}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: MIT
+
+// Package httphead checks the heads of HTTP/1 responses. net/http returns some to its callers that RFC 9110 and RFC 9112 do not
+// allow.
+package httphead
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// protocol is what the status line of each response begins with; a digit follows.
+const protocol = "HTTP/1."
+
+// MayBeStatusLine reports whether a status line can begin with these bytes.
+func MayBeStatusLine(start []byte) bool {
+	n := min(len(start), len(protocol))
+	return string(start[:n]) == protocol[:n]
+}
+
+// CheckStatusLine returns why a line, without its end, is not the status line of a response; nil if it is one.
+func CheckStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if len(version) != len(protocol)+1 || !MayBeStatusLine(version) || !isDigit(version[len(protocol)]) {
+		return errors.Errorf("protocol %s is not HTTP/1", quote(version))
+	}
+	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	if len(status) != 3 || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
+		return errors.Errorf("status %s is not a number of three digits", quote(status))
+	}
+	return checkStatus(int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0'))
+}
+
+// checkStatus checks the status of a response to a request that asked for no upgrade (RFC 9110, sections 15 and 15.2.2).
+func checkStatus(status int) error {
+	if status < 100 || status > 599 {
+		return errors.Errorf("status %03d is outside of 100 to 599", status)
+	}
+	if status == http.StatusSwitchingProtocols {
+		return errors.Errorf("status %d without a request for an upgrade", status)
+	}
+	return nil
+}
+
+// maxQuoted is how much of a peer's text an error has, in bytes.
+const maxQuoted = 40
+
+func quote(text []byte) string { return strconv.Quote(string(text[:min(len(text), maxQuoted)])) }
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
--- /dev/null
+++ b/internal/httphead/httphead_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+
+package httphead
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestStatusLine guards against status lines that aren't those of a response, and against sound ones that are refused.
+func TestStatusLine(t *testing.T) {
+	for line, sound := range map[string]bool{
+		"HTTP/1.1 200 OK":                    true,
+		"HTTP/1.0 200 OK":                    true,
+		"HTTP/1.9 200 OK":                    true, // as the highest minor version that is known
+		"HTTP/1.1 200 ":                      true,
+		"HTTP/1.1 200":                       true,
+		"HTTP/1.1  200 OK":                   true, // any white space separates (RFC 9112, section 4)
+		"HTTP/1.1 100 Continue":              true,
+		"HTTP/1.1 599 ":                      true,
+		"HTTP/1.1 099 OK":                    false,
+		"HTTP/1.1 000 OK":                    false,
+		"HTTP/1.1 101 Switching Protocols":   false,
+		"HTTP/1.1 600 OK":                    false,
+		"HTTP/1.1 +20 OK":                    false,
+		"HTTP/1.1 -20 OK":                    false,
+		"HTTP/1.1 2000 OK":                   false,
+		"HTTP/1.1 20 OK":                     false,
+		"HTTP/1.1 2x0 OK":                    false,
+		"HTTP/1.1":                           false,
+		"HTTP/1.x 200 OK":                    false,
+		"HTTP/1.10 200 OK":                   false,
+		"HTTP/2.0 200 OK":                    false,
+		"http/1.1 200 OK":                    false,
+		" HTTP/1.1 200 OK":                   false,
+		"HTTP/1.1\t200 OK":                   false,
+		"":                                   false,
+		"HTTP/1.1 " + strings.Repeat("2", 9): false,
+	} {
+		if err := CheckStatusLine([]byte(line)); (err == nil) != sound {
+			t.Errorf("%q: %v, sound: %t", line, err, sound)
+		}
+	}
+}
+
+// TestErrorIsShort guards against errors, and lines of the log, as long as what a peer sends.
+func TestErrorIsShort(t *testing.T) {
+	long := strings.Repeat("\x00", 1<<16)
+	for _, line := range []string{"HTTP/1." + long, "HTTP/1.1 " + long} {
+		if err := CheckStatusLine([]byte(line)); err == nil || len(err.Error()) > 300 {
+			t.Errorf("%.20q: an error of %d bytes", line, len(err.Error()))
+		}
+	}
+}
