gateway: responses with a blank in a field's name are refused

Callers got a response in whose head the name of a field held a blank, or stood apart from its colon, as an answer: 200 with the body, without the line. "Content-Length : 15" left the body without a length: calls waited until the timeout (504), streams got 200 and no end. "Transfer-Encoding : chunked" did so, too, and streams got the sizes of the chunks as their events. A rejection (not run) with such a line was taken for one.

Cause: the reader of heads asked for a colon, and net/http accepts names with blanks; its server then drops such lines from the response to the caller.

Now each line of a head, also of an interim one, has a name that is a token (httpguts, golang.org/x/net, at the version that the module graph had), or it continues the line before it. RFC 9112, section 5.1, lets a proxy remove a blank before the colon; such a response is refused here, as the blank may hide the length, and a sound endpoint doesn't send it. What follows is as for other malformed heads. A malformed rejection promises nothing: 502.

--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -25,11 +25,8 @@
 // errNoMemory is returned if the account grants no memory for a part of a response. It says nothing about the endpoint.
 var errNoMemory = errors.New("no memory for the response")
 
-// Causes of malformed heads.
-var (
-	errNoStatusLine = errors.New("it begins with no status line")
-	errNoField      = errors.New("a line of its head is no field")
-)
+// errNoStatusLine is the cause of a malformed response whose first bytes can't become a status line.
+var errNoStatusLine = errors.New("it does not begin with a status line")
 
 // refusal is why a part of a response was not read on.
 type refusal uint8
@@ -110,20 +107,15 @@
 	}
 }
 
-// checkLine checks a line of a head.
+// checkLine checks a line of a head; the last one is empty.
 func checkLine(line []byte, isFirst bool) error {
 	if isFirst {
 		return httphead.CheckStatusLine(line)
 	}
-	if !isFieldLine(line) {
-		return errNoField
+	if len(line) == 0 {
+		return nil
 	}
-	return nil
-}
-
-// isFieldLine reports whether a line is a header field, its continuation, or the empty line after the last one.
-func isFieldLine(line []byte) bool {
-	return len(line) == 0 || line[0] == ' ' || line[0] == '\t' || bytes.IndexByte(line, ':') > 0
+	return httphead.CheckFieldLine(line)
 }
 
 // complete adds a head of a given size and holds memory for its parsed form.
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // protocol is what the status line of each response begins with; a digit follows.
@@ -45,6 +46,22 @@
 	return nil
 }
 
+// CheckFieldLine returns why a line, without its end, is no field line of a head, and doesn't continue one; nil if it is one. net/http
+// accepts names with blanks. A blank before the colon is no exception: it may hide the length of a body (RFC 9112, section 5.1).
+func CheckFieldLine(line []byte) error {
+	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+		return nil // it continues the value of the line before it (RFC 9112, section 5.2)
+	}
+	name, _, ok := bytes.Cut(line, []byte{':'})
+	if !ok {
+		return errors.Errorf("field line %s has no colon", quote(line))
+	}
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return errors.Errorf("field name %s is not a token", quote(name))
+	}
+	return nil
+}
+
 // maxQuoted is how much of a peer's text an error has, in bytes.
 const maxQuoted = 40
 
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -43,12 +43,47 @@
 	}
 }
 
+// TestFieldLine guards against field lines that net/http accepts, or drops, though their names are not tokens.
+func TestFieldLine(t *testing.T) {
+	for line, sound := range map[string]bool{
+		"X-Name: value":                   true,
+		"x!#$%&'*+-.^_`|~9: value":        true,
+		"X-Name:value":                    true,
+		"X-Name:":                         true,
+		"X-Name:  ":                       true,
+		"X-Name: a: b":                    true,
+		" continued":                      true,
+		"\tcontinued":                     true,
+		" ":                               true,
+		"X Name: value":                   false,
+		"X-Name : value":                  false,
+		"X-Name\t: value":                 false,
+		"X\x00Name: value":                false,
+		"X\x01Name: value":                false,
+		"X\rName: value":                  false,
+		"X\x7fName: value":                false,
+		"X\x80Name: value":                false,
+		"é: value":                        false,
+		"(X): value":                      false,
+		"\"X\": value":                    false,
+		": value":                         false,
+		"value":                           false,
+		strings.Repeat("a", 100) + " : b": false,
+	} {
+		if err := CheckFieldLine([]byte(line)); (err == nil) != sound {
+			t.Errorf("%q: %v, sound: %t", line, err, sound)
+		}
+	}
+}
+
 // TestErrorIsShort guards against errors, and lines of the log, as long as what a peer sends.
 func TestErrorIsShort(t *testing.T) {
 	long := strings.Repeat("\x00", 1<<16)
-	for _, line := range []string{"HTTP/1." + long, "HTTP/1.1 " + long} {
-		if err := CheckStatusLine([]byte(line)); err == nil || len(err.Error()) > 300 {
-			t.Errorf("%.20q: an error of %d bytes", line, len(err.Error()))
+	for _, err := range []error{
+		CheckStatusLine([]byte("HTTP/1." + long)), CheckStatusLine([]byte("HTTP/1.1 " + long)), CheckFieldLine([]byte(long)), CheckFieldLine([]byte(long + ":")),
+	} {
+		if err == nil || len(err.Error()) > 300 {
+			t.Errorf("an error of more than 300 bytes, or none: %.100v", err)
 		}
 	}
 }
