gateway: heads that net/http refuses count as malformed, too

A response whose head net/http refuses (control bytes in a value, lengths that differ or have a sign, an unknown coding) did not reach callers, but operators didn't see it: neither "response refused" nor the counter had it, and the line of the attempt could be as long as the endpoint's own line.

Cause: the error of the parser was passed on as any other of the connection. The whole head is there when it is parsed, so the error says that the head is malformed. It is taken as that, with a cause of at most 200 bytes.

TestCauseIsShort fails without the bound.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -57,6 +58,14 @@
 	"name in brackets":                        "HTTP/1.1 200 OK\r\n(X): 1\r\n" + fields + spoiled,
 	"empty name":                              "HTTP/1.1 200 OK\r\n: 1\r\n" + fields + spoiled,
 	"no colon":                                "HTTP/1.1 200 OK\r\nbad\r\n" + fields + spoiled,
+	"first field begins with a blank":         "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n" + fields + spoiled,
+	"value with NUL":                          "HTTP/1.1 200 OK\r\nX-Bad: a\x00b\r\n" + fields + spoiled,
+	"value with CR":                           "HTTP/1.1 200 OK\r\nX-Bad: a\rb\r\n" + fields + spoiled,
+	"folded value with 0x01":                  "HTTP/1.1 200 OK\r\nX-Bad: a\r\n \x01\r\n" + fields + spoiled,
+	"lengths that differ":                     "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n" + fields + spoiled,
+	"length with a sign":                      "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: +15\r\n\r\ndata: spoiled\n\n",
+	"negative length":                         "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: -15\r\n\r\ndata: spoiled\n\n",
+	"unknown coding":                          "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: other\r\n\r\ndata: spoiled\n\n",
 }
 
 // sendsAndWaits is an endpoint that sends a text, whose argument is the request's ID, and waits until its connection is closed. Then
@@ -131,6 +140,32 @@
 	}
 }
 
+// textConn is a connection to an endpoint that has sent a text and closed.
+type textConn struct {
+	net.Conn
+	text io.Reader
+}
+
+// Read implements io.Reader.
+func (c *textConn) Read(p []byte) (int, error) { return c.text.Read(p) }
+
+// readHeadOf reads the head of a response that begins with a text.
+func readHeadOf(text string) (*http.Response, error) {
+	conn := &textConn{text: strings.NewReader(text)}
+	x := &exchange{conn: &upstreamConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), pool: newUpstream()}}
+	err := x.readHead(&upstreamRequest{method: http.MethodPost, hold: func(int64) bool { return true }})
+	return x.response, err
+}
+
+// TestCauseIsShort guards against lines of the log as long as those that an endpoint sends.
+func TestCauseIsShort(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\nX-Bad: " + strings.Repeat("\x01", 1<<15) + "\r\n\r\n"
+	_, err := readHeadOf(text)
+	if err == nil || len(err.Error()) > 300 {
+		t.Errorf("an error of more than 300 bytes, or none: %.100v", err)
+	}
+}
+
 // doOn sends a request with a client and returns the response, and whether the client's connection was used before.
 func (r *testGateway) doOn(t *testing.T, client *http.Client, path string) (status int, header http.Header, body string, reused bool) {
 	t.Helper()
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -294,7 +294,7 @@
 		}
 		r, err := http.ReadResponse(x.conn.reader, &http.Request{Method: o.method})
 		if err != nil {
-			return errors.Wrap(err, "read response")
+			return errors.Wrap(malformed(heads.bytes, err), "read response") // the whole head is there
 		}
 		if r.StatusCode >= http.StatusOK {
 			x.response = r
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -49,19 +49,23 @@
 // refusedResponse is the error of a response that exceeds a limit, or that is malformed.
 type refusedResponse struct {
 	why         refusal
-	read, limit int   // in the unit of the limit; bytes and 0 of one that is malformed
-	cause       error // of one that is malformed
+	read, limit int    // in the unit of the limit; bytes and 0 of one that is malformed
+	cause       string // of one that is malformed
 }
 
+// maxCause is the limit of the cause of a malformed response, in bytes: net/http quotes whole lines.
+const maxCause = 200
+
 // malformed returns the error of a response that is malformed, after a number of bytes.
-func malformed(read int, cause error) error {
-	return &refusedResponse{why: refusedMalformed, read: read, cause: cause}
+func malformed(read int, err error) error {
+	cause := err.Error()
+	return &refusedResponse{why: refusedMalformed, read: read, cause: cause[:min(len(cause), maxCause)]}
 }
 
 // Error implements error.
 func (e *refusedResponse) Error() string {
 	if e.why == refusedMalformed {
-		return fmt.Sprintf("response is malformed after %d bytes: %v", e.read, e.cause)
+		return fmt.Sprintf("response is malformed after %d bytes: %s", e.read, e.cause)
 	}
 	return fmt.Sprintf("response exceeds a limit: %s %d, limit %d", e.why, e.read, e.limit)
 }
