gateway: responses with a control character in the reason phrase are refused

Callers got a response whose status line held a control byte behind the status as an answer. Their own status line had another reason phrase, so the byte itself went no further.

Cause: neither the reader of heads nor net/http looks at the reason phrase. Now it has what RFC 9112, section 4, allows: visible characters, blanks and bytes above 0x7f; otherwise the head is malformed, also that of an interim response.

TestMalformedResponsesAreRefused: the four new forms failed before with 200 on all three routes, and pass.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -66,6 +66,10 @@
 	"length with a sign":                      "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: +15\r\n\r\ndata: spoiled\n\n",
 	"negative length":                         "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: -15\r\n\r\ndata: spoiled\n\n",
 	"unknown coding":                          "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: other\r\n\r\ndata: spoiled\n\n",
+	"control byte in the reason phrase":       "HTTP/1.1 200 O\x01K\r\n" + fields + spoiled,
+	"NUL in the reason phrase":                "HTTP/1.1 200 \x00\r\n" + fields + spoiled,
+	"CR in the reason phrase":                 "HTTP/1.1 200 O\rK\r\n" + fields + spoiled,
+	"control byte, interim reason phrase":     "HTTP/1.1 103 \x7f\r\n\r\n" + spoiledResponse,
 }
 
 // sendsAndWaits is an endpoint that sends a text, whose argument is the request's ID, and waits until its connection is closed. Then
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -28,10 +28,13 @@
 	if len(version) != len(protocol)+1 || !MayBeStatusLine(version) || !isDigit(version[len(protocol)]) {
 		return errors.Errorf("protocol %s is not HTTP/1", quote(version))
 	}
-	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	if len(status) != 3 || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
 		return errors.Errorf("status %s is not a number of three digits", quote(status))
 	}
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return errors.Errorf("reason phrase %s has a control character", quote(reason))
+	}
 	return checkStatus(int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0'))
 }
 
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -80,7 +80,7 @@
 func TestErrorIsShort(t *testing.T) {
 	long := strings.Repeat("\x00", 1<<16)
 	for _, err := range []error{
-		CheckStatusLine([]byte("HTTP/1." + long)), CheckStatusLine([]byte("HTTP/1.1 " + long)), CheckFieldLine([]byte(long)), CheckFieldLine([]byte(long + ":")),
+		CheckStatusLine([]byte("HTTP/1." + long)), CheckStatusLine([]byte("HTTP/1.1 " + long)), CheckStatusLine([]byte("HTTP/1.1 200 " + long)), CheckFieldLine([]byte(long)), CheckFieldLine([]byte(long + ":")),
 	} {
 		if err == nil || len(err.Error()) > 300 {
 			t.Errorf("an error of more than 300 bytes, or none: %.100v", err)
