gateway: transfer codings in HTTP/1.0 responses are refused

A response of HTTP/1.0 with "Transfer-Encoding: chunked" reached callers of streams as 200 with the sizes of the chunks among the events, and calls waited until the timeout (504), or got the coded bytes if the endpoint closed. Beside a length, the body was passed on as it was.

Cause: net/http ignores the field in HTTP/1.0 and removes it, so that the body ends with the connection. RFC 9112, section 6.1, calls such framing faulty even if there is a length. The reader of heads notes the field now and refuses the response as malformed. It is found as another case of "a body that is not the endpoint's".

TestMalformedResponsesAreRefused: both new forms failed before (200, 504, and 200 with the chunk sizes) and pass.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -70,6 +70,8 @@
 	"NUL in the reason phrase":                "HTTP/1.1 200 \x00\r\n" + fields + spoiled,
 	"CR in the reason phrase":                 "HTTP/1.1 200 O\rK\r\n" + fields + spoiled,
 	"control byte, interim reason phrase":     "HTTP/1.1 103 \x7f\r\n\r\n" + spoiledResponse,
+	"coding in HTTP/1.0":                      "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\nf\r\ndata: spoiled\n\n\r\n0\r\n\r\n",
+	"coding and length in HTTP/1.0":           "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n" + fields + spoiled,
 }
 
 // sendsAndWaits is an endpoint that sends a text, whose argument is the request's ID, and waits until its connection is closed. Then
--- a/gateway/upstream.go
+++ b/gateway/upstream.go
@@ -292,9 +292,9 @@
 		if err := heads.await(); err != nil {
 			return errors.Wrap(err, "read response")
 		}
-		r, err := http.ReadResponse(x.conn.reader, &http.Request{Method: o.method})
+		r, err := heads.parse(o.method)
 		if err != nil {
-			return errors.Wrap(malformed(heads.bytes, err), "read response") // the whole head is there
+			return errors.Wrap(err, "read response")
 		}
 		if r.StatusCode >= http.StatusOK {
 			x.response = r
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -25,8 +26,11 @@
 // errNoMemory is returned if the account grants no memory for a part of a response. It says nothing about the endpoint.
 var errNoMemory = errors.New("no memory for the response")
 
-// errNoStatusLine is the cause of a malformed response whose first bytes can't become a status line.
-var errNoStatusLine = errors.New("it does not begin with a status line")
+// Causes of malformed responses.
+var (
+	errNoStatusLine       = errors.New("it does not begin with a status line")
+	errCodingOfOldVersion = errors.New("it has a transfer coding, which HTTP/1.0 does not know") // RFC 9112, section 6.1
+)
 
 // refusal is why a part of a response was not read on.
 type refusal uint8
@@ -78,11 +82,16 @@
 	hold     func(bytes int64) bool // has the account hold bytes for the response
 	bytes    int                    // of the heads that are complete
 	lines    int                    // with those of the current head
+	// hasCoding is set if the current head has a transfer coding. net/http ignores and removes that of HTTP/1.0.
+	hasCoding bool
 }
 
+var codingName = []byte("Transfer-Encoding:")
+
 // await reads until the connection's buffer has a complete head.
 func (h *headReader) await() error {
 	scanned, lineStart := 0, 0
+	h.hasCoding = false
 	for {
 		reader := h.conn.reader
 		data, _ := reader.Peek(reader.Buffered()) // what is buffered can be peeked
@@ -91,6 +100,7 @@
 			if err := checkLine(line, lineStart == 0); err != nil {
 				return malformed(scanned+end, err)
 			}
+			h.hasCoding = h.hasCoding || len(line) >= len(codingName) && bytes.EqualFold(line[:len(codingName)], codingName)
 			scanned += end + 1
 			lineStart = scanned
 			h.lines++
@@ -122,6 +132,18 @@
 	return httphead.CheckFieldLine(line)
 }
 
+// parse reads the head that await has found complete, and checks how the end of the response is marked.
+func (h *headReader) parse(method string) (*http.Response, error) {
+	r, err := http.ReadResponse(h.conn.reader, &http.Request{Method: method})
+	if err == nil && h.hasCoding && !r.ProtoAtLeast(1, 1) {
+		err = errCodingOfOldVersion
+	}
+	if err != nil {
+		return nil, malformed(h.bytes, err)
+	}
+	return r, nil
+}
+
 // complete adds a head of a given size and holds memory for its parsed form.
 func (h *headReader) complete(size int) error {
 	if err := h.check(size); err != nil {
