gateway: interim responses with a body are refused

A response of status 103 that announced a body, which began like another response, reached callers: 200 with the inner body, signed.

Cause: the same as with status 000: what follows an interim head is read as the next head. By RFC 9110, section 8.6, a server must not send a length in an interim response, by RFC 9112, section 6.1, no coding; one that does means the following bytes as a body. Such a head is malformed now. A length of 0 is let through, as it announces nothing.

TestMalformedResponsesAreRefused: both new forms failed before with 200 and the inner body on all three routes, and pass.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -72,6 +72,8 @@
 	"control byte, interim reason phrase":     "HTTP/1.1 103 \x7f\r\n\r\n" + spoiledResponse,
 	"coding in HTTP/1.0":                      "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\nf\r\ndata: spoiled\n\n\r\n0\r\n\r\n",
 	"coding and length in HTTP/1.0":           "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n" + fields + spoiled,
+	"interim response with a length":          "HTTP/1.1 103 Early Hints\r\nContent-Length: 95\r\n\r\n" + spoiledResponse,
+	"interim response with a coding":          "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + spoiledResponse,
 }
 
 // sendsAndWaits is an endpoint that sends a text, whose argument is the request's ID, and waits until its connection is closed. Then
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -30,6 +31,7 @@
 var (
 	errNoStatusLine       = errors.New("it does not begin with a status line")
 	errCodingOfOldVersion = errors.New("it has a transfer coding, which HTTP/1.0 does not know") // RFC 9112, section 6.1
+	errInterimBody        = errors.New("it is interim and has a body")                           // RFC 9110, section 8.6
 )
 
 // refusal is why a part of a response was not read on.
@@ -135,8 +137,8 @@
 // parse reads the head that await has found complete, and checks how the end of the response is marked.
 func (h *headReader) parse(method string) (*http.Response, error) {
 	r, err := http.ReadResponse(h.conn.reader, &http.Request{Method: method})
-	if err == nil && h.hasCoding && !r.ProtoAtLeast(1, 1) {
-		err = errCodingOfOldVersion
+	if err == nil {
+		err = h.checkFraming(r)
 	}
 	if err != nil {
 		return nil, malformed(h.bytes, err)
@@ -144,6 +146,17 @@
 	return r, nil
 }
 
+// checkFraming returns why a response does not mark its end as HTTP allows.
+func (h *headReader) checkFraming(r *http.Response) error {
+	switch {
+	case h.hasCoding && !r.ProtoAtLeast(1, 1):
+		return errCodingOfOldVersion
+	case r.StatusCode < http.StatusOK && (h.hasCoding || cmp.Or(r.Header.Get("Content-Length"), "0") != "0"):
+		return errInterimBody
+	}
+	return nil
+}
+
 // complete adds a head of a given size and holds memory for its parsed form.
 func (h *headReader) complete(size int) error {
 	if err := h.check(size); err != nil {
