gateway: responses with a blank in the name of a trailer's field are refused

A chunked response whose trailer held a name with a blank, or with a blank before the colon, looked complete to callers. With a control byte there, it did not.

Cause: as in heads, net/http accepts names with blanks; a name that is no token otherwise fails the body. The body of a chunked response checks the names of its trailer at its end now, so that all malformed trailers are treated alike: calls get 502 or another endpoint, streams are cut or resumed.

TestMalformedTrailersAreRefused: the two forms with blanks failed before on all three routes; the four others held. TestSoundTrailerIsTaken held.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -148,6 +148,56 @@
 	}
 }
 
+// malformedTrailers end chunked responses.
+var malformedTrailers = map[string]string{
+	"name with a blank":      "X Bad: 1\r\n\r\n",
+	"blank before the colon": "X-Bad : 1\r\n\r\n",
+	"control byte in a name": "X\x01Bad: 1\r\n\r\n",
+	"value with NUL":         "X-Bad: \x00\r\n\r\n",
+	"no colon":               "bad\r\n\r\n",
+	"begins with a blank":    " X-Bad: 1\r\n\r\n",
+}
+
+// TestMalformedTrailersAreRefused guards against responses that look complete though their trailer is malformed.
+func TestMalformedTrailersAreRefused(t *testing.T) {
+	for name, trailer := range malformedTrailers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := "HTTP/1.1 200 OK\r\n" + fields + "Trailer: X-Bad\r\n" + byChunks + chunk("data: spoiled\n\n") + "0\r\n" + trailer
+			for path, want := range map[string]int{"/once/x": 502, "/safe/x": 200, "/single/x": 0} {
+				first, second := newFakeEndpoint(t, sendsAndWaits(text, make(chan struct{}))), newFakeEndpoint(t, whole(200, "answer"))
+				r := newTestGateway(t, first, second)
+				status, body, whole := r.do(t, r.request("POST", path, "q"))
+				if want == 0 && whole {
+					t.Errorf("%s: a stream looks complete, status %d %q", path, status, body)
+				}
+				if want != 0 && (status != want || !whole || strings.Contains(body, "spoiled")) {
+					t.Errorf("%s: status %d %q, complete: %t, want %d", path, status, body, whole, want)
+				}
+			}
+		})
+	}
+}
+
+// TestSoundTrailerIsTaken guards against responses that are refused because they have a trailer, and connections that aren't
+// used again after it.
+func TestSoundTrailerIsTaken(t *testing.T) {
+	s := newFakeEndpoint(t, func(c net.Conn, r *http.Request) bool {
+		fmt.Fprint(c, head(r, 200, "Trailer: X-Sum\r\n"+byChunks), chunk("data: sound\n\n"), "0\r\nX-Sum: 1\r\nX-Other:\r\n\r\n")
+		return true
+	})
+	r := newTestGateway(t, s, s)
+	r.owner.endpoints[1].ID = "e1"
+	for _, path := range []string{"/once/x", "/single/x"} {
+		if status, body, whole := r.do(t, r.request("POST", path, "q")); status != 200 || body != "data: sound\n\n" || !whole {
+			t.Errorf("%s: status %d %q, complete: %t, want 200", path, status, body, whole)
+		}
+	}
+	if n := r.gateway.upstream.connections(); n != 1 {
+		t.Errorf("%d connections are open, want one that is reused", n)
+	}
+}
+
 // textConn is a connection to an endpoint that has sent a text and closed.
 type textConn struct {
 	net.Conn
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -143,6 +143,9 @@
 	if err != nil {
 		return nil, malformed(h.bytes, err)
 	}
+	if len(r.TransferEncoding) > 0 {
+		r.Body = httphead.CheckTrailer(r)
+	}
 	return r, nil
 }
 
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -59,15 +60,44 @@
 	if !ok {
 		return errors.Errorf("field line %s has no colon", quote(line))
 	}
-	if !httpguts.ValidHeaderFieldName(string(name)) {
+	return checkName(string(name))
+}
+
+func checkName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
 		return errors.Errorf("field name %s is not a token", quote(name))
 	}
 	return nil
 }
 
+// trailerChecker is a body that fails at its end if the trailer is malformed.
+type trailerChecker struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// CheckTrailer returns the body of a response that net/http reads. At its end it fails if a name in the trailer is not a token.
+func CheckTrailer(r *http.Response) io.ReadCloser { return &trailerChecker{r.Body, r} }
+
+// Read implements io.Reader.
+func (b *trailerChecker) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name, values := range b.response.Trailer {
+		if malformed := checkName(name); len(values) > 0 && malformed != nil { // one without values was announced only
+			return n, errors.Wrap(malformed, "trailer")
+		}
+	}
+	return n, err
+}
+
 // maxQuoted is how much of a peer's text an error has, in bytes.
 const maxQuoted = 40
 
-func quote(text []byte) string { return strconv.Quote(string(text[:min(len(text), maxQuoted)])) }
+func quote[T []byte | string](text T) string {
+	return strconv.Quote(string(text[:min(len(text), maxQuoted)]))
+}
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
