internal/bounded: clients refuse malformed responses

Where an engine sent a malformed response to a slot, callers of lynxrampd got it as an answer: 200 with the body for names with blanks and control bytes in the reason phrase, the status itself for 600 to 999, and after an interim response with a body what followed. 101 with an upgrade held a run for ever. The load in such a response was taken, and an entry that asked a slot never to start a request took a malformed 204 for the confirmation, after which the request may be dispatched elsewhere.

Cause: that of the gateway, at the other reader of responses: net/http's client gives such heads to its callers, and nobody looked at them.

bounded.NewTransport, which all clients of the product use (slots to engines, entries to slots, boxes to boxes, the list of boxes, the command, the load tool), returns a transport that checks the status, the reason phrase, the names of fields in final and interim heads and in trailers, and the protocol (httphead.RoundTrip, with the checks of the gateway). It fails the call, as if the connection had been lost.

--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -31,7 +31,6 @@
 var (
 	errNoStatusLine       = errors.New("it does not begin with a status line")
 	errCodingOfOldVersion = errors.New("it has a transfer coding, which HTTP/1.0 does not know") // RFC 9112, section 6.1
-	errInterimBody        = errors.New("it is interim and has a body")                           // RFC 9110, section 8.6
 )
 
 // refusal is why a part of a response was not read on.
@@ -155,7 +154,7 @@
 	case h.hasCoding && !r.ProtoAtLeast(1, 1):
 		return errCodingOfOldVersion
 	case r.StatusCode < http.StatusOK && (h.hasCoding || cmp.Or(r.Header.Get("Content-Length"), "0") != "0"):
-		return errInterimBody
+		return httphead.ErrInterimBody
 	}
 	return nil
 }
--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 
-// Package bounded has HTTP transports that limit what a server can make its client keep in memory.
+// Package bounded has HTTP transports that limit what a server can make its client keep in memory, and that refuse malformed
+// responses.
 package bounded
 
 import (
@@ -8,6 +9,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"lynxramp.org/internal/httphead"
 )
 
 // MaxHead is the limit of the head of a response, in bytes.
@@ -16,9 +19,17 @@
 // ErrBodyTooLong is returned by a read of a body beyond its limit.
 var ErrBodyTooLong = errors.New("response body is too long")
 
+// Transport is an http.Transport that fails if a response is malformed.
+type Transport struct{ http.Transport }
+
 // NewTransport returns a transport that limits the heads of responses to MaxHead and requests no compression.
-func NewTransport() *http.Transport {
-	return &http.Transport{MaxResponseHeaderBytes: MaxHead, DisableCompression: true}
+func NewTransport() *Transport {
+	return &Transport{http.Transport{MaxResponseHeaderBytes: MaxHead, DisableCompression: true}}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return httphead.RoundTrip(&t.Transport, r)
 }
 
 // LimitBodies returns a transport that fails reads of responses' bodies beyond a number of bytes. Callers that read a
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -14,6 +14,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// ErrInterimBody is returned for an interim response that announces a body (RFC 9110, section 8.6).
+var ErrInterimBody = errors.New("interim response announces a body")
+
 // protocol is what the status line of each response begins with; a digit follows.
 const protocol = "HTTP/1."
 
