entry: a status that HTTP has not is not sent to callers

If a slot, such as one of an older build, named a status of its endpoint outside of 200 to 599, the entry sent it: below 100 and from 1000 on the caller's connection closed without a response, as net/http panics; 101 came without the body; 100, 103 and 199 became an interim response and the body a 200; 600 and 999 were passed on.

Cause: the entry checked that the status is a number. Now it must be that of a final response; otherwise the outcome is unknown, and the caller gets 502.

TestImpossibleStatusIsNotSent: 11 of 16 values failed before, all pass.

--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"lynxramp.org/event"
+	"lynxramp.org/internal/httphead"
 	"lynxramp.org/internal/wait"
 	"lynxramp.org/slot"
 )
@@ -136,6 +137,9 @@
 	if err != nil {
 		return unknownOutcome("the endpoint did not respond")
 	}
+	if !httphead.IsFinal(status) {
+		return unknownOutcome("the endpoint responded with an invalid status")
+	}
 	h := t.w.Header()
 	slot.UnwrapHeaders(h, response.Header)
 	t.outcome = Ran
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -42,10 +42,16 @@
 	return checkStatus(int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0'))
 }
 
+// maxStatus is the highest status that HTTP allows.
+const maxStatus = 599
+
+// IsFinal reports whether a status is that of a final response.
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // checkStatus checks the status of a response to a request that asked for no upgrade (RFC 9110, sections 15 and 15.2.2).
 func checkStatus(status int) error {
-	if status < 100 || status > 599 {
-		return errors.Errorf("status %03d is outside of 100 to 599", status)
+	if status < http.StatusContinue || status > maxStatus {
+		return errors.Errorf("status %03d is outside of %d to %d", status, http.StatusContinue, maxStatus)
 	}
 	if status == http.StatusSwitchingProtocols {
 		return errors.Errorf("status %d without a request for an upgrade", status)
