--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -207,18 +207,19 @@
 // Read implements io.Reader.
 func (c *textConn) Read(p []byte) (int, error) { return c.text.Read(p) }
 
-// readHeadOf reads the head of a response that begins with a text.
-func readHeadOf(text string) (*http.Response, error) {
-	conn := &textConn{text: strings.NewReader(text)}
+// readHead reads the head of a response that begins with a text. It also returns how many bytes of the text follow the head.
+func readHead(text string) (r *http.Response, rest int, err error) {
+	reader := strings.NewReader(text)
+	conn := &textConn{text: reader}
 	x := &exchange{conn: &upstreamConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), pool: newUpstream()}}
-	err := x.readHead(&upstreamRequest{method: http.MethodPost, hold: func(int64) bool { return true }})
-	return x.response, err
+	err = x.readHead(&upstreamRequest{method: http.MethodPost, hold: func(int64) bool { return true }})
+	return x.response, x.conn.reader.Buffered() + reader.Len(), err
 }
 
 // TestCauseIsShort guards against lines of the log as long as those that an endpoint sends.
 func TestCauseIsShort(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nX-Bad: " + strings.Repeat("\x01", 1<<15) + "\r\n\r\n"
-	_, err := readHeadOf(text)
+	_, _, err := readHead(text)
 	if err == nil || len(err.Error()) > 300 {
 		t.Errorf("an error of more than 300 bytes, or none: %.100v", err)
 	}
