--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -88,6 +88,8 @@
 		"stream by close":                 {"/single/x", &endless{status: 200, start: byClose, part: garbage}, 502},
 		"stream by chunks":                {"/single/x", &endless{status: 200, start: byChunks, part: chunk(garbage)}, 502},
 		"stream by length":                {"/single/x", &endless{status: 200, start: byLength, part: garbage}, 502},
+		"stream: trailer line":            {"/single/x", &endless{status: 200, start: byChunks + chunk(eventText(1)) + "0\r\nX-Long: ", part: garbage}, 0},
+		"stream: trailer lines":           {"/single/x", &endless{status: 200, start: byChunks + chunk(eventText(1)) + "0\r\n", part: "a: b\r\n"}, 0},
 		"stream of comments":              {"/single/x", &endless{status: 200, start: byClose, part: comment}, 0},
 		"stream: comments after an event": {"/single/x", &endless{status: 200, start: byClose + eventText(1), part: comment}, 0},
 		"not run, by close":               {"/safe/x", &endless{status: 503, start: notRunOne + byClose, part: garbage}, 200},
--- a/slot/endless_test.go
+++ b/slot/endless_test.go
@@ -33,6 +33,8 @@
 		"body by length":  {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", garbage, 0},
 		"body trickles":   {"HTTP/1.1 200 OK\r\n\r\n", " ", 10 * time.Millisecond},
 		"chunk extension": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", garbage, 0},
+		"trailer line":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n0\r\nX-A: ", garbage, 0},
+		"trailer lines":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n0\r\n", "a: b\r\n", 0},
 		"error":           {"HTTP/1.1 500 No\r\n\r\n", garbage, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
