gateway: a response that its caller has taken is not cancelled

A caller that closed its connection once it had the whole response was, with an account of held memory, at times counted and logged as one that disconnected: "cancelled" in place of "ended", status 0 in the metric. It had its response.

Found as TestLateLongResponseIsLogged, which failed in 1 of 24 runs of the package and, probably, in one before, whose output was not kept. Its lines show "cancelled, the caller disconnected" after the response.

Cause: flush returned as soon as the request's context ended, while the goroutine that writes had written everything and not recorded it yet. Now the writer is interrupted and its end awaited; what it returns says whether the caller had taken all. A caller that disconnects before is not taken for one that was cut.

TestCompleteResponseIsNotCancelled failed before. TestLateLongResponseIsLogged, 240 times, six at once beside two soaks: 4 such lines before, none after. With the race detector, the tests of held memory, slow callers and stops pass.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -41,18 +41,20 @@
 	changed chan struct{} // receives a value when the writer ends or makes room
 	cut     chan struct{} // closed once the response is given up
 
-	mu       sync.Mutex
-	writing  bool // the goroutine that writes exists; only it may use caller
-	blocks   []block
-	inUse    int               // blocks, with the one that is being written
-	isFull   bool              // the buffer was full and has not been read down to resumeFraction
-	held     *heldmem.Response // nil while the caller keeps up
-	wait     *heldmem.Wait     // the request of held for a further block; nil if there is none
-	err      error             // of writing to the caller
-	isCut    bool
-	cancel   context.CancelFunc // cancels the request at its endpoint
-	report   cutReport
-	lastTook time.Time
+	mu      sync.Mutex
+	writing bool // the goroutine that writes exists; only it may use caller
+	blocks  []block
+	inUse   int               // blocks, with the one that is being written
+	isFull  bool              // the buffer was full and has not been read down to resumeFraction
+	held    *heldmem.Response // nil while the caller keeps up
+	wait    *heldmem.Wait     // the request of held for a further block; nil if there is none
+	err     error             // of writing to the caller
+	isCut   bool
+	// isDisconnected is set once the caller has disconnected while the writer may run.
+	isDisconnected bool
+	cancel         context.CancelFunc // cancels the request at its endpoint
+	report         cutReport
+	lastTook       time.Time
 
 	// Used by the goroutine that reads the endpoint only.
 	blocked      time.Duration // time for which the endpoint was left unread, less the time in which it was read
@@ -322,6 +324,8 @@
 func (b *relay) failLocked(err error) {
 	switch {
 	case b.err != nil:
+	case b.isDisconnected:
+		b.err = errCallerDisconnected
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		b.cutLocked(cutStalled)
 	default:
@@ -403,7 +407,7 @@
 		select {
 		case <-b.changed:
 		case <-ctx.Done():
-			return ctx.Err()
+			return b.endDisconnected()
 		case <-ticker.C:
 			if stopping() {
 				b.cutIfIdle()
@@ -413,6 +417,19 @@
 	return b.error()
 }
 
+// endDisconnected ends the writer after the caller has disconnected, and waits for its end. A caller may have done so because it has
+// taken everything, before the last write has returned; then there is no error.
+func (b *relay) endDisconnected() error {
+	b.mu.Lock()
+	b.isDisconnected = true
+	b.mu.Unlock()
+	b.caller.interrupt()
+	for b.isWriting() {
+		<-b.changed
+	}
+	return b.error()
+}
+
 func (b *relay) cutIfIdle() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
