internal/httphead: clients check the lines of heads as they are read

A slot took three more malformed responses of its engine: a transfer coding in HTTP/1.0, of which the coded body became the response, one in an interim response, and a control byte in the reason phrase of an interim one. After a malformed interim head that nothing follows, a call lasted until its timeout.

Cause: the client saw what net/http had made of the heads, which hides these. Two readers had two sets of checks.

Checker has all checks, line by line, and both use it: the gateway's reader of heads, and connections that a client's transport makes (httphead.Dial). A connection is told by httptrace when a response begins, and checks what is read up to the end of the final head; after a fault nothing more is read from it, so that it isn't used again. The checks of the parsed head remain for TLS. That bounded.NewTransport takes the dialer makes sure that no client goes without.

--- a/bench/client.go
+++ b/bench/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -25,7 +26,7 @@
 
 // newClient returns a client that keeps many idle connections to one host.
 func newClient() *http.Client {
-	transport := bounded.NewTransport()
+	transport := bounded.NewTransport(&net.Dialer{})
 	transport.MaxIdleConnsPerHost = 1024
 	return &http.Client{Transport: transport}
 }
--- a/box/box.go
+++ b/box/box.go
@@ -86,8 +86,7 @@
 
 // newBoxClient returns the HTTP client for calls between boxes.
 func newBoxClient(keys Keys) *http.Client {
-	transport := bounded.NewTransport()
-	transport.DialContext = (&net.Dialer{Timeout: time.Second}).DialContext
+	transport := bounded.NewTransport(&net.Dialer{Timeout: time.Second})
 	transport.MaxIdleConnsPerHost = 8
 	transport.IdleConnTimeout = time.Minute
 	return rpc.NewClient(keys.Boxes, transport)
--- a/box/control.go
+++ b/box/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -146,7 +147,7 @@
 	if r.platform == "" {
 		return
 	}
-	client := &http.Client{Timeout: platformTimeout, Transport: bounded.NewTransport()}
+	client := &http.Client{Timeout: platformTimeout, Transport: bounded.NewTransport(&net.Dialer{})}
 	ticker := time.NewTicker(platformInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
--- a/cmd/lynxramp/levels.go
+++ b/cmd/lynxramp/levels.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -72,7 +73,7 @@
 	if err != nil {
 		return errors.Wrap(err, "metrics URL")
 	}
-	client := &http.Client{Transport: bounded.LimitBodies(bounded.NewTransport(), maxMetricsBytes)}
+	client := &http.Client{Transport: bounded.LimitBodies(bounded.NewTransport(&net.Dialer{}), maxMetricsBytes)}
 	defer client.CloseIdleConnections()
 	response, err := client.Do(request)
 	if err != nil {
--- a/cmd/lynxramp/operate.go
+++ b/cmd/lynxramp/operate.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"os/user"
 	"strings"
@@ -39,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	client := rpc.NewClient(key, bounded.NewTransport())
+	client := rpc.NewClient(key, bounded.NewTransport(&net.Dialer{}))
 	var lastErr error
 	for _, address := range r.Control {
 		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -47,8 +47,7 @@
 }
 
 func newSlotClient(key string, log *zap.Logger) *slotClient {
-	transport := bounded.NewTransport()
-	transport.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	transport := bounded.NewTransport(&net.Dialer{Timeout: dialTimeout})
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerSlot
 	transport.IdleConnTimeout = idleConnTimeout
 	return &slotClient{
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -36,6 +36,7 @@
 	"status 101, a response follows":          "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n" + spoiledResponse,
 	"status 600":                              "HTTP/1.1 600 OK\r\n" + fields + spoiled,
 	"status 999":                              "HTTP/1.1 999 OK\r\n" + fields + spoiled,
+	"empty line before the status line":       "\r\nHTTP/1.1 200 OK\r\n" + fields + spoiled,
 	"status with a sign":                      "HTTP/1.1 +20 OK\r\n" + fields + spoiled,
 	"status of two digits":                    "HTTP/1.1 20 OK\r\n" + fields + spoiled,
 	"status of four digits":                   "HTTP/1.1 0200 OK\r\n" + fields + spoiled,
--- a/gateway/upstream_head.go
+++ b/gateway/upstream_head.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,11 +26,8 @@
 // errNoMemory is returned if the account grants no memory for a part of a response. It says nothing about the endpoint.
 var errNoMemory = errors.New("no memory for the response")
 
-// Causes of malformed responses.
-var (
-	errNoStatusLine       = errors.New("it does not begin with a status line")
-	errCodingOfOldVersion = errors.New("it has a transfer coding, which HTTP/1.0 does not know") // RFC 9112, section 6.1
-)
+// errNoStatusLine is the cause of a malformed response whose first bytes can't become a status line.
+var errNoStatusLine = errors.New("it does not begin with a status line")
 
 // refusal is why a part of a response was not read on.
 type refusal uint8
@@ -83,25 +79,20 @@
 	hold     func(bytes int64) bool // has the account hold bytes for the response
 	bytes    int                    // of the heads that are complete
 	lines    int                    // with those of the current head
-	// hasCoding is set if the current head has a transfer coding. net/http ignores and removes that of HTTP/1.0.
-	hasCoding bool
+	checker  httphead.Checker
 }
 
-var codingName = []byte("Transfer-Encoding:")
-
 // await reads until the connection's buffer has a complete head.
 func (h *headReader) await() error {
 	scanned, lineStart := 0, 0
-	h.hasCoding = false
 	for {
 		reader := h.conn.reader
 		data, _ := reader.Peek(reader.Buffered()) // what is buffered can be peeked
 		for end := bytes.IndexByte(data[scanned:], '\n'); end >= 0; end = bytes.IndexByte(data[scanned:], '\n') {
 			line := bytes.TrimSuffix(data[lineStart:scanned+end], []byte{'\r'})
-			if err := checkLine(line, lineStart == 0); err != nil {
+			if _, err := h.checker.Line(line); err != nil {
 				return malformed(scanned+end, err)
 			}
-			h.hasCoding = h.hasCoding || len(line) >= len(codingName) && bytes.EqualFold(line[:len(codingName)], codingName)
 			scanned += end + 1
 			lineStart = scanned
 			h.lines++
@@ -122,23 +113,9 @@
 	}
 }
 
-// checkLine checks a line of a head; the last one is empty.
-func checkLine(line []byte, isFirst bool) error {
-	if isFirst {
-		return httphead.CheckStatusLine(line)
-	}
-	if len(line) == 0 {
-		return nil
-	}
-	return httphead.CheckFieldLine(line)
-}
-
-// parse reads the head that await has found complete, and checks how the end of the response is marked.
+// parse reads the head that await has found complete.
 func (h *headReader) parse(method string) (*http.Response, error) {
 	r, err := http.ReadResponse(h.conn.reader, &http.Request{Method: method})
-	if err == nil {
-		err = h.checkFraming(r)
-	}
 	if err != nil {
 		return nil, malformed(h.bytes, err)
 	}
@@ -148,17 +125,6 @@
 	return r, nil
 }
 
-// checkFraming returns why a response does not mark its end as HTTP allows.
-func (h *headReader) checkFraming(r *http.Response) error {
-	switch {
-	case h.hasCoding && !r.ProtoAtLeast(1, 1):
-		return errCodingOfOldVersion
-	case r.StatusCode < http.StatusOK && (h.hasCoding || cmp.Or(r.Header.Get("Content-Length"), "0") != "0"):
-		return httphead.ErrInterimBody
-	}
-	return nil
-}
-
 // complete adds a head of a given size and holds memory for its parsed form.
 func (h *headReader) complete(size int) error {
 	if err := h.check(size); err != nil {
--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -6,6 +6,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -22,9 +23,9 @@
 // Transport is an http.Transport that fails if a response is malformed.
 type Transport struct{ http.Transport }
 
-// NewTransport returns a transport that limits the heads of responses to MaxHead and requests no compression.
-func NewTransport() *Transport {
-	return &Transport{http.Transport{MaxResponseHeaderBytes: MaxHead, DisableCompression: true}}
+// NewTransport returns a transport that connects with a dialer, limits the heads of responses to MaxHead and requests no compression.
+func NewTransport(d *net.Dialer) *Transport {
+	return &Transport{http.Transport{DialContext: httphead.Dial(d), ForceAttemptHTTP2: true, MaxResponseHeaderBytes: MaxHead, DisableCompression: true}}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/internal/bounded/bounded_test.go
+++ b/internal/bounded/bounded_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,7 +19,7 @@
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(w, strings.Repeat("x", length))
 		}))
-		client := &http.Client{Transport: LimitBodies(NewTransport(), 100)}
+		client := &http.Client{Transport: LimitBodies(NewTransport(&net.Dialer{}), 100)}
 		response, err := client.Get(server.URL)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -14,9 +14,6 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInterimBody is returned for an interim response that announces a body (RFC 9110, section 8.6).
-var ErrInterimBody = errors.New("interim response announces a body")
-
 // protocol is what the status line of each response begins with; a digit follows.
 const protocol = "HTTP/1."
 
@@ -26,20 +23,21 @@
 	return string(start[:n]) == protocol[:n]
 }
 
-// CheckStatusLine returns why a line, without its end, is not the status line of a response; nil if it is one.
-func CheckStatusLine(line []byte) error {
+// checkStatusLine returns the status of a status line, without its end. It fails if the line is none of a response.
+func checkStatusLine(line []byte) (int, error) {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	if len(version) != len(protocol)+1 || !MayBeStatusLine(version) || !isDigit(version[len(protocol)]) {
-		return errors.Errorf("protocol %s is not HTTP/1", quote(version))
+		return 0, errors.Errorf("protocol %s is not HTTP/1", quote(version))
 	}
 	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
 	if len(status) != 3 || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
-		return errors.Errorf("status %s is not a number of three digits", quote(status))
+		return 0, errors.Errorf("status %s is not a number of three digits", quote(status))
 	}
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return errors.Errorf("reason phrase %s has a control character", quote(reason))
+		return 0, errors.Errorf("reason phrase %s has a control character", quote(reason))
 	}
-	return checkStatus(int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0'))
+	number := int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0')
+	return number, checkStatus(number)
 }
 
 // maxStatus is the highest status that HTTP allows.
@@ -59,9 +57,9 @@
 	return nil
 }
 
-// CheckFieldLine returns why a line, without its end, is no field line of a head, and doesn't continue one; nil if it is one. net/http
+// checkFieldLine returns why a line, without its end, is no field line of a head, and doesn't continue one; nil if it is one. net/http
 // accepts names with blanks. A blank before the colon is no exception: it may hide the length of a body (RFC 9112, section 5.1).
-func CheckFieldLine(line []byte) error {
+func checkFieldLine(line []byte) error {
 	if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
 		return nil // it continues the value of the line before it (RFC 9112, section 5.2)
 	}
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -37,7 +37,7 @@
 		"":                                   false,
 		"HTTP/1.1 " + strings.Repeat("2", 9): false,
 	} {
-		if err := CheckStatusLine([]byte(line)); (err == nil) != sound {
+		if _, err := checkStatusLine([]byte(line)); (err == nil) != sound {
 			t.Errorf("%q: %v, sound: %t", line, err, sound)
 		}
 	}
@@ -70,7 +70,7 @@
 		"value":                           false,
 		strings.Repeat("a", 100) + " : b": false,
 	} {
-		if err := CheckFieldLine([]byte(line)); (err == nil) != sound {
+		if err := checkFieldLine([]byte(line)); (err == nil) != sound {
 			t.Errorf("%q: %v, sound: %t", line, err, sound)
 		}
 	}
@@ -79,10 +79,9 @@
 // TestErrorIsShort guards against errors, and lines of the log, as long as what a peer sends.
 func TestErrorIsShort(t *testing.T) {
 	long := strings.Repeat("\x00", 1<<16)
-	for _, err := range []error{
-		CheckStatusLine([]byte("HTTP/1." + long)), CheckStatusLine([]byte("HTTP/1.1 " + long)), CheckStatusLine([]byte("HTTP/1.1 200 " + long)), CheckFieldLine([]byte(long)), CheckFieldLine([]byte(long + ":")),
-	} {
-		if err == nil || len(err.Error()) > 300 {
+	for _, line := range []string{"HTTP/1." + long, "HTTP/1.1 " + long, "HTTP/1.1 200 " + long, long, long + ":"} {
+		c := Checker{isInHead: !strings.HasPrefix(line, "HTTP")}
+		if _, err := c.Line([]byte(line)); err == nil || len(err.Error()) > 300 {
 			t.Errorf("an error of more than 300 bytes, or none: %.100v", err)
 		}
 	}
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -3,7 +3,9 @@
 package httphead
 
 import (
-	"cmp"
+	"bytes"
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -15,20 +17,96 @@
 // maxInterim is the limit of the interim responses before a final one.
 const maxInterim = 8
 
-// RoundTrip sends a request with a transport of net/http and returns its response. It fails if the response, an interim one before
-// it, or at the end of the body its trailer is malformed. The reason phrase of an interim response is not known to it.
+// watch checks the heads of one response as they are read.
+type watch struct {
+	checker Checker
+	line    []byte // the part of the current line that was read
+	ended   bool
+	err     error
+}
+
+// read checks the next bytes of the connection, up to the end of the final head.
+func (w *watch) read(p []byte) {
+	for !w.ended && w.err == nil && len(p) > 0 {
+		part, rest, isWhole := bytes.Cut(p, []byte{'\n'})
+		w.line = append(w.line, part...) // the transport bounds what it reads of a head
+		p = rest
+		if isWhole {
+			w.ended, w.err = w.checker.Line(bytes.TrimSuffix(w.line, []byte{'\r'}))
+			w.line = w.line[:0]
+		}
+	}
+}
+
+// watchedConn is a connection whose responses are watched. The transport uses it for one response at a time.
+type watchedConn struct {
+	net.Conn
+	last  []byte // what was read last
+	watch *watch // nil if no head is awaited
+	err   error  // of a malformed response, after which nothing more is read
+}
+
+// Read implements io.Reader.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err := c.Conn.Read(p)
+	c.last = p[:n]
+	if c.watch != nil {
+		c.begin(c.watch)
+	}
+	return n, err
+}
+
+// begin watches a response whose first bytes are those that were read last.
+func (c *watchedConn) begin(w *watch) {
+	w.read(c.last)
+	c.watch, c.err = w, w.err
+	if w.ended {
+		c.watch = nil
+	}
+}
+
+// Dial returns a function that connects with a dialer, for an http.Transport that RoundTrip uses.
+func Dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &watchedConn{Conn: c}, nil
+	}
+}
+
+// RoundTrip sends a request with a transport that connects by Dial, and returns its response. It fails if the response, an interim
+// one before it, or at the end of the body its trailer is malformed. With TLS it sees only what net/http has made of the final head.
 func RoundTrip(transport http.RoundTripper, r *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	w := &watch{}
 	interim := 0
-	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
-		if interim++; interim > maxInterim {
-			return errors.Errorf("malformed response: more than %d interim ones", maxInterim)
-		}
-		return errors.Wrap(checkInterim(http.Header(header)), "malformed interim response")
-	}}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn },
+		GotFirstResponseByte: func() {
+			if c, ok := conn.(*watchedConn); ok {
+				c.begin(w)
+			}
+		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			if interim++; interim > maxInterim {
+				return errors.Errorf("malformed response: more than %d interim ones", maxInterim)
+			}
+			return nil
+		},
+	}
 	response, err := transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
+	if err := w.err; err != nil {
+		_ = response.Body.Close() // it is not read
+		return nil, errors.Wrap(err, "malformed response")
+	}
 	if err := check(response); err != nil {
 		_ = response.Body.Close() // it is not read
 		return nil, errors.Wrap(err, "malformed response")
@@ -41,29 +119,13 @@
 
 // check returns why a response that net/http has read is malformed; nil if it is not.
 func check(r *http.Response) error {
-	isHTTP2 := r.TLS != nil && r.TLS.NegotiatedProtocol == "h2"
-	if r.ProtoMajor != 1 && !isHTTP2 {
-		return errors.Errorf("protocol %s is not HTTP/1", quote(r.Proto))
-	}
 	if err := checkStatus(r.StatusCode); err != nil {
 		return err
 	}
 	if !httpguts.ValidHeaderFieldValue(r.Status) {
 		return errors.Errorf("status %s has a control character", quote(r.Status))
 	}
-	return checkNames(r.Header)
-}
-
-// checkInterim returns why the head of an interim response is malformed; nil if it is not.
-func checkInterim(header http.Header) error {
-	if length := header.Get("Content-Length"); cmp.Or(length, "0") != "0" {
-		return ErrInterimBody
-	}
-	return checkNames(header)
-}
-
-func checkNames(header http.Header) error {
-	for name := range header {
+	for name := range r.Header {
 		if err := checkName(name); err != nil {
 			return err
 		}
--- a/internal/scripted/malformed.go
+++ b/internal/scripted/malformed.go
@@ -2,7 +2,8 @@
 
 package scripted
 
-// Malformed are responses that HTTP/1 does not allow, and that net/http returns to its callers. Each has the body.
+// Malformed are responses that HTTP/1 does not allow, and that net/http returns to its callers or goes on to wait after. All but one
+// have the body.
 func Malformed(body string) map[string]string {
 	const sound = "HTTP/1.1 200 OK\r\n"
 	end := "Connection: close\r\n\r\n" + body
@@ -18,6 +19,10 @@
 		"name with a blank":                     sound + "X Bad: 1\r\n" + end,
 		"blank before the colon":                sound + "X-Bad : 1\r\n" + end,
 		"name with a blank in an interim head":  "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + sound + end,
+		"control byte, interim reason phrase":   "HTTP/1.1 103 \x01\r\n\r\n" + sound + end,
+		"malformed interim head, then nothing":  "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n",
+		"interim response with a coding":        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + sound + end,
+		"coding in HTTP/1.0":                    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + end,
 		"interim response with a length":        "HTTP/1.1 103 Early Hints\r\nContent-Length: 7\r\n\r\n" + sound + end,
 		"interim responses without end":         interim(100) + sound + end,
 		"name with a blank, the body has ended": sound + "X Bad: 1\r\nContent-Length: 0\r\n\r\n",
--- a/internal/scripted/scripted.go
+++ b/internal/scripted/scripted.go
@@ -11,9 +11,9 @@
 	"testing"
 )
 
-// Serve starts a server that sends a text on each connection, once it has read a request, and then waits until the connection is
-// closed. It runs until the test ends. Serve returns its address.
-func Serve(t testing.TB, text string) (address string) {
+// Serve starts a server that sends texts on each connection, one after each request, and then waits until the connection is closed.
+// It runs until the test ends. Serve returns its address.
+func Serve(t testing.TB, texts ...string) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -26,21 +26,24 @@
 			if err != nil {
 				return
 			}
-			go respond(c, text)
+			go respond(c, texts)
 		}
 	}()
 	return l.Addr().String()
 }
 
-func respond(c net.Conn, text string) {
+func respond(c net.Conn, texts []string) {
 	defer c.Close()
 	reader := bufio.NewReader(c)
-	r, err := http.ReadRequest(reader)
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body) // the response does not depend on it
-	if _, err := io.WriteString(c, text); err == nil {
-		_, _ = reader.ReadByte() // until the client closes the connection
+	for _, text := range texts {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // the response does not depend on it
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
 	}
+	_, _ = reader.ReadByte() // until the client closes the connection
 }
--- a/rpc/limits_test.go
+++ b/rpc/limits_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -30,7 +31,7 @@
 				}
 			}
 		}))
-		client := NewOperatorProtobufClient(server.URL, NewClient("key", bounded.NewTransport()))
+		client := NewOperatorProtobufClient(server.URL, NewClient("key", bounded.NewTransport(&net.Dialer{})))
 		if _, err := client.Show(context.Background(), &ShowRequest{}); err == nil || !strings.Contains(err.Error(), bounded.ErrBodyTooLong.Error()) {
 			t.Errorf("status %d: %v, want %v", status, err, bounded.ErrBodyTooLong)
 		}
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -71,8 +71,7 @@
 // New returns a slot. The incarnation must differ from that of every earlier slot of
 // the endpoint.
 func New(c Config, incarnation event.Incarnation, log *zap.Logger) *Slot {
-	transport := bounded.NewTransport()
-	transport.DialContext = (&net.Dialer{Timeout: 2 * time.Second, Control: boundReceiveBuffer}).DialContext
+	transport := bounded.NewTransport(&net.Dialer{Timeout: 2 * time.Second, Control: boundReceiveBuffer})
 	transport.MaxIdleConnsPerHost = 64
 	transport.IdleConnTimeout = 30 * time.Second
 	return &Slot{
