gateway: a test of stops waits until its request waits for an endpoint

It is in flight from its first byte on, and the test waited for that only. It waits now until the owner has all three submissions; what it checks is the same.

--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -151,9 +151,11 @@
 	r.owner.hold = true
 	r.owner.mu.Unlock()
 	results = append(results, r.send(t, "/safe/x"))
-	waitFor(t, "all are in flight, one with the beginning of its response", func() bool {
+	waitFor(t, "all are in flight, one with the beginning of its response, and one waits for an endpoint", func() bool {
 		all, _ := r.gateway.InFlight()
-		return all == 3 && r.gateway.responses.Load() == 1
+		r.owner.mu.Lock()
+		defer r.owner.mu.Unlock()
+		return all == 3 && r.gateway.responses.Load() == 1 && len(r.owner.submits) == 3
 	})
 	r.gateway.StartDraining(time.Second)
 	r.gateway.SetDrainPhase(Stopped)
