internal/httphead: names, and a head that isn't seen to its end is refused

Read as a newcomer: checkLast in place of begin, which also continued; HTTP/1.0 is called so; the reason for ForceAttemptHTTP2. A response whose head the connection's checks have not seen to its end, which no test shows, is refused rather than returned unchecked.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -25,7 +25,12 @@
 
 // NewTransport returns a transport that connects with a dialer, limits the heads of responses to MaxHead and requests no compression.
 func NewTransport(d *net.Dialer) *Transport {
-	return &Transport{http.Transport{DialContext: httphead.Dial(d), ForceAttemptHTTP2: true, MaxResponseHeaderBytes: MaxHead, DisableCompression: true}}
+	return &Transport{http.Transport{
+		DialContext:            httphead.Dial(d),
+		ForceAttemptHTTP2:      true, // a DialContext turns it off
+		MaxResponseHeaderBytes: MaxHead,
+		DisableCompression:     true,
+	}}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/internal/httphead/checker.go
+++ b/internal/httphead/checker.go
@@ -10,8 +10,8 @@
 
 // Faults in how a head marks the end of its response.
 var (
-	errCodingOfOldVersion = errors.New("HTTP/1.0 has no transfer codings")         // RFC 9112, section 6.1
-	errInterimBody        = errors.New("an interim response must not have a body") // RFC 9110, section 8.6
+	errCodingInHTTP10 = errors.New("HTTP/1.0 has no transfer codings")         // RFC 9112, section 6.1
+	errInterimBody    = errors.New("an interim response must not have a body") // RFC 9110, section 8.6
 )
 
 // Checker checks the heads of a response, interim ones and the final one, line by line. The zero value awaits the first line.
@@ -23,7 +23,7 @@
 // head is what the lines of the current head say.
 type head struct {
 	isInterim bool
-	isOld     bool // HTTP/1.0
+	isHTTP10  bool
 	hasCoding bool // net/http ignores and removes that of HTTP/1.0
 	hasLength bool // other than 0
 }
@@ -38,13 +38,13 @@
 			return false, err
 		}
 		c.isInHead = true
-		c.head = head{isInterim: !IsFinal(status), isOld: line[len(protocol)] == '0'}
+		c.head = head{isInterim: !IsFinal(status), isHTTP10: line[len(protocol)] == '0'}
 		return false, nil
 	case len(line) > 0:
 		c.observeField(line)
 		return false, checkFieldLine(line)
-	case c.isOld && c.hasCoding:
-		return false, errCodingOfOldVersion
+	case c.isHTTP10 && c.hasCoding:
+		return false, errCodingInHTTP10
 	case c.isInterim && (c.hasCoding || c.hasLength):
 		return false, errInterimBody
 	}
--- a/internal/httphead/transport.go
+++ b/internal/httphead/transport.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// result returns why the response is malformed; nil if it is not.
+func (w *watch) result() error {
+	if !w.ended && w.err == nil {
+		return errors.New("its head has no end")
+	}
+	return w.err
+}
+
 // watchedConn is a connection whose responses are watched. The transport uses it for one response at a time.
 type watchedConn struct {
 	net.Conn
@@ -54,13 +62,13 @@
 	n, err := c.Conn.Read(p)
 	c.last = p[:n]
 	if c.watch != nil {
-		c.begin(c.watch)
+		c.checkLast(c.watch)
 	}
 	return n, err
 }
 
-// begin watches a response whose first bytes are those that were read last.
-func (c *watchedConn) begin(w *watch) {
+// checkLast checks what was read last, which a response begins with or which continues it, and watches the rest of its heads.
+func (c *watchedConn) checkLast(w *watch) {
 	w.read(c.last)
 	c.watch, c.err = w, w.err
 	if w.ended {
@@ -89,7 +97,7 @@
 		GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn },
 		GotFirstResponseByte: func() {
 			if c, ok := conn.(*watchedConn); ok {
-				c.begin(w)
+				c.checkLast(w)
 			}
 		},
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
@@ -103,11 +111,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := w.err; err != nil {
-		_ = response.Body.Close() // it is not read
-		return nil, errors.Wrap(err, "malformed response")
+	err = checkParsed(response)
+	if _, ok := conn.(*watchedConn); ok {
+		err = w.result()
 	}
-	if err := check(response); err != nil {
+	if err != nil {
 		_ = response.Body.Close() // it is not read
 		return nil, errors.Wrap(err, "malformed response")
 	}
@@ -117,8 +125,8 @@
 	return response, nil
 }
 
-// check returns why a response that net/http has read is malformed; nil if it is not.
-func check(r *http.Response) error {
+// checkParsed returns why a response that net/http has read is malformed; nil if it is not.
+func checkParsed(r *http.Response) error {
 	if err := checkStatus(r.StatusCode); err != nil {
 		return err
 	}
